--- /dev/null
+++ b/cmd/azurehitch-standin/main.go
@@ -0,0 +1,13 @@
+// Command azurehitch-standin runs small stand-ins for the platform's services
+// and for backend servers. No deployed program contains them.
+package main
+
+import (
+	"os"
+
+	"azurehitch/cmd/azurehitch-standin/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Run(os.Args, os.Stderr))
+}
--- /dev/null
+++ b/hostlist.go
@@ -0,0 +1,37 @@
+package azurehitch
+
+import "context"
+
+// HostRole tells what runs on a host.
+type HostRole string
+
+// The roles of hosts.
+const (
+	HostRoleEntry   HostRole = "EntryHost"
+	HostRoleBackend HostRole = "BackendServer"
+)
+
+// HostState is the state of a host in the platform's list.
+type HostState string
+
+// The states of hosts. A host that is gone is absent from the list.
+const (
+	HostStateLive    HostState = "Live"
+	HostStateLeaving HostState = "Leaving"
+)
+
+// Host is one entry of the platform's list of hosts.
+type Host struct {
+	Name string
+	// Address is the peer address of an entry host, or the service address of a
+	// backend server.
+	Address       string
+	FailureDomain string
+	Role          HostRole
+	State         HostState
+}
+
+// HostList is the platform's list of hosts. The list lags behind the truth.
+type HostList interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
--- /dev/null
+++ b/internal/admin/operator/handler.go
@@ -0,0 +1,213 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/forward/caller"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/oplog/follow"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/jsonhttp"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// The paths of the API.
+const (
+	PathConfiguration = "/admin/v1/configuration"
+	PathCheck         = "/admin/v1/configuration/check"
+	PathDaemons       = "/admin/v1/daemons"
+	PathPools         = "/admin/v1/pools"
+	PathDrain         = "/admin/v1/drain"
+	PathHealth        = "/healthz"
+	PathVariables     = "/debug/vars"
+)
+
+const (
+	publishTimeout = 10 * time.Second
+	statusTimeout  = time.Second
+)
+
+// Dependencies are what the API needs.
+type Dependencies struct {
+	Store    *control.Store
+	Recorder enginepool.Recorder
+	Pools    *enginepool.Set
+	Callers  *caller.Server
+	Metrics  *metrics.Metrics
+	// Daemons returns the names of the live daemons.
+	Daemons func() []string
+	// Status asks a daemon, this one included.
+	Status func(ctx context.Context, daemon string) (*peerpb.StatusResponse, error)
+	// Drain starts a planned stop of this daemon.
+	Drain func()
+	// IsDraining reports whether one has started.
+	IsDraining func() bool
+	// KeySHA256 is the digest of the operators' key in hexadecimal; empty means
+	// that none is needed.
+	KeySHA256 string
+}
+
+// NewHandler returns the handler of the API.
+func NewHandler(d Dependencies) fasthttp.RequestHandler {
+	variables := d.Metrics.Handler()
+	return func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		if path == PathHealth {
+			d.serveHealth(ctx)
+			return
+		}
+		if !d.isAuthorized(ctx) {
+			fail(ctx, fasthttp.StatusUnauthorized, Failure{Code: FailureNotAuthorized, Reason: "the Authorization header does not hold the operators' key"})
+			return
+		}
+		switch {
+		case path == PathVariables:
+			variables(ctx)
+		case path == PathConfiguration && ctx.IsPost():
+			d.servePublish(ctx)
+		case path == PathConfiguration:
+			jsonhttp.Write(ctx, fasthttp.StatusOK, tablesFromState(d.Store.Published()))
+		case path == PathCheck && ctx.IsPost():
+			d.serveCheck(ctx)
+		case path == PathDaemons:
+			jsonhttp.Write(ctx, fasthttp.StatusOK, d.daemons(ctx))
+		case path == PathPools:
+			jsonhttp.Write(ctx, fasthttp.StatusOK, d.pools())
+		case path == PathDrain && ctx.IsPost():
+			d.Drain()
+			ctx.SetStatusCode(fasthttp.StatusAccepted)
+		default:
+			fail(ctx, fasthttp.StatusNotFound, Failure{Code: FailureNotFound, Reason: "the API has no " + path})
+		}
+	}
+}
+
+func fail(ctx *fasthttp.RequestCtx, status int, failure Failure) {
+	jsonhttp.Write(ctx, status, failure)
+}
+
+func (d Dependencies) isAuthorized(ctx *fasthttp.RequestCtx) bool {
+	if d.KeySHA256 == "" {
+		return true
+	}
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	digest := sha256.Sum256([]byte(key))
+	matches := subtle.ConstantTimeCompare([]byte(hex.EncodeToString(digest[:])), []byte(d.KeySHA256)) == 1
+	return ok && matches
+}
+
+// serveHealth tells the platform's balancer whether to send callers here.
+func (d Dependencies) serveHealth(ctx *fasthttp.RequestCtx) {
+	if d.IsDraining() || d.Store.Configuration().Version == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// readPublication reads and checks the tables of a request. It answers and
+// returns false when they are refused.
+func (d Dependencies) readPublication(ctx *fasthttp.RequestCtx) (Publication, bool) {
+	var p Publication
+	if !jsonhttp.Read(ctx, &p) {
+		return p, false
+	}
+	current := d.Store.Published()
+	if p.Routes == nil {
+		p.Routes = current.Publication.Routes
+	}
+	if p.Pools == nil {
+		p.Pools = current.Publication.Pools
+	}
+	_, err := tables.Parse(p.Routes, p.Pools)
+	var invalid *tables.ErrTables
+	if errors.As(err, &invalid) {
+		fail(ctx, fasthttp.StatusUnprocessableEntity, Failure{
+			Code: FailureInvalidTables, Reason: "the tables are not valid; nothing was changed", Mistakes: mistakesFrom(invalid),
+		})
+		return p, false
+	}
+	return p, true
+}
+
+func (d Dependencies) serveCheck(ctx *fasthttp.RequestCtx) {
+	if _, ok := d.readPublication(ctx); ok {
+		jsonhttp.Write(ctx, fasthttp.StatusOK, struct{ Valid bool }{Valid: true})
+	}
+}
+
+func (d Dependencies) servePublish(ctx *fasthttp.RequestCtx) {
+	p, ok := d.readPublication(ctx)
+	if !ok {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	publication := configlog.NewPublication(p.Base, p.Routes, p.Pools, p.Author)
+	verdict, err := d.Recorder.Append(limited, control.Record{Publication: &publication})
+	if err != nil {
+		failAppend(ctx, err)
+		return
+	}
+	var conflict *configlog.ErrConflict
+	switch {
+	case verdict.Err == nil:
+		jsonhttp.Write(ctx, fasthttp.StatusOK, Published{Version: verdict.Offset})
+	case errors.As(verdict.Err, &conflict):
+		fail(ctx, fasthttp.StatusConflict, Failure{
+			Code: FailureConflict, Reason: conflict.Error(), Current: conflict.Current, CurrentAuthor: conflict.Author,
+		})
+	default:
+		fail(ctx, fasthttp.StatusInternalServerError, Failure{Code: FailureUnsettled, Reason: verdict.Err.Error()})
+	}
+}
+
+func failAppend(ctx *fasthttp.RequestCtx, err error) {
+	failure := Failure{Code: FailureUnsettled, Reason: err.Error()}
+	var failed *azurehitch.ErrLog
+	var unsettled *follow.ErrUnsettled
+	if errors.As(err, &failed) && !errors.As(err, &unsettled) {
+		failure = Failure{Code: FailureLogUnavailable, Reason: "the log can't take the publication; nothing was changed"}
+	}
+	fail(ctx, fasthttp.StatusServiceUnavailable, failure)
+}
+
+func (d Dependencies) daemons(ctx context.Context) []DaemonStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	statuses := []DaemonStatus{}
+	for _, name := range d.Daemons() {
+		status, err := d.Status(ctx, name)
+		if err != nil {
+			statuses = append(statuses, DaemonStatus{Daemon: name})
+			continue
+		}
+		statuses = append(statuses, statusFromProto(status))
+	}
+	return statuses
+}
+
+func (d Dependencies) pools() []PoolStatus {
+	usage := d.Callers.Waiting()
+	held := map[string]*HeldPool{}
+	for _, status := range d.Pools.Status() {
+		held[status.Pool] = heldFrom(status)
+	}
+	statuses := []PoolStatus{}
+	for _, pool := range d.Store.Configuration().Pools.Pools {
+		status := poolFrom(pool.Name, d.Store.Lease(pool.Name), usage[pool.Name])
+		status.Held = held[pool.Name]
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
--- /dev/null
+++ b/internal/configuration/configlog/fold.go
@@ -0,0 +1,98 @@
+// Package configlog folds the publications on the log into the configuration in
+// force.
+//
+// # Usage
+//
+//	state, verdict := state.Apply(offset, publication)
+//
+// A publication names the version that it was edited from. The fold accepts it
+// only while that version is in force, so that of two racing operators one wins
+// and the other learns who did. The tables are checked before the append, by the
+// publishing daemon, against exactly the version that is named; the fold itself
+// checks only the named version and the digest, and so comes to the same verdict
+// in each release of the program.
+package configlog
+
+import (
+	"fmt"
+
+	"azurehitch/internal/configuration/tables"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Publication is a record that changes the configuration.
+type Publication struct {
+	// Base is the version that it was edited from; 0 is the empty configuration.
+	Base   int64
+	Routes []byte
+	Pools  []byte
+	Author string
+	Digest uint64
+}
+
+// NewPublication returns a publication with its digest.
+func NewPublication(base int64, routes, pools []byte, author string) Publication {
+	p := Publication{Base: base, Routes: routes, Pools: pools, Author: author}
+	p.Digest = p.digest()
+	return p
+}
+
+func (p Publication) digest() uint64 {
+	hash := xxhash.New()
+	fmt.Fprintf(hash, "%d %q %d %d ", p.Base, p.Author, len(p.Routes), len(p.Pools))
+	// Writes to a hash do not fail.
+	_, _ = hash.Write(p.Routes)
+	_, _ = hash.Write(p.Pools)
+	return hash.Sum64()
+}
+
+// ErrConflict is the verdict on a publication that was edited from a version that
+// is no longer in force.
+type ErrConflict struct {
+	Base int64
+	// Current is the version in force, which Author published.
+	Current int64
+	Author  string
+}
+
+// Error implements error.
+func (e *ErrConflict) Error() string {
+	return fmt.Sprintf("edited from version %d, but version %d by %q is in force: read it, and edit again", e.Base, e.Current, e.Author)
+}
+
+// ErrDamaged is the verdict on a publication whose digest does not fit.
+type ErrDamaged struct{ Offset int64 }
+
+// Error implements error.
+func (e *ErrDamaged) Error() string {
+	return fmt.Sprintf("the publication at offset %d is damaged", e.Offset)
+}
+
+// State is the configuration in force. It is a value and is never changed.
+type State struct {
+	// Version is the offset of the publication in force; 0 is none.
+	Version     int64
+	Publication Publication
+}
+
+// Apply returns the state after a publication, and the verdict: nil if it came
+// into force.
+func (s State) Apply(offset int64, p Publication) (State, error) {
+	if p.Digest != p.digest() {
+		return s, &ErrDamaged{Offset: offset}
+	}
+	if p.Base != s.Version {
+		return s, &ErrConflict{Base: p.Base, Current: s.Version, Author: s.Publication.Author}
+	}
+	return State{Version: offset, Publication: p}, nil
+}
+
+// Configuration returns the parsed tables.
+func (s State) Configuration() (tables.Configuration, error) {
+	if s.Version == 0 {
+		return tables.Configuration{}, nil
+	}
+	configuration, err := tables.ParseLenient(s.Publication.Routes, s.Publication.Pools)
+	return configuration.WithVersion(s.Version), err
+}
--- /dev/null
+++ b/internal/configuration/tables/tables.go
@@ -0,0 +1,208 @@
+// Package tables holds the two tables that operators publish: the table of
+// routes and the table of pools.
+//
+// # Usage
+//
+//	configuration, err := tables.Parse(routesJSON, poolsJSON)
+//
+// Parse refuses unknown fields, dangling names, missing or negative limits and
+// promises larger than the capacity, and names the place of each mistake. A
+// value of type Configuration is valid and is never changed.
+package tables
+
+import (
+	"slices"
+
+	"azurehitch"
+)
+
+// Tier is the class of a caller.
+type Tier string
+
+// The tiers.
+const (
+	TierPaid  Tier = "Paid"
+	TierTrial Tier = "Trial"
+)
+
+// RouteTable says which callers reach which model, adapter and version.
+type RouteTable struct {
+	Callers []Caller
+	Routes  []Route
+}
+
+// Caller is one customer.
+type Caller struct {
+	Name string
+	// KeySHA256 is the hexadecimal SHA-256 digest of the caller's key. The key
+	// itself is in no table.
+	KeySHA256 string
+	Tier      Tier
+	// RequestsPerSecond is the rate above which requests are refused.
+	RequestsPerSecond float64
+	// Burst is the number of requests that may come at once.
+	Burst int
+}
+
+// Route leads some callers to a model, or to the calls of a plain service.
+type Route struct {
+	Name    string
+	Callers []string
+	Pool    string
+	// Model, Adapters and Versions name what callers reach in a pool of models.
+	// The first version serves requests that name none.
+	Model    string   `json:",omitempty"`
+	Adapters []string `json:",omitempty"`
+	Versions []string `json:",omitempty"`
+	// PathPrefix selects the calls that go to a pool of a plain service.
+	PathPrefix string `json:",omitempty"`
+}
+
+// PoolKind is what stands behind a pool.
+type PoolKind string
+
+// The kinds of pools.
+const (
+	PoolKindModels  PoolKind = "Models"
+	PoolKindService PoolKind = "Service"
+)
+
+// PoolTable says what capacity stands behind the routes.
+type PoolTable struct {
+	Pools []Pool
+}
+
+// Pool is capacity with one decision maker.
+type Pool struct {
+	Name           string
+	Kind           PoolKind
+	BackendServers []BackendServer
+	Models         []Model `json:",omitempty"`
+	Calls          []Call  `json:",omitempty"`
+	// ConcurrentRequests is the number of requests in progress in the whole pool.
+	ConcurrentRequests int
+	// PromisedToPaid is the part of ConcurrentRequests that trials never use.
+	PromisedToPaid int
+	// QueueLimit is the number of requests that may wait at one daemon.
+	QueueLimit int
+	// IdleTimeout is how long a replica without requests stays loaded.
+	IdleTimeout azurehitch.Duration `json:",omitempty"`
+	// LeaseDuration is how long the holder of the pool stays in office without a
+	// renewal.
+	LeaseDuration azurehitch.Duration `json:",omitempty"`
+}
+
+// BackendServer is one server of a pool.
+type BackendServer struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	// ChecksFencingToken tells whether the engine refuses orders with an old token.
+	ChecksFencingToken bool                `json:",omitempty"`
+	AcceleratorMemory  azurehitch.ByteSize `json:",omitempty"`
+}
+
+// Model is one model of a pool.
+type Model struct {
+	Name        string
+	MaxReplicas int
+	Versions    []ModelVersion
+	Adapters    []Adapter `json:",omitempty"`
+}
+
+// ModelVersion is one version of a model.
+type ModelVersion struct {
+	Version string
+	Memory  azurehitch.ByteSize
+}
+
+// Adapter is an adapter of a model.
+type Adapter struct {
+	Name   string
+	Memory azurehitch.ByteSize
+}
+
+// Call describes calls of a plain service. Calls that match none are not
+// idempotent.
+type Call struct {
+	Method     string
+	PathPrefix string
+	Idempotent bool
+}
+
+// Pool returns a pool by name.
+func (t PoolTable) Pool(name string) (Pool, bool) {
+	i := slices.IndexFunc(t.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return Pool{}, false
+	}
+	return t.Pools[i], true
+}
+
+// Model returns a model by name.
+func (p Pool) Model(name string) (Model, bool) {
+	i := slices.IndexFunc(p.Models, func(m Model) bool { return m.Name == name })
+	if i < 0 {
+		return Model{}, false
+	}
+	return p.Models[i], true
+}
+
+// Server returns a backend server by name.
+func (p Pool) Server(name string) (BackendServer, bool) {
+	i := slices.IndexFunc(p.BackendServers, func(s BackendServer) bool { return s.Name == name })
+	if i < 0 {
+		return BackendServer{}, false
+	}
+	return p.BackendServers[i], true
+}
+
+// Memory returns the accelerator memory that an artifact needs by itself, and
+// false if the pool doesn't have it.
+func (p Pool) Memory(artifact azurehitch.Artifact) (azurehitch.ByteSize, bool) {
+	model, ok := p.Model(artifact.Model)
+	if !ok {
+		return 0, false
+	}
+	version := slices.IndexFunc(model.Versions, func(v ModelVersion) bool { return v.Version == artifact.Version })
+	if version < 0 {
+		return 0, false
+	}
+	if artifact.Adapter == "" {
+		return model.Versions[version].Memory, true
+	}
+	adapter := slices.IndexFunc(model.Adapters, func(a Adapter) bool { return a.Name == artifact.Adapter })
+	if adapter < 0 {
+		return 0, false
+	}
+	return model.Adapters[adapter].Memory, true
+}
+
+// MaxReplicas returns the replica limit of a model; 0 if the pool doesn't have it.
+func (p Pool) MaxReplicas(model string) int {
+	m, _ := p.Model(model)
+	return m.MaxReplicas
+}
+
+// Configuration is a valid pair of tables, with the version that the log gave it.
+type Configuration struct {
+	// Version is the offset of the record that brought it into force; 0 is none.
+	Version int64
+	Routes  RouteTable
+	Pools   PoolTable
+}
+
+// WithVersion returns a copy with the version set.
+func (c Configuration) WithVersion(version int64) Configuration {
+	c.Version = version
+	return c
+}
+
+// CallerByKey returns the caller whose key has a digest.
+func (c Configuration) CallerByKey(digest string) (Caller, bool) {
+	i := slices.IndexFunc(c.Routes.Callers, func(caller Caller) bool { return caller.KeySHA256 == digest })
+	if i < 0 {
+		return Caller{}, false
+	}
+	return c.Routes.Callers[i], true
+}
--- /dev/null
+++ b/internal/daemon/serve/daemon.go
@@ -0,0 +1,282 @@
+// Package serve assembles a daemon and runs it.
+//
+// # Usage
+//
+//	daemon, err := serve.New(ctx, settings, platform)
+//	err = daemon.Run(ctx)
+//
+// The end of the context is a planned stop: the daemon gives its pools to others,
+// takes no new requests, ends those in progress and returns.
+package serve
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/admin/operator"
+	"azurehitch/internal/daemon/settings"
+	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/forward/caller"
+	"azurehitch/internal/idempotency/claimlog"
+	"azurehitch/internal/idempotency/outcomes"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/membership/hostwatch"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/oplog/follow"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/placement/directory"
+	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/placement/holderpeer"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/telemetry/tracing"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const incarnationBytes = 6
+
+// Platform is the outside systems.
+type Platform struct {
+	Log     azurehitch.Log
+	Hosts   azurehitch.HostList
+	Weights azurehitch.WeightStore
+	Engines azurehitch.EngineDialer
+	Clock   azurehitch.Clock
+	Logs    *logging.Logs
+	Tracer  *tracing.Tracer
+}
+
+// Daemon is one daemon.
+type Daemon struct {
+	Platform
+	settings settings.Settings
+	self     leaselog.Holder
+	metrics  *metrics.Metrics
+	observer *observer
+
+	store     *control.Store
+	writer    *control.Writer
+	follower  *follow.Follower
+	claims    *claimlog.Fold
+	claimer   *claimlog.Claimer
+	callsTail *follow.Follower
+	watch     *hostwatch.Watch
+	pools     *enginepool.Set
+	peers     *mux.Client
+	holders   *holderpeer.Client
+	outcomes  *outcomes.Store
+	directory *directory.Directory
+	callers   *caller.Server
+	budget    *loadBudget
+
+	callerListener net.Listener
+	peerListener   net.Listener
+	adminListener  net.Listener
+
+	drainOnce sync.Once
+	draining  chan struct{}
+}
+
+// New opens the listeners of a daemon and assembles it.
+func New(s settings.Settings, platform Platform) (*Daemon, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		Platform: platform,
+		settings: s,
+		self:     leaselog.Holder{Daemon: s.Name, Incarnation: newIncarnation()},
+		metrics:  metrics.New(),
+		draining: make(chan struct{}),
+	}
+	d.observer = newObserver(d.metrics, platform.Logs)
+	d.assembleLog()
+	d.assemblePlacement()
+	d.assembleForwarding()
+	return d, d.listen()
+}
+
+func newIncarnation() string {
+	var random [incarnationBytes]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func (d *Daemon) assembleLog() {
+	s := d.settings
+	d.store = control.NewStore(d.self, d.Clock)
+	d.writer = control.NewWriter(d.Log, s.ControlStream, d.store, d.observer)
+	d.follower = follow.NewFollower(d.Log, s.ControlStream, d.store, d.Clock, d.observer)
+	d.claims = claimlog.NewFold(d.self, d.Clock, s.IdempotencyWindow)
+	d.claimer = claimlog.NewClaimer(d.Log, s.CallStream, d.claims, d.observer)
+	d.callsTail = follow.NewFollower(d.Log, s.CallStream, d.claims, d.Clock, d.observer)
+	d.watch = hostwatch.New(d.Hosts, d.Clock, d.observer, s.Name)
+}
+
+func (d *Daemon) assemblePlacement() {
+	d.budget = newLoadBudget(d.Weights, d.Clock, d.store)
+	d.pools = enginepool.NewSet(enginepool.Dependencies{
+		Store:       d.store,
+		Recorder:    d.writer,
+		Engines:     d.Engines,
+		Clock:       d.Clock,
+		Counters:    d.observer,
+		Hosts:       func() map[string]azurehitch.HostState { return d.watch.Members().Backends() },
+		RemoteLoads: d.budget.RemoteLoads,
+	})
+	d.peers = mux.NewClient(d.settings.Name)
+	d.holders = &holderpeer.Client{
+		Store:   d.store,
+		Pools:   d.pools,
+		Peers:   d.peers,
+		Members: d.watch.Members,
+		Engines: d.Engines,
+		Clock:   d.Clock,
+		Metrics: d.metrics,
+		Tracer:  d.Tracer,
+	}
+	d.directory = directory.New(d.holders, d.Clock, d.settings.Name)
+}
+
+func (d *Daemon) assembleForwarding() {
+	s := d.settings
+	d.outcomes = outcomes.NewStore(d.Clock, s.IdempotencyWindow)
+	d.callers = caller.NewServer(caller.Dependencies{
+		Self:          d.self,
+		Configuration: d.store.Configuration,
+		Members:       d.watch.Members,
+		Directory:     d.directory,
+		Transport:     backend.NewTransport(d.Clock, d.observer),
+		Claimer:       d.claimer,
+		Outcomes:      d.outcomes,
+		Asker:         d.holders,
+		Clock:         d.Clock,
+		Metrics:       d.metrics,
+		Tracer:        d.Tracer,
+	}, caller.Settings{
+		DefaultTimeout: s.DefaultTimeout,
+		MaxTimeout:     s.MaxTimeout,
+		MaxBodyBytes:   s.MaxBodyBytes,
+		MaxHeaderBytes: s.MaxHeaderBytes,
+		ReadTimeout:    s.ReadTimeout,
+		MaxConnections: s.MaxConnections,
+	})
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		flag    string
+		address string
+		into    *net.Listener
+	}{
+		{"listen", d.settings.Listen, &d.callerListener},
+		{"peer-listen", d.settings.PeerListen, &d.peerListener},
+		{"admin-listen", d.settings.AdminListen, &d.adminListener},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			d.closeListeners()
+			return errors.Wrapf(err, "--%s %s", l.flag, l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, listener := range []net.Listener{d.callerListener, d.peerListener, d.adminListener} {
+		if listener != nil {
+			// The listener is given up either way.
+			_ = listener.Close()
+		}
+	}
+}
+
+// Addresses are where a daemon listens.
+type Addresses struct {
+	Callers string
+	Peers   string
+	Admin   string
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Callers: d.callerListener.Addr().String(),
+		Peers:   d.peerListener.Addr().String(),
+		Admin:   d.adminListener.Addr().String(),
+	}
+}
+
+// Metrics returns the variables of the daemon.
+func (d *Daemon) Metrics() *metrics.Metrics { return d.metrics }
+
+// Drain starts a planned stop.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() { close(d.draining) })
+}
+
+func (d *Daemon) isDraining() bool {
+	select {
+	case <-d.draining:
+		return true
+	default:
+		return d.watch.Members().Leaving
+	}
+}
+
+func (d *Daemon) adminServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: operator.NewHandler(operator.Dependencies{
+			Store:      d.store,
+			Recorder:   d.writer,
+			Pools:      d.pools,
+			Callers:    d.callers,
+			Metrics:    d.metrics,
+			Daemons:    func() []string { return d.watch.Members().Daemons },
+			Status:     d.statusOf,
+			Drain:      d.Drain,
+			IsDraining: d.isDraining,
+			KeySHA256:  d.settings.AdminKeySHA256,
+		}),
+		Name:               "azurehitch",
+		MaxRequestBodySize: maxAdminBodyBytes,
+		ReadTimeout:        d.settings.ReadTimeout,
+		IdleTimeout:        time.Minute,
+		CloseOnShutdown:    true,
+	}
+}
+
+func (d *Daemon) peerServer() *mux.Server {
+	server := &holderpeer.Server{
+		Store: d.store, Pools: d.pools, Outcomes: d.outcomes, Tracer: d.Tracer, Status: d.status,
+	}
+	return mux.NewServer(d.peerListener, server.Handler())
+}
+
+// Self returns the identity of the daemon.
+func (d *Daemon) Self() leaselog.Holder { return d.self }
+
+// Ready returns nil when the daemon has folded a configuration.
+func (d *Daemon) Ready(ctx context.Context) error {
+	for d.store.Configuration().Version == 0 {
+		changed := d.store.Changed()
+		if d.store.Configuration().Version != 0 {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for a configuration")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/serve/run.go
@@ -0,0 +1,222 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/jsonhttp"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	leaseTick         = 50 * time.Millisecond
+	snapshotTick      = time.Second
+	fetchInterval     = 500 * time.Millisecond
+	releaseTimeout    = 3 * time.Second
+	shutdownTimeout   = 5 * time.Second
+	maxAdminBodyBytes = 3 * tables.MaxTableBytes
+)
+
+// Run runs the daemon until the context ends or a drain is asked for, and then
+// through its planned stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	for _, loop := range []func(context.Context) error{
+		d.follower.Run, d.callsTail.Run, d.watch.Run, d.pools.Run, d.budget.Run,
+		d.runLeases, d.runSnapshots, d.runStateFetch, d.peerServer().Run, d.runAdmin,
+	} {
+		group.Go(func() error { return loop(running) })
+	}
+	group.Go(func() error { return d.callers.Serve(d.callerListener) })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			d.Drain()
+		case <-d.draining:
+		case <-running.Done():
+		}
+		return d.stop(running)
+	})
+	addresses := d.Addresses()
+	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", addresses.Callers).Str("Peers", addresses.Peers).
+		Str("Admin", addresses.Admin).Str("Incarnation", d.self.Incarnation).Msg("daemon started")
+	err := group.Wait()
+	d.peers.Close()
+	d.Logs.Layer(logging.LayerDaemon).Info().Err(err).Msg("daemon stopped")
+	return err
+}
+
+func (d *Daemon) runAdmin(ctx context.Context) error {
+	return jsonhttp.Serve(ctx, d.adminListener, d.adminServer())
+}
+
+// stop is the planned stop: pools first, so that others take them over while the
+// requests in progress end.
+func (d *Daemon) stop(ctx context.Context) error {
+	d.Logs.Layer(logging.LayerDaemon).Info().Msg("draining")
+	d.releasePools(ctx)
+	if err := d.Clock.Sleep(ctx, d.settings.DrainDelay); err != nil {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
+	defer cancel()
+	drainErr := d.callers.Drain(limited)
+	closing, cancelClosing := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancelClosing()
+	if err := d.callers.Shutdown(closing); err != nil && drainErr == nil {
+		return err
+	}
+	return drainErr
+}
+
+func (d *Daemon) releasePools(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, action := range d.store.Releases() {
+		group.Go(func() error { return d.append(ctx, action) })
+	}
+	if err := group.Wait(); err != nil {
+		d.Logs.Layer(logging.LayerLease).Warn().Err(err).Msg("pools were not all released")
+	}
+}
+
+// runLeases claims and renews leases.
+func (d *Daemon) runLeases(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		for {
+			for _, action := range d.store.Decide(d.environment()) {
+				group.Go(func() error {
+					// A record that failed is due again.
+					_ = d.append(ctx, action)
+					return nil
+				})
+			}
+			for _, orphan := range d.store.TakeOrphans() {
+				group.Go(func() error {
+					_, err := d.writer.Append(ctx, control.Record{Resolution: &orphan})
+					if err != nil {
+						d.metrics.Add(metrics.IntentsLeftOpen, 1)
+					}
+					return nil
+				})
+			}
+			if err := d.Clock.Sleep(ctx, leaseTick); err != nil {
+				return nil
+			}
+		}
+	})
+	return group.Wait()
+}
+
+func (d *Daemon) environment() leaselog.Environment {
+	members := d.watch.Members()
+	environment := leaselog.Environment{Daemons: members.Daemons, Draining: d.isDraining()}
+	for _, pool := range d.store.Configuration().Pools.Pools {
+		if pool.Kind == tables.PoolKindModels {
+			environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: pool.Name, Duration: pool.LeaseDuration.Std()})
+		}
+	}
+	return environment
+}
+
+func (d *Daemon) append(ctx context.Context, action leaselog.Action) error {
+	record := control.Record{Claim: action.Claim, Renewal: action.Renew, Release: action.Release}
+	verdict, err := d.writer.Append(ctx, record)
+	if err != nil {
+		return err
+	}
+	switch {
+	case action.Claim != nil && verdict.Err == nil:
+		d.metrics.Add(metrics.LeaseClaimsWon, 1)
+	case action.Claim != nil:
+		d.metrics.Add(metrics.LeaseClaimsLost, 1)
+	case action.Renew:
+		d.metrics.Add(metrics.LeaseRenewals, 1)
+	case action.Release != nil:
+		d.metrics.Add(metrics.LeaseReleases, 1)
+	}
+	return nil
+}
+
+// runSnapshots appends a snapshot before the log's retention ends the records
+// that it replaces.
+func (d *Daemon) runSnapshots(ctx context.Context) error {
+	for {
+		if err := d.Clock.Sleep(ctx, snapshotTick); err != nil {
+			return nil
+		}
+		d.noteGauges()
+		rank := max(d.watch.Members().Rank(d.settings.Name), 0)
+		if !d.store.SnapshotDue(int64(d.settings.SnapshotRecords), d.settings.SnapshotInterval, rank) {
+			continue
+		}
+		snapshot := d.store.Snapshot()
+		if _, err := d.writer.Append(ctx, control.Record{Snapshot: &snapshot}); err == nil {
+			d.metrics.Add(metrics.SnapshotsAppended, 1)
+		}
+	}
+}
+
+func (d *Daemon) noteGauges() {
+	d.metrics.Set(metrics.FoldedTo, d.store.FoldedTo())
+	version := d.store.Configuration().Version
+	if d.metrics.Get(metrics.ConfigurationVersion) != version {
+		d.metrics.Add(metrics.ConfigurationChanges, 1)
+		d.metrics.Set(metrics.ConfigurationVersion, version)
+		d.Logs.Layer(logging.LayerConfiguration).Info().Int64("Version", version).Msg("configuration in force")
+	}
+}
+
+// runStateFetch takes the state from peers while the log has never answered.
+func (d *Daemon) runStateFetch(ctx context.Context) error {
+	for d.store.ReadAt().IsZero() {
+		if err := d.Clock.Sleep(ctx, fetchInterval); err != nil {
+			return nil
+		}
+		if d.store.ReadAt().IsZero() && d.holders.FetchState(ctx) {
+			d.Logs.Layer(logging.LayerLog).Info().Int64("FoldedTo", d.store.FoldedTo()).Msg("state taken from a peer")
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) status() *peerpb.StatusResponse {
+	response := &peerpb.StatusResponse{
+		Daemon:               d.self.Daemon,
+		Incarnation:          d.self.Incarnation,
+		ConfigurationVersion: d.store.Configuration().Version,
+		FoldedTo:             d.store.FoldedTo(),
+		Draining:             d.isDraining(),
+		RequestsInProgress:   d.metrics.Get(metrics.RequestsInProgress),
+	}
+	for _, lease := range d.store.Leases() {
+		if lease.Holder == d.self {
+			response.PoolsHeld = append(response.PoolsHeld, lease.Pool)
+		}
+	}
+	return response
+}
+
+func (d *Daemon) statusOf(ctx context.Context, daemon string) (*peerpb.StatusResponse, error) {
+	if daemon == d.settings.Name {
+		return d.status(), nil
+	}
+	status, err := d.holders.Status(ctx, daemon)
+	if err == nil && status == nil {
+		return nil, errors.Errorf("daemon %s gave no status", daemon)
+	}
+	return status, err
+}
--- /dev/null
+++ b/internal/forward/admission/gate.go
@@ -0,0 +1,154 @@
+// Package admission bounds the requests that one daemon has in progress in one
+// pool, and keeps what is promised to paying callers free of trials.
+//
+// # Usage
+//
+//	gate := admission.NewGate()
+//	gate.SetLimits(admission.Limits{Total: 8, Trial: 2, Queue: 100})
+//	if err := gate.Enter(ctx, tables.TierPaid); err != nil { ... }
+//	defer gate.Leave(tables.TierPaid)
+package admission
+
+import (
+	"context"
+	"sync"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+)
+
+// Limits are the bounds of one pool at one daemon.
+type Limits struct {
+	// Total is the number of requests in progress.
+	Total int
+	// Trial is the number of those that trials may have.
+	Trial int
+	// Queue is the number of requests that may wait.
+	Queue int
+}
+
+// Share returns the part of a pool's limits that one of several daemons has.
+// Each daemon may have at least one request of a paying caller in progress.
+func Share(pool tables.Pool, rank, daemons int) Limits {
+	return Limits{
+		Total: max(part(pool.ConcurrentRequests, rank, daemons), 1),
+		Trial: part(pool.ConcurrentRequests-pool.PromisedToPaid, rank, daemons),
+		Queue: pool.QueueLimit,
+	}
+}
+
+func part(whole, rank, daemons int) int {
+	if daemons <= 1 || rank < 0 {
+		return whole
+	}
+	share := whole / daemons
+	if rank < whole%daemons {
+		share++
+	}
+	return share
+}
+
+// Gate admits requests. Paying callers go first.
+type Gate struct {
+	mu      sync.Mutex
+	limits  Limits
+	running map[tables.Tier]int
+	queues  map[tables.Tier][]chan struct{}
+}
+
+// NewGate returns a gate that admits nothing until its limits are set.
+func NewGate() *Gate {
+	return &Gate{running: map[tables.Tier]int{}, queues: map[tables.Tier][]chan struct{}{}}
+}
+
+// SetLimits changes the limits. Requests in progress above a lowered limit go on.
+func (g *Gate) SetLimits(limits Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limits != limits {
+		g.limits = limits
+		g.admit()
+	}
+}
+
+// Enter waits for a place. The error is an *azurehitch.ErrRefused when the queue
+// is full, and the context's error when that ends first.
+func (g *Gate) Enter(ctx context.Context, tier tables.Tier) error {
+	admitted, err := g.enqueue(tier)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-admitted:
+		return nil
+	case <-ctx.Done():
+		g.withdraw(tier, admitted)
+		return ctx.Err()
+	}
+}
+
+func (g *Gate) enqueue(tier tables.Tier) (chan struct{}, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	admitted := make(chan struct{})
+	g.queues[tier] = append(g.queues[tier], admitted)
+	g.admit()
+	if waiting := len(g.queues[tier]); waiting > g.limits.Queue {
+		g.queues[tier] = g.queues[tier][:waiting-1]
+		return nil, azurehitch.Refuse(azurehitch.CodeOverloaded, "%d requests are waiting", waiting-1)
+	}
+	return admitted, nil
+}
+
+func (g *Gate) withdraw(tier tables.Tier, admitted chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, other := range g.queues[tier] {
+		if other == admitted {
+			g.queues[tier] = append(g.queues[tier][:i:i], g.queues[tier][i+1:]...)
+			return
+		}
+	}
+	g.running[tier]--
+	g.admit()
+}
+
+// Leave gives the place of a request back.
+func (g *Gate) Leave(tier tables.Tier) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[tier]--
+	g.admit()
+}
+
+func (g *Gate) admit() {
+	for g.admitFirst(tables.TierPaid, g.limits.Total) {
+	}
+	for g.admitFirst(tables.TierTrial, g.limits.Trial) {
+	}
+}
+
+func (g *Gate) admitFirst(tier tables.Tier, limit int) bool {
+	queue := g.queues[tier]
+	total := g.running[tables.TierPaid] + g.running[tables.TierTrial]
+	if len(queue) == 0 || total >= g.limits.Total || g.running[tier] >= limit {
+		return false
+	}
+	close(queue[0])
+	g.queues[tier] = queue[1:]
+	g.running[tier]++
+	return true
+}
+
+// Usage returns the requests in progress and waiting.
+func (g *Gate) Usage() (running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, n := range g.running {
+		running += n
+	}
+	for _, queue := range g.queues {
+		waiting += len(queue)
+	}
+	return running, waiting
+}
--- /dev/null
+++ b/internal/forward/caller/completion.go
@@ -0,0 +1,281 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/forward/router"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/telemetry/tracing"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// The headers of the engines' protocol.
+const (
+	headerEngineModel      = "X-Engine-Model"
+	headerEngineVersion    = "X-Engine-Version"
+	headerEngineAdapter    = "X-Engine-Adapter"
+	headerEnginePriority   = "X-Engine-Priority"
+	headerEngineResumeFrom = "X-Engine-Resume-From"
+)
+
+const (
+	maxAttempts    = 4
+	priorityPaid   = 10
+	priorityTrial  = 1
+	maxAnswerBytes = 64 << 20
+)
+
+// completionBody is what the daemon reads of a body; the engine gets it whole.
+type completionBody struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens *int   `json:"max_tokens"`
+}
+
+func (b completionBody) check() error {
+	if b.Model == "" {
+		return azurehitch.Refuse(azurehitch.CodeInvalidRequest, "model is missing")
+	}
+	if b.MaxTokens != nil && *b.MaxTokens <= 0 {
+		return azurehitch.Refuse(azurehitch.CodeInvalidRequest, "max_tokens is not positive")
+	}
+	return nil
+}
+
+func (r *request) serveCompletion() {
+	if !r.http.IsPost() {
+		r.refuse(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "completions take POST"))
+		return
+	}
+	var body completionBody
+	if err := json.Unmarshal(r.http.PostBody(), &body); err != nil {
+		r.refuse(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "the body is not a completion request: %v", err))
+		return
+	}
+	if err := body.check(); err != nil {
+		r.refuse(err)
+		return
+	}
+	target, err := r.index.Model(r.caller, body.Model)
+	if err != nil {
+		r.refuse(err)
+		return
+	}
+	if err := r.admit(target.Pool); err != nil {
+		r.refuse(err)
+		return
+	}
+	c := &completion{request: r, target: target, tried: map[string]bool{}}
+	c.endProgress = r.server.Directory.Begin(target.Pool.Name, target.Artifact)
+	c.serve(body.Stream)
+}
+
+// admit waits for a place in the pool.
+func (r *request) admit(pool tables.Pool) error {
+	r.server.Metrics.Add(metrics.RequestsWaiting, 1)
+	defer r.server.Metrics.Add(metrics.RequestsWaiting, -1)
+	err := r.server.gate(pool).Enter(r.ctx, r.caller.Tier)
+	var refused *azurehitch.ErrRefused
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refused):
+		return refused.WithRetryAfter(overloadedRetry)
+	}
+	return azurehitch.Refuse(azurehitch.CodeOverloaded, "no place in pool %s before the deadline", pool.Name).WithRetryAfter(overloadedRetry)
+}
+
+// completion is one request for a model. A completion may be run again as long
+// as no part of an answer has reached the caller.
+type completion struct {
+	*request
+	target      router.Target
+	tried       map[string]bool
+	endProgress func()
+}
+
+// release gives back what the completion holds.
+func (c *completion) release() {
+	c.endProgress()
+	c.server.gate(c.target.Pool).Leave(c.caller.Tier)
+}
+
+func (c *completion) serve(stream bool) {
+	c.server.budget.Earn()
+	for attempt := 1; ; attempt++ {
+		server, exchange, err := c.attempt(0)
+		if err == nil {
+			err = c.answer(server, exchange, stream)
+		}
+		if err == nil {
+			return
+		}
+		if !c.mayRetry(err, attempt) {
+			c.release()
+			c.refuse(err)
+			return
+		}
+		c.server.Metrics.Add(metrics.RequestsRetried, 1)
+	}
+}
+
+// mayRetry reports whether another attempt is due. What a server refused
+// unrun is tried elsewhere at no cost to the budget.
+func (c *completion) mayRetry(err error, attempt int) bool {
+	var failed *backend.ErrAttempt
+	if !errors.As(err, &failed) || attempt >= maxAttempts || c.ctx.Err() != nil {
+		return false
+	}
+	return failed.Reason != "" || c.server.budget.Spend()
+}
+
+// attempt sends the request to one ready replica, to resume at a position.
+func (c *completion) attempt(resumeFrom int) (tables.BackendServer, *backend.Exchange, error) {
+	view, err := c.server.Directory.Find(c.ctx, c.target.Pool.Name, c.target.Artifact)
+	if err != nil {
+		return tables.BackendServer{}, nil, err
+	}
+	c.coldStart = max(c.coldStart, view.ColdStart)
+	server, ok := c.server.load.pick(view.Servers, c.tried)
+	if !ok {
+		return server, nil, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no replica is ready").WithRetryAfter(failureRetry)
+	}
+	exchange, err := c.send(server, resumeFrom)
+	return server, exchange, err
+}
+
+func (c *completion) send(server tables.BackendServer, resumeFrom int) (*backend.Exchange, error) {
+	ctx, span := c.server.Tracer.Start(c.ctx, "forward", attribute.String("server", server.Name))
+	defer span.End()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.engineRequest(req, resumeFrom)
+	req.Header.Set(tracing.HeaderTraceparent, tracing.Traceparent(ctx))
+	c.server.load.add(server.Name, 1)
+	exchange, err := c.server.Transport.Send(ctx, backend.Call{Server: server, Request: req})
+	if err != nil {
+		c.server.load.add(server.Name, -1)
+		c.learn(server, err)
+		return nil, err
+	}
+	return exchange, nil
+}
+
+func (c *completion) engineRequest(req *fasthttp.Request, resumeFrom int) {
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(string(c.http.Path()))
+	req.Header.SetContentType(contentTypeJSON)
+	req.Header.SetUserAgent(c.server.Self.Daemon)
+	req.Header.Set(HeaderRequestID, c.id)
+	req.Header.Set(headerEngineModel, c.target.Artifact.Model)
+	req.Header.Set(headerEngineVersion, c.target.Artifact.Version)
+	req.Header.Set(headerEngineAdapter, c.target.Artifact.Adapter)
+	req.Header.Set(headerEnginePriority, strconv.Itoa(c.priority()))
+	if resumeFrom > 0 {
+		req.Header.Set(headerEngineResumeFrom, strconv.Itoa(resumeFrom))
+	}
+	req.SetBodyRaw(c.http.PostBody())
+}
+
+func (c *completion) priority() int {
+	if c.caller.Tier == tables.TierPaid {
+		return priorityPaid
+	}
+	return priorityTrial
+}
+
+// learn corrects the directory by what a server said or failed to do.
+func (c *completion) learn(server tables.BackendServer, err error) {
+	var failed *backend.ErrAttempt
+	if !errors.As(err, &failed) {
+		return
+	}
+	c.tried[server.Name] = true
+	switch failed.Reason {
+	case backend.NotRunLeaving:
+		c.server.Directory.Avoid(server.Name)
+	case backend.NotRunNotLoaded, "":
+		c.server.Directory.Drop(c.target.Pool.Name, c.target.Artifact, server.Name)
+	}
+}
+
+// answer passes an answer on. An error means that nothing has reached the caller.
+func (c *completion) answer(server tables.BackendServer, exchange *backend.Exchange, stream bool) error {
+	if stream && exchange.Response.StatusCode() == fasthttp.StatusOK {
+		c.writeHeaders(server, exchange)
+		c.http.SetBodyStream(newRelay(c, server, exchange), -1)
+		return nil
+	}
+	defer c.server.load.add(server.Name, -1)
+	defer exchange.Close()
+	body, err := readWhole(server, exchange)
+	if err != nil {
+		return err
+	}
+	c.writeHeaders(server, exchange)
+	c.http.SetBody(body)
+	c.release()
+	c.end(metrics.RequestsAnswered)
+	return nil
+}
+
+// readWhole reads the body of an answer, which must be whole.
+func readWhole(server tables.BackendServer, exchange *backend.Exchange) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(exchange.Body(), maxAnswerBytes+1))
+	size := exchange.Response.Header.ContentLength()
+	switch {
+	case err != nil:
+	case len(body) > maxAnswerBytes:
+		err = errors.Errorf("answer is larger than %d bytes", maxAnswerBytes)
+	case size >= 0 && size != len(body):
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, &backend.ErrAttempt{Server: server.Name, Run: azurehitch.RunStateUnknown, Cause: err}
+	}
+	return body, nil
+}
+
+func (c *completion) writeHeaders(server tables.BackendServer, exchange *backend.Exchange) {
+	c.http.SetStatusCode(exchange.Response.StatusCode())
+	c.http.SetContentTypeBytes(exchange.Response.Header.ContentType())
+	header := &c.http.Response.Header
+	header.Set(HeaderServer, server.Name)
+	if c.coldStart > 0 {
+		header.Set(HeaderColdStart, strconv.FormatInt(c.coldStart.Milliseconds(), 10))
+	}
+}
+
+// modelList is the answer to the list of models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (r *request) serveModels() {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range r.index.Models(r.caller) {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model"})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		r.refuse(errors.Wrap(err, "encode models"))
+		return
+	}
+	r.http.SetContentType(contentTypeJSON)
+	r.http.SetBody(body)
+	r.end(metrics.RequestsAnswered)
+}
--- /dev/null
+++ b/internal/forward/caller/service.go
@@ -0,0 +1,257 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/forward/router"
+	"azurehitch/internal/idempotency/claimlog"
+	"azurehitch/internal/idempotency/outcomes"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/telemetry/tracing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+)
+
+const withdrawRetry = time.Second
+
+// serviceCall is one call of a plain service.
+type serviceCall struct {
+	*request
+	target router.ServiceTarget
+	tried  map[string]bool
+}
+
+func (r *request) serveService() {
+	target, err := r.index.Service(r.caller, string(r.http.Method()), string(r.http.Path()))
+	if err != nil {
+		r.refuse(err)
+		return
+	}
+	key := string(r.http.Request.Header.Peek(HeaderIdempotencyKey))
+	if len(key) > maxIdempotencyBytes {
+		r.refuse(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, maxIdempotencyBytes))
+		return
+	}
+	if err := r.admit(target.Pool); err != nil {
+		r.refuse(err)
+		return
+	}
+	defer r.server.gate(target.Pool).Leave(r.caller.Tier)
+	c := &serviceCall{request: r, target: target, tried: map[string]bool{}}
+	if key == "" || target.Idempotent {
+		c.finish(c.run())
+		return
+	}
+	c.finish(c.runOnce(claimlog.NewKey(r.caller.Name, key)))
+}
+
+// finish answers the caller with the outcome.
+func (c *serviceCall) finish(outcome outcomes.Outcome) {
+	if outcome.Refusal != nil {
+		c.refuse(outcome.Refusal)
+		return
+	}
+	c.http.SetStatusCode(outcome.Status)
+	c.http.SetContentType(outcome.ContentType)
+	c.http.SetBody(outcome.Body)
+	c.end(metrics.RequestsAnswered)
+}
+
+// runOnce runs a call with an idempotency key, unless it was claimed before: then
+// it returns the outcome of that run. Requests with the same key at this daemon
+// share one run, and only a run that has won a new claim reaches a server.
+func (c *serviceCall) runOnce(key claimlog.Key) outcomes.Outcome {
+	body := c.digest()
+	run, first := c.server.Outcomes.Begin(key, body)
+	if !first {
+		c.server.Metrics.Add(metrics.DuplicateCalls, 1)
+		return c.await(run, body)
+	}
+	claim, won, err := c.server.Claimer.Claim(c.ctx, key, body)
+	if err != nil {
+		outcome := refusal(azurehitch.Refuse(azurehitch.CodeLogUnavailable, "the key can't be claimed now").WithRetryAfter(failureRetry))
+		run.Finish(outcome)
+		c.server.withdraw(run, key)
+		return outcome
+	}
+	if !won {
+		outcome := c.earlierOutcome(claim, body)
+		run.Finish(outcome)
+		run.Forget()
+		return outcome
+	}
+	outcome := c.run()
+	run.Finish(outcome)
+	if isNotRun(outcome) {
+		c.server.withdraw(run, key)
+	}
+	return outcome
+}
+
+func isNotRun(outcome outcomes.Outcome) bool {
+	return outcome.Refusal != nil && outcome.Refusal.Run == azurehitch.RunStateNotRun
+}
+
+func refusal(refused *azurehitch.ErrRefused) outcomes.Outcome {
+	return outcomes.Outcome{Refusal: refused}
+}
+
+// withdraw gives back a key whose call was not run, without holding up the
+// answer. The run is forgotten when the log has the withdrawal, so that no later
+// run relies on the claim that it takes back.
+func (s *Server) withdraw(run *outcomes.Run, key claimlog.Key) {
+	s.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), s.settings.MaxTimeout)
+		defer cancel()
+		for s.Claimer.Withdraw(ctx, key) != nil {
+			if err := s.Clock.Sleep(ctx, withdrawRetry); err != nil {
+				return nil
+			}
+		}
+		run.Forget()
+		return nil
+	})
+}
+
+func (c *serviceCall) digest() uint64 {
+	hash := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = hash.Write(c.http.Method())
+	_, _ = hash.Write(c.http.RequestURI())
+	_, _ = hash.Write(c.http.PostBody())
+	return hash.Sum64()
+}
+
+func (c *serviceCall) await(run *outcomes.Run, body uint64) outcomes.Outcome {
+	if run.Body != body {
+		return keyReused()
+	}
+	outcome, err := run.Wait(c.ctx)
+	if err != nil {
+		return unknownDuplicate()
+	}
+	return outcome
+}
+
+// earlierOutcome asks the daemon that claimed the key before. A claim of this
+// daemon's own without a run may have been run and its answer dropped since.
+func (c *serviceCall) earlierOutcome(claim claimlog.Claim, body uint64) outcomes.Outcome {
+	c.server.Metrics.Add(metrics.DuplicateCalls, 1)
+	if claim.Body != body {
+		return keyReused()
+	}
+	if claim.Owner == c.server.Self {
+		return unknownDuplicate()
+	}
+	outcome, err := c.server.Asker.Outcome(c.ctx, claim.Owner, claim.Key)
+	if err != nil {
+		return unknownDuplicate()
+	}
+	return outcome
+}
+
+func keyReused() outcomes.Outcome {
+	return refusal(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "%s was used for another request", HeaderIdempotencyKey))
+}
+
+func unknownDuplicate() outcomes.Outcome {
+	return refusal(&azurehitch.ErrRefused{
+		Code: azurehitch.CodeDuplicateRequest, Run: azurehitch.RunStateUnknown,
+		Reason: "another request with this key was run, and its outcome is not known",
+	})
+}
+
+// run sends the call, again only where that is safe.
+func (c *serviceCall) run() outcomes.Outcome {
+	c.server.budget.Earn()
+	for attempt := 1; ; attempt++ {
+		outcome, err := c.attempt()
+		if err == nil {
+			return outcome
+		}
+		if !c.mayRetry(err, attempt) {
+			return refusal(c.asRefusal(err))
+		}
+		c.server.Metrics.Add(metrics.RequestsRetried, 1)
+	}
+}
+
+func (c *serviceCall) mayRetry(err error, attempt int) bool {
+	var failed *backend.ErrAttempt
+	if !errors.As(err, &failed) || attempt >= maxAttempts || c.ctx.Err() != nil {
+		return false
+	}
+	if failed.Run != azurehitch.RunStateNotRun && !c.target.Idempotent {
+		return false
+	}
+	return failed.Reason != "" || c.server.budget.Spend()
+}
+
+func (c *serviceCall) attempt() (outcomes.Outcome, error) {
+	server, ok := c.server.load.pick(c.candidates(), c.tried)
+	if !ok {
+		return outcomes.Outcome{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no backend server of pool %s takes calls", c.target.Pool.Name).WithRetryAfter(failureRetry)
+	}
+	c.tried[server.Name] = true
+	outcome, err := c.send(server)
+	var failed *backend.ErrAttempt
+	if errors.As(err, &failed) && failed.Reason == backend.NotRunLeaving {
+		c.server.Directory.Avoid(server.Name)
+	}
+	return outcome, err
+}
+
+// candidates returns the servers that neither leave nor fail.
+func (c *serviceCall) candidates() []tables.BackendServer {
+	backends := c.server.Members().Backends()
+	var candidates []tables.BackendServer
+	for _, server := range c.target.Pool.BackendServers {
+		leaving := backends[server.Name] == azurehitch.HostStateLeaving || c.server.Directory.IsAvoided(server.Name)
+		if !leaving && !c.server.Transport.IsOpen(server) {
+			candidates = append(candidates, server)
+		}
+	}
+	return candidates
+}
+
+func (c *serviceCall) send(server tables.BackendServer) (outcomes.Outcome, error) {
+	ctx, span := c.server.Tracer.Start(c.ctx, "forward", attribute.String("server", server.Name))
+	defer span.End()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.serviceRequest(req)
+	req.Header.Set(tracing.HeaderTraceparent, tracing.Traceparent(ctx))
+	c.server.load.add(server.Name, 1)
+	defer c.server.load.add(server.Name, -1)
+	exchange, err := c.server.Transport.Send(ctx, backend.Call{Server: server, Request: req, AtMostOnce: !c.target.Idempotent})
+	if err != nil {
+		return outcomes.Outcome{}, err
+	}
+	defer exchange.Close()
+	body, err := readWhole(server, exchange)
+	if err != nil {
+		return outcomes.Outcome{}, err
+	}
+	c.http.Response.Header.Set(HeaderServer, server.Name)
+	return outcomes.Outcome{
+		Status:      exchange.Response.StatusCode(),
+		ContentType: string(exchange.Response.Header.ContentType()),
+		Body:        body,
+	}, nil
+}
+
+func (c *serviceCall) serviceRequest(req *fasthttp.Request) {
+	req.Header.SetMethodBytes(c.http.Method())
+	req.SetRequestURI(string(c.http.RequestURI()))
+	req.Header.SetContentTypeBytes(c.http.Request.Header.ContentType())
+	req.Header.SetUserAgent(c.server.Self.Daemon)
+	req.Header.Set(HeaderRequestID, c.id)
+	req.SetBodyRaw(c.http.PostBody())
+}
--- /dev/null
+++ b/internal/lease/leaselog/manager.go
@@ -0,0 +1,223 @@
+package leaselog
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// driftDivisor bounds the drift between clocks: the holder takes a twentieth
+	// off its lease, and others add a twentieth.
+	driftDivisor = 20
+	// renewalsPerLease is how often a lease is renewed before it would expire.
+	renewalsPerLease = 3
+	// claimStagger delays the claims of less preferred daemons.
+	claimStagger = 200 * time.Millisecond
+	// claimRetry is how long a claim without an answer holds up the next.
+	claimRetry = time.Second
+)
+
+// PoolSetting is what the manager needs to know of a pool.
+type PoolSetting struct {
+	Name     string
+	Duration time.Duration
+}
+
+// Environment is what the manager needs to know besides the log.
+type Environment struct {
+	Pools []PoolSetting
+	// Daemons are the live entry hosts, this one included.
+	Daemons []string
+	// Draining stops claims.
+	Draining bool
+}
+
+// Action is a record to append: one of its fields is set.
+type Action struct {
+	Claim   *Claim
+	Renew   bool
+	Release *Release
+}
+
+// Manager knows the leases as one daemon sees them. It is not safe for
+// concurrent use.
+type Manager struct {
+	self Holder
+	fold *Fold
+	// seenAt is when the last record of each lease was read.
+	seenAt map[string]time.Time
+	// sentAt is when own records were about to be sent, by sequence.
+	sentAt map[int64]time.Time
+	// validFrom is when the last own record that was read back had been sent.
+	validFrom   map[string]time.Time
+	lastRenewal time.Time
+	lastClaim   map[string]time.Time
+}
+
+// NewManager returns the manager of a daemon over a fold. The leases in the fold
+// count as read now.
+func NewManager(self Holder, fold *Fold, now time.Time) *Manager {
+	m := &Manager{
+		self:      self,
+		fold:      fold,
+		seenAt:    map[string]time.Time{},
+		sentAt:    map[int64]time.Time{},
+		validFrom: map[string]time.Time{},
+		lastClaim: map[string]time.Time{},
+	}
+	for _, lease := range fold.Leases() {
+		m.seenAt[lease.Pool] = now
+	}
+	return m
+}
+
+// Fold returns the leases that the manager sees.
+func (m *Manager) Fold() *Fold { return m.fold }
+
+// Sending notes that an own record is about to be sent.
+func (m *Manager) Sending(sequence int64, now time.Time) { m.sentAt[sequence] = now }
+
+// OnClaim applies a claim that was read, and reports whether it won.
+func (m *Manager) OnClaim(offset int64, holder Holder, sequence int64, claim Claim, readAt time.Time) bool {
+	if holder == m.self {
+		delete(m.lastClaim, claim.Pool)
+	}
+	if !m.fold.Claim(offset, holder, claim) {
+		return false
+	}
+	m.seenAt[claim.Pool] = readAt
+	m.readBack(holder, sequence, []string{claim.Pool})
+	return true
+}
+
+// OnRenewal applies a renewal that was read.
+func (m *Manager) OnRenewal(offset int64, holder Holder, sequence int64, readAt time.Time) {
+	renewed := m.fold.Renew(offset, holder)
+	for _, pool := range renewed {
+		m.seenAt[pool] = readAt
+	}
+	m.readBack(holder, sequence, renewed)
+}
+
+// OnRelease applies a release that was read, and reports whether it counted.
+func (m *Manager) OnRelease(offset int64, holder Holder, release Release, readAt time.Time) bool {
+	if !m.fold.Release(offset, holder, release) {
+		return false
+	}
+	m.seenAt[release.Pool] = readAt
+	return true
+}
+
+func (m *Manager) readBack(holder Holder, sequence int64, pools []string) {
+	if holder != m.self {
+		return
+	}
+	sent := m.sentAt[sequence]
+	delete(m.sentAt, sequence)
+	for _, pool := range pools {
+		m.validFrom[pool] = sent
+	}
+}
+
+// Token returns the fencing token of this daemon for a pool, and false if it
+// doesn't hold the pool by the log as read so far.
+func (m *Manager) Token(pool string) (int64, bool) {
+	lease := m.fold.Lease(pool)
+	return lease.Token, lease.Holder == m.self && lease.Token > 0
+}
+
+// IsValid reports whether this daemon holds a pool and its lease has not expired.
+func (m *Manager) IsValid(pool string, now time.Time) bool {
+	if _, held := m.Token(pool); !held {
+		return false
+	}
+	duration := m.fold.Lease(pool).Duration
+	return now.Before(m.validFrom[pool].Add(duration - duration/driftDivisor))
+}
+
+// Decide returns the records that the daemon should append now.
+func (m *Manager) Decide(now time.Time, environment Environment) []Action {
+	var actions []Action
+	if m.renewalDue(now) {
+		m.lastRenewal = now
+		actions = append(actions, Action{Renew: true})
+	}
+	if environment.Draining {
+		return actions
+	}
+	for _, pool := range environment.Pools {
+		if claim := m.claimDue(now, pool, environment); claim != nil {
+			m.lastClaim[pool.Name] = now
+			actions = append(actions, Action{Claim: claim})
+		}
+	}
+	return actions
+}
+
+// Releases returns the records that give back all leases of this daemon.
+func (m *Manager) Releases() []Action {
+	var actions []Action
+	for _, lease := range m.fold.Leases() {
+		if lease.Holder == m.self {
+			actions = append(actions, Action{Release: &Release{Pool: lease.Pool, Token: lease.Token}})
+		}
+	}
+	return actions
+}
+
+func (m *Manager) renewalDue(now time.Time) bool {
+	var shortest time.Duration
+	for _, lease := range m.fold.Leases() {
+		if lease.Holder == m.self && (shortest == 0 || lease.Duration < shortest) {
+			shortest = lease.Duration
+		}
+	}
+	return shortest > 0 && now.Sub(m.lastRenewal) >= shortest/renewalsPerLease
+}
+
+func (m *Manager) claimDue(now time.Time, pool PoolSetting, environment Environment) *Claim {
+	lease := m.fold.Lease(pool.Name)
+	if lease.Holder == m.self && lease.Token > 0 {
+		return nil
+	}
+	if sent, waiting := m.lastClaim[pool.Name]; waiting && now.Sub(sent) < claimRetry {
+		return nil
+	}
+	if now.Before(m.claimableAt(lease, pool, now).Add(m.preference(pool.Name, environment))) {
+		return nil
+	}
+	return &Claim{Pool: pool.Name, Seen: lease.Last, Duration: pool.Duration}
+}
+
+func (m *Manager) claimableAt(lease Lease, pool PoolSetting, now time.Time) time.Time {
+	seen, ok := m.seenAt[pool.Name]
+	if !ok {
+		// No record names the pool yet: the delay by preference starts now.
+		m.seenAt[pool.Name] = now
+		seen = now
+	}
+	if lease.IsFree() {
+		return seen
+	}
+	return seen.Add(lease.Duration + lease.Duration/driftDivisor)
+}
+
+// preference is how long this daemon lets more preferred ones go first.
+func (m *Manager) preference(pool string, environment Environment) time.Duration {
+	ranking := Rank(pool, environment.Daemons, m.load(environment))
+	rank := slices.Index(ranking, m.self.Daemon)
+	if rank < 0 {
+		rank = len(ranking)
+	}
+	return time.Duration(rank) * claimStagger
+}
+
+func (m *Manager) load(environment Environment) Load {
+	load := Load{Held: map[string]int{}, Pools: len(environment.Pools)}
+	for _, lease := range m.fold.Leases() {
+		if !lease.IsFree() {
+			load.Held[lease.Holder.Daemon]++
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/lease/leaselog/rank.go
@@ -0,0 +1,51 @@
+package leaselog
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// loadSlackNumerator over loadSlackDenominator is how far above the mean number
+// of pools a daemon may go before others are preferred.
+const (
+	loadSlackNumerator   = 5
+	loadSlackDenominator = 4
+)
+
+// Load is how many leases each daemon holds.
+type Load struct {
+	Held  map[string]int
+	Pools int
+}
+
+// bound is the number of leases at which a daemon counts as full.
+func (l Load) bound(daemons int) int {
+	if daemons == 0 {
+		return 0
+	}
+	return (l.Pools*loadSlackNumerator + daemons*loadSlackDenominator - 1) / (daemons * loadSlackDenominator)
+}
+
+// Rank orders daemons by preference for a pool: rendezvous hashing, with daemons
+// that hold more than their bounded share last. All daemons that read the same
+// log and list come to the same order.
+func Rank(pool string, daemons []string, load Load) []string {
+	ranking := slices.Clone(daemons)
+	bound := load.bound(len(daemons))
+	slices.SortFunc(ranking, func(a, b string) int {
+		if fullA, fullB := load.Held[a] >= bound, load.Held[b] >= bound; fullA != fullB {
+			if fullA {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(weight(pool, b), weight(pool, a)), cmp.Compare(a, b))
+	})
+	return ranking
+}
+
+func weight(pool, daemon string) uint64 {
+	return xxhash.Sum64String(pool + "\x00" + daemon)
+}
--- /dev/null
+++ b/internal/oplog/control/conversions.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/recordpb"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Encode returns the payload of a record.
+func Encode(r Record) ([]byte, error) {
+	message := &recordpb.Record{Holder: holderToProto(r.Writer), Sequence: r.Sequence}
+	switch {
+	case r.Publication != nil:
+		message.Kind = &recordpb.Record_Publication{Publication: publicationToProto(*r.Publication)}
+	case r.Claim != nil:
+		message.Kind = &recordpb.Record_Claim{Claim: &recordpb.Claim{
+			Pool: r.Claim.Pool, Seen: r.Claim.Seen, DurationMs: r.Claim.Duration.Milliseconds(),
+		}}
+	case r.Renewal:
+		message.Kind = &recordpb.Record_Renewal{Renewal: &recordpb.Renewal{}}
+	case r.Release != nil:
+		message.Kind = &recordpb.Record_Release{Release: &recordpb.Release{Pool: r.Release.Pool, Token: r.Release.Token}}
+	case r.Intent != nil:
+		message.Kind = &recordpb.Record_Intent{Intent: intentToProto(*r.Intent)}
+	case r.Resolution != nil:
+		message.Kind = &recordpb.Record_Resolution{Resolution: &recordpb.Resolution{Pool: r.Resolution.Pool, Intent: r.Resolution.Intent}}
+	case r.Snapshot != nil:
+		message.Kind = &recordpb.Record_Snapshot{Snapshot: snapshotToProto(*r.Snapshot)}
+	default:
+		return nil, errors.New("record without content")
+	}
+	payload, err := proto.Marshal(message)
+	return payload, errors.Wrap(err, "encode record")
+}
+
+// Decode reads the payload of a record. A record of an unknown kind has no
+// content, and the fold passes over it.
+func Decode(payload []byte) (Record, error) {
+	var message recordpb.Record
+	if err := proto.Unmarshal(payload, &message); err != nil {
+		return Record{}, errors.Wrap(err, "decode record")
+	}
+	r := Record{Writer: holderFromProto(message.Holder), Sequence: message.Sequence}
+	switch kind := message.Kind.(type) {
+	case *recordpb.Record_Publication:
+		publication := publicationFromProto(kind.Publication)
+		r.Publication = &publication
+	case *recordpb.Record_Claim:
+		r.Claim = &leaselog.Claim{Pool: kind.Claim.Pool, Seen: kind.Claim.Seen, Duration: milliseconds(kind.Claim.DurationMs)}
+	case *recordpb.Record_Renewal:
+		r.Renewal = true
+	case *recordpb.Record_Release:
+		r.Release = &leaselog.Release{Pool: kind.Release.Pool, Token: kind.Release.Token}
+	case *recordpb.Record_Intent:
+		intent := intentFromProto(kind.Intent)
+		r.Intent = &intent
+	case *recordpb.Record_Resolution:
+		r.Resolution = &leaselog.Resolution{Pool: kind.Resolution.Pool, Intent: kind.Resolution.Intent}
+	case *recordpb.Record_Snapshot:
+		snapshot := snapshotFromProto(kind.Snapshot)
+		r.Snapshot = &snapshot
+	}
+	return r, nil
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func holderToProto(h leaselog.Holder) *recordpb.Holder {
+	if (h == leaselog.Holder{}) {
+		return nil
+	}
+	return &recordpb.Holder{Daemon: h.Daemon, Incarnation: h.Incarnation}
+}
+
+func holderFromProto(h *recordpb.Holder) leaselog.Holder {
+	return leaselog.Holder{Daemon: h.GetDaemon(), Incarnation: h.GetIncarnation()}
+}
+
+func publicationToProto(p configlog.Publication) *recordpb.Publication {
+	return &recordpb.Publication{Base: p.Base, Routes: p.Routes, Pools: p.Pools, Author: p.Author, Digest: p.Digest}
+}
+
+func publicationFromProto(p *recordpb.Publication) configlog.Publication {
+	return configlog.Publication{
+		Base: p.GetBase(), Routes: p.GetRoutes(), Pools: p.GetPools(), Author: p.GetAuthor(), Digest: p.GetDigest(),
+	}
+}
+
+func intentToProto(i leaselog.Intent) *recordpb.Intent {
+	return &recordpb.Intent{
+		Pool: i.Pool, Token: i.Token, Server: i.Server, Incarnation: i.Incarnation, Memory: int64(i.Memory),
+		Model: i.Artifact.Model, Version: i.Artifact.Version, Adapter: i.Artifact.Adapter,
+	}
+}
+
+func intentFromProto(i *recordpb.Intent) leaselog.Intent {
+	return leaselog.Intent{
+		Pool: i.GetPool(), Token: i.GetToken(), Server: i.GetServer(), Incarnation: i.GetIncarnation(),
+		Artifact: azurehitch.Artifact{Model: i.GetModel(), Version: i.GetVersion(), Adapter: i.GetAdapter()},
+		Memory:   azurehitch.ByteSize(i.GetMemory()),
+	}
+}
+
+func snapshotToProto(s Snapshot) *recordpb.Snapshot {
+	message := &recordpb.Snapshot{
+		FoldedTo:             s.FoldedTo,
+		ConfigurationVersion: s.Configuration.Version,
+		Configuration:        publicationToProto(s.Configuration.Publication),
+	}
+	for _, l := range s.Leases {
+		message.Leases = append(message.Leases, &recordpb.PoolLease{
+			Pool: l.Pool, Holder: holderToProto(l.Holder), Token: l.Token, Last: l.Last, DurationMs: l.Duration.Milliseconds(),
+		})
+	}
+	for _, i := range s.Intents {
+		message.Intents = append(message.Intents, &recordpb.OpenIntent{Offset: i.Offset, Intent: intentToProto(i)})
+	}
+	return message
+}
+
+func snapshotFromProto(s *recordpb.Snapshot) Snapshot {
+	snapshot := Snapshot{
+		FoldedTo:      s.GetFoldedTo(),
+		Configuration: configlog.State{Version: s.GetConfigurationVersion(), Publication: publicationFromProto(s.GetConfiguration())},
+	}
+	for _, l := range s.GetLeases() {
+		snapshot.Leases = append(snapshot.Leases, leaselog.Lease{
+			Pool: l.GetPool(), Holder: holderFromProto(l.GetHolder()), Token: l.GetToken(), Last: l.GetLast(),
+			Duration: milliseconds(l.GetDurationMs()),
+		})
+	}
+	for _, open := range s.GetIntents() {
+		intent := intentFromProto(open.GetIntent())
+		intent.Offset = open.GetOffset()
+		snapshot.Intents = append(snapshot.Intents, intent)
+	}
+	return snapshot
+}
--- /dev/null
+++ b/internal/oplog/control/store.go
@@ -0,0 +1,258 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/follow"
+
+	"github.com/pkg/errors"
+)
+
+// Verdict is what the fold made of a record.
+type Verdict struct {
+	Offset int64
+	// Err is nil if the record took effect.
+	Err error
+}
+
+// ErrSuperseded is the verdict on a record about a lease that was no longer as
+// its writer saw it.
+var ErrSuperseded = errors.New("the lease has changed")
+
+// Store is the folded state of one daemon. It is safe for concurrent use.
+type Store struct {
+	self  leaselog.Holder
+	clock azurehitch.Clock
+
+	mu            sync.Mutex
+	foldedTo      int64
+	state         configlog.State
+	configuration tables.Configuration
+	leases        *leaselog.Manager
+	changed       chan struct{}
+	expectations  *follow.Expectations[Verdict]
+	// orphans are open intents of this daemon whose order was never sent.
+	orphans        []leaselog.Resolution
+	lastSnapshot   int64
+	lastSnapshotAt time.Time
+	readAt         time.Time
+	damaged        int
+}
+
+// NewStore returns the state before the first record.
+func NewStore(self leaselog.Holder, clock azurehitch.Clock) *Store {
+	now := clock.Now()
+	return &Store{
+		self:           self,
+		clock:          clock,
+		leases:         leaselog.NewManager(self, leaselog.NewFold(), now),
+		changed:        make(chan struct{}),
+		expectations:   follow.NewExpectations[Verdict](),
+		lastSnapshotAt: now,
+	}
+}
+
+// Self returns the identity of this daemon.
+func (s *Store) Self() leaselog.Holder { return s.self }
+
+// FoldedTo returns the offset of the last record that was folded.
+func (s *Store) FoldedTo() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.foldedTo
+}
+
+// ReadAt returns when the log was last read with success.
+func (s *Store) ReadAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readAt
+}
+
+// Damaged returns how many records could not be decoded.
+func (s *Store) Damaged() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.damaged
+}
+
+// Configuration returns the configuration in force.
+func (s *Store) Configuration() tables.Configuration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configuration
+}
+
+// Published returns the publication in force.
+func (s *Store) Published() configlog.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Lease returns the lease of a pool.
+func (s *Store) Lease(pool string) leaselog.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases.Fold().Lease(pool)
+}
+
+// Leases returns all leases.
+func (s *Store) Leases() []leaselog.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases.Fold().Leases()
+}
+
+// PoolIntents returns the open intents of a pool.
+func (s *Store) PoolIntents(pool string) []leaselog.Intent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases.Fold().PoolIntents(pool)
+}
+
+// Token returns the fencing token with which this daemon holds a pool, and
+// whether the lease is valid now. The token is 0 if it doesn't hold the pool.
+func (s *Store) Token(pool string) (token int64, valid bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	token, held := s.leases.Token(pool)
+	if !held {
+		return 0, false
+	}
+	return token, s.leases.IsValid(pool, s.clock.Now())
+}
+
+// Decide returns the lease records that are due.
+func (s *Store) Decide(environment leaselog.Environment) []leaselog.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases.Decide(s.clock.Now(), environment)
+}
+
+// Releases returns the records that give back all leases.
+func (s *Store) Releases() []leaselog.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases.Releases()
+}
+
+// TakeOrphans returns the resolutions of intents that were abandoned before
+// their order, once each.
+func (s *Store) TakeOrphans() []leaselog.Resolution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	orphans := s.orphans
+	s.orphans = nil
+	return orphans
+}
+
+// Apply folds the next record. Records at or below the folded offset are passed
+// over.
+func (s *Store) Apply(raw azurehitch.Record, readAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if raw.Offset <= s.foldedTo {
+		return
+	}
+	s.foldedTo = raw.Offset
+	record, err := Decode(raw.Payload)
+	if err != nil {
+		s.damaged++
+		return
+	}
+	verdict := Verdict{Offset: raw.Offset, Err: s.fold(raw.Offset, record, readAt)}
+	if record.Writer == s.self {
+		s.deliver(record, verdict)
+	}
+	s.notify()
+}
+
+// fold returns the verdict.
+func (s *Store) fold(offset int64, r Record, readAt time.Time) error {
+	switch {
+	case r.Publication != nil:
+		return s.publish(offset, *r.Publication)
+	case r.Claim != nil:
+		return superseded(s.leases.OnClaim(offset, r.Writer, r.Sequence, *r.Claim, readAt))
+	case r.Renewal:
+		s.leases.OnRenewal(offset, r.Writer, r.Sequence, readAt)
+	case r.Release != nil:
+		return superseded(s.leases.OnRelease(offset, r.Writer, *r.Release, readAt))
+	case r.Intent != nil:
+		return superseded(s.leases.Fold().Intend(offset, r.Writer, *r.Intent))
+	case r.Resolution != nil:
+		s.leases.Fold().Resolve(*r.Resolution)
+	case r.Snapshot != nil:
+		s.lastSnapshot, s.lastSnapshotAt = offset, readAt
+	}
+	return nil
+}
+
+func superseded(accepted bool) error {
+	if accepted {
+		return nil
+	}
+	return ErrSuperseded
+}
+
+func (s *Store) publish(offset int64, p configlog.Publication) error {
+	next, verdict := s.state.Apply(offset, p)
+	if verdict != nil {
+		return verdict
+	}
+	s.setConfiguration(next)
+	return nil
+}
+
+func (s *Store) setConfiguration(state configlog.State) {
+	s.state = state
+	configuration, err := state.Configuration()
+	if err != nil {
+		// The version counts as in force; this release can't read its tables.
+		s.damaged++
+		s.configuration = s.configuration.WithVersion(state.Version)
+		return
+	}
+	s.configuration = configuration
+}
+
+func (s *Store) deliver(r Record, verdict Verdict) {
+	if s.expectations.Deliver(r.Sequence, verdict) {
+		return
+	}
+	if r.Intent != nil && verdict.Err == nil {
+		s.orphans = append(s.orphans, leaselog.Resolution{Pool: r.Intent.Pool, Intent: verdict.Offset})
+	}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// sending notes that an own record is about to be sent.
+func (s *Store) sending(sequence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.Sending(sequence, s.clock.Now())
+}
+
+// CaughtUp notes that a read of the log ended at a time.
+func (s *Store) CaughtUp(readAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readAt = readAt
+}
--- /dev/null
+++ b/internal/oplog/follow/follower.go
@@ -0,0 +1,102 @@
+// Package follow reads a stream of the platform's log into a fold, and appends
+// records whose verdict the fold delivers.
+//
+// # Usage
+//
+//	follower := follow.NewFollower(log, "control", fold, clock, observer)
+//	group.Go(func() error { return follower.Run(ctx) })
+//	appender := follow.NewAppender[Verdict](log, "control", expectations, observer)
+//	verdict, err := appender.Append(ctx, encode)
+package follow
+
+import (
+	"context"
+	"time"
+
+	"azurehitch"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	readWait       = 5 * time.Second
+	readTimeout    = 15 * time.Second
+	minReadBackoff = 50 * time.Millisecond
+	maxReadBackoff = time.Second
+)
+
+// Observer is told what is seen of the log.
+type Observer interface {
+	// LogRead is called after each read, with nil or its error.
+	LogRead(err error)
+	// LogAppended is called after each append, with nil or its error.
+	LogAppended(err error)
+}
+
+// Fold is the state that a follower feeds.
+type Fold interface {
+	// FoldedTo returns the offset of the last record that was folded.
+	FoldedTo() int64
+	// Bridge prepares for a batch that may begin after the next record, because
+	// the log keeps records for a limited time only.
+	Bridge(batch azurehitch.Batch) error
+	// Apply folds the next record.
+	Apply(record azurehitch.Record, readAt time.Time)
+	// CaughtUp is told that a read ended at a time.
+	CaughtUp(readAt time.Time)
+}
+
+// Follower reads a stream into a fold.
+type Follower struct {
+	log      azurehitch.Log
+	stream   string
+	fold     Fold
+	clock    azurehitch.Clock
+	observer Observer
+}
+
+// NewFollower returns a follower of a stream.
+func NewFollower(log azurehitch.Log, stream string, fold Fold, clock azurehitch.Clock, observer Observer) *Follower {
+	return &Follower{log: log, stream: stream, fold: fold, clock: clock, observer: observer}
+}
+
+// Run reads until the context ends. It returns nil then.
+func (f *Follower) Run(ctx context.Context) error {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = minReadBackoff
+	delays.MaxInterval = maxReadBackoff
+	for ctx.Err() == nil {
+		err := f.Step(ctx, readWait)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.observer.LogRead(err)
+		if err == nil {
+			delays.Reset()
+			continue
+		}
+		if err := f.clock.Sleep(ctx, delays.NextBackOff()); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Step reads one batch and folds it.
+func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := f.log.Read(limited, f.stream, f.fold.FoldedTo()+1, wait)
+	if err != nil {
+		return err
+	}
+	readAt := f.clock.Now()
+	if err := f.fold.Bridge(batch); err != nil {
+		return err
+	}
+	for _, record := range batch.Records {
+		f.fold.Apply(record, readAt)
+	}
+	f.fold.CaughtUp(readAt)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/mux/client.go
@@ -0,0 +1,145 @@
+package mux
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"azurehitch/internal/peer/peerpb"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout       = time.Second
+	keepAliveInterval = 5 * time.Second
+	writeTimeout      = 5 * time.Second
+)
+
+// ErrUnreachable says that a peer could not be asked, or did not answer.
+type ErrUnreachable struct {
+	Address string
+	// Sent is false only when the request can't have reached the peer.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrUnreachable) Error() string { return "peer " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrUnreachable) Unwrap() error { return e.Cause }
+
+// Client asks other daemons. It keeps one connection to each.
+type Client struct {
+	daemon   string
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+// NewClient returns a client for the daemon with a name.
+func NewClient(daemon string) *Client {
+	return &Client{daemon: daemon, sessions: map[string]*yamux.Session{}}
+}
+
+// Call sends a request and waits for the response. The error is an
+// *ErrUnreachable.
+func (c *Client) Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error) {
+	session, err := c.session(ctx, address)
+	if err != nil {
+		return nil, &ErrUnreachable{Address: address, Cause: err}
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		c.drop(address, session)
+		return nil, &ErrUnreachable{Address: address, Cause: err}
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { interrupt(stream) })
+	defer stop()
+	request.Daemon = c.daemon
+	if deadline, ok := ctx.Deadline(); ok {
+		request.TimeoutMs = time.Until(deadline).Milliseconds()
+		if err := stream.SetDeadline(deadline); err != nil {
+			return nil, &ErrUnreachable{Address: address, Cause: err}
+		}
+	}
+	response := &peerpb.Response{}
+	if err := exchange(stream, request, response); err != nil {
+		return nil, &ErrUnreachable{Address: address, Sent: true, Cause: err}
+	}
+	return response, nil
+}
+
+func exchange(stream *yamux.Stream, request *peerpb.Request, response *peerpb.Response) error {
+	if err := writeFrame(stream, request); err != nil {
+		return err
+	}
+	return readFrame(stream, response)
+}
+
+func interrupt(stream *yamux.Stream) {
+	// A stream that can't take a deadline is closed already.
+	_ = stream.SetDeadline(time.Unix(1, 0))
+}
+
+func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+	c.mu.Lock()
+	existing, ok := c.sessions[address]
+	c.mu.Unlock()
+	if ok && !existing.IsClosed() {
+		return existing, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "open session")
+	}
+	return c.keep(address, session), nil
+}
+
+// keep stores a new session, unless another call was faster.
+func (c *Client) keep(address string, session *yamux.Session) *yamux.Session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if existing, ok := c.sessions[address]; ok && !existing.IsClosed() {
+		session.Close()
+		return existing
+	}
+	c.sessions[address] = session
+	return session
+}
+
+func (c *Client) drop(address string, session *yamux.Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sessions[address] == session {
+		delete(c.sessions, address)
+	}
+	session.Close()
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, session := range c.sessions {
+		session.Close()
+		delete(c.sessions, address)
+	}
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	config.KeepAliveInterval = keepAliveInterval
+	config.ConnectionWriteTimeout = writeTimeout
+	return config
+}
--- /dev/null
+++ b/internal/placement/enginepool/intent.go
@@ -0,0 +1,30 @@
+package enginepool
+
+import (
+	"context"
+
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/placement/planner"
+)
+
+func intentFor(pool string, token int64, server, incarnation string, action planner.Action) leaselog.Intent {
+	return leaselog.Intent{
+		Pool:        pool,
+		Token:       token,
+		Server:      server,
+		Incarnation: incarnation,
+		Artifact:    action.Artifact,
+		Memory:      action.Memory,
+	}
+}
+
+// resolve records that the order of an intent has arrived or never will. When the
+// record can't be appended, the intent stays open: that costs capacity until the
+// engine starts anew, and is safe.
+func (p *pool) resolve(ctx context.Context, intent int64) {
+	record := control.Record{Resolution: &leaselog.Resolution{Pool: p.name, Intent: intent}}
+	if _, err := p.Recorder.Append(ctx, record); err != nil {
+		p.Counters.IntentLeftOpen(p.name)
+	}
+}
--- /dev/null
+++ b/internal/placement/enginepool/pool.go
@@ -0,0 +1,328 @@
+// Package enginepool runs the plan of each pool that this daemon holds against
+// the model engines.
+//
+// # Usage
+//
+//	set := enginepool.NewSet(dependencies)
+//	group.Go(func() error { return set.Run(ctx) })
+//	grant, err := set.Acquire(ctx, request)
+//
+// A pool is run while the log shows this daemon as its holder. The runner fences
+// each engine with its token, reads what is loaded, and carries out the actions
+// of the planner, each in a goroutine of its group.
+package enginepool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/placement/planner"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	pollInterval = time.Second
+	pollTimeout  = 2 * time.Second
+	orderTimeout = 2 * time.Minute
+	// logRecovery is how long after a failed append no intent is tried.
+	logRecovery = time.Second
+)
+
+// Recorder appends records to the control stream.
+type Recorder interface {
+	Append(ctx context.Context, record control.Record) (control.Verdict, error)
+}
+
+// Counters counts what the runners do.
+type Counters interface {
+	LoadFinished(pool string, remote bool, outcome planner.Outcome, took time.Duration)
+	UnloadFinished(pool string, outcome planner.Outcome)
+	EngineUnreachable(pool, server string, reached bool)
+	// IntentLeftOpen counts resolutions that could not be recorded.
+	IntentLeftOpen(pool string)
+	PoolHeld(pool string, token int64, held bool)
+}
+
+// Dependencies are what the runners need.
+type Dependencies struct {
+	Store    *control.Store
+	Recorder Recorder
+	Engines  azurehitch.EngineDialer
+	Clock    azurehitch.Clock
+	Counters Counters
+	// Hosts returns the state of each listed backend server.
+	Hosts func() map[string]azurehitch.HostState
+	// RemoteLoads returns how many loads from the weight store may be under way.
+	RemoteLoads func() int
+}
+
+// pool is one pool while this daemon holds it.
+type pool struct {
+	Dependencies
+	name  string
+	token int64
+	group *errgroup.Group
+
+	mu      sync.Mutex
+	plan    *planner.Plan
+	version int64
+	polls   map[string]*poll
+	times   loadTimes
+	// appendFailedAt is when an intent could last not be recorded.
+	appendFailedAt time.Time
+	changed        chan struct{}
+	wake           chan struct{}
+}
+
+type poll struct {
+	running bool
+	at      time.Time
+	failed  bool
+}
+
+func newPool(d Dependencies, configuration tables.Configuration, table tables.Pool, token int64) *pool {
+	return &pool{
+		Dependencies: d,
+		name:         table.Name,
+		token:        token,
+		plan:         planner.New(table, d.Store.PoolIntents(table.Name), d.Clock.Now()),
+		version:      configuration.Version,
+		polls:        map[string]*poll{},
+		changed:      make(chan struct{}),
+		wake:         make(chan struct{}, 1),
+	}
+}
+
+// run carries out the plan until the context ends or the pool has another holder.
+func (p *pool) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	p.group = group
+	group.Go(func() error {
+		for p.isHeld() && ctx.Err() == nil {
+			p.step(ctx)
+			if err := p.pause(ctx); err != nil {
+				return nil
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func (p *pool) isHeld() bool {
+	token, _ := p.Store.Token(p.name)
+	return token == p.token
+}
+
+// pause waits for the next tick, or until a waiter comes.
+func (p *pool) pause(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, tickInterval)
+	defer cancel()
+	select {
+	case <-p.wake:
+	case <-limited.Done():
+	}
+	return ctx.Err()
+}
+
+func (p *pool) step(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	p.refreshTable()
+	p.plan.SetHosts(p.Hosts())
+	for _, server := range p.plan.Servers() {
+		p.startPoll(ctx, server, now)
+	}
+	for _, intent := range p.plan.TakeArrived() {
+		p.group.Go(func() error {
+			p.resolve(ctx, intent)
+			return nil
+		})
+	}
+	for _, action := range p.plan.Decide(now, p.budget(now)) {
+		p.group.Go(func() error {
+			p.execute(ctx, action)
+			return nil
+		})
+	}
+}
+
+func (p *pool) refreshTable() {
+	configuration := p.Store.Configuration()
+	if configuration.Version == p.version {
+		return
+	}
+	p.version = configuration.Version
+	if table, ok := configuration.Pools.Pool(p.name); ok {
+		p.plan.SetPool(table)
+	}
+}
+
+func (p *pool) budget(now time.Time) planner.Budget {
+	_, valid := p.Store.Token(p.name)
+	logWorks := now.Sub(p.appendFailedAt) >= logRecovery
+	return planner.Budget{RemoteLoads: p.RemoteLoads(), OnlyCheckedServers: !valid || !logWorks}
+}
+
+func (p *pool) startPoll(ctx context.Context, server tables.BackendServer, now time.Time) {
+	last, ok := p.polls[server.Name]
+	if !ok {
+		last = &poll{}
+		p.polls[server.Name] = last
+	}
+	if last.running || now.Sub(last.at) < pollInterval {
+		return
+	}
+	last.running = true
+	last.at = now
+	p.group.Go(func() error {
+		report, err := p.read(ctx, server.Address)
+		p.polled(server.Name, report, err)
+		return nil
+	})
+}
+
+// read fences an engine with the token and reads its state.
+func (p *pool) read(ctx context.Context, address string) (planner.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	session, err := p.Engines.Dial(ctx, address)
+	if err != nil {
+		return planner.Report{}, err
+	}
+	defer session.Close()
+	order := azurehitch.EngineOrder{Kind: azurehitch.OrderFence, Pool: p.name, Token: p.token}
+	if err := session.Order(ctx, order); err != nil {
+		return planner.Report{}, err
+	}
+	report := planner.Report{OpenIntents: p.Store.PoolIntents(p.name), StartedAt: p.Clock.Now()}
+	report.State, err = session.State(ctx)
+	return report, err
+}
+
+func (p *pool) polled(server string, report planner.Report, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.polls[server]
+	last.running = false
+	if failed := err != nil; failed != last.failed {
+		last.failed = failed
+		p.Counters.EngineUnreachable(p.name, server, !failed)
+	}
+	if err != nil {
+		p.plan.Unreachable(server)
+	} else {
+		p.plan.Observe(server, report, p.Clock.Now())
+	}
+	p.notify()
+}
+
+func (p *pool) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *pool) execute(ctx context.Context, action planner.Action) {
+	started := p.Clock.Now()
+	outcome, incarnation := p.order(ctx, action)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	p.plan.Finished(action, outcome, incarnation, now)
+	if action.Kind == planner.ActionUnload {
+		p.Counters.UnloadFinished(p.name, outcome)
+	} else {
+		p.Counters.LoadFinished(p.name, action.Remote, outcome, now.Sub(started))
+		if outcome == planner.OutcomeDone {
+			p.times.observe(action, now.Sub(started))
+		}
+	}
+	p.notify()
+}
+
+// order carries out an action over one session, which reaches one incarnation of
+// the engine only.
+func (p *pool) order(ctx context.Context, action planner.Action) (outcome planner.Outcome, incarnation string) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	server, ok := p.server(action.Server)
+	if !ok {
+		return planner.OutcomeRefused, ""
+	}
+	session, err := p.Engines.Dial(ctx, server.Address)
+	if err != nil {
+		return planner.OutcomeRefused, ""
+	}
+	defer session.Close()
+	state, err := session.State(ctx)
+	if err != nil {
+		return planner.OutcomeRefused, ""
+	}
+	intent, err := p.intend(ctx, server, state.Incarnation, action)
+	if err != nil {
+		return planner.OutcomeRefused, state.Incarnation
+	}
+	outcome = p.send(ctx, session, action)
+	if intent != 0 && outcome != planner.OutcomeUnknown {
+		p.resolve(ctx, intent)
+	}
+	return outcome, state.Incarnation
+}
+
+func (p *pool) server(name string) (tables.BackendServer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range p.plan.Servers() {
+		if server.Name == name {
+			return server, true
+		}
+	}
+	return tables.BackendServer{}, false
+}
+
+// intend records the intent of a load to an engine that does not check tokens,
+// and returns its offset. Other orders need none: the offset is 0.
+func (p *pool) intend(ctx context.Context, server tables.BackendServer, incarnation string, action planner.Action) (int64, error) {
+	if server.ChecksFencingToken || action.Kind != planner.ActionLoad {
+		return 0, nil
+	}
+	intent := intentFor(p.name, p.token, server.Name, incarnation, action)
+	verdict, err := p.Recorder.Append(ctx, control.Record{Intent: &intent})
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.appendFailedAt = p.Clock.Now()
+		return 0, err
+	}
+	return verdict.Offset, verdict.Err
+}
+
+func (p *pool) send(ctx context.Context, session azurehitch.EngineSession, action planner.Action) planner.Outcome {
+	kind := azurehitch.OrderLoad
+	if action.Kind == planner.ActionUnload {
+		kind = azurehitch.OrderUnload
+	}
+	err := session.Order(ctx, azurehitch.EngineOrder{
+		Kind: kind, Pool: p.name, Token: p.token, Artifact: action.Artifact, Memory: action.Memory,
+	})
+	var failed *azurehitch.ErrOrder
+	switch {
+	case err == nil:
+		return planner.OutcomeDone
+	case errors.As(err, &failed) && !failed.MayHaveTakenEffect():
+		return planner.OutcomeRefused
+	}
+	return planner.OutcomeUnknown
+}
--- /dev/null
+++ b/internal/placement/enginepool/set.go
@@ -0,0 +1,133 @@
+package enginepool
+
+import (
+	"context"
+	"sync"
+
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/placement/planner"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Set is the pools that this daemon holds.
+type Set struct {
+	Dependencies
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// NewSet returns a set without pools.
+func NewSet(dependencies Dependencies) *Set {
+	return &Set{Dependencies: dependencies, pools: map[string]*pool{}}
+}
+
+// ErrNotHeld says that this daemon does not hold a pool.
+type ErrNotHeld struct{ Pool string }
+
+// Error implements error.
+func (e *ErrNotHeld) Error() string { return "this daemon does not hold pool " + e.Pool }
+
+// Run starts and stops the runners of pools as the leases change, until the
+// context ends.
+func (s *Set) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			changed := s.Store.Changed()
+			s.startHeld(ctx, group)
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func (s *Set) startHeld(ctx context.Context, group *errgroup.Group) {
+	configuration := s.Store.Configuration()
+	for _, table := range configuration.Pools.Pools {
+		token, _ := s.Store.Token(table.Name)
+		if token == 0 || s.isRunning(table.Name, token) {
+			continue
+		}
+		p := s.start(configuration, table, token)
+		group.Go(func() error {
+			err := p.run(ctx)
+			s.stopped(p)
+			return err
+		})
+	}
+}
+
+func (s *Set) isRunning(name string, token int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[name]
+	return ok && p.token == token
+}
+
+func (s *Set) start(configuration tables.Configuration, table tables.Pool, token int64) *pool {
+	p := newPool(s.Dependencies, configuration, table, token)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pools[table.Name] = p
+	s.Counters.PoolHeld(table.Name, token, true)
+	return p
+}
+
+func (s *Set) stopped(p *pool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pools[p.name] == p {
+		delete(s.pools, p.name)
+		s.Counters.PoolHeld(p.name, p.token, false)
+	}
+}
+
+// Acquire waits for a replica in a pool that this daemon holds. It returns
+// *ErrNotHeld otherwise.
+func (s *Set) Acquire(ctx context.Context, request Request) (Grant, error) {
+	s.mu.Lock()
+	p, ok := s.pools[request.Pool]
+	s.mu.Unlock()
+	if !ok || !p.isHeld() {
+		return Grant{}, &ErrNotHeld{Pool: request.Pool}
+	}
+	return p.acquire(ctx, request)
+}
+
+// Status is what a held pool counts.
+type Status struct {
+	Pool    string
+	Token   int64
+	Valid   bool
+	Waiting int
+	Servers []planner.Usage
+}
+
+// Status returns what the held pools count.
+func (s *Set) Status() []Status {
+	var statuses []Status
+	for _, table := range s.Store.Configuration().Pools.Pools {
+		s.mu.Lock()
+		p, ok := s.pools[table.Name]
+		s.mu.Unlock()
+		if ok {
+			statuses = append(statuses, p.status())
+		}
+	}
+	return statuses
+}
+
+func (p *pool) status() Status {
+	_, valid := p.Store.Token(p.name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Status{
+		Pool: p.name, Token: p.token, Valid: valid,
+		Waiting: p.plan.Waiting(p.Clock.Now()), Servers: p.plan.Usage(),
+	}
+}
--- /dev/null
+++ b/internal/placement/holderpeer/client.go
@@ -0,0 +1,234 @@
+// Package holderpeer asks the daemon that holds a pool, and answers as that
+// daemon, over the connections between daemons.
+//
+// # Usage
+//
+//	client := holderpeer.NewClient(dependencies)
+//	grant, err := client.Ask(ctx, request)
+//	server := mux.NewServer(listener, holderpeer.NewHandler(...))
+package holderpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/idempotency/claimlog"
+	"azurehitch/internal/idempotency/outcomes"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/membership/hostwatch"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/telemetry/tracing"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// askAgain is the pause before a holder is looked up again.
+	askAgain = 50 * time.Millisecond
+	// discoveryTimeout bounds the question to each engine when no holder answers.
+	discoveryTimeout = 500 * time.Millisecond
+	// discoveryValidity is how long an answer of the engines themselves is used.
+	discoveryValidity = time.Second
+	noHolderRetry     = 2 * time.Second
+	// answerMargin is kept of a deadline to bring the refusal to the caller.
+	answerMargin = 20 * time.Millisecond
+)
+
+// errNotHeld is the answer of a daemon that is not the holder.
+var errNotHeld = errors.New("the asked daemon is not the holder")
+
+// Client asks holders.
+type Client struct {
+	Store   *control.Store
+	Pools   *enginepool.Set
+	Peers   *mux.Client
+	Members func() *hostwatch.Members
+	Engines azurehitch.EngineDialer
+	Clock   azurehitch.Clock
+	Metrics *metrics.Metrics
+	Tracer  *tracing.Tracer
+}
+
+// Ask implements directory.Asker. It looks for the holder until the deadline; while
+// none answers, it asks the engines themselves what is ready.
+func (c *Client) Ask(ctx context.Context, request enginepool.Request) (enginepool.Grant, error) {
+	ctx, span := c.Tracer.Start(ctx, "acquire", attribute.String("pool", request.Pool), attribute.String("artifact", request.Artifact.String()))
+	defer span.End()
+	ctx, cancel := withMargin(ctx)
+	defer cancel()
+	for {
+		grant, err := c.askHolder(ctx, request)
+		var refused *azurehitch.ErrRefused
+		if err == nil || errors.As(err, &refused) {
+			return grant, err
+		}
+		if grant, ok := c.discover(ctx, request); ok {
+			c.Metrics.Add(metrics.DirectDiscoveries, 1)
+			return grant, nil
+		}
+		if err := c.Clock.Sleep(ctx, askAgain); err != nil {
+			return enginepool.Grant{}, azurehitch.Refuse(azurehitch.CodeNoCapacity,
+				"no daemon answers for pool %s", request.Pool).WithRetryAfter(noHolderRetry)
+		}
+	}
+}
+
+func withMargin(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-answerMargin))
+}
+
+func (c *Client) askHolder(ctx context.Context, request enginepool.Request) (enginepool.Grant, error) {
+	holder := c.Store.Lease(request.Pool).Holder
+	if holder == c.Store.Self() {
+		return c.Pools.Acquire(ctx, request)
+	}
+	response, err := c.call(ctx, holder, &peerpb.Request{
+		Traceparent: tracing.Traceparent(ctx),
+		Kind:        &peerpb.Request_Acquire{Acquire: acquireToProto(request)},
+	})
+	if err != nil {
+		return enginepool.Grant{}, err
+	}
+	switch kind := response.Kind.(type) {
+	case *peerpb.Response_Acquire:
+		return c.withTable(request.Pool, grantFromProto(kind.Acquire)), nil
+	case *peerpb.Response_Refusal:
+		return enginepool.Grant{}, refusalFromProto(kind.Refusal)
+	}
+	return enginepool.Grant{}, errNotHeld
+}
+
+// withTable completes the granted servers from the table of pools.
+func (c *Client) withTable(pool string, grant enginepool.Grant) enginepool.Grant {
+	table, ok := c.Store.Configuration().Pools.Pool(pool)
+	if !ok {
+		return grant
+	}
+	for i, s := range grant.Servers {
+		if known, ok := table.Server(s.Name); ok && known.Address == s.Address {
+			grant.Servers[i] = known
+		}
+	}
+	return grant
+}
+
+func (c *Client) call(ctx context.Context, holder leaselog.Holder, request *peerpb.Request) (*peerpb.Response, error) {
+	address, ok := c.Members().PeerAddress(holder.Daemon)
+	if !ok {
+		return nil, errNotHeld
+	}
+	c.Metrics.Add(metrics.PeerCalls, 1)
+	response, err := c.Peers.Call(ctx, address, request)
+	if err != nil {
+		c.Metrics.Add(metrics.PeerErrors, 1)
+	}
+	return response, err
+}
+
+// discover asks the engines of a pool what is ready. It orders nothing.
+func (c *Client) discover(ctx context.Context, request enginepool.Request) (enginepool.Grant, bool) {
+	table, ok := c.Store.Configuration().Pools.Pool(request.Pool)
+	if !ok {
+		return enginepool.Grant{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
+	defer cancel()
+	grant := enginepool.Grant{ValidFor: discoveryValidity}
+	var mu sync.Mutex
+	group, ctx := errgroup.WithContext(ctx)
+	for _, server := range table.BackendServers {
+		group.Go(func() error {
+			if c.isReady(ctx, server, request.Artifact) {
+				mu.Lock()
+				defer mu.Unlock()
+				grant.Servers = append(grant.Servers, server)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return enginepool.Grant{}, false
+	}
+	return grant, len(grant.Servers) > 0
+}
+
+func (c *Client) isReady(ctx context.Context, server tables.BackendServer, artifact azurehitch.Artifact) bool {
+	session, err := c.Engines.Dial(ctx, server.Address)
+	if err != nil {
+		return false
+	}
+	defer session.Close()
+	state, err := session.State(ctx)
+	if err != nil || state.Leaving || c.Members().Backends()[server.Name] == azurehitch.HostStateLeaving {
+		return false
+	}
+	for _, p := range state.Placements {
+		if p.Artifact == artifact && p.State == azurehitch.PlacementReady {
+			return true
+		}
+	}
+	return false
+}
+
+// Outcome asks the daemon that claimed a call how it ended. The error is a
+// *mux.ErrUnreachable, or says that the daemon doesn't know.
+func (c *Client) Outcome(ctx context.Context, owner leaselog.Holder, key claimlog.Key) (outcomes.Outcome, error) {
+	response, err := c.call(ctx, owner, &peerpb.Request{
+		Traceparent: tracing.Traceparent(ctx),
+		Kind:        &peerpb.Request_Outcome{Outcome: keyToProto(key)},
+	})
+	if err != nil {
+		return outcomes.Outcome{}, err
+	}
+	switch kind := response.Kind.(type) {
+	case *peerpb.Response_Outcome:
+		return outcomeFromProto(kind.Outcome), nil
+	case *peerpb.Response_Refusal:
+		return outcomes.Outcome{Refusal: refusalFromProto(kind.Refusal)}, nil
+	}
+	return outcomes.Outcome{}, errNotHeld
+}
+
+// FetchState restores the control state from the peer that has folded furthest,
+// for a daemon that starts while the log is down. It reports whether any peer
+// had newer state.
+func (c *Client) FetchState(ctx context.Context) bool {
+	restored := false
+	for _, daemon := range c.Members().Daemons {
+		if daemon == c.Store.Self().Daemon {
+			continue
+		}
+		response, err := c.call(ctx, leaselog.Holder{Daemon: daemon}, &peerpb.Request{
+			Kind: &peerpb.Request_State{State: &peerpb.StateRequest{}},
+		})
+		if err != nil {
+			continue
+		}
+		record, err := control.Decode(response.GetState().GetSnapshot())
+		if err == nil && record.Snapshot != nil && c.Store.Restore(*record.Snapshot) {
+			restored = true
+		}
+	}
+	return restored
+}
+
+// Status asks a daemon what it has in force.
+func (c *Client) Status(ctx context.Context, daemon string) (*peerpb.StatusResponse, error) {
+	response, err := c.call(ctx, leaselog.Holder{Daemon: daemon}, &peerpb.Request{
+		Kind: &peerpb.Request_Status{Status: &peerpb.StatusRequest{}},
+	})
+	return response.GetStatus(), err
+}
--- /dev/null
+++ b/internal/placement/holderpeer/server.go
@@ -0,0 +1,83 @@
+package holderpeer
+
+import (
+	"context"
+
+	"azurehitch"
+	"azurehitch/internal/idempotency/outcomes"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/telemetry/tracing"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// Server answers other daemons.
+type Server struct {
+	Store    *control.Store
+	Pools    *enginepool.Set
+	Outcomes *outcomes.Store
+	Tracer   *tracing.Tracer
+	// Status returns what this daemon has in force.
+	Status func() *peerpb.StatusResponse
+}
+
+// Handler returns the handler of the server.
+func (s *Server) Handler() mux.Handler {
+	return func(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+		ctx, span := s.Tracer.Start(tracing.Extract(ctx, request.GetTraceparent()), "peer",
+			attribute.String("asking", request.GetDaemon()))
+		defer span.End()
+		switch kind := request.Kind.(type) {
+		case *peerpb.Request_Acquire:
+			return s.acquire(ctx, acquireFromProto(request.GetDaemon(), kind.Acquire))
+		case *peerpb.Request_Outcome:
+			return s.outcome(ctx, kind.Outcome)
+		case *peerpb.Request_State:
+			return s.state()
+		case *peerpb.Request_Status:
+			return &peerpb.Response{Kind: &peerpb.Response_Status{Status: s.Status()}}
+		}
+		return refusalToProto(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "unknown kind of request"))
+	}
+}
+
+func notHeld() *peerpb.Response {
+	return &peerpb.Response{Kind: &peerpb.Response_NotHeld{NotHeld: &peerpb.NotHeld{}}}
+}
+
+func (s *Server) acquire(ctx context.Context, request enginepool.Request) *peerpb.Response {
+	grant, err := s.Pools.Acquire(ctx, request)
+	var other *enginepool.ErrNotHeld
+	switch {
+	case err == nil:
+		return grantToProto(grant)
+	case errors.As(err, &other):
+		return notHeld()
+	}
+	return errorToProto(err)
+}
+
+func (s *Server) outcome(ctx context.Context, request *peerpb.OutcomeRequest) *peerpb.Response {
+	run, ok := s.Outcomes.Find(keyFromProto(request))
+	if !ok {
+		return notHeld()
+	}
+	outcome, err := run.Wait(ctx)
+	if err != nil {
+		return notHeld()
+	}
+	return outcomeToProto(outcome)
+}
+
+func (s *Server) state() *peerpb.Response {
+	snapshot := s.Store.Snapshot()
+	encoded, err := control.Encode(control.Record{Snapshot: &snapshot})
+	if err != nil {
+		return errorToProto(err)
+	}
+	return &peerpb.Response{Kind: &peerpb.Response_State{State: &peerpb.StateResponse{Snapshot: encoded}}}
+}
--- /dev/null
+++ b/internal/placement/planner/decide.go
@@ -0,0 +1,267 @@
+package planner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"azurehitch"
+)
+
+// Budget is what the holder may do now.
+type Budget struct {
+	// RemoteLoads is the number of loads from the weight store that may be under
+	// way at once.
+	RemoteLoads int
+	// OnlyCheckedServers forbids orders to engines that do not check the token:
+	// the lease has lapsed, or the log can't take an intent.
+	OnlyCheckedServers bool
+}
+
+// Decide returns the actions that are due and books them.
+func (p *Plan) Decide(now time.Time, budget Budget) []Action {
+	p.forgetRemoved()
+	var actions []Action
+	actions = append(actions, p.repeatUncertain(budget)...)
+	actions = append(actions, p.drainLeaving(budget)...)
+	actions = append(actions, p.lowerReplicas(budget)...)
+	actions = append(actions, p.unloadIdle(now, budget)...)
+	for _, artifact := range p.wanted(now) {
+		if action, ok := p.serve(artifact, now, budget); ok {
+			actions = append(actions, action)
+		}
+	}
+	return actions
+}
+
+// wanted returns the artifacts that callers want, the longest wait first.
+func (p *Plan) wanted(now time.Time) []azurehitch.Artifact {
+	var artifacts []azurehitch.Artifact
+	for artifact, w := range p.wants {
+		if _, current := w.total(now); !current {
+			delete(p.wants, artifact)
+			continue
+		}
+		artifacts = append(artifacts, artifact)
+	}
+	slices.SortFunc(artifacts, func(a, b azurehitch.Artifact) int {
+		return cmp.Or(p.wants[a].since.Compare(p.wants[b].since), compareArtifacts(a, b))
+	})
+	return artifacts
+}
+
+// serve returns the next action towards a wanted artifact, if one is due.
+func (p *Plan) serve(artifact azurehitch.Artifact, now time.Time, budget Budget) (Action, bool) {
+	memory, known := p.pool.Memory(artifact)
+	if !known || p.underWay(artifact) || p.enough(artifact, now) {
+		return Action{}, false
+	}
+	if artifact.Adapter == "" {
+		return p.placeModel(artifact, memory, now, budget)
+	}
+	base := artifact.WithoutAdapter()
+	if len(p.Ready(base)) == 0 {
+		return p.serveBase(base, now, budget)
+	}
+	return p.placeAdapter(artifact, memory, now, budget)
+}
+
+func (p *Plan) serveBase(base azurehitch.Artifact, now time.Time, budget Budget) (Action, bool) {
+	memory, known := p.pool.Memory(base)
+	if !known || p.underWay(base) {
+		return Action{}, false
+	}
+	return p.placeModel(base, memory, now, budget)
+}
+
+func (p *Plan) underWay(artifact azurehitch.Artifact) bool {
+	for _, s := range p.servers {
+		b, ok := s.bookings[artifact]
+		if ok && !s.isGone() && (b.State == azurehitch.PlacementIntended || b.State == azurehitch.PlacementLoading) {
+			return true
+		}
+	}
+	return false
+}
+
+// enough reports whether the ready replicas suffice for the demand.
+func (p *Plan) enough(artifact azurehitch.Artifact, now time.Time) bool {
+	ready := len(p.Ready(artifact))
+	if ready == 0 {
+		return false
+	}
+	demand, _ := p.wants[artifact].total(now)
+	needed := (demand.Waiting + demand.InProgress + requestsPerReplica - 1) / requestsPerReplica
+	return ready >= min(needed, p.pool.MaxReplicas(artifact.Model))
+}
+
+// replicas counts what may be loaded of a model, in all versions.
+func (p *Plan) replicas(model string) int {
+	count := 0
+	for _, s := range p.servers {
+		switch booked := len(s.replicas(model)); {
+		case s.isGone():
+		case s.incarnation == "":
+			// Never reached by this holder: a former one may load there.
+			count += max(booked, 1)
+		default:
+			count += booked
+		}
+	}
+	return count
+}
+
+// replicas returns the bookings of a model, without adapters.
+func (s *server) replicas(model string) []*booking {
+	var bookings []*booking
+	for _, artifact := range sortedArtifacts(s.bookings) {
+		if artifact.Model == model && artifact.Adapter == "" {
+			bookings = append(bookings, s.bookings[artifact])
+		}
+	}
+	return bookings
+}
+
+// forgetRemoved drops servers that are no longer in the table and are empty.
+func (p *Plan) forgetRemoved() {
+	for name, removed := range p.removed {
+		if s := p.servers[name]; removed && (s.isGone() || s.reached && len(s.bookings) == 0) {
+			delete(p.servers, name)
+			delete(p.removed, name)
+		}
+	}
+}
+
+func (p *Plan) placeModel(artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
+	if p.replicas(artifact.Model) >= p.pool.MaxReplicas(artifact.Model) {
+		return p.evictOtherVersion(artifact, now, budget)
+	}
+	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[artifact] == nil && s.AcceleratorMemory >= memory })
+	return p.placeOnBest(candidates, artifact, memory, now, budget)
+}
+
+func (p *Plan) placeAdapter(artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
+	base := artifact.WithoutAdapter()
+	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[artifact] == nil && s.isReady(base) })
+	return p.placeOnBest(candidates, artifact, memory, now, budget)
+}
+
+// candidates returns the servers that take orders and suit, in a stable order.
+func (p *Plan) candidates(budget Budget, suits func(*server) bool) []*server {
+	var candidates []*server
+	for _, name := range sortedKeys(p.servers) {
+		s := p.servers[name]
+		if s.accepts() && !p.removed[name] && p.mayOrder(s, budget) && suits(s) {
+			candidates = append(candidates, s)
+		}
+	}
+	return candidates
+}
+
+func (p *Plan) mayOrder(s *server, budget Budget) bool {
+	return s.reached && (s.ChecksFencingToken || !budget.OnlyCheckedServers)
+}
+
+// placeOnBest loads where the checkpoint is nearest and room is largest; with no
+// room anywhere, it evicts what was idle longest.
+func (p *Plan) placeOnBest(candidates []*server, artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
+	slices.SortStableFunc(candidates, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.distance(artifact), b.distance(artifact)), cmp.Compare(b.free(), a.free()))
+	})
+	for _, s := range candidates {
+		if s.free() < memory {
+			continue
+		}
+		remote := artifact.Adapter == "" && s.distance(artifact) == distanceRemote
+		if remote && p.remoteLoads() >= budget.RemoteLoads {
+			return Action{}, false
+		}
+		return p.bookLoad(s, artifact, memory, remote, now), true
+	}
+	return p.evictFor(candidates, memory, now)
+}
+
+const (
+	distanceMemory = iota
+	distanceDisk
+	distanceRemote
+)
+
+func (s *server) distance(artifact azurehitch.Artifact) int {
+	switch s.cached[artifact] {
+	case azurehitch.CacheTierMemory:
+		return distanceMemory
+	case azurehitch.CacheTierDisk:
+		return distanceDisk
+	}
+	return distanceRemote
+}
+
+func (p *Plan) remoteLoads() int {
+	count := 0
+	for _, s := range p.servers {
+		for artifact, b := range s.bookings {
+			if artifact.Adapter == "" && b.ordered && b.State == azurehitch.PlacementIntended && s.distance(artifact) == distanceRemote {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (p *Plan) bookLoad(s *server, artifact azurehitch.Artifact, memory azurehitch.ByteSize, remote bool, now time.Time) Action {
+	s.bookings[artifact] = &booking{
+		Placement: azurehitch.Placement{Artifact: artifact, State: azurehitch.PlacementIntended, Memory: memory},
+		ordered:   true,
+		changedAt: now,
+		lastUsed:  now,
+	}
+	return Action{Kind: ActionLoad, Server: s.Name, Artifact: artifact, Memory: memory, Remote: remote}
+}
+
+func (p *Plan) bookUnload(s *server, b *booking) Action {
+	b.State = azurehitch.PlacementUnloading
+	b.ordered = true
+	return Action{Kind: ActionUnload, Server: s.Name, Artifact: b.Artifact, Memory: b.Memory}
+}
+
+// repeatUncertain orders again what may or may not have arrived, so that it
+// becomes known. A load of what is loaded changes nothing.
+func (p *Plan) repeatUncertain(budget Budget) []Action {
+	var actions []Action
+	for _, name := range sortedKeys(p.servers) {
+		s := p.servers[name]
+		if !s.accepts() || !p.mayOrder(s, budget) {
+			continue
+		}
+		for _, artifact := range sortedArtifacts(s.bookings) {
+			b := s.bookings[artifact]
+			if !p.needsRepeat(b) {
+				continue
+			}
+			b.ordered = true
+			b.repeated = true
+			actions = append(actions, Action{Kind: ActionLoad, Server: name, Artifact: artifact, Memory: b.Memory})
+		}
+	}
+	return actions
+}
+
+func (p *Plan) needsRepeat(b *booking) bool {
+	if b.ordered || b.State != azurehitch.PlacementIntended {
+		return false
+	}
+	_, wanted := p.wants[b.Artifact]
+	return b.uncertain || b.intent != 0 && wanted
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func sortedArtifacts[V any](m map[azurehitch.Artifact]V) []azurehitch.Artifact {
+	return slices.SortedFunc(maps.Keys(m), compareArtifacts)
+}
+
+func compareArtifacts(a, b azurehitch.Artifact) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
+}
--- /dev/null
+++ b/internal/placement/planner/planner.go
@@ -0,0 +1,316 @@
+// Package planner decides which engine loads and unloads what in one pool.
+//
+// # Usage
+//
+//	plan := planner.New(pool, intents, now)
+//	plan.Observe(server, report, now)
+//	plan.Want(daemon, artifact, demand, now)
+//	for _, action := range plan.Decide(now, budget) { ... }
+//	plan.Finished(action, outcome, incarnation, now)
+//
+// A Plan is the state of a pool's lease holder. It does no I/O: events and the
+// time come in, actions go out. Each action is booked before it is returned, so
+// that no two actions together exceed a limit.
+//
+// # What counts
+//
+// A replica or a byte of memory counts from before the order for it until the
+// engine is known to be without it. A server that this holder has not reached
+// counts as if it held one replica of each model, because a former holder may
+// still load there.
+package planner
+
+import (
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/lease/leaselog"
+)
+
+const (
+	// minimumKeep is how long a replica is kept after its last use, so that two
+	// models do not evict each other in turn.
+	minimumKeep = 2 * time.Second
+	// requestsPerReplica is the number of requests in progress above which a
+	// further replica is loaded.
+	requestsPerReplica = 16
+	// demandTTL is how long a reported demand counts.
+	demandTTL = 3 * time.Second
+)
+
+// ActionKind is what an action does.
+type ActionKind string
+
+// The kinds of actions.
+const (
+	ActionLoad   ActionKind = "Load"
+	ActionUnload ActionKind = "Unload"
+)
+
+// Action is one order to a server.
+type Action struct {
+	Kind     ActionKind
+	Server   string
+	Artifact azurehitch.Artifact
+	Memory   azurehitch.ByteSize
+	// Remote tells that a load comes from the weight store.
+	Remote bool
+}
+
+// Outcome is how an action ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeDone Outcome = "Done"
+	// OutcomeRefused means that the order was not and will not be carried out.
+	OutcomeRefused Outcome = "Refused"
+	// OutcomeUnknown means that it may have been, or may still be.
+	OutcomeUnknown Outcome = "Unknown"
+)
+
+// Demand is what callers want of an artifact.
+type Demand struct {
+	// Waiting is the number of requests that wait for the first replica.
+	Waiting int
+	// InProgress is the number of requests that run.
+	InProgress int
+}
+
+// booking is an artifact on a server as the holder counts it.
+type booking struct {
+	azurehitch.Placement
+	// ordered is true while an own order is under way.
+	ordered bool
+	// uncertain is true when an order to this incarnation may still arrive. The
+	// artifact then counts until the engine starts anew.
+	uncertain   bool
+	incarnation string
+	// intent is the offset of an adopted intent; 0 is none.
+	intent int64
+	// repeated is true when this holder ordered the load of an adopted intent
+	// itself, so that seeing it loaded does not show that the first order arrived.
+	repeated  bool
+	changedAt time.Time
+	lastUsed  time.Time
+}
+
+type server struct {
+	tables.BackendServer
+	reached     bool
+	incarnation string
+	// unlisted means that the platform's list doesn't show the server.
+	unlisted bool
+	// listedLeaving and saysLeaving are the two signals that the server leaves.
+	listedLeaving bool
+	saysLeaving   bool
+	bookings      map[azurehitch.Artifact]*booking
+	cached        map[azurehitch.Artifact]azurehitch.CacheTier
+}
+
+// want is the demand for one artifact, by the daemon that reported it.
+type want struct {
+	since   time.Time
+	demands map[string]reportedDemand
+}
+
+type reportedDemand struct {
+	Demand
+	at time.Time
+}
+
+// total returns the sum of the demands that still count.
+func (w *want) total(now time.Time) (sum Demand, current bool) {
+	for _, d := range w.demands {
+		if now.Sub(d.at) > demandTTL {
+			continue
+		}
+		current = true
+		sum.Waiting += d.Waiting
+		sum.InProgress += d.InProgress
+	}
+	return sum, current
+}
+
+// Plan is the state of a pool's holder. It is not safe for concurrent use.
+type Plan struct {
+	pool    tables.Pool
+	servers map[string]*server
+	wants   map[azurehitch.Artifact]*want
+	// lastUsed survives the unloading of an artifact.
+	lastUsed map[azurehitch.Artifact]time.Time
+	// removed names the servers that are no longer in the table and still count.
+	removed map[string]bool
+	// arrived are adopted intents whose order is known to have arrived.
+	arrived []int64
+}
+
+// New returns the plan of a new holder, which has reached no server yet. The
+// open intents of the pool at that moment are adopted.
+func New(pool tables.Pool, intents []leaselog.Intent, now time.Time) *Plan {
+	p := &Plan{
+		servers:  map[string]*server{},
+		wants:    map[azurehitch.Artifact]*want{},
+		lastUsed: map[azurehitch.Artifact]time.Time{},
+		removed:  map[string]bool{},
+	}
+	p.SetPool(pool)
+	for _, intent := range intents {
+		p.adopt(intent, now)
+	}
+	return p
+}
+
+// SetPool applies a new version of the table. Servers that it no longer names
+// are drained, and count until they are empty.
+func (p *Plan) SetPool(pool tables.Pool) {
+	p.pool = pool
+	named := map[string]bool{}
+	for _, s := range pool.BackendServers {
+		named[s.Name] = true
+		existing, ok := p.servers[s.Name]
+		if ok && existing.Address == s.Address {
+			existing.BackendServer = s
+			continue
+		}
+		p.servers[s.Name] = newServer(s)
+	}
+	for name := range p.servers {
+		p.removed[name] = !named[name]
+	}
+}
+
+func newServer(s tables.BackendServer) *server {
+	return &server{
+		BackendServer: s,
+		bookings:      map[azurehitch.Artifact]*booking{},
+		cached:        map[azurehitch.Artifact]azurehitch.CacheTier{},
+	}
+}
+
+func (p *Plan) adopt(intent leaselog.Intent, now time.Time) {
+	s, ok := p.servers[intent.Server]
+	if !ok {
+		return
+	}
+	s.bookings[intent.Artifact] = &booking{
+		Placement: azurehitch.Placement{Artifact: intent.Artifact, State: azurehitch.PlacementIntended, Memory: intent.Memory},
+		intent:    intent.Offset,
+		changedAt: now,
+		lastUsed:  now,
+	}
+}
+
+// Servers returns the servers with their addresses that the plan counts.
+func (p *Plan) Servers() []tables.BackendServer {
+	var servers []tables.BackendServer
+	for _, name := range sortedKeys(p.servers) {
+		servers = append(servers, p.servers[name].BackendServer)
+	}
+	return servers
+}
+
+// SetHosts tells which servers the platform's list shows, and which of them leave.
+func (p *Plan) SetHosts(states map[string]azurehitch.HostState) {
+	for name, s := range p.servers {
+		state, listed := states[name]
+		s.unlisted = !listed
+		s.listedLeaving = state == azurehitch.HostStateLeaving
+	}
+}
+
+// Want tells what the callers of one daemon want of an artifact.
+func (p *Plan) Want(daemon string, artifact azurehitch.Artifact, demand Demand, now time.Time) {
+	w, ok := p.wants[artifact]
+	if !ok {
+		w = &want{since: now, demands: map[string]reportedDemand{}}
+		p.wants[artifact] = w
+	}
+	w.demands[daemon] = reportedDemand{Demand: demand, at: now}
+	p.touch(artifact, now)
+}
+
+func (p *Plan) touch(artifact azurehitch.Artifact, now time.Time) {
+	for _, used := range []azurehitch.Artifact{artifact, artifact.WithoutAdapter()} {
+		p.lastUsed[used] = now
+		for _, s := range p.servers {
+			if b, ok := s.bookings[used]; ok {
+				b.lastUsed = now
+			}
+		}
+	}
+}
+
+// Ready returns the servers on which an artifact is ready for new requests.
+func (p *Plan) Ready(artifact azurehitch.Artifact) []tables.BackendServer {
+	var ready []tables.BackendServer
+	for _, name := range sortedKeys(p.servers) {
+		s := p.servers[name]
+		if s.accepts() && s.isReady(artifact) && s.isReady(artifact.WithoutAdapter()) {
+			ready = append(ready, s.BackendServer)
+		}
+	}
+	return ready
+}
+
+// accepts reports whether new work may go to the server.
+func (s *server) accepts() bool { return s.reached && !s.isLeaving() && !s.unlisted }
+
+func (s *server) isLeaving() bool { return s.listedLeaving || s.saysLeaving }
+
+// isGone reports whether the server is gone: the list doesn't show it, and it
+// doesn't answer.
+func (s *server) isGone() bool { return s.unlisted && !s.reached }
+
+func (s *server) isReady(artifact azurehitch.Artifact) bool {
+	b, ok := s.bookings[artifact]
+	return ok && b.State == azurehitch.PlacementReady
+}
+
+func (s *server) memoryInUse() azurehitch.ByteSize {
+	var sum azurehitch.ByteSize
+	for _, b := range s.bookings {
+		sum += b.Memory
+	}
+	return sum
+}
+
+func (s *server) free() azurehitch.ByteSize { return s.AcceleratorMemory - s.memoryInUse() }
+
+// Usage is what a plan counts, for operators and for checks.
+type Usage struct {
+	Server      string
+	Reached     bool
+	Leaving     bool
+	Memory      azurehitch.ByteSize
+	MemoryInUse azurehitch.ByteSize
+	Placements  []azurehitch.Placement
+}
+
+// Usage returns what the plan counts on each server.
+func (p *Plan) Usage() []Usage {
+	var usage []Usage
+	for _, name := range sortedKeys(p.servers) {
+		s := p.servers[name]
+		u := Usage{
+			Server: name, Reached: s.reached, Leaving: s.isLeaving(),
+			Memory: s.AcceleratorMemory, MemoryInUse: s.memoryInUse(),
+		}
+		for _, artifact := range sortedArtifacts(s.bookings) {
+			u.Placements = append(u.Placements, s.bookings[artifact].Placement)
+		}
+		usage = append(usage, u)
+	}
+	return usage
+}
+
+// Waiting returns the number of requests that wait.
+func (p *Plan) Waiting(now time.Time) int {
+	sum := 0
+	for _, w := range p.wants {
+		demand, _ := w.total(now)
+		sum += demand.Waiting
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/standin/engine/generation.go
@@ -0,0 +1,135 @@
+package engine
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"azurehitch"
+
+	"github.com/pkg/errors"
+)
+
+// Request is one generation.
+type Request struct {
+	// ID identifies the request across resumes.
+	ID       string
+	Artifact azurehitch.Artifact
+	Priority int
+	Tokens   int
+	// From is the position to resume at; 0 starts a new run.
+	From int
+	// Body is the body of the request, whose digest is the first token.
+	Body []byte
+}
+
+// ErrNotLoaded is a request for an artifact that is not ready. It was not run.
+type ErrNotLoaded struct{ Artifact azurehitch.Artifact }
+
+// Error implements error.
+func (e *ErrNotLoaded) Error() string { return e.Artifact.String() + " is not loaded" }
+
+// ErrLeaving is a request to a server that leaves. It was not run.
+var ErrLeaving = errors.New("server is leaving")
+
+// generation is the state that a resume or a KV export needs.
+type generation struct {
+	Digest   string
+	Tokens   int
+	Position int
+}
+
+// Run is an admitted request.
+type Run struct {
+	engine    *Engine
+	request   Request
+	placement *placement
+	state     *generation
+}
+
+// Begin admits a request: it waits for a slot and books the request on its
+// placement. Each run must be ended.
+func (e *Engine) Begin(ctx context.Context, request Request) (*Run, error) {
+	p, err := e.book(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.slots.acquire(ctx, request.Priority); err != nil {
+		e.unbook(p)
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state, known := e.generations[request.ID]
+	if !known || request.From == 0 {
+		digest := sha256.Sum256(request.Body)
+		state = &generation{Digest: hex.EncodeToString(digest[:]), Tokens: request.Tokens}
+		e.generations[request.ID] = state
+		e.journal.Runs[request.ID]++
+	}
+	return &Run{engine: e, request: request, placement: p, state: state}, nil
+}
+
+func (e *Engine) book(request Request) (*placement, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return nil, ErrLeaving
+	}
+	p, ok := e.placements[request.Artifact]
+	if !ok || p.State != azurehitch.PlacementReady {
+		return nil, &ErrNotLoaded{Artifact: request.Artifact}
+	}
+	p.Active++
+	return p, nil
+}
+
+func (e *Engine) unbook(p *placement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.Active--
+}
+
+// End gives the slot back.
+func (r *Run) End() {
+	r.engine.slots.release()
+	r.engine.unbook(r.placement)
+}
+
+// Tokens is the number of tokens of the whole answer.
+func (r *Run) Tokens() int { return r.state.Tokens }
+
+// Token generates the token at a position. The answer of a request is the same
+// each time, so that a resume can be checked.
+func (r *Run) Token(ctx context.Context, position int) (string, error) {
+	if err := r.engine.clock.Sleep(ctx, r.engine.options.TokenInterval); err != nil {
+		return "", err
+	}
+	r.engine.mu.Lock()
+	r.state.Position = max(r.state.Position, position+1)
+	r.engine.mu.Unlock()
+	return TokenText(r.state.Digest, position), nil
+}
+
+// Text generates the whole answer.
+func (r *Run) Text(ctx context.Context) (string, error) {
+	var text strings.Builder
+	for i := range r.Tokens() {
+		token, err := r.Token(ctx, i)
+		if err != nil {
+			return "", err
+		}
+		text.WriteString(token)
+	}
+	return text.String(), nil
+}
+
+// TokenText is the token at a position of the answer to a body with a digest.
+func TokenText(digest string, position int) string {
+	if position == 0 {
+		return digest
+	}
+	return fmt.Sprintf(" t%d", position)
+}
--- /dev/null
+++ b/internal/standin/hosts/hosts.go
@@ -0,0 +1,105 @@
+// Package hosts is a stand-in for the platform's list of hosts.
+//
+// # Usage
+//
+//	GET    /v1/hosts        the list, as it was Lag ago
+//	PUT    /v1/hosts/NAME   add or change an entry
+//	DELETE /v1/hosts/NAME   remove an entry
+package hosts
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/transport/jsonhttp"
+
+	"github.com/valyala/fasthttp"
+)
+
+const hostPrefix = "/v1/hosts/"
+
+// List is the list in memory. It implements azurehitch.HostList.
+type List struct {
+	clock azurehitch.Clock
+	lag   time.Duration
+	mu    sync.Mutex
+	// versions are the states of the list, oldest first.
+	versions []version
+}
+
+type version struct {
+	since time.Time
+	hosts map[string]azurehitch.Host
+}
+
+// New returns an empty list that shows its state of lag ago.
+func New(clock azurehitch.Clock, lag time.Duration) *List {
+	return &List{clock: clock, lag: lag, versions: []version{{}}}
+}
+
+// Put adds or changes an entry.
+func (l *List) Put(host azurehitch.Host) {
+	l.change(func(hosts map[string]azurehitch.Host) { hosts[host.Name] = host })
+}
+
+// Remove removes an entry.
+func (l *List) Remove(name string) {
+	l.change(func(hosts map[string]azurehitch.Host) { delete(hosts, name) })
+}
+
+// Hosts implements azurehitch.HostList.
+func (l *List) Hosts(context.Context) ([]azurehitch.Host, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	visible := l.clock.Now().Add(-l.lag)
+	for len(l.versions) > 1 && !l.versions[1].since.After(visible) {
+		l.versions = l.versions[1:]
+	}
+	shown := l.versions[0].hosts
+	names := slices.Sorted(maps.Keys(shown))
+	listing := make([]azurehitch.Host, 0, len(names))
+	for _, name := range names {
+		listing = append(listing, shown[name])
+	}
+	return listing, nil
+}
+
+func (l *List) change(edit func(map[string]azurehitch.Host)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hosts := maps.Clone(l.versions[len(l.versions)-1].hosts)
+	if hosts == nil {
+		hosts = map[string]azurehitch.Host{}
+	}
+	edit(hosts)
+	l.versions = append(l.versions, version{since: l.clock.Now(), hosts: hosts})
+}
+
+// NewHandler serves a list over HTTP.
+func NewHandler(list *List) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		name, named := strings.CutPrefix(string(ctx.Path()), hostPrefix)
+		switch {
+		case named && ctx.IsPut():
+			var host azurehitch.Host
+			if jsonhttp.Read(ctx, &host) {
+				host.Name = name
+				list.Put(host)
+				jsonhttp.Write(ctx, fasthttp.StatusOK, host)
+			}
+		case named && ctx.IsDelete():
+			list.Remove(name)
+			ctx.SetStatusCode(fasthttp.StatusNoContent)
+		case string(ctx.Path()) == "/v1/hosts":
+			listing, _ := list.Hosts(ctx)
+			jsonhttp.Write(ctx, fasthttp.StatusOK, listing)
+		default:
+			jsonhttp.WriteError(ctx, fasthttp.StatusNotFound, "NotFound", string(ctx.Path()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,115 @@
+// Package service is a stand-in for a plain service with some calls that may not
+// be repeated.
+//
+// # Usage
+//
+// POST /reminders and POST /teat-cups/release are not idempotent; GET on any
+// path is. Each call answers what was received, and GET /v1/journal shows how
+// often each call was run, by the X-Request-Id header.
+package service
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/transport/jsonhttp"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Options are the properties of the service.
+type Options struct {
+	Name string
+	// RunTime is how long each call takes.
+	RunTime time.Duration
+}
+
+// Answer is the answer to a call.
+type Answer struct {
+	Server     string
+	Method     string
+	Path       string
+	BodyBytes  int
+	BodySHA256 string
+	// Run counts how often this request identifier was run.
+	Run int
+}
+
+// Service keeps the journal.
+type Service struct {
+	clock   azurehitch.Clock
+	options Options
+	mu      sync.Mutex
+	leaving bool
+	runs    map[string]int
+}
+
+// New returns a service that has run nothing.
+func New(clock azurehitch.Clock, options Options) *Service {
+	return &Service{clock: clock, options: options, runs: map[string]int{}}
+}
+
+// Runs returns how often each request identifier was run.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// NewHandler serves a service over HTTP.
+func NewHandler(s *Service) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/v1/journal":
+			jsonhttp.Write(ctx, fasthttp.StatusOK, s.Runs())
+		case "/v1/leaving":
+			var leaving bool
+			if jsonhttp.Read(ctx, &leaving) {
+				s.setLeaving(leaving)
+			}
+		default:
+			s.serveCall(ctx)
+		}
+	}
+}
+
+func (s *Service) setLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+func (s *Service) serveCall(ctx *fasthttp.RequestCtx) {
+	run, ok := s.record(string(ctx.Request.Header.Peek("X-Request-Id")))
+	if !ok {
+		ctx.Response.Header.Set("X-Not-Run", "Leaving")
+		jsonhttp.WriteError(ctx, fasthttp.StatusServiceUnavailable, "Leaving", "server is leaving")
+		return
+	}
+	if err := s.clock.Sleep(ctx, s.options.RunTime); err != nil {
+		return
+	}
+	digest := sha256.Sum256(ctx.PostBody())
+	jsonhttp.Write(ctx, fasthttp.StatusOK, Answer{
+		Server:     s.options.Name,
+		Method:     string(ctx.Method()),
+		Path:       string(ctx.Path()),
+		BodyBytes:  len(ctx.PostBody()),
+		BodySHA256: hex.EncodeToString(digest[:]),
+		Run:        run,
+	})
+}
+
+func (s *Service) record(id string) (run int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return 0, false
+	}
+	s.runs[id]++
+	return s.runs[id], true
+}
--- /dev/null
+++ b/internal/telemetry/metrics/metrics.go
@@ -0,0 +1,109 @@
+// Package metrics counts what a daemon does, as expvar variables.
+//
+// # Usage
+//
+//	m := metrics.New()
+//	m.Add(metrics.RequestsAccepted, 1)
+//	m.AddLabeled(metrics.RequestsRefused, "overloaded", 1)
+//	handler := m.Handler()
+//
+// The variables of a daemon are not published in the process-wide registry, so
+// that several daemons can run in one test. docs/metrics.md lists them.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Name is the name of a variable.
+type Name string
+
+// The counters.
+const (
+	RequestsAccepted     Name = "RequestsAccepted"
+	RequestsAnswered     Name = "RequestsAnswered"
+	RequestsRefused      Name = "RequestsRefused"
+	RequestsUnknown      Name = "RequestsUnknown"
+	RequestsAbandoned    Name = "RequestsAbandoned"
+	RequestsRetried      Name = "RequestsRetried"
+	StreamsResumed       Name = "StreamsResumed"
+	StreamsCut           Name = "StreamsCut"
+	LogReads             Name = "LogReads"
+	LogReadErrors        Name = "LogReadErrors"
+	LogAppends           Name = "LogAppends"
+	LogAppendErrors      Name = "LogAppendErrors"
+	LeaseClaimsWon       Name = "LeaseClaimsWon"
+	LeaseClaimsLost      Name = "LeaseClaimsLost"
+	LeaseRenewals        Name = "LeaseRenewals"
+	LeaseReleases        Name = "LeaseReleases"
+	LoadsDone            Name = "LoadsDone"
+	LoadsRefused         Name = "LoadsRefused"
+	LoadsUnknown         Name = "LoadsUnknown"
+	UnloadsDone          Name = "UnloadsDone"
+	UnloadsFailed        Name = "UnloadsFailed"
+	IntentsLeftOpen      Name = "IntentsLeftOpen"
+	SnapshotsAppended    Name = "SnapshotsAppended"
+	HostListErrors       Name = "HostListErrors"
+	PeerCalls            Name = "PeerCalls"
+	PeerErrors           Name = "PeerErrors"
+	BreakersOpened       Name = "BreakersOpened"
+	DirectDiscoveries    Name = "DirectDiscoveries"
+	DuplicateCalls       Name = "DuplicateCalls"
+	ConfigurationChanges Name = "ConfigurationChanges"
+)
+
+// The gauges.
+const (
+	ConfigurationVersion Name = "ConfigurationVersion"
+	FoldedTo             Name = "FoldedTo"
+	PoolsHeld            Name = "PoolsHeld"
+	RequestsInProgress   Name = "RequestsInProgress"
+	RequestsWaiting      Name = "RequestsWaiting"
+)
+
+// Metrics is the variables of one daemon.
+type Metrics struct {
+	values  *expvar.Map
+	labeled *expvar.Map
+}
+
+// New returns variables at zero.
+func New() *Metrics {
+	return &Metrics{values: new(expvar.Map).Init(), labeled: new(expvar.Map).Init()}
+}
+
+// Add adds to a counter or gauge.
+func (m *Metrics) Add(name Name, n int64) { m.values.Add(string(name), n) }
+
+// AddLabeled adds to a counter and to its part with a label.
+func (m *Metrics) AddLabeled(name Name, label string, n int64) {
+	m.Add(name, n)
+	m.labeled.Add(string(name)+"."+label, n)
+}
+
+// Set sets a gauge.
+func (m *Metrics) Set(name Name, value int64) {
+	gauge := new(expvar.Int)
+	gauge.Set(value)
+	m.values.Set(string(name), gauge)
+}
+
+// Get returns the value of a variable; 0 if it was never set.
+func (m *Metrics) Get(name Name) int64 {
+	value, ok := m.values.Get(string(name)).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return value.Value()
+}
+
+// Handler serves the variables as JSON.
+func (m *Metrics) Handler() fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType("application/json")
+		fmt.Fprintf(ctx, `{"Azurehitch":%s,"ByLabel":%s,"memstats":%s}`, m.values, m.labeled, expvar.Get("memstats"))
+	}
+}
--- /dev/null
+++ b/internal/transport/jsonhttp/client.go
@@ -0,0 +1,177 @@
+// Package jsonhttp is the small HTTP and JSON layer under the clients of the
+// platform's services, the administration API and the stand-ins.
+//
+// # Usage
+//
+//	client := jsonhttp.NewClient("http://127.0.0.1:7001", "daemon-1")
+//	var answer Answer
+//	if err := client.Call(ctx, http.MethodGet, "/v1/state", nil, &answer); err != nil {
+//		return err
+//	}
+//
+// A failed call is an *ErrCall, which tells whether the request may have been
+// carried out, or an *ErrStatus with the answer of the server. No call is
+// repeated by this package.
+package jsonhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultCallTimeout = 5 * time.Second
+	maxConnections     = 512
+	maxAnswerBytes     = 64 << 20
+	maxIdleTime        = 30 * time.Second
+)
+
+// ErrCall is a call without an answer.
+type ErrCall struct {
+	Method string
+	Path   string
+	// Sent is false only when no byte of the request can have arrived.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrCall) Error() string {
+	return fmt.Sprintf("%s %s got no answer (sent: %t): %v", e.Method, e.Path, e.Sent, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrCall) Unwrap() error { return e.Cause }
+
+// ErrStatus is an answer with a status other than 2xx.
+type ErrStatus struct {
+	Method string
+	Path   string
+	Status int
+	Body   []byte
+}
+
+// Error implements error.
+func (e *ErrStatus) Error() string {
+	return fmt.Sprintf("%s %s answered %d: %s", e.Method, e.Path, e.Status, strings.TrimSpace(string(e.Body)))
+}
+
+// Client calls one server.
+type Client struct {
+	base   string
+	agent  string
+	bearer string
+	http   *fasthttp.Client
+}
+
+// NewClient returns a client of the server at base, such as http://127.0.0.1:7001.
+// The agent names the calling process.
+func NewClient(base, agent string) *Client {
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	return &Client{
+		base:  strings.TrimSuffix(base, "/"),
+		agent: agent,
+		http: &fasthttp.Client{
+			Name:                          agent,
+			MaxConnsPerHost:               maxConnections,
+			MaxIdleConnDuration:           maxIdleTime,
+			MaxResponseBodySize:           maxAnswerBytes,
+			MaxIdemponentCallAttempts:     1,
+			RetryIfErr:                    NeverRetry,
+			NoDefaultUserAgentHeader:      true,
+			DisableHeaderNamesNormalizing: false,
+		},
+	}
+}
+
+// WithBearer returns a copy that sends a key with each call.
+func (c Client) WithBearer(key string) *Client {
+	c.bearer = key
+	return &c
+}
+
+// NeverRetry switches off the retries of the HTTP library.
+func NeverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// Call sends in as JSON, unless it is nil, and decodes the answer into out,
+// unless that is nil. A *[]byte as out gets the body as it is, and a []byte as
+// in is sent as it is.
+func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(c.base + path)
+	req.Header.SetMethod(method)
+	req.Header.SetUserAgent(c.agent)
+	if c.bearer != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.bearer)
+	}
+	if err := setBody(req, in); err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return &ErrCall{Method: method, Path: path, Cause: err}
+	}
+	if err := c.http.DoDeadline(req, resp, deadlineOf(ctx)); err != nil {
+		return &ErrCall{Method: method, Path: path, Sent: !IsDialError(err), Cause: err}
+	}
+	if resp.StatusCode()/100 != 2 {
+		body := append([]byte(nil), resp.Body()...)
+		return &ErrStatus{Method: method, Path: path, Status: resp.StatusCode(), Body: body}
+	}
+	return decodeBody(resp, out)
+}
+
+func setBody(req *fasthttp.Request, in any) error {
+	switch body := in.(type) {
+	case nil:
+		return nil
+	case []byte:
+		req.SetBody(body)
+		return nil
+	}
+	encoded, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	req.Header.SetContentType("application/json")
+	req.SetBody(encoded)
+	return nil
+}
+
+func decodeBody(resp *fasthttp.Response, out any) error {
+	switch target := out.(type) {
+	case nil:
+		return nil
+	case *[]byte:
+		*target = append([]byte(nil), resp.Body()...)
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(resp.Body(), out), "decode answer")
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
+	}
+	return time.Now().Add(defaultCallTimeout)
+}
+
+// IsDialError reports whether no connection came about, so that nothing was sent.
+func IsDialError(err error) bool {
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return true
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/transport/pinnedhttp/conn.go
@@ -0,0 +1,73 @@
+// Package pinnedhttp sends HTTP requests over one connection that is never
+// replaced.
+//
+// # Usage
+//
+//	conn, err := pinnedhttp.Dial(ctx, "127.0.0.1:7001")
+//	err = conn.Do(ctx, req, resp)
+//
+// A failed Dial proves that no request was sent. After a failed Do the request
+// may have been carried out, and the connection is of no further use. Client
+// libraries that reuse connections can't tell these cases apart.
+package pinnedhttp
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const bufferBytes = 4096
+
+// Conn is a connection to one process. It is not safe for concurrent use.
+type Conn struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	address string
+}
+
+// Dial connects to an address.
+func Dial(ctx context.Context, address string) (*Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	return &Conn{conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes), address: address}, nil
+}
+
+// Do sends a request once and reads the answer. The end of the context breaks it
+// off.
+func (c *Conn) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	stop := context.AfterFunc(ctx, c.interrupt)
+	defer stop()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.conn.SetDeadline(deadline); err != nil {
+			return errors.Wrap(err, "set deadline")
+		}
+	}
+	req.SetHost(c.address)
+	writer := bufio.NewWriterSize(c.conn, bufferBytes)
+	if err := req.Write(writer); err != nil {
+		return errors.Wrap(err, "write request")
+	}
+	if err := writer.Flush(); err != nil {
+		return errors.Wrap(err, "write request")
+	}
+	return errors.Wrap(resp.Read(c.reader), "read answer")
+}
+
+func (c *Conn) interrupt() {
+	// A connection that can't take a deadline is closed already.
+	_ = c.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/log.go
@@ -0,0 +1,49 @@
+package azurehitch
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Record is one entry of a stream of the append-only log.
+type Record struct {
+	// Offset is the position in the stream. The first record has offset 1.
+	Offset  int64
+	Payload []byte
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	// First is the offset of the oldest record that the log still keeps.
+	First int64
+	// Next is the offset that the next appended record will get.
+	Next    int64
+	Records []Record
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds a record and returns its offset. An *ErrLog tells whether the
+	// record may be on the log although the call failed.
+	Append(ctx context.Context, stream string, payload []byte) (int64, error)
+	// Read returns the records from an offset on. With none present it waits up
+	// to wait for the next one. Offsets before Batch.First are gone.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error)
+}
+
+// ErrLog is a failed call of the log service.
+type ErrLog struct {
+	Operation string
+	// MayHaveTakenEffect is true when the record may have been appended.
+	MayHaveTakenEffect bool
+	Cause              error
+}
+
+// Error implements error.
+func (e *ErrLog) Error() string {
+	return fmt.Sprintf("log %s failed (may have taken effect: %t): %v", e.Operation, e.MayHaveTakenEffect, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrLog) Unwrap() error { return e.Cause }
