--- /dev/null
+++ b/_scripts/prove.sh
@@ -0,0 +1,91 @@
+#!/usr/bin/env bash
+# Runs the proof of each point, and again with the mechanism switched off that it
+# rests on, which the proof must notice. Prints one line for each point:
+#   Point=<name> Result=<proved|red|unproved> Sabotage=<caught|missed|none> Seconds=<n>
+# Arguments limit the run to points whose name they match.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+points=internal/proof/points
+leases=internal/lease/leaselog
+limit=240s
+
+go test -c -o "$work/points" "./$points" || exit 1
+go test -c -o "$work/leaselog" "./$leases" || exit 1
+go test -tags sabotage -c -o "$work/points.sabotage" "./$points" || exit 1
+go test -tags sabotage -c -o "$work/leaselog.sabotage" "./$leases" || exit 1
+
+failed=0
+known_red() { [[ -f KNOWN-RED.txt ]] && grep -q "TestProve$1\b" KNOWN-RED.txt; }
+
+report() { # POINT RESULT SABOTAGE SECONDS
+  echo "Point=$1 Result=$2 Sabotage=$3 Seconds=$4"
+  if [[ $2 != proved || $3 != caught ]] && ! known_red "$1"; then failed=1; fi
+}
+
+wanted() { # POINT
+  if ((${#filters[@]} == 0)); then return 0; fi
+  for filter in "${filters[@]}"; do [[ $1 =~ $filter ]] && return 0; done
+  return 1
+}
+
+prove() { # POINT BINARY MECHANISM...
+  local point=$1 binary=$2
+  shift 2
+  wanted "$point" || return 0
+  local began=$SECONDS result=proved sabotage=caught
+  "$work/$binary" -test.run "^TestProve$point\$" -test.timeout $limit >"$work/$point.log" 2>&1 || result=red
+  for mechanism in "$@"; do
+    if AZUREHITCH_SABOTAGE=$mechanism "$work/$binary.sabotage" -test.run "^TestProve$point\$" -test.failfast \
+      -test.timeout $limit >"$work/$point.$mechanism.log" 2>&1; then
+      sabotage=missed
+    elif ! grep -q -- "--- FAIL: TestProve$point" "$work/$point.$mechanism.log"; then
+      sabotage=missed
+    fi
+  done
+  if [[ $result == red ]]; then tail -n 20 "$work/$point.log" >&2; fi
+  report "$point" $result $sabotage $((SECONDS - began))
+}
+
+specify() { # POINT CHECKED
+  wanted "$1" || return 0
+  local began=$SECONDS result=proved sabotage=caught
+  if ! command -v spin >/dev/null; then
+    report "$1" unproved none 0
+    return
+  fi
+  _scripts/spin.sh "$2" 0 || result=red
+  if _scripts/spin.sh "$2" 1 >/dev/null; then sabotage=missed; fi
+  report "$1" $result $sabotage $((SECONDS - began))
+}
+
+filters=("$@")
+prove SingleHolder leaselog SkipSeenCheck
+prove ReplicaLimitTokenChecked points SkipUnreachedCount
+prove ReplicaLimitTokenIgnored points SkipUnreachedCount
+prove ReplicaLimitTokenKept points SkipUnreachedCount
+prove FrozenHolderTokenChecked points SkipFence
+prove FrozenHolderTokenIgnored points SkipIntent SkipAdoption
+prove UnreachedServer points SkipUnreachedCount
+prove LoweredLimit points SkipLowering
+prove MemoryLimit points SkipMemoryBooking
+specify SpecificationTokenChecked 1
+specify SpecificationTokenIgnored 0
+prove WaitingRequests points SkipWaitLimit
+prove Deadline points SkipWaitLimit
+prove OwnWholeAnswer points SkipWholeCheck
+prove StreamResumes points ResumeFromStart
+prove CutStreamLooksCut points EndCutStreams
+prove NotRun points ClaimNotRun
+prove AtMostOnce points SkipClaim RetryUnsafe
+prove LeavingServer points IgnoreLeaving
+prove GracefulStop points SkipDrain
+prove Handover points SkipRelease
+prove Configuration points SkipBaseCheck SkipSnapshots
+prove LogOutage points SkipLeaseCheck
+prove LogCutForHolder points SkipFence
+prove RetryBudget points SkipBudget
+prove PaidBeforeTrial points SkipPromise
+exit $failed
--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -7,6 +7,7 @@
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/jsonhttp"
@@ -19,7 +20,6 @@
 	gaugeInterval     = 200 * time.Millisecond
 	fetchInterval     = 500 * time.Millisecond
 	releaseTimeout    = 3 * time.Second
-	shutdownTimeout   = 5 * time.Second
 	maxAdminBodyBytes = 3 * tables.MaxTableBytes
 )
 
@@ -69,18 +69,21 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
 	defer cancel()
-	drainErr := d.callers.Drain(limited)
-	closing, cancelClosing := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancelClosing()
-	if err := d.callers.Shutdown(closing); err != nil && drainErr == nil {
+	if sabotage.Active(sabotage.SkipDrain) {
+		return d.callerListener.Close()
+	}
+	if err := d.callers.Drain(limited); err != nil {
 		return err
 	}
-	return drainErr
+	return d.callers.Shutdown(limited)
 }
 
 func (d *Daemon) releasePools(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
+	if sabotage.Active(sabotage.SkipRelease) {
+		return
+	}
 	if err := d.leases.Release(ctx); err != nil {
 		d.Logs.Layer(logging.LayerLease).Warn().Err(err).Msg("pools were not all released")
 	}
--- a/internal/forward/admission/gate.go
+++ b/internal/forward/admission/gate.go
@@ -15,6 +15,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/proof/sabotage"
 )
 
 // Limits are the bounds of one pool at one daemon.
@@ -30,9 +31,13 @@
 // Share returns the part of a pool's limits that one of several daemons has.
 // Each daemon may have at least one request of a paying caller in progress.
 func Share(pool tables.Pool, rank, daemons int) Limits {
+	lent := pool.ConcurrentRequests - pool.PromisedToPaid
+	if sabotage.Active(sabotage.SkipPromise) {
+		lent = pool.ConcurrentRequests
+	}
 	return Limits{
 		Total: max(part(pool.ConcurrentRequests, rank, daemons), 1),
-		Trial: part(pool.ConcurrentRequests-pool.PromisedToPaid, rank, daemons),
+		Trial: part(lent, rank, daemons),
 		Queue: pool.QueueLimit,
 	}
 }
--- a/internal/forward/backend/budget.go
+++ b/internal/forward/backend/budget.go
@@ -1,6 +1,10 @@
 package backend
 
-import "sync"
+import (
+	"sync"
+
+	"azurehitch/internal/proof/sabotage"
+)
 
 const (
 	// retryRatio is the part of the requests that may be retries.
@@ -30,7 +34,7 @@
 func (b *RetryBudget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.tokens < 1 && !sabotage.Active(sabotage.SkipBudget) {
 		return false
 	}
 	b.tokens--
--- a/internal/forward/caller/completion.go
+++ b/internal/forward/caller/completion.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/forward/backend"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
 
@@ -238,7 +239,7 @@
 	case size >= 0 && size != len(body):
 		err = io.ErrUnexpectedEOF
 	}
-	if err != nil {
+	if err != nil && !sabotage.Active(sabotage.SkipWholeCheck) {
 		return nil, &backend.ErrAttempt{Server: server.Name, Run: azurehitch.RunStateUnknown, Cause: err}
 	}
 	return body, nil
--- a/internal/forward/caller/refusal.go
+++ b/internal/forward/caller/refusal.go
@@ -9,6 +9,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/proof/sabotage"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -105,8 +106,12 @@
 	if r.ctx.Err() != nil {
 		code = azurehitch.CodeDeadlineExceeded
 	}
+	run := attempt.Run
+	if sabotage.Active(sabotage.ClaimNotRun) {
+		run = azurehitch.RunStateNotRun
+	}
 	return &azurehitch.ErrRefused{
-		Code: code, Run: attempt.Run, RetryAfter: failureRetry,
+		Code: code, Run: run, RetryAfter: failureRetry,
 		Reason: "backend server " + attempt.Server + " brought no answer",
 	}
 }
--- a/internal/forward/caller/relay.go
+++ b/internal/forward/caller/relay.go
@@ -11,6 +11,7 @@
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/metrics"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,8 @@
 		switch {
 		case r.done:
 			return 0, io.EOF
+		case r.failed && sabotage.Active(sabotage.EndCutStreams):
+			return 0, io.EOF
 		case r.failed:
 			return 0, errStreamCut
 		}
@@ -129,7 +132,7 @@
 	c := r.completion
 	for r.next > 0 && r.resumes < maxResumes && c.ctx.Err() == nil {
 		r.resumes++
-		exchange, err := c.send(r.server, r.next)
+		exchange, err := c.send(r.server, r.resumePosition())
 		if err != nil {
 			continue
 		}
@@ -143,6 +146,13 @@
 	return false
 }
 
+func (r *relay) resumePosition() int {
+	if sabotage.Active(sabotage.ResumeFromStart) {
+		return 0
+	}
+	return r.next
+}
+
 // Close ends the request, also when the caller has gone.
 func (r *relay) Close() error {
 	r.exchange.Close()
--- a/internal/forward/caller/service.go
+++ b/internal/forward/caller/service.go
@@ -10,6 +10,7 @@
 	"azurehitch/internal/forward/router"
 	"azurehitch/internal/idempotency/claimlog"
 	"azurehitch/internal/idempotency/outcomes"
+	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
 
@@ -45,7 +46,7 @@
 	}
 	defer r.server.gate(target.Pool).Leave(r.caller.Tier)
 	c := &serviceCall{request: r, target: target, tried: map[string]bool{}}
-	if key == "" || target.Idempotent {
+	if key == "" || target.Idempotent || sabotage.Active(sabotage.SkipClaim) {
 		c.finish(c.run())
 		return
 	}
@@ -188,7 +189,7 @@
 	if !errors.As(err, &failed) || attempt >= maxAttempts || c.ctx.Err() != nil {
 		return false
 	}
-	if failed.Run != azurehitch.RunStateNotRun && !c.target.Idempotent {
+	if failed.Run != azurehitch.RunStateNotRun && !c.target.Idempotent && !sabotage.Active(sabotage.RetryUnsafe) {
 		return false
 	}
 	return failed.Reason != "" || c.server.budget.Spend()
@@ -214,7 +215,7 @@
 	var candidates []tables.BackendServer
 	for _, server := range c.target.Pool.BackendServers {
 		leaving := backends[server.Name] == azurehitch.HostStateLeaving || c.server.Directory.IsAvoided(server.Name)
-		if !leaving && !c.server.Transport.IsOpen(server) {
+		if (!leaving || sabotage.Active(sabotage.IgnoreLeaving)) && !c.server.Transport.IsOpen(server) {
 			candidates = append(candidates, server)
 		}
 	}
@@ -253,5 +254,8 @@
 	req.Header.SetContentTypeBytes(c.http.Request.Header.ContentType())
 	req.Header.SetUserAgent(c.server.Self.Daemon)
 	req.Header.Set(HeaderRequestID, c.id)
+	if key := c.http.Request.Header.Peek(HeaderIdempotencyKey); len(key) > 0 {
+		req.Header.SetBytesV(HeaderIdempotencyKey, key)
+	}
 	req.SetBodyRaw(c.http.PostBody())
 }
--- a/internal/lease/leaserunner/leaserunner.go
+++ b/internal/lease/leaserunner/leaserunner.go
@@ -66,6 +66,7 @@
 		group.Go(func() error {
 			if _, err := r.Writer.Append(ctx, control.Record{Resolution: &orphan}); err != nil {
 				r.Counters.IntentLeftOpen(orphan.Pool)
+				r.Store.ReturnOrphan(orphan)
 			}
 			return nil
 		})
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -159,6 +159,13 @@
 	return orphans
 }
 
+// ReturnOrphan gives back a resolution that could not be recorded.
+func (s *Store) ReturnOrphan(orphan leaselog.Resolution) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orphans = append(s.orphans, orphan)
+}
+
 // Apply folds the next record. Records at or below the folded offset are passed
 // over.
 func (s *Store) Apply(raw azurehitch.Record, readAt time.Time) {
--- a/internal/placement/enginepool/intent.go
+++ b/internal/placement/enginepool/intent.go
@@ -26,11 +26,15 @@
 }
 
 // resolve records that the order of an intent has arrived or never will. When the
-// record can't be appended, the intent stays open: that costs capacity until the
-// engine starts anew, and is safe.
+// record can't be appended, it is tried again; what the intent holds can't be
+// unloaded meanwhile.
 func (p *pool) resolve(ctx context.Context, intent int64) {
 	record := control.Record{Resolution: &leaselog.Resolution{Pool: p.name, Intent: intent}}
 	if _, err := p.Recorder.Append(ctx, record); err != nil {
 		p.Counters.IntentLeftOpen(p.name)
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plan.Resolved(intent)
 }
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -146,7 +146,7 @@
 	for _, server := range p.plan.Servers() {
 		p.startPoll(ctx, server, now)
 	}
-	for _, intent := range p.plan.TakeSettled() {
+	for _, intent := range p.plan.TakeSettled(now) {
 		p.group.Go(func() error {
 			p.resolve(ctx, intent)
 			return nil
@@ -180,6 +180,7 @@
 
 func (p *pool) budget(now time.Time) planner.Budget {
 	_, valid := p.Store.Token(p.name)
+	valid = valid || sabotage.Active(sabotage.SkipLeaseCheck)
 	logWorks := now.Sub(p.appendFailedAt) >= logRecovery
 	return planner.Budget{RemoteLoads: p.RemoteLoads(), LeaseValid: valid, LogWorks: logWorks}
 }
@@ -255,49 +256,50 @@
 
 func (p *pool) execute(ctx context.Context, action planner.Action) {
 	started := p.Clock.Now()
-	outcome, incarnation := p.order(ctx, action)
+	result := p.order(ctx, action)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.plan.Finished(action, outcome, incarnation, now)
+	p.plan.Finished(action, result, now)
+	p.count(action, result.Outcome, now.Sub(started))
+	p.notify()
+}
+
+func (p *pool) count(action planner.Action, outcome planner.Outcome, took time.Duration) {
 	if action.Kind == planner.ActionUnload {
 		p.Counters.UnloadFinished(p.name, outcome)
-	} else {
-		p.Counters.LoadFinished(p.name, action.Remote, outcome, now.Sub(started))
-		if outcome == planner.OutcomeDone {
-			p.times.observe(action, now.Sub(started))
-		}
+		return
+	}
+	p.Counters.LoadFinished(p.name, action.Remote, outcome, took)
+	if outcome == planner.OutcomeDone {
+		p.times.observe(action, took)
 	}
-	p.notify()
 }
 
 // order carries out an action over one session, which reaches one incarnation of
 // the engine only.
-func (p *pool) order(ctx context.Context, action planner.Action) (outcome planner.Outcome, incarnation string) {
+func (p *pool) order(ctx context.Context, action planner.Action) planner.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	refused := planner.Result{Outcome: planner.OutcomeRefused}
 	server, ok := p.server(action.Server)
 	if !ok {
-		return planner.OutcomeRefused, ""
+		return refused
 	}
 	session, err := p.Engines.Dial(ctx, server.Address)
 	if err != nil {
-		return planner.OutcomeRefused, ""
+		return refused
 	}
 	defer session.Close()
 	state, err := session.State(ctx)
 	if err != nil || state.Incarnation != action.Incarnation {
-		return planner.OutcomeRefused, ""
+		return refused
 	}
 	intent, err := p.intend(ctx, server, state.Incarnation, action)
 	if err != nil {
-		return planner.OutcomeRefused, state.Incarnation
-	}
-	outcome = p.send(ctx, session, action)
-	if intent != 0 && outcome != planner.OutcomeUnknown {
-		p.resolve(ctx, intent)
+		return refused
 	}
-	return outcome, state.Incarnation
+	return planner.Result{Outcome: p.send(ctx, session, action), Incarnation: state.Incarnation, Intent: intent}
 }
 
 func (p *pool) server(name string) (tables.BackendServer, bool) {
--- a/internal/placement/planner/decide.go
+++ b/internal/placement/planner/decide.go
@@ -266,7 +266,7 @@
 		}
 		for _, artifact := range sortedArtifacts(s.bookings) {
 			b := s.bookings[artifact]
-			if !p.needsRepeat(b) {
+			if !p.needsRepeat(s, b) {
 				continue
 			}
 			b.ordered = true
@@ -279,12 +279,16 @@
 	return actions
 }
 
-func (p *Plan) needsRepeat(b *booking) bool {
+// needsRepeat reports whether a load is due again. It must fit without the order
+// that may still arrive: an intent may have been left open although its order had
+// arrived and its room was used for others since.
+func (p *Plan) needsRepeat(s *server, b *booking) bool {
 	if b.ordered || b.State != azurehitch.PlacementIntended {
 		return false
 	}
 	_, wanted := p.wants[b.Artifact]
-	return b.uncertain || len(b.intents) > 0 && wanted
+	fits := s.free() >= 0 && p.replicas(b.Artifact.Model) <= p.pool.MaxReplicas(b.Artifact.Model)
+	return fits && (b.uncertain || len(b.intents) > 0 && wanted)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/placement/planner/evict.go
+++ b/internal/placement/planner/evict.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/proof/sabotage"
 )
 
 // evictFor unloads, on the server where the least recently used suffices, one
@@ -132,6 +133,9 @@
 // lowerReplicas unloads replicas above a limit that was lowered, the least busy
 // first.
 func (p *Plan) lowerReplicas(budget Budget) []Action {
+	if sabotage.Active(sabotage.SkipLowering) {
+		return nil
+	}
 	var actions []Action
 	for _, model := range p.pool.Models {
 		for excess := p.staying(model.Name) - model.MaxReplicas; excess > 0; excess-- {
--- a/internal/placement/planner/observe.go
+++ b/internal/placement/planner/observe.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"azurehitch"
@@ -75,7 +76,7 @@
 		case incarnation == report.State.Incarnation:
 			open = append(open, intent)
 		default:
-			p.settled = append(p.settled, intent)
+			p.startSettling(intent)
 		}
 	}
 	b.intents = open
@@ -104,8 +105,8 @@
 	}
 	b.Active = placement.Active
 	b.Memory = max(b.Memory, placement.Memory)
-	if len(b.intents) == 1 && !b.repeated {
-		p.settled = append(p.settled, b.intents[0])
+	if len(b.intents) == 1 && !b.repeated && !b.uncertain {
+		p.startSettling(b.intents[0])
 	}
 	if b.ordered || b.changedAt.After(startedAt) {
 		return
@@ -120,22 +121,45 @@
 	return now
 }
 
-// TakeSettled returns the adopted intents whose order has arrived or never will,
-// so that their resolution can be recorded.
-func (p *Plan) TakeSettled() []int64 {
-	settled := p.settled
-	p.settled = nil
-	return settled
+func (p *Plan) startSettling(intent int64) {
+	if _, known := p.settling[intent]; !known {
+		p.settling[intent] = time.Time{}
+	}
+}
+
+// TakeSettled returns the intents whose order has arrived or never will, and whose
+// resolution is due to be recorded. Each comes again until Resolved is called.
+func (p *Plan) TakeSettled(now time.Time) []int64 {
+	var due []int64
+	for intent, tried := range p.settling {
+		if now.Sub(tried) >= settleRetry {
+			p.settling[intent] = now
+			due = append(due, intent)
+		}
+	}
+	return due
+}
+
+// Resolved notes that the resolution of an intent is recorded.
+func (p *Plan) Resolved(intent int64) {
+	delete(p.settling, intent)
+	for _, s := range p.servers {
+		for _, b := range s.bookings {
+			b.intents = slices.DeleteFunc(b.intents, func(open int64) bool { return open == intent })
+		}
+	}
 }
 
-// Finished takes in how an action ended, and which incarnation of the engine it
-// was sent to.
-func (p *Plan) Finished(action Action, outcome Outcome, incarnation string, now time.Time) {
+// Finished takes in how an action ended.
+func (p *Plan) Finished(action Action, result Result, now time.Time) {
+	if result.Intent != 0 && result.Outcome != OutcomeUnknown {
+		p.startSettling(result.Intent)
+	}
 	s, ok := p.servers[action.Server]
 	if !ok {
 		return
 	}
-	if outcome != OutcomeDone {
+	if result.Outcome != OutcomeDone {
 		s.failedAt = now
 	}
 	b, ok := s.bookings[action.Artifact]
@@ -144,22 +168,44 @@
 	}
 	b.ordered = false
 	b.changedAt = now
-	switch {
-	case action.Kind == ActionUnload && outcome == OutcomeDone:
-		delete(s.bookings, action.Artifact)
-	case action.Kind == ActionUnload:
-		// The next report tells.
-		b.changedAt = time.Time{}
-	case outcome == OutcomeDone:
+	if action.Kind == ActionUnload {
+		s.finishUnload(b, result)
+		return
+	}
+	s.finishLoad(b, result, now)
+}
+
+func (s *server) finishUnload(b *booking, result Result) {
+	if result.Outcome == OutcomeDone {
+		delete(s.bookings, b.Artifact)
+		return
+	}
+	// The next report tells.
+	b.changedAt = time.Time{}
+}
+
+func (s *server) finishLoad(b *booking, result Result, now time.Time) {
+	switch result.Outcome {
+	case OutcomeDone:
 		b.State = azurehitch.PlacementReady
-	case outcome == OutcomeRefused && !b.uncertain && len(b.intents) == 0:
-		delete(s.bookings, action.Artifact)
-	case outcome == OutcomeUnknown:
+		b.keepIntent(result.Intent)
+	case OutcomeUnknown:
 		if !b.uncertain {
 			b.uncertainSince = now
 		}
 		b.uncertain = true
-		b.incarnation = incarnation
+		b.incarnation = result.Incarnation
+		b.keepIntent(result.Intent)
+	case OutcomeRefused:
+		if !b.uncertain && len(b.intents) == 0 {
+			delete(s.bookings, b.Artifact)
+		}
+	}
+}
+
+func (b *booking) keepIntent(intent int64) {
+	if intent != 0 {
+		b.intents = append(b.intents, intent)
 	}
 }
 
--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -6,7 +6,7 @@
 //	plan.Observe(server, report, now)
 //	plan.Want(daemon, artifact, demand, now)
 //	for _, action := range plan.Decide(now, budget) { ... }
-//	plan.Finished(action, outcome, incarnation, now)
+//	plan.Finished(action, result, now)
 //
 // A Plan is the state of a pool's lease holder. It does no I/O: events and the
 // time come in, actions go out. Each action is booked before it is returned, so
@@ -38,6 +38,8 @@
 	requestsPerReplica = 16
 	// orderBackoff is how long a server gets no orders after one that failed.
 	orderBackoff = 500 * time.Millisecond
+	// settleRetry is how often the resolution of an intent is tried.
+	settleRetry = time.Second
 	// uncertainLimit is how long an order may be uncertain before a new token is
 	// due.
 	uncertainLimit = 3 * time.Second
@@ -79,6 +81,15 @@
 	OutcomeUnknown Outcome = "Unknown"
 )
 
+// Result is how an action ended.
+type Result struct {
+	Outcome Outcome
+	// Incarnation is the start of the engine that the order was sent to.
+	Incarnation string
+	// Intent is the offset of the intent that preceded the order; 0 is none.
+	Intent int64
+}
+
 // Demand is what callers want of an artifact.
 type Demand struct {
 	// Waiting is the number of requests that wait for the first replica.
@@ -100,8 +111,9 @@
 	uncertain      bool
 	uncertainSince time.Time
 	incarnation    string
-	// intents are the offsets of adopted intents that are open: former holders'
-	// orders that may still arrive.
+	// intents are the offsets of open intents, of former holders and of this one.
+	// While one is open, a successor counts its order as one that may arrive, so
+	// the artifact must not be unloaded.
 	intents []int64
 	// repeated is true when this holder ordered the load of an adopted intent
 	// itself, so that seeing it loaded does not show that the first order arrived.
@@ -158,8 +170,9 @@
 	lastUsed map[azurehitch.Artifact]time.Time
 	// removed names the servers that are no longer in the table and still count.
 	removed map[string]bool
-	// settled are adopted intents whose order has arrived or never will.
-	settled []int64
+	// settling are the intents whose order has arrived or never will, with the
+	// time of the last try to record that.
+	settling map[int64]time.Time
 	// decidedAt is the time of the decision that is under way.
 	decidedAt time.Time
 }
@@ -172,6 +185,7 @@
 		wants:    map[azurehitch.Artifact]*want{},
 		lastUsed: map[azurehitch.Artifact]time.Time{},
 		removed:  map[string]bool{},
+		settling: map[int64]time.Time{},
 	}
 	p.SetPool(pool)
 	for _, intent := range intents {
@@ -276,7 +290,9 @@
 // accepts reports whether new work may go to the server.
 func (s *server) accepts() bool { return s.reached && !s.isLeaving() && !s.unlisted }
 
-func (s *server) isLeaving() bool { return s.listedLeaving || s.saysLeaving }
+func (s *server) isLeaving() bool {
+	return (s.listedLeaving || s.saysLeaving) && !sabotage.Active(sabotage.IgnoreLeaving)
+}
 
 // isGone reports whether the server is gone: the list doesn't show it, and it
 // doesn't answer.
--- a/internal/proof/points/capacity_test.go
+++ b/internal/proof/points/capacity_test.go
@@ -194,6 +194,7 @@
 	for name := range w.Engines {
 		if peak := w.Ledger.PeakMemory(name); peak > engineMemory {
 			t.Errorf("%v of %v of %s were in use at once", peak, engineMemory, name)
+			traceServer(t, w, name)
 		}
 	}
 }
@@ -201,21 +202,38 @@
 // traceModel logs what the engines and the log recorded of a model.
 func traceModel(t *testing.T, w *poolworld.World, model string) {
 	t.Helper()
-	for _, load := range w.Ledger.Loads() {
-		if load.Artifact.Model == model {
-			t.Logf("load %+v", load)
+	for _, change := range w.Ledger.Changes() {
+		if change.Artifact.Model == model {
+			t.Logf("%+v", change)
 		}
 	}
 	for _, line := range w.Trace(model) {
 		t.Log(line)
 	}
 	for _, name := range w.Names() {
-		for _, status := range w.Daemon(name).Set.Status() {
+		d := w.Daemon(name)
+		if d == nil {
+			continue
+		}
+		for _, status := range d.Set.Status() {
 			t.Logf("%s counts %+v", name, status)
 		}
 	}
 }
 
+// traceServer logs the changes of a server, and what the log recorded for it.
+func traceServer(t *testing.T, w *poolworld.World, server string) {
+	t.Helper()
+	for _, change := range w.Ledger.Changes() {
+		if change.Server == server {
+			t.Logf("%+v", change)
+		}
+	}
+	for _, line := range w.Trace(server) {
+		t.Log(line)
+	}
+}
+
 func chaosOptions(ignoreToken int) poolworld.Options {
 	return poolworld.Options{
 		Daemons: 3, Engines: 3, IgnoreToken: ignoreToken, Memory: engineMemory, LoadTime: 800 * time.Millisecond,
--- a/internal/proof/points/frozen_test.go
+++ b/internal/proof/points/frozen_test.go
@@ -47,9 +47,10 @@
 
 func askInBackground(w *poolworld.World, artifact azurehitch.Artifact) {
 	w.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		const patience = 15 * time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		// The asked holder freezes.
+		// The asked holder freezes, or can't add a replica.
 		_, _ = w.Acquire(ctx, "caller", artifact)
 	})
 }
--- /dev/null
+++ b/internal/proof/points/requests_test.go
@@ -0,0 +1,273 @@
+package points_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"azurehitch/internal/standin/fault"
+	"azurehitch/internal/standin/fleet"
+)
+
+const pathTimeout = 60 * time.Second
+
+func pathOptions() fleet.Options {
+	return fleet.Options{
+		Daemons: 3, Engines: 2, Services: 2, LoadTime: 20 * time.Millisecond, LeaseDuration: 2 * time.Second,
+	}
+}
+
+func withFleet(t *testing.T, options fleet.Options, run func(ctx context.Context, f *fleet.Fleet)) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), pathTimeout)
+	defer cancel()
+	f, err := fleet.Start(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	run(ctx, f)
+}
+
+// sendAll sends requests at once, each to the next daemon, and returns the answers.
+func sendAll(ctx context.Context, f *fleet.Fleet, count int, request func(i int) fleet.Request) []fleet.Answer {
+	answers := make([]fleet.Answer, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			// An answer that did not come has status 0.
+			answers[i], _ = f.Do(ctx, i%len(f.Daemons), request(i))
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+func chat(body string) fleet.Request {
+	return fleet.Request{Method: http.MethodPost, Path: "/v1/chat/completions", Key: fleet.PaidKey, Body: []byte(body)}
+}
+
+func digestOf(body string) string {
+	digest := sha256.Sum256([]byte(body))
+	return hex.EncodeToString(digest[:])
+}
+
+// TestProveOwnWholeAnswer sends requests at once whose answers come late and out
+// of order, and some of which break off: each caller gets the whole answer to its own request.
+func TestProveOwnWholeAnswer(t *testing.T) {
+	withFleet(t, pathOptions(), func(ctx context.Context, f *fleet.Fleet) {
+		const count = 150
+		body := func(i int) string {
+			stream := i%3 == 0
+			return fmt.Sprintf(`{"model":"care-note","stream":%t,"max_tokens":%d,"user":"%d"}`, stream, 1+i%7, i)
+		}
+		for _, engine := range f.Engines {
+			engine.Faults.Replace(
+				fault.Fault{Kind: fault.KindSlow, Delay: 30e6, PathPrefix: "/v1/chat", Count: 40},
+				fault.Fault{Kind: fault.KindCutBody, Count: 5},
+			)
+		}
+		answers := sendAll(ctx, f, count, func(i int) fleet.Request { return chat(body(i)) })
+		for i, answer := range answers {
+			ends := strings.HasSuffix(string(answer.Body), "data: [DONE]\n\n") || json.Valid(answer.Body)
+			if answer.Status != http.StatusOK || !answer.Whole || !ends || !strings.Contains(string(answer.Body), digestOf(body(i))) {
+				t.Errorf("request %d got status %d, whole %t: %.200s", i, answer.Status, answer.Whole, answer.Body)
+			}
+		}
+	})
+}
+
+func streamBody(tokens int) string {
+	return fmt.Sprintf(`{"model":"care-note","stream":true,"max_tokens":%d}`, tokens)
+}
+
+// TestProveStreamResumes cuts a stream twice: the caller gets each token once.
+func TestProveStreamResumes(t *testing.T) {
+	withFleet(t, pathOptions(), func(ctx context.Context, f *fleet.Fleet) {
+		const tokens = 200
+		for _, engine := range f.Engines {
+			engine.Faults.Replace(fault.Fault{Kind: fault.KindCutStream, After: 40, Count: 2})
+		}
+		answer, err := f.Do(ctx, 0, chat(streamBody(tokens)))
+		if err != nil || answer.Status != http.StatusOK || !answer.Whole {
+			t.Fatalf("stream: %v, status %d, whole %t", err, answer.Status, answer.Whole)
+		}
+		assertTokensOnce(t, string(answer.Body), tokens)
+	})
+}
+
+func assertTokensOnce(t *testing.T, body string, tokens int) {
+	t.Helper()
+	position := 0
+	for line := range strings.Lines(body) {
+		text, ok := strings.CutPrefix(strings.TrimSpace(line), "id: ")
+		if !ok {
+			continue
+		}
+		if text != fmt.Sprint(position) {
+			t.Fatalf("token %s came where %d was due", text, position)
+		}
+		position++
+	}
+	if position != tokens || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+		t.Errorf("%d of %d tokens came, end %q", position, tokens, body[max(0, len(body)-20):])
+	}
+}
+
+// TestProveCutStreamLooksCut cuts a stream more often than it is resumed: what
+// the caller gets is not the form of a complete answer.
+func TestProveCutStreamLooksCut(t *testing.T) {
+	withFleet(t, pathOptions(), func(ctx context.Context, f *fleet.Fleet) {
+		for _, engine := range f.Engines {
+			engine.Faults.Replace(fault.Fault{Kind: fault.KindCutStream, After: 10})
+		}
+		answer, err := f.Do(ctx, 0, chat(streamBody(200)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Whole || strings.Contains(string(answer.Body), "[DONE]") {
+			t.Errorf("a cut stream looks complete: whole %t", answer.Whole)
+		}
+		if !strings.Contains(string(answer.Body), "event: error") {
+			t.Errorf("a cut stream carries no error: %.200s", answer.Body)
+		}
+	})
+}
+
+func reminder(key string) fleet.Request {
+	return fleet.Request{
+		Method: http.MethodPost, Path: "/booking/reminders", Key: fleet.PaidKey,
+		Headers: map[string]string{"Idempotency-Key": key}, Body: []byte(`{"to":"client 7"}`),
+	}
+}
+
+func runsOf(f *fleet.Fleet, id string) int {
+	sum := 0
+	for _, b := range f.Services {
+		sum += b.Service.Runs()[id]
+	}
+	return sum
+}
+
+// runStateOf returns what an answer says of its run; "Answered" without an error.
+func runStateOf(answer fleet.Answer) string {
+	var body struct {
+		Error *struct{ Run string }
+	}
+	if json.Unmarshal(answer.Body, &body) == nil && body.Error != nil {
+		return body.Error.Run
+	}
+	return "Answered"
+}
+
+// serviceFaults are failures around the services, by name.
+func serviceFaults() map[string][]fault.Fault {
+	return map[string][]fault.Fault{
+		"down":         {{Kind: fault.KindDown, PathPrefix: "/booking"}},
+		"answers lost": {{Kind: fault.KindLoseAnswer, PathPrefix: "/booking"}},
+		"half lost":    {{Kind: fault.KindLoseAnswer, PathPrefix: "/booking", Count: 10}, {Kind: fault.KindDown, PathPrefix: "/booking", Count: 10}},
+	}
+}
+
+// TestProveNotRun checks each refusal against the journals of the services: what
+// is said not to have run is in none.
+func TestProveNotRun(t *testing.T) {
+	for name, faults := range serviceFaults() {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, pathOptions(), func(ctx context.Context, f *fleet.Fleet) {
+				for _, service := range f.Services {
+					service.Faults.Replace(faults...)
+				}
+				request := reminder("")
+				request.Headers = nil
+				for i, answer := range sendAll(ctx, f, 60, func(int) fleet.Request { return request }) {
+					id := answer.Header.Get("X-Request-Id")
+					if runs := runsOf(f, id); runStateOf(answer) == "NotRun" && runs > 0 {
+						t.Errorf("request %d was refused as not run, and was run %d times", i, runs)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestProveAtMostOnce repeats calls with a key at other daemons, at once and one
+// after the other, under failures of services, of the log and of a daemon: no call
+// is run twice, and one that was answered was run.
+func TestProveAtMostOnce(t *testing.T) {
+	for name, faults := range serviceFaults() {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, pathOptions(), func(ctx context.Context, f *fleet.Fleet) {
+				for _, service := range f.Services {
+					service.Faults.Replace(faults...)
+				}
+				f.LogFault.Replace(fault.Fault{Kind: fault.KindLoseAnswer, Method: http.MethodPost, PathPrefix: "/v1/streams/calls", Count: 5})
+				repeatCalls(ctx, t, f)
+			})
+		})
+	}
+}
+
+func repeatCalls(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	const keys, tries = 20, 3
+	key := func(i int) string { return fmt.Sprintf("reminder-%d", i%keys) }
+	answers := sendAll(ctx, f, keys*tries, func(i int) fleet.Request { return reminder(key(i)) })
+	// The daemon that claimed some of the keys stops; the callers try again.
+	if err := f.Daemons[0].Stop(); err != nil {
+		t.Error(err)
+	}
+	for i := range keys {
+		answer, err := f.Do(ctx, 1, reminder(key(i)))
+		if err != nil {
+			t.Error(err)
+		}
+		answers = append(answers, answer)
+	}
+	for i, answer := range answers {
+		runs := runsOf(f, key(i))
+		if runs > 1 {
+			t.Errorf("%s was run %d times", key(i), runs)
+		}
+		if answer.Status == http.StatusOK && runs == 0 {
+			t.Errorf("%s was answered and not run", key(i))
+		}
+	}
+}
+
+// TestProveDeadline freezes an engine: each request gets its final answer before
+// its deadline, with when to come back.
+func TestProveDeadline(t *testing.T) {
+	withFleet(t, pathOptions(), func(ctx context.Context, f *fleet.Fleet) {
+		for _, engine := range f.Engines {
+			engine.Faults.Replace(fault.Fault{Kind: fault.KindFreeze})
+		}
+		defer func() {
+			for _, engine := range f.Engines {
+				engine.Faults.Replace()
+			}
+		}()
+		const deadline = time.Second
+		began := time.Now()
+		answers := sendAll(ctx, f, 30, func(int) fleet.Request {
+			request := chat(`{"model":"care-note"}`)
+			request.Headers = map[string]string{"Azurehitch-Timeout": deadline.String()}
+			return request
+		})
+		if took := time.Since(began); took > deadline+500*time.Millisecond {
+			t.Errorf("the answers took %v with a deadline of %v", took, deadline)
+		}
+		for i, answer := range answers {
+			if answer.Status/100 != 5 || answer.Header.Get("Retry-After") == "" {
+				t.Errorf("request %d got status %d, Retry-After %q: %s", i, answer.Status, answer.Header.Get("Retry-After"), answer.Body)
+			}
+		}
+	})
+}
--- a/internal/proof/poolworld/world.go
+++ b/internal/proof/poolworld/world.go
@@ -373,8 +373,8 @@
 }
 
 // Trace describes the records that the log keeps of claims, and of the intents of
-// one model.
-func (w *World) Trace(model string) []string {
+// one model or server.
+func (w *World) Trace(about string) []string {
 	batch, err := w.Log.Read(context.Background(), Stream, 1, 0)
 	if err != nil {
 		return []string{err.Error()}
@@ -389,7 +389,7 @@
 		switch {
 		case record.Claim != nil:
 			lines = append(lines, fmt.Sprintf("%d %s claim %+v", raw.Offset, by, *record.Claim))
-		case record.Intent != nil && record.Intent.Artifact.Model == model:
+		case record.Intent != nil && (record.Intent.Artifact.Model == about || record.Intent.Server == about):
 			lines = append(lines, fmt.Sprintf("%d %s intent %+v", raw.Offset, by, *record.Intent))
 		case record.Resolution != nil:
 			lines = append(lines, fmt.Sprintf("%d %s resolution of %d", raw.Offset, by, record.Resolution.Intent))
--- a/internal/proof/sabotage/sabotage.go
+++ b/internal/proof/sabotage/sabotage.go
@@ -23,6 +23,10 @@
 	SkipIntent Mechanism = "SkipIntent"
 	// SkipAdoption forgets the open intents of a former holder.
 	SkipAdoption Mechanism = "SkipAdoption"
+	// SkipLowering keeps replicas above a limit that was lowered.
+	SkipLowering Mechanism = "SkipLowering"
+	// SkipLeaseCheck decides without a valid lease, whatever the engine.
+	SkipLeaseCheck Mechanism = "SkipLeaseCheck"
 	// SkipMemoryBooking does not book the memory of a load before its order.
 	SkipMemoryBooking Mechanism = "SkipMemoryBooking"
 	// SkipSeenCheck lets a claim win whatever the claimer saw.
@@ -37,6 +41,8 @@
 	RetryUnsafe Mechanism = "RetryUnsafe"
 	// ClaimNotRun tells callers that a request of unknown outcome was not run.
 	ClaimNotRun Mechanism = "ClaimNotRun"
+	// SkipWholeCheck passes on an answer that broke off.
+	SkipWholeCheck Mechanism = "SkipWholeCheck"
 	// EndCutStreams ends a cut stream as if it were complete.
 	EndCutStreams Mechanism = "EndCutStreams"
 	// ResumeFromStart resumes a stream at its first token.
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -6,8 +6,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
+	"strings"
 	"sync"
+	"testing/iotest"
 	"time"
 
 	"azurehitch"
@@ -182,7 +185,13 @@
 		return
 	}
 	ctx.SetContentType("application/json")
-	fmt.Fprint(ctx, wholeAnswer(run, text, chat))
+	answer := wholeAnswer(run, text, chat)
+	if _, cut := faults.Take(fault.KindCutBody, string(ctx.UserAgent()), string(ctx.Method()), string(ctx.Path())); cut {
+		half := io.MultiReader(strings.NewReader(answer[:len(answer)/2]), iotest.ErrReader(errStreamCut))
+		ctx.SetBodyStream(half, len(answer))
+		return
+	}
+	fmt.Fprint(ctx, answer)
 }
 
 func requestFrom(ctx *fasthttp.RequestCtx, body completionRequest) Request {
--- a/internal/standin/engine/ledger.go
+++ b/internal/standin/engine/ledger.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"slices"
 	"sync"
+	"time"
 
 	"azurehitch"
 )
@@ -16,17 +18,19 @@
 	peaks map[string]int
 	// memoryPeaks are the most memory of a server in use at once.
 	memoryPeaks map[string]azurehitch.ByteSize
-	loads       []LedgerLoad
+	changes     []LedgerChange
 }
 
-// LedgerLoad is one load as it began.
-type LedgerLoad struct {
+// LedgerChange is one load as it began, or one unload as it ended.
+type LedgerChange struct {
+	At       time.Time
+	Unload   bool
 	Server   string
 	Artifact azurehitch.Artifact
 	Token    int64
-	// Replicas is the number of replicas of the model with this one.
+	// Replicas is the number of replicas of the model after the change.
 	Replicas int
-	// Memory is the memory of the server in use with this load.
+	// Memory is the memory of the server in use after the change.
 	Memory azurehitch.ByteSize
 }
 
@@ -51,8 +55,9 @@
 	l.memory[server] += order.Memory
 	l.peaks[model] = max(l.peaks[model], l.replicas[model])
 	l.memoryPeaks[server] = max(l.memoryPeaks[server], l.memory[server])
-	l.loads = append(l.loads, LedgerLoad{
-		Server: server, Artifact: order.Artifact, Token: order.Token, Replicas: l.replicas[model], Memory: l.memory[server],
+	l.changes = append(l.changes, LedgerChange{
+		At: time.Now(), Server: server, Artifact: order.Artifact, Token: order.Token,
+		Replicas: l.replicas[model], Memory: l.memory[server],
 	})
 }
 
@@ -66,6 +71,10 @@
 		l.replicas[artifact.Model]--
 	}
 	l.memory[server] -= memory
+	l.changes = append(l.changes, LedgerChange{
+		At: time.Now(), Unload: true, Server: server, Artifact: artifact,
+		Replicas: l.replicas[artifact.Model], Memory: l.memory[server],
+	})
 }
 
 // PeakReplicas returns the most replicas of a model that were loaded at once.
@@ -89,9 +98,14 @@
 	return l.memoryPeaks[server]
 }
 
-// Loads returns all loads in the order in which they began.
-func (l *Ledger) Loads() []LedgerLoad {
+// Changes returns all changes in their order.
+func (l *Ledger) Changes() []LedgerChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]LedgerLoad(nil), l.loads...)
+	return append([]LedgerChange(nil), l.changes...)
+}
+
+// Loads returns the loads among the changes.
+func (l *Ledger) Loads() []LedgerChange {
+	return slices.DeleteFunc(l.Changes(), func(c LedgerChange) bool { return c.Unload })
 }
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -39,6 +39,8 @@
 	KindLoseAnswer Kind = "LoseAnswer"
 	// KindFreeze holds the request until the fault is taken back.
 	KindFreeze Kind = "Freeze"
+	// KindCutBody closes the connection in the middle of a body that is not a stream.
+	KindCutBody Kind = "CutBody"
 	// KindCutStream closes the connection after some events of a stream.
 	KindCutStream Kind = "CutStream"
 )
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"azurehitch"
@@ -91,6 +93,8 @@
 	Routes   tables.RouteTable
 	Pools    tables.PoolTable
 
+	mu         sync.Mutex
+	retired    []*Daemon
 	logAddress string
 	group      *errgroup.Group
 	ctx        context.Context
@@ -246,7 +250,9 @@
 	d := &Daemon{
 		Daemon: daemon, Admin: operator.NewClient(daemon.Addresses().Admin, ""), cancel: cancel, done: make(chan struct{}),
 	}
+	f.mu.Lock()
 	f.Daemons = append(f.Daemons, d)
+	f.mu.Unlock()
 	f.group.Go(func() error {
 		defer close(d.done)
 		d.err = daemon.Run(ctx)
@@ -254,6 +260,25 @@
 	})
 }
 
+// Retire takes a daemon out of the balancer's rotation before it is stopped.
+func (f *Fleet) Retire(d *Daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Daemons = slices.DeleteFunc(slices.Clone(f.Daemons), func(other *Daemon) bool { return other == d })
+	f.retired = append(f.retired, d)
+}
+
+// Addresses returns where the daemons in rotation accept callers.
+func (f *Fleet) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, d := range f.Daemons {
+		addresses = append(addresses, d.Daemon.Addresses().Callers)
+	}
+	return addresses
+}
+
 // Stop makes a planned stop of the daemon and returns its error.
 func (d *Daemon) Stop() error {
 	d.cancel()
@@ -263,10 +288,11 @@
 
 // Stop stops everything.
 func (f *Fleet) Stop() {
-	for _, d := range f.Daemons {
+	started := append(slices.Clone(f.Daemons), f.retired...)
+	for _, d := range started {
 		d.cancel()
 	}
-	for _, d := range f.Daemons {
+	for _, d := range started {
 		<-d.done
 	}
 	f.cancel()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -5,7 +5,7 @@
 //
 // POST /reminders and POST /teat-cups/release are not idempotent; GET on any
 // path is. Each call answers what was received, and GET /v1/journal shows how
-// often each call was run, by the X-Request-Id header.
+// often each call was run, by its Idempotency-Key or else its X-Request-Id.
 package service
 
 import (
@@ -69,7 +69,7 @@
 		case "/v1/leaving":
 			var leaving bool
 			if jsonhttp.Read(ctx, &leaving) {
-				s.setLeaving(leaving)
+				s.SetLeaving(leaving)
 			}
 		default:
 			s.serveCall(ctx)
@@ -77,14 +77,19 @@
 	}
 }
 
-func (s *Service) setLeaving(leaving bool) {
+// SetLeaving announces or takes back that the server leaves.
+func (s *Service) SetLeaving(leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = leaving
 }
 
 func (s *Service) serveCall(ctx *fasthttp.RequestCtx) {
-	run, ok := s.record(string(ctx.Request.Header.Peek("X-Request-Id")))
+	id := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	if id == "" {
+		id = string(ctx.Request.Header.Peek("X-Request-Id"))
+	}
+	run, ok := s.record(id)
 	if !ok {
 		ctx.Response.Header.Set("X-Not-Run", "Leaving")
 		jsonhttp.WriteError(ctx, fasthttp.StatusServiceUnavailable, "Leaving", "server is leaving")
