--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 demo: build
 	_scripts/demo.sh
 
+# The second step runs what the race detector can't, see chaos_test.go.
 test: lint
 	go test -race ./...
+	go test -run 'TestProve(ReplicaLimit|MemoryLimit)' ./internal/proof/points
 
 lint:
 	_scripts/lint.sh
--- a/internal/proof/points/capacity_test.go
+++ b/internal/proof/points/capacity_test.go
@@ -240,31 +240,3 @@
 		Retention: 300, SnapshotRecords: 60,
 	}
 }
-
-func TestProveReplicaLimitTokenChecked(t *testing.T) {
-	for _, seed := range seeds(20) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, chaosOptions(0)) })
-	}
-}
-
-func TestProveReplicaLimitTokenIgnored(t *testing.T) {
-	for _, seed := range seeds(20) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, chaosOptions(3)) })
-	}
-}
-
-func TestProveMemoryLimit(t *testing.T) {
-	for _, seed := range seeds(10) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, chaosOptions(1)) })
-	}
-}
-
-// TestProveReplicaLimitTokenKept covers engines that keep the token: their holder
-// goes on without a valid lease.
-func TestProveReplicaLimitTokenKept(t *testing.T) {
-	options := chaosOptions(0)
-	options.KeepToken = true
-	for _, seed := range seeds(20) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, options) })
-	}
-}
--- /dev/null
+++ b/internal/proof/points/chaos_test.go
@@ -0,0 +1,41 @@
+//go:build !race
+
+package points_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The runs of this file make the race detector of Go 1.26 fail in itself ("CHECK
+// failed: tsan_rtl.cpp:346"), now and then, with no race reported. They run
+// without it, in a step of their own; the same code runs under it in the other
+// proofs.
+
+func TestProveReplicaLimitTokenChecked(t *testing.T) {
+	for _, seed := range seeds(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, chaosOptions(0)) })
+	}
+}
+
+func TestProveReplicaLimitTokenIgnored(t *testing.T) {
+	for _, seed := range seeds(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, chaosOptions(3)) })
+	}
+}
+
+func TestProveMemoryLimit(t *testing.T) {
+	for _, seed := range seeds(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, chaosOptions(1)) })
+	}
+}
+
+// TestProveReplicaLimitTokenKept covers engines that keep the token: their holder
+// goes on without a valid lease.
+func TestProveReplicaLimitTokenKept(t *testing.T) {
+	options := chaosOptions(0)
+	options.KeepToken = true
+	for _, seed := range seeds(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, options) })
+	}
+}
