--- a/internal/bench/livepath/livepath.go
+++ b/internal/bench/livepath/livepath.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return IdleCost{}, err
 	}
-	memory, err := residentMemory(target.Process)
+	memory, err := ResidentMemory(target.Process)
 	return IdleCost{CPUShare: (after - before).Seconds() / watch.Seconds(), Memory: memory}, err
 }
 
@@ -202,7 +202,8 @@
 	return time.Duration(ticks) * time.Second / clockTicks, nil
 }
 
-func residentMemory(process int) (int64, error) {
+// ResidentMemory returns the resident memory of a process in bytes.
+func ResidentMemory(process int) (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", process))
 	if err != nil {
 		return 0, errors.Wrap(err, "read memory")
--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -10,6 +10,7 @@
 	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/countconn"
 	"azurehitch/internal/transport/jsonhttp"
 
 	"github.com/pkg/errors"
@@ -112,6 +113,9 @@
 
 func (d *Daemon) noteGauges() {
 	d.metrics.Set(metrics.FoldedTo, d.store.FoldedTo())
+	read, written := countconn.Totals()
+	d.metrics.Set(metrics.ControlBytesRead, read)
+	d.metrics.Set(metrics.ControlBytesWritten, written)
 	version := d.store.Configuration().Version
 	if d.metrics.Get(metrics.ConfigurationVersion) != version {
 		d.metrics.Add(metrics.ConfigurationChanges, 1)
--- a/internal/forward/httpengine/session.go
+++ b/internal/forward/httpengine/session.go
@@ -31,7 +31,7 @@
 
 // Dial implements azurehitch.EngineDialer.
 func (d Dialer) Dial(ctx context.Context, address string) (azurehitch.EngineSession, error) {
-	conn, err := pinnedhttp.Dial(ctx, address)
+	conn, err := pinnedhttp.DialControl(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -183,7 +183,8 @@
 	if sent, waiting := m.lastClaim[pool.Name]; waiting && now.Sub(sent) < claimRetry {
 		return nil
 	}
-	if now.Before(m.claimableAt(lease, pool, now).Add(m.preference(pool.Name, environment))) {
+	claimableAt := m.claimableAt(lease, pool, now)
+	if now.Before(claimableAt) || now.Before(claimableAt.Add(m.preference(pool.Name, environment))) {
 		return nil
 	}
 	return &Claim{Pool: pool.Name, Seen: lease.Last, Duration: pool.Duration}
--- a/internal/lease/leaserunner/leaserunner.go
+++ b/internal/lease/leaserunner/leaserunner.go
@@ -19,7 +19,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const tickInterval = 50 * time.Millisecond
+const tickInterval = 100 * time.Millisecond
 
 // Counters counts what the runner does.
 type Counters interface {
--- a/internal/peer/mux/client.go
+++ b/internal/peer/mux/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/transport/countconn"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(countconn.Wrap(conn), sessionConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "open session")
 	}
--- a/internal/peer/mux/server.go
+++ b/internal/peer/mux/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/transport/countconn"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
@@ -56,7 +57,7 @@
 
 // serveConn answers one peer until it goes. Its failures end nothing else.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) error {
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(countconn.Wrap(conn), sessionConfig())
 	if err != nil {
 		return conn.Close()
 	}
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -28,9 +28,9 @@
 )
 
 const (
-	tickInterval = 50 * time.Millisecond
-	pollInterval = time.Second
-	pollTimeout  = 2 * time.Second
+	// tickInterval is how often a pool looks at what is due by time alone. Waiting
+	// requests, reports and finished orders wake it at once.
+	tickInterval = 250 * time.Millisecond
 	orderTimeout = 2 * time.Minute
 	// renewInterval is the least time between two tries for a new token.
 	renewInterval = 10 * time.Second
@@ -86,12 +86,6 @@
 	wake      chan struct{}
 }
 
-type poll struct {
-	running bool
-	at      time.Time
-	failed  bool
-}
-
 func newPool(d Dependencies, configuration tables.Configuration, table tables.Pool, token int64) *pool {
 	return &pool{
 		Dependencies: d,
@@ -118,7 +112,9 @@
 		}
 		return nil
 	})
-	return group.Wait()
+	err := group.Wait()
+	p.closePolls()
+	return err
 }
 
 func (p *pool) isHeld() bool {
@@ -185,66 +181,6 @@
 	return planner.Budget{RemoteLoads: p.RemoteLoads(), LeaseValid: valid, LogWorks: logWorks}
 }
 
-func (p *pool) startPoll(ctx context.Context, server tables.BackendServer, now time.Time) {
-	last, ok := p.polls[server.Name]
-	if !ok {
-		last = &poll{}
-		p.polls[server.Name] = last
-	}
-	if last.running || now.Sub(last.at) < pollInterval {
-		return
-	}
-	last.running = true
-	last.at = now
-	p.group.Go(func() error {
-		report, err := p.read(ctx, server.Address)
-		p.polled(server.Name, report, err)
-		return nil
-	})
-}
-
-// read fences an engine with the token and reads its state.
-func (p *pool) read(ctx context.Context, address string) (planner.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	session, err := p.Engines.Dial(ctx, address)
-	if err != nil {
-		return planner.Report{}, err
-	}
-	defer session.Close()
-	if err := p.fence(ctx, session); err != nil {
-		return planner.Report{}, err
-	}
-	report := planner.Report{OpenIntents: p.Store.PoolIntents(p.name), StartedAt: p.Clock.Now()}
-	report.State, err = session.State(ctx)
-	return report, err
-}
-
-// fence presents the token, so that the engine refuses orders of former holders.
-func (p *pool) fence(ctx context.Context, session azurehitch.EngineSession) error {
-	if sabotage.Active(sabotage.SkipFence) {
-		return nil
-	}
-	return session.Order(ctx, azurehitch.EngineOrder{Kind: azurehitch.OrderFence, Pool: p.name, Token: p.token})
-}
-
-func (p *pool) polled(server string, report planner.Report, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := p.polls[server]
-	last.running = false
-	if failed := err != nil; failed != last.failed {
-		last.failed = failed
-		p.Counters.EngineUnreachable(p.name, server, !failed)
-	}
-	if err != nil {
-		p.plan.Unreachable(server)
-	} else {
-		p.plan.Observe(server, report, p.Clock.Now())
-	}
-	p.notify()
-}
-
 func (p *pool) notify() {
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/platform/httplog/client.go
+++ b/internal/platform/httplog/client.go
@@ -87,7 +87,7 @@
 	if conn, ok := c.idleConn(); ok {
 		return conn, nil
 	}
-	return pinnedhttp.Dial(ctx, c.address)
+	return pinnedhttp.DialControl(ctx, c.address)
 }
 
 func (c *Client) idleConn() (*pinnedhttp.Conn, bool) {
--- /dev/null
+++ b/internal/proof/processes/processes_test.go
@@ -0,0 +1,295 @@
+// Package processes_test kills and freezes real processes.
+package processes_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/admin/operator"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/standin/engine"
+	"azurehitch/internal/standin/fleet"
+	"azurehitch/internal/transport/jsonhttp"
+)
+
+const (
+	daemonCount  = 3
+	engineCount  = 2
+	lease        = 2 * time.Second
+	upTimeout    = 20 * time.Second
+	engineMemory = 80 * azurehitch.Gibibyte
+)
+
+// process is one running process.
+type process struct {
+	name    string
+	address string
+	admin   string
+	cmd     *exec.Cmd
+}
+
+func (p *process) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(signal); err != nil {
+		t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// system is all processes of one test.
+type system struct {
+	t       *testing.T
+	bin     string
+	hosts   string
+	engines []*process
+	daemons []*process
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start starts a process that ends with the test.
+func (s *system) start(name, program string, args ...string) *process {
+	s.t.Helper()
+	cmd := exec.Command(filepath.Join(s.bin, program), args...)
+	cmd.Stderr = io.Discard
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() {
+		// It may have been killed by the test.
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return &process{name: name, cmd: cmd}
+}
+
+func (s *system) await(what string, condition func() bool) {
+	s.t.Helper()
+	if !fleet.Eventually(upTimeout, condition) {
+		s.t.Fatalf("%s did not come about", what)
+	}
+}
+
+func listens(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
+func (s *system) list(name, address string, role azurehitch.HostRole) {
+	s.t.Helper()
+	host := azurehitch.Host{Address: address, FailureDomain: "reduit", Role: role, State: azurehitch.HostStateLive}
+	client := jsonhttp.NewClient(s.hosts, "test")
+	if err := client.Call(context.Background(), http.MethodPut, "/v1/hosts/"+name, host, nil); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, bin: t.TempDir(), hosts: freeAddress(t)}
+	build := exec.Command("go", "build", "-o", s.bin, "azurehitch/cmd/azurehitch", "azurehitch/cmd/azurehitch-standin")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, output)
+	}
+	log, weights := freeAddress(t), freeAddress(t)
+	s.start("log", "azurehitch-standin", "log", "--listen", log)
+	s.start("hosts", "azurehitch-standin", "hosts", "--listen", s.hosts, "--lag", "0s")
+	s.start("weights", "azurehitch-standin", "weights", "--listen", weights, "--load-time", "1s")
+	for _, address := range []string{log, s.hosts, weights} {
+		s.await(address, func() bool { return listens(address) })
+	}
+	for i := range engineCount {
+		s.startEngine(fmt.Sprintf("engine-%d", i+1), weights, i > 0)
+	}
+	for i := range daemonCount {
+		s.startDaemon(fmt.Sprintf("daemon-%d", i+1), log, weights)
+	}
+	s.publish()
+	return s
+}
+
+func (s *system) startEngine(name, weights string, ignoreToken bool) {
+	address := freeAddress(s.t)
+	p := s.start(name, "azurehitch-standin", "engine", "--name", name, "--listen", address,
+		"--weights", weights, fmt.Sprintf("--ignore-token=%t", ignoreToken))
+	p.address = address
+	s.engines = append(s.engines, p)
+	s.await(name, func() bool { return listens(address) })
+	s.list(name, address, azurehitch.HostRoleBackend)
+}
+
+func (s *system) startDaemon(name, log, weights string) {
+	address, peer, admin := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	p := s.start(name, "azurehitch", "serve", "--name", name, "--listen", address, "--peer-listen", peer,
+		"--admin-listen", admin, "--log-service", log, "--host-list", s.hosts, "--weight-store", weights)
+	p.address, p.admin = address, admin
+	s.daemons = append(s.daemons, p)
+	s.await(name, func() bool { return listens(admin) })
+	s.list(name, peer, azurehitch.HostRoleEntry)
+}
+
+func (s *system) publish() {
+	s.t.Helper()
+	pool := tables.Pool{
+		Name: "language", Kind: tables.PoolKindModels, ConcurrentRequests: 300, QueueLimit: 100,
+		IdleTimeout: azurehitch.Duration(time.Hour), LeaseDuration: azurehitch.Duration(lease),
+	}
+	routes := tables.RouteTable{Callers: []tables.Caller{
+		{Name: "salon", KeySHA256: fleet.Digest(fleet.PaidKey), Tier: tables.TierPaid, RequestsPerSecond: 1000, Burst: 1000},
+	}}
+	for i, b := range s.engines {
+		check := tables.TokenChecked
+		if i > 0 {
+			check = tables.TokenIgnored
+		}
+		pool.BackendServers = append(pool.BackendServers, tables.BackendServer{
+			Name: b.name, Address: b.address, FailureDomain: "reduit", FencingToken: check, AcceleratorMemory: engineMemory,
+		})
+	}
+	for _, name := range models() {
+		pool.Models = append(pool.Models, tables.Model{
+			Name: name, MaxReplicas: 1, Versions: []tables.ModelVersion{{Version: "1", Memory: 30 * azurehitch.Gibibyte}},
+		})
+		routes.Routes = append(routes.Routes, tables.Route{Name: name, Callers: []string{"salon"}, Pool: "language", Model: name, Versions: []string{"1"}})
+	}
+	s.publishTables(routes, tables.PoolTable{Pools: []tables.Pool{pool}})
+}
+
+func models() []string { return []string{"care-note", "follow-up", "reaction-check"} }
+
+func (s *system) publishTables(routes tables.RouteTable, pools tables.PoolTable) {
+	s.t.Helper()
+	routesText, err := json.Marshal(routes)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	poolsText, err := json.Marshal(pools)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	client := operator.NewClient(s.daemons[0].admin, "")
+	if _, err := client.Publish(context.Background(), operator.Publication{Routes: routesText, Pools: poolsText, Author: "test"}); err != nil {
+		s.t.Fatal(err)
+	}
+	s.await("a holder", func() bool { return s.holder("") != nil })
+}
+
+// holder returns the daemon that holds the pool, as a live daemon sees it.
+func (s *system) holder(except string) *process {
+	for _, asked := range s.daemons {
+		if asked.name == except {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		pools, err := operator.NewClient(asked.admin, "").Pools(ctx)
+		cancel()
+		if err != nil || len(pools) == 0 {
+			continue
+		}
+		for _, d := range s.daemons {
+			if d.name == pools[0].Holder && d.name != except {
+				return d
+			}
+		}
+	}
+	return nil
+}
+
+func (s *system) ask(daemon *process, model string) fleet.Answer {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), upTimeout)
+	defer cancel()
+	answer, err := fleet.Send(ctx, daemon.address, fleet.Request{
+		Method: http.MethodPost, Path: "/v1/chat/completions", Key: fleet.PaidKey, Body: fmt.Appendf(nil, `{"model":%q}`, model),
+	})
+	if err != nil {
+		s.t.Errorf("%s: %v", daemon.name, err)
+	}
+	return answer
+}
+
+func (s *system) assertServes(daemon *process, model string) {
+	s.t.Helper()
+	if answer := s.ask(daemon, model); answer.Status != http.StatusOK {
+		s.t.Errorf("%s refused %s: status %d: %s", daemon.name, model, answer.Status, answer.Body)
+	}
+}
+
+// assertLimits checks what the engines themselves report.
+func (s *system) assertLimits() {
+	s.t.Helper()
+	replicas := map[string]int{}
+	for _, e := range s.engines {
+		client := jsonhttp.NewClient(e.address, "test")
+		var state engine.StateReport
+		if err := client.Call(context.Background(), http.MethodGet, "/v1/state", nil, &state); err != nil {
+			s.t.Fatal(err)
+		}
+		for _, p := range state.Placements {
+			replicas[p.Artifact.Model]++
+		}
+		var journal engine.Journal
+		if err := client.Call(context.Background(), http.MethodGet, "/v1/journal", nil, &journal); err != nil {
+			s.t.Fatal(err)
+		}
+		if journal.PeakMemory > engineMemory {
+			s.t.Errorf("%s had %v of %v in use", e.name, journal.PeakMemory, engineMemory)
+		}
+	}
+	for model, count := range replicas {
+		if count > 1 {
+			s.t.Errorf("%d replicas of %s are loaded, and operators decided 1", count, model)
+		}
+	}
+}
+
+// TestProveProcesses freezes the holder for longer than its lease while another
+// daemon takes over, and kills that one during a load.
+func TestProveProcesses(t *testing.T) {
+	s := startSystem(t)
+	for _, d := range s.daemons {
+		s.assertServes(d, "care-note")
+	}
+	frozen := s.holder("")
+	frozen.signal(t, syscall.SIGSTOP)
+	s.await("a successor", func() bool { return s.holder(frozen.name) != nil })
+	for _, d := range s.daemons {
+		if d != frozen {
+			s.assertServes(d, "follow-up")
+		}
+	}
+	frozen.signal(t, syscall.SIGCONT)
+	s.assertServes(frozen, "follow-up")
+	s.assertLimits()
+
+	victim := s.holder(frozen.name)
+	done := make(chan struct{})
+	time.AfterFunc(300*time.Millisecond, func() {
+		defer close(done)
+		victim.signal(t, syscall.SIGKILL)
+	})
+	s.assertServes(frozen, "reaction-check")
+	<-done
+	s.assertLimits()
+}
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -60,6 +60,8 @@
 	ConfigurationVersion Name = "ConfigurationVersion"
 	FoldedTo             Name = "FoldedTo"
 	PoolsHeld            Name = "PoolsHeld"
+	ControlBytesRead     Name = "ControlBytesRead"
+	ControlBytesWritten  Name = "ControlBytesWritten"
 	RequestsInProgress   Name = "RequestsInProgress"
 	RequestsWaiting      Name = "RequestsWaiting"
 )
--- a/internal/transport/jsonhttp/client.go
+++ b/internal/transport/jsonhttp/client.go
@@ -22,6 +22,8 @@
 	"strings"
 	"time"
 
+	"azurehitch/internal/transport/countconn"
+
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -82,6 +84,7 @@
 		agent: agent,
 		http: &fasthttp.Client{
 			Name:                          agent,
+			Dial:                          dialCounted,
 			MaxConnsPerHost:               maxConnections,
 			MaxIdleConnDuration:           maxIdleTime,
 			MaxResponseBodySize:           maxAnswerBytes,
@@ -93,6 +96,14 @@
 	}
 }
 
+func dialCounted(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return countconn.Wrap(conn), nil
+}
+
 // WithBearer returns a copy that sends a key with each call.
 func (c Client) WithBearer(key string) *Client {
 	c.bearer = key
--- a/internal/transport/pinnedhttp/conn.go
+++ b/internal/transport/pinnedhttp/conn.go
@@ -17,6 +17,8 @@
 	"net"
 	"time"
 
+	"azurehitch/internal/transport/countconn"
+
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -30,6 +32,17 @@
 	address string
 }
 
+// DialControl connects to an address for control traffic, which is counted.
+func DialControl(ctx context.Context, address string) (*Conn, error) {
+	c, err := Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.conn = countconn.Wrap(c.conn)
+	c.reader.Reset(c.conn)
+	return c, nil
+}
+
 // Dial connects to an address.
 func Dial(ctx context.Context, address string) (*Conn, error) {
 	var dialer net.Dialer
