--- a/cmd/azurehitch/cmds/commands.go
+++ b/cmd/azurehitch/cmds/commands.go
@@ -70,7 +70,7 @@
 }
 
 func newRoot(stdout, stderr io.Writer) *cli.Command {
-	return &cli.Command{
+	command := &cli.Command{
 		Name:      "azurehitch",
 		Usage:     "serve rarely used models to paying and trial callers",
 		Writer:    stdout,
@@ -82,13 +82,22 @@
 allowed, 3 tables that were refused, 4 a publication that lost against another.`,
 		// Errors are printed and turned into exit codes by Run.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &errUsage{cause: err}
-		},
 		Commands: []*cli.Command{
 			newServeCommand(), newConfigCommand(), newDaemonsCommand(), newPoolsCommand(), newDrainCommand(),
 		},
 	}
+	typeUsageErrors(command)
+	return command
+}
+
+// typeUsageErrors makes the usage errors of a command and those below it *errUsage.
+func typeUsageErrors(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &errUsage{cause: err}
+	}
+	for _, child := range command.Commands {
+		typeUsageErrors(child)
+	}
 }
 
 func env(name string) cli.ValueSourceChain { return cli.EnvVars(envPrefix + name) }
--- a/cmd/azurehitch/cmds/operate.go
+++ b/cmd/azurehitch/cmds/operate.go
@@ -53,7 +53,7 @@
 			{
 				Name: "publish", Usage: "publish tables", Action: runPublish,
 				Flags: tableFlags(
-					&cli.Int64Flag{Name: flagBase, Required: true, Usage: "`VERSION` that the tables were edited from; 0 for the first"},
+					&cli.Int64Flag{Name: flagBase, Usage: "`VERSION` that the tables were edited from; 0 for the first"},
 					&cli.StringFlag{Name: flagAuthor, Usage: "`NAME` that others see; the user by default", Sources: env("AUTHOR")},
 				),
 			},
@@ -112,6 +112,9 @@
 }
 
 func runPublish(ctx context.Context, cmd *cli.Command) error {
+	if !cmd.IsSet(flagBase) {
+		return &errUsage{cause: errors.Errorf("--%s is missing: the version that the tables were edited from, 0 for the first", flagBase)}
+	}
 	p, err := readPublication(cmd)
 	if err != nil {
 		return err
