Keep times learnt from arrivals; an experiment tool on a virtual clock

Cause: idle accelerator hours and tail cold starts are what the users measure, and all replicas were kept for one fixed time.

Change: keepalive chooses, for each artifact, the keep time with the least expected cost over the gaps between its own uses (decayed histogram), with a price of a cold start for each pool (ColdStartPrice). azurehitch-bench policy runs the planner against fakes with the workloads of both users, against a fixed keep time of 10 minutes, never unloading, and an offline policy that knows the next arrival.

--- /dev/null
+++ b/internal/bench/policy/policy_test.go
@@ -0,0 +1,32 @@
+package policy_test
+
+import (
+	"testing"
+	"time"
+
+	"azurehitch/internal/bench/policy"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func small() policy.Scenario {
+	s := policy.DairyBoard()
+	s.Models, s.Adapters, s.Servers, s.Length = 10, 5, 3, 6*time.Hour
+	return s
+}
+
+func TestRun(t *testing.T) {
+	c := qt.New(t)
+	for _, p := range policy.Policies() {
+		c.Run(string(p), func(c *qt.C) {
+			first := policy.Run(small(), p, 7)
+			c.Run("the same seed gives the same result", func(c *qt.C) {
+				c.Assert(policy.Run(small(), p, 7), qt.DeepEquals, first)
+			})
+			c.Run("each request comes to one end", func(c *qt.C) {
+				c.Assert(first.Served+first.Refused, qt.Equals, first.Requests)
+				c.Assert(first.Late, qt.Equals, 0)
+			})
+		})
+	}
+}
--- a/internal/configuration/tables/tables.go
+++ b/internal/configuration/tables/tables.go
@@ -85,8 +85,12 @@
 	PromisedToPaid int
 	// QueueLimit is the number of requests that may wait at one daemon.
 	QueueLimit int
-	// IdleTimeout is how long a replica without requests stays loaded.
+	// IdleTimeout is how long a replica without requests stays loaded at most.
 	IdleTimeout azurehitch.Duration `json:",omitempty"`
+	// ColdStartPrice is how long an accelerator may be idle to spare one cold
+	// start. With it, each artifact is kept as its own arrivals suggest; without
+	// it, all are kept for IdleTimeout.
+	ColdStartPrice azurehitch.Duration `json:",omitempty"`
 	// LeaseDuration is how long the holder of the pool stays in office without a
 	// renewal.
 	LeaseDuration azurehitch.Duration `json:",omitempty"`
--- a/internal/configuration/tables/validate.go
+++ b/internal/configuration/tables/validate.go
@@ -132,6 +132,7 @@
 
 func (c *checker) checkModels(at string, pool Pool) {
 	c.require(pool.IdleTimeout > 0, at+".IdleTimeout", "is missing or not positive")
+	c.require(pool.ColdStartPrice >= 0, at+".ColdStartPrice", "is negative")
 	lease := pool.LeaseDuration.Std()
 	c.require(lease >= MinLeaseDuration && lease <= MaxLeaseDuration, at+".LeaseDuration",
 		"is not between %v and %v", MinLeaseDuration, MaxLeaseDuration)
--- /dev/null
+++ b/internal/placement/keepalive/keepalive.go
@@ -0,0 +1,96 @@
+// Package keepalive decides how long an idle artifact stays loaded, from the gaps
+// between its own uses.
+//
+// # Usage
+//
+//	history := history.WithGap(gap)
+//	keep := history.KeepTime(price, limit)
+//
+// The price is how many idle seconds of the accelerator one cold start is worth.
+// The keep time is the one with the least expected cost over the gaps seen, the
+// recent ones weighing more. Artifacts with few gaps of their own learn from those
+// of the pool. With no gaps at all, the price itself is the keep time, which costs
+// at most twice as much as knowing the next gap would.
+package keepalive
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// firstBound is the upper bound of the first bin; each further bin is wider by
+	// binGrowth.
+	firstBound = time.Second
+	binGrowth  = 1.5
+	binCount   = 32
+	// decay is the weight that the past keeps with each new gap.
+	decay = 0.97
+	// enoughGaps is the weight of gaps from which the histogram is trusted.
+	enoughGaps = 4
+)
+
+// History is the gaps between the uses of one artifact. It is a value and is never
+// changed.
+type History struct {
+	bins  [binCount]float64
+	total float64
+}
+
+// WithGap returns the history after one more gap.
+func (h History) WithGap(gap time.Duration) History {
+	for i := range h.bins {
+		h.bins[i] *= decay
+	}
+	h.bins[binOf(gap)]++
+	h.total = h.total*decay + 1
+	return h
+}
+
+func binOf(gap time.Duration) int {
+	if gap <= firstBound {
+		return 0
+	}
+	bin := int(math.Ceil(math.Log(float64(gap)/float64(firstBound)) / math.Log(binGrowth)))
+	return min(bin, binCount-1)
+}
+
+func bound(bin int) time.Duration {
+	return time.Duration(float64(firstBound) * math.Pow(binGrowth, float64(bin)))
+}
+
+// WithPrior returns the history with the gaps of others added, at the weight of a
+// few gaps. It is for artifacts with few gaps of their own.
+func (h History) WithPrior(prior History) History {
+	if prior.total < enoughGaps {
+		return h
+	}
+	for i := range h.bins {
+		h.bins[i] += prior.bins[i] / prior.total * enoughGaps
+	}
+	h.total += enoughGaps
+	return h
+}
+
+// KeepTime returns how long to keep the artifact after a use, at most a limit.
+func (h History) KeepTime(price, limit time.Duration) time.Duration {
+	if h.total < enoughGaps {
+		return min(price, limit)
+	}
+	best, bestCost := time.Duration(0), price.Seconds()*h.total
+	var idle, ended float64
+	for i, weight := range h.bins {
+		keep := bound(i)
+		if keep > limit {
+			break
+		}
+		// Gaps of this bin end while the artifact is kept.
+		idle += weight * keep.Seconds()
+		ended += weight
+		cost := idle + (h.total-ended)*(keep.Seconds()+price.Seconds())
+		if cost < bestCost {
+			best, bestCost = keep, cost
+		}
+	}
+	return best
+}
--- a/internal/placement/planner/decide.go
+++ b/internal/placement/planner/decide.go
@@ -104,8 +104,13 @@
 func (p *Plan) replicas(model string) int {
 	count := 0
 	for _, s := range p.servers {
-		if !s.isGone() {
-			count += len(s.replicas(model))
+		if s.isGone() {
+			continue
+		}
+		for artifact := range s.bookings {
+			if artifact.Model == model && artifact.Adapter == "" {
+				count++
+			}
 		}
 	}
 	return count
--- a/internal/placement/planner/evict.go
+++ b/internal/placement/planner/evict.go
@@ -107,10 +107,10 @@
 	})
 }
 
-// unloadIdle unloads what nobody has used for the idle timeout.
+// unloadIdle unloads what nobody has used for its keep time.
 func (p *Plan) unloadIdle(now time.Time, budget Budget) []Action {
 	return p.unloadWhere(budget, func(_ *server, b *booking) bool {
-		return b.Active == 0 && now.Sub(b.lastUsed) >= p.pool.IdleTimeout.Std()
+		return b.Active == 0 && now.Sub(b.lastUsed) >= p.keepTime(b.Artifact)
 	})
 }
 
@@ -118,7 +118,7 @@
 	var actions []Action
 	for _, name := range sortedKeys(p.servers) {
 		s := p.servers[name]
-		if !p.mayOrder(s, budget) {
+		if !p.mayOrder(s, budget) || !s.any(due) {
 			continue
 		}
 		for _, artifact := range sortedArtifacts(s.bookings) {
@@ -130,6 +130,15 @@
 	return actions
 }
 
+func (s *server) any(due func(*server, *booking) bool) bool {
+	for _, b := range s.bookings {
+		if due(s, b) {
+			return true
+		}
+	}
+	return false
+}
+
 // lowerReplicas unloads replicas above a limit that was lowered, the least busy
 // first.
 func (p *Plan) lowerReplicas(budget Budget) []Action {
@@ -137,9 +146,10 @@
 		return nil
 	}
 	var actions []Action
-	for _, model := range p.pool.Models {
-		for excess := p.staying(model.Name) - model.MaxReplicas; excess > 0; excess-- {
-			action, ok := p.unloadLeastBusy(model.Name, budget)
+	staying := p.staying()
+	for _, model := range sortedKeys(staying) {
+		for excess := staying[model] - p.pool.MaxReplicas(model); excess > 0; excess-- {
+			action, ok := p.unloadLeastBusy(model, budget)
 			if !ok {
 				break
 			}
@@ -149,13 +159,14 @@
 	return actions
 }
 
-// staying counts the replicas of a model that are booked and not being unloaded.
-func (p *Plan) staying(model string) int {
-	count := 0
+// staying counts the replicas of each model that are booked and not to be
+// unloaded.
+func (p *Plan) staying() map[string]int {
+	count := map[string]int{}
 	for _, s := range p.servers {
-		for _, b := range s.replicas(model) {
-			if !b.draining && b.State != azurehitch.PlacementUnloading {
-				count++
+		for artifact, b := range s.bookings {
+			if artifact.Adapter == "" && !b.draining && b.State != azurehitch.PlacementUnloading {
+				count[artifact.Model]++
 			}
 		}
 	}
--- a/internal/placement/planner/observe.go
+++ b/internal/placement/planner/observe.go
@@ -102,6 +102,7 @@
 	}
 	if placement.Active > 0 {
 		b.lastUsed = now
+		p.lastUsed[placement.Artifact] = now
 	}
 	b.Active = placement.Active
 	b.Memory = max(b.Memory, placement.Memory)
--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -26,6 +26,7 @@
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/placement/keepalive"
 	"azurehitch/internal/proof/sabotage"
 )
 
@@ -33,6 +34,9 @@
 	// minimumKeep is how long a replica is kept after its last use, so that two
 	// models do not evict each other in turn.
 	minimumKeep = 2 * time.Second
+	// shortestGap is the pause from which a use counts as a new one: daemons report
+	// a continuous use each second.
+	shortestGap = 2 * time.Second
 	// requestsPerReplica is the number of requests in progress above which a
 	// further replica is loaded.
 	requestsPerReplica = 16
@@ -166,8 +170,11 @@
 	pool    tables.Pool
 	servers map[string]*server
 	wants   map[azurehitch.Artifact]*want
-	// lastUsed survives the unloading of an artifact.
-	lastUsed map[azurehitch.Artifact]time.Time
+	// lastUsed and histories survive the unloading of an artifact.
+	lastUsed  map[azurehitch.Artifact]time.Time
+	histories map[azurehitch.Artifact]keepalive.History
+	// poolHistory is the gaps of all artifacts of the pool.
+	poolHistory keepalive.History
 	// removed names the servers that are no longer in the table and still count.
 	removed map[string]bool
 	// settling are the intents whose order has arrived or never will, with the
@@ -181,11 +188,12 @@
 // open intents of the pool at that moment are adopted.
 func New(pool tables.Pool, intents []leaselog.Intent, now time.Time) *Plan {
 	p := &Plan{
-		servers:  map[string]*server{},
-		wants:    map[azurehitch.Artifact]*want{},
-		lastUsed: map[azurehitch.Artifact]time.Time{},
-		removed:  map[string]bool{},
-		settling: map[int64]time.Time{},
+		servers:   map[string]*server{},
+		wants:     map[azurehitch.Artifact]*want{},
+		lastUsed:  map[azurehitch.Artifact]time.Time{},
+		histories: map[azurehitch.Artifact]keepalive.History{},
+		removed:   map[string]bool{},
+		settling:  map[int64]time.Time{},
 	}
 	p.SetPool(pool)
 	for _, intent := range intents {
@@ -266,6 +274,7 @@
 
 func (p *Plan) touch(artifact azurehitch.Artifact, now time.Time) {
 	for _, used := range []azurehitch.Artifact{artifact, artifact.WithoutAdapter()} {
+		p.noteGap(used, now)
 		p.lastUsed[used] = now
 		for _, s := range p.servers {
 			if b, ok := s.bookings[used]; ok {
@@ -275,6 +284,24 @@
 	}
 }
 
+// noteGap learns from a use after a pause.
+func (p *Plan) noteGap(artifact azurehitch.Artifact, now time.Time) {
+	last, used := p.lastUsed[artifact]
+	if gap := now.Sub(last); used && gap > shortestGap {
+		p.histories[artifact] = p.histories[artifact].WithGap(gap)
+		p.poolHistory = p.poolHistory.WithGap(gap)
+	}
+}
+
+// keepTime returns how long an artifact is kept after its last use.
+func (p *Plan) keepTime(artifact azurehitch.Artifact) time.Duration {
+	limit := p.pool.IdleTimeout.Std()
+	if p.pool.ColdStartPrice == 0 {
+		return limit
+	}
+	return max(p.histories[artifact].WithPrior(p.poolHistory).KeepTime(p.pool.ColdStartPrice.Std(), limit), minimumKeep)
+}
+
 // Ready returns the servers on which an artifact is ready for new requests.
 func (p *Plan) Ready(artifact azurehitch.Artifact) []tables.BackendServer {
 	var ready []tables.BackendServer
