A model whose replicas all fail is waited for, not refused at once

Cause: make prove was red: OwnWholeAnswer got 503 "no replica is ready" for 2 of 150 requests, since servers behind open circuit breakers are no longer picked and a model may have one replica only. Ruled out: a breaker that opens too early (5 failures in a row were real: broken connections).

Change: while the breakers of all replicas are open, a completion waits, until its deadline, for one to let a request try again. Also two proofs whose sabotage was missed: LoweredLimit lowered the limit before the second load had begun (pools are woken less often now; it asserts that the load has begun), and the bodies of OwnWholeAnswer were smaller than what a client reads ahead.

--- a/internal/forward/caller/completion.go
+++ b/internal/forward/caller/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"strconv"
+	"time"
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
@@ -28,7 +29,9 @@
 )
 
 const (
-	maxAttempts    = 4
+	maxAttempts = 4
+	// breakerPause is the pause between looks at open circuit breakers.
+	breakerPause   = 50 * time.Millisecond
 	priorityPaid   = 10
 	priorityTrial  = 1
 	maxAnswerBytes = 64 << 20
@@ -145,14 +148,28 @@
 		return tables.BackendServer{}, nil, err
 	}
 	c.coldStart = max(c.coldStart, view.ColdStart)
-	server, ok := c.server.load.pick(c.server.withoutOpenBreakers(view.Servers), c.tried)
-	if !ok {
-		return server, nil, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no replica is ready").WithRetryAfter(failureRetry)
+	server, err := c.pick(view.Servers)
+	if err != nil {
+		return server, nil, err
 	}
 	exchange, err := c.send(server, resumeFrom)
 	return server, exchange, err
 }
 
+// pick chooses a replica. While the circuit breakers of all are open, it waits for
+// one to let a request try again.
+func (c *completion) pick(servers []tables.BackendServer) (tables.BackendServer, error) {
+	for {
+		if server, ok := c.server.load.pick(c.server.withoutOpenBreakers(servers), c.tried); ok {
+			return server, nil
+		}
+		if err := c.server.Clock.Sleep(c.ctx, breakerPause); err != nil {
+			return tables.BackendServer{}, azurehitch.Refuse(azurehitch.CodeNoCapacity,
+				"the replicas of %v fail", c.target.Artifact).WithRetryAfter(failureRetry)
+		}
+	}
+}
+
 func (c *completion) send(server tables.BackendServer, resumeFrom int) (*backend.Exchange, error) {
 	ctx, span := c.server.Tracer.Start(c.ctx, "forward", attribute.String("server", server.Name))
 	defer span.End()
--- a/internal/proof/points/frozen_test.go
+++ b/internal/proof/points/frozen_test.go
@@ -138,7 +138,10 @@
 		holder := awaitHolder(t, w, "")
 		mustAcquire(t, w, holder)
 		busy(w, holder)
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		if loads := len(w.Ledger.Loads()); loads != 2 {
+			t.Fatalf("%d loads began and not 2", loads)
+		}
 		publish(t, w, w.Pool(leaseTime, oneModel()))
 		const inForce = 3 * time.Second
 		time.Sleep(inForce)
--- a/internal/proof/points/requests_test.go
+++ b/internal/proof/points/requests_test.go
@@ -66,7 +66,12 @@
 		const count = 150
 		body := func(i int) string {
 			stream := i%3 == 0
-			return fmt.Sprintf(`{"model":"care-note","stream":%t,"max_tokens":%d,"user":"%d"}`, stream, 1+i%7, i)
+			tokens := 1 + i%7
+			if !stream {
+				// The body is larger than what a client reads ahead.
+				tokens = 5000
+			}
+			return fmt.Sprintf(`{"model":"care-note","stream":%t,"max_tokens":%d,"user":"%d"}`, stream, tokens, i)
 		}
 		for _, engine := range f.Engines {
 			engine.Faults.Replace(
