--- a/cmd/azurehitch-standin/cmds/commands.go
+++ b/cmd/azurehitch-standin/cmds/commands.go
@@ -142,6 +142,7 @@
 			&cli.DurationFlag{Name: "memory-load-time", Value: 50 * time.Millisecond, Usage: "load time from memory"},
 			&cli.DurationFlag{Name: "disk-load-time", Value: 300 * time.Millisecond, Usage: "load time from disk"},
 			&cli.DurationFlag{Name: "token-interval", Value: 2 * time.Millisecond, Usage: "time between tokens"},
+			&cli.DurationFlag{Name: "report-lag", Usage: "how old the reported load may be"},
 			&cli.IntFlag{Name: "slots", Value: 64, Usage: "requests that run at once"},
 		},
 		Action: runEngine,
@@ -158,6 +159,7 @@
 		DiskLoadTime:   cmd.Duration("disk-load-time"),
 		TokenInterval:  cmd.Duration("token-interval"),
 		Slots:          cmd.Int("slots"),
+		ReportLag:      cmd.Duration("report-lag"),
 	})
 	faults := fault.NewSet()
 	return serve(ctx, cmd, faults, engine.NewHandler(e, faults))
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -84,7 +84,13 @@
 	cached      map[azurehitch.Artifact]azurehitch.CacheTier
 	journal     Journal
 	slots       *slotQueue
-	generations map[string]*generation
+	generations map[string]*Generation
+	reports     map[azurehitch.Artifact]loadReport
+}
+
+type loadReport struct {
+	at     time.Time
+	active int
 }
 
 type placement struct {
@@ -101,7 +107,8 @@
 		incarnation: int(clock.Now().UnixNano()),
 		cached:      map[azurehitch.Artifact]azurehitch.CacheTier{},
 		slots:       newSlotQueue(options.Slots),
-		generations: map[string]*generation{},
+		generations: map[string]*Generation{},
+		reports:     map[azurehitch.Artifact]loadReport{},
 	}
 	for _, artifact := range options.DiskCached {
 		e.cached[artifact] = azurehitch.CacheTierDisk
@@ -164,8 +171,10 @@
 		Leaving:     e.leaving,
 		Cached:      map[azurehitch.Artifact]azurehitch.CacheTier{},
 	}
-	for _, p := range e.placements {
-		state.Placements = append(state.Placements, p.Placement)
+	for artifact, p := range e.placements {
+		reported := p.Placement
+		reported.Active = e.reportedActive(artifact, p)
+		state.Placements = append(state.Placements, reported)
 	}
 	for artifact, tier := range e.cached {
 		state.Cached[artifact] = tier
@@ -173,6 +182,16 @@
 	return state
 }
 
+// reportedActive returns the load of a placement as it was up to the lag ago.
+func (e *Engine) reportedActive(artifact azurehitch.Artifact, p *placement) int {
+	last, ok := e.reports[artifact]
+	if now := e.clock.Now(); !ok || now.Sub(last.at) >= e.options.ReportLag {
+		last = loadReport{at: now, active: p.Active}
+		e.reports[artifact] = last
+	}
+	return last.active
+}
+
 // Journal returns a copy of the journal.
 func (e *Engine) Journal() Journal {
 	e.mu.Lock()
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -34,8 +34,10 @@
 // ErrLeaving is a request to a server that leaves. It was not run.
 var ErrLeaving = errors.New("server is leaving")
 
-// generation is the state that a resume or a KV export needs.
-type generation struct {
+// Generation is the state of a request that a resume needs. It stands for the KV
+// cache in exports and imports.
+type Generation struct {
+	ID       string
 	Digest   string
 	Tokens   int
 	Position int
@@ -46,7 +48,7 @@
 	engine    *Engine
 	request   Request
 	placement *placement
-	state     *generation
+	state     *Generation
 }
 
 // Begin admits a request: it waits for a slot and books the request on its
@@ -65,7 +67,7 @@
 	state, known := e.generations[request.ID]
 	if !known || request.From == 0 {
 		digest := sha256.Sum256(request.Body)
-		state = &generation{Digest: hex.EncodeToString(digest[:]), Tokens: request.Tokens}
+		state = &Generation{ID: request.ID, Digest: hex.EncodeToString(digest[:]), Tokens: request.Tokens}
 		e.generations[request.ID] = state
 		e.journal.Runs[request.ID]++
 	}
@@ -133,3 +135,21 @@
 	}
 	return fmt.Sprintf(" t%d", position)
 }
+
+// Export returns the state of a request, for another engine to go on with.
+func (e *Engine) Export(id string) (Generation, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state, ok := e.generations[id]
+	if !ok {
+		return Generation{}, false
+	}
+	return *state, true
+}
+
+// Import takes over a request from another engine: it can be resumed here.
+func (e *Engine) Import(state Generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.generations[state.ID] = &state
+}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -101,6 +101,8 @@
 			if jsonhttp.Read(ctx, &leaving) {
 				e.SetLeaving(leaving)
 			}
+		case "/v1/kv":
+			serveKV(ctx, e)
 		case "/v1/restart":
 			e.Restart()
 		case "/v1/chat/completions", "/v1/completions":
@@ -111,6 +113,24 @@
 	}
 }
 
+// serveKV exports the state of a request by its id, or imports one.
+func serveKV(ctx *fasthttp.RequestCtx, e *Engine) {
+	if ctx.IsPost() {
+		var state Generation
+		if jsonhttp.Read(ctx, &state) {
+			e.Import(state)
+		}
+		return
+	}
+	id := string(ctx.QueryArgs().Peek("id"))
+	state, ok := e.Export(id)
+	if !ok {
+		jsonhttp.WriteError(ctx, fasthttp.StatusNotFound, "NotFound", id)
+		return
+	}
+	jsonhttp.Write(ctx, fasthttp.StatusOK, state)
+}
+
 func serveState(ctx *fasthttp.RequestCtx, e *Engine) {
 	state := e.State()
 	report := StateReport{
