--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -131,7 +131,7 @@
 
 func (e *Engine) reset() {
 	for artifact, p := range e.placements {
-		e.options.Ledger.unloaded(e.options.Name, artifact, p.Memory)
+		e.options.Ledger.unloaded(e.options.Name, artifact, p.Memory, e.clock.Now())
 	}
 	if !e.options.KeepsToken || e.highest == nil {
 		e.highest = map[string]int64{}
@@ -281,7 +281,7 @@
 		ready:     make(chan struct{}),
 	}
 	e.placements[order.Artifact] = p
-	e.options.Ledger.loaded(e.options.Name, order)
+	e.options.Ledger.loaded(e.options.Name, order, e.clock.Now())
 	e.journal.Loads = append(e.journal.Loads, LoadEntry{Artifact: order.Artifact, Token: order.Token, At: e.clock.Now()})
 	e.journal.PeakMemory = max(e.journal.PeakMemory, e.memoryInUse())
 	return p, true, nil
@@ -321,7 +321,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.placements[artifact] == p {
-		e.options.Ledger.unloaded(e.options.Name, artifact, p.Memory)
+		e.options.Ledger.unloaded(e.options.Name, artifact, p.Memory, e.clock.Now())
 		delete(e.placements, artifact)
 	}
 }
@@ -355,7 +355,7 @@
 	if p.Active > 0 {
 		return false
 	}
-	e.options.Ledger.unloaded(e.options.Name, artifact, p.Memory)
+	e.options.Ledger.unloaded(e.options.Name, artifact, p.Memory, e.clock.Now())
 	delete(e.placements, artifact)
 	return true
 }
--- a/internal/standin/engine/ledger.go
+++ b/internal/standin/engine/ledger.go
@@ -42,7 +42,7 @@
 	}
 }
 
-func (l *Ledger) loaded(server string, order azurehitch.EngineOrder) {
+func (l *Ledger) loaded(server string, order azurehitch.EngineOrder, now time.Time) {
 	if l == nil {
 		return
 	}
@@ -56,12 +56,12 @@
 	l.peaks[model] = max(l.peaks[model], l.replicas[model])
 	l.memoryPeaks[server] = max(l.memoryPeaks[server], l.memory[server])
 	l.changes = append(l.changes, LedgerChange{
-		At: time.Now(), Server: server, Artifact: order.Artifact, Token: order.Token,
+		At: now, Server: server, Artifact: order.Artifact, Token: order.Token,
 		Replicas: l.replicas[model], Memory: l.memory[server],
 	})
 }
 
-func (l *Ledger) unloaded(server string, artifact azurehitch.Artifact, memory azurehitch.ByteSize) {
+func (l *Ledger) unloaded(server string, artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time) {
 	if l == nil {
 		return
 	}
@@ -72,7 +72,7 @@
 	}
 	l.memory[server] -= memory
 	l.changes = append(l.changes, LedgerChange{
-		At: time.Now(), Unload: true, Server: server, Artifact: artifact,
+		At: now, Unload: true, Server: server, Artifact: artifact,
 		Replicas: l.replicas[artifact.Model], Memory: l.memory[server],
 	})
 }
