A daemon killed during a keyed call, in real processes

Cause: at most once through the death of a daemon was covered only as a planned stop.

Change: a proof with real processes kills the daemon that has claimed a key while the service runs its call; the caller tries again with the key at the other daemons.

--- a/internal/proof/processes/processes_test.go
+++ b/internal/proof/processes/processes_test.go
@@ -28,6 +28,7 @@
 	lease        = 2 * time.Second
 	upTimeout    = 20 * time.Second
 	engineMemory = 80 * azurehitch.Gibibyte
+	deskRunTime  = 600 * time.Millisecond
 )
 
 // process is one running process.
@@ -52,6 +53,7 @@
 	hosts   string
 	engines []*process
 	daemons []*process
+	desk    *process
 }
 
 func freeAddress(t *testing.T) string {
@@ -122,6 +124,7 @@
 	for i := range engineCount {
 		s.startEngine(fmt.Sprintf("engine-%d", i+1), weights, i > 0)
 	}
+	s.startDesk()
 	for i := range daemonCount {
 		s.startDaemon(fmt.Sprintf("daemon-%d", i+1), log, weights)
 	}
@@ -139,6 +142,15 @@
 	s.list(name, address, azurehitch.HostRoleBackend)
 }
 
+// startDesk starts a service whose calls take some time.
+func (s *system) startDesk() {
+	address := freeAddress(s.t)
+	s.desk = s.start("desk", "azurehitch-standin", "service", "--name", "desk", "--listen", address, "--run-time", deskRunTime.String())
+	s.desk.address = address
+	s.await("desk", func() bool { return listens(address) })
+	s.list("desk", address, azurehitch.HostRoleBackend)
+}
+
 func (s *system) startDaemon(name, log, weights string) {
 	address, peer, admin := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
 	p := s.start(name, "azurehitch", "serve", "--name", name, "--listen", address, "--peer-listen", peer,
@@ -173,7 +185,15 @@
 		})
 		routes.Routes = append(routes.Routes, tables.Route{Name: name, Callers: []string{"salon"}, Pool: "language", Model: name, Versions: []string{"1"}})
 	}
-	s.publishTables(routes, tables.PoolTable{Pools: []tables.Pool{pool}})
+	routes.Routes = append(routes.Routes, tables.Route{Name: "booking", Callers: []string{"salon"}, Pool: "booking", PathPrefix: "/booking"})
+	s.publishTables(routes, tables.PoolTable{Pools: []tables.Pool{pool, s.deskPool()}})
+}
+
+func (s *system) deskPool() tables.Pool {
+	return tables.Pool{
+		Name: "booking", Kind: tables.PoolKindService, ConcurrentRequests: 30, QueueLimit: 100,
+		BackendServers: []tables.BackendServer{{Name: "desk", Address: s.desk.address, FailureDomain: "reduit"}},
+	}
 }
 
 func models() []string { return []string{"care-note", "follow-up", "reaction-check"} }
@@ -293,3 +313,37 @@
 	<-done
 	s.assertLimits()
 }
+
+// TestProveKilledDuringCall kills a daemon while a call that may not be repeated is
+// under way. Its caller tries again with the key at the other daemons: the call is
+// run once, and nobody is told that it was not run.
+func TestProveKilledDuringCall(t *testing.T) {
+	s := startSystem(t)
+	const key = "reminder-1"
+	remind := func(daemon *process) (fleet.Answer, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), upTimeout)
+		defer cancel()
+		return fleet.Send(ctx, daemon.address, fleet.Request{
+			Method: http.MethodPost, Path: "/booking/reminders", Key: fleet.PaidKey,
+			Headers: map[string]string{"Idempotency-Key": key, "Azurehitch-Timeout": "5s"},
+		})
+	}
+	victim := s.daemons[0]
+	time.AfterFunc(deskRunTime/2, func() { victim.signal(t, syscall.SIGKILL) })
+	if answer, err := remind(victim); err == nil {
+		t.Fatalf("a killed daemon answered with status %d: %s", answer.Status, answer.Body)
+	}
+	for _, d := range s.daemons[1:] {
+		answer, err := remind(d)
+		if err != nil || answer.Status != http.StatusConflict || answer.Header.Get("Azurehitch-Run") != "Unknown" {
+			t.Errorf("%s: %v, status %d: %s", d.name, err, answer.Status, answer.Body)
+		}
+	}
+	var runs map[string]int
+	if err := jsonhttp.NewClient(s.desk.address, "test").Call(context.Background(), http.MethodGet, "/v1/journal", nil, &runs); err != nil {
+		t.Fatal(err)
+	}
+	if runs[key] != 1 {
+		t.Errorf("the call was run %d times", runs[key])
+	}
+}
