A refusal reaches a caller that is still sending

The daemon refused the body by its length and closed the connection while the body was coming; the operating system then resets the connection, and a client that is still writing loses the refusal. This is a fault towards callers, not of the test.

Ruled out: the client of the test (any client that writes first is hit); reading the whole body before the refusal (an unbounded cost).

A directed test reads the first byte of the refusal, sends the whole body, and reads the rest.

Conclusion: mended at its cause; both tests stay as strict as they were.

--- a/internal/daemon/serve/bounds_test.go
+++ b/internal/daemon/serve/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -73,3 +74,30 @@
 		c.Assert(err, qt.IsNil)
 	})
 }
+
+// TestRefusedWhileSending sends a body that is too large and reads the answer only
+// after the whole body: the refusal must still be there.
+func TestRefusedWhileSending(t *testing.T) {
+	const bodyBytes = 1 << 20
+	options := defaultOptions()
+	options.Daemons = 1
+	options.Settings = func(s *settings.Settings) { s.MaxBodyBytes = bodyBytes - 1 }
+	withFleet(t, options, func(_ context.Context, c *qt.C, f *fleet.Fleet) {
+		conn, err := net.Dial("tcp", f.Daemons[0].Addresses().Callers)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		c.Assert(conn.SetDeadline(time.Now().Add(testTimeout)), qt.IsNil)
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+		c.Assert(err, qt.IsNil)
+		first := make([]byte, 1)
+		_, err = io.ReadFull(conn, first)
+		c.Assert(err, qt.IsNil)
+		for range 16 {
+			_, err = conn.Write(make([]byte, bodyBytes/16))
+			c.Assert(err, qt.IsNil)
+		}
+		rest, err := io.ReadAll(conn)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(first)+string(rest), qt.Matches, `(?s)HTTP/1.1 400 .*"code":"invalid_request".*"run":"NotRun".*`)
+	})
+}
--- a/internal/forward/caller/refusal.go
+++ b/internal/forward/caller/refusal.go
@@ -10,6 +10,7 @@
 	"azurehitch"
 	"azurehitch/internal/forward/backend"
 	"azurehitch/internal/proof/sabotage"
+	"azurehitch/internal/transport/lingerconn"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -116,7 +117,8 @@
 	}
 }
 
-// handleProtocolError answers what is not a proper HTTP request.
+// handleProtocolError answers what is not a proper HTTP request. The rest of the
+// request may still be coming, so the connection lingers.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	refused := azurehitch.Refuse(azurehitch.CodeInvalidRequest, "%v", err)
 	var tooLarge *fasthttp.ErrSmallBuffer
@@ -128,4 +130,5 @@
 	}
 	writeRefusal(ctx, refused)
 	ctx.SetConnectionClose()
+	lingerconn.Linger(ctx.Conn())
 }
--- a/internal/forward/caller/server.go
+++ b/internal/forward/caller/server.go
@@ -32,6 +32,7 @@
 	"azurehitch/internal/placement/directory"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
+	"azurehitch/internal/transport/lingerconn"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -39,6 +40,10 @@
 	"golang.org/x/time/rate"
 )
 
+// maxLinger bounds how long the rest of a refused request is read, so that the
+// caller gets the refusal.
+const maxLinger = 2 * time.Second
+
 // Settings are the bounds towards callers.
 type Settings struct {
 	// FailureDomain is that of this daemon.
@@ -142,6 +147,10 @@
 
 // Serve accepts callers until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	listener = lingerconn.Listen(listener, s.Clock, lingerconn.Limits{
+		Bytes: int64(s.settings.MaxBodyBytes),
+		Time:  min(s.settings.ReadTimeout, maxLinger),
+	})
 	return errors.Wrap(s.http.Serve(listener), "serve callers")
 }
 
