--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -70,6 +70,7 @@
 prove FrozenHolderTokenIgnored points SkipIntent SkipAdoption
 prove UnreachedServer points SkipUnreachedCount
 prove LoweredLimit points SkipLowering
+prove RemovedServer points SkipRetired
 prove MemoryLimit points SkipMemoryBooking
 specify SpecificationTokenChecked 1
 specify SpecificationTokenIgnored 0
--- a/cmd/azurehitch/cmds/operate.go
+++ b/cmd/azurehitch/cmds/operate.go
@@ -202,15 +202,15 @@
 
 func writePools(w io.Writer, statuses []operator.PoolStatus) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "POOL\tHOLDER\tTOKEN\tRUNNING\tWAITING\tSERVER\tREACHED\tLEAVING\tMEMORY\tREPLICAS")
+	fmt.Fprintln(table, "POOL\tHOLDER\tTOKEN\tRUNNING\tWAITING\tSERVER\tREACHED\tLEAVING\tRETIRED\tMEMORY\tREPLICAS")
 	for _, s := range statuses {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t\t\t\t\t\n", s.Name, s.Holder, s.Token, s.Running, s.Waiting)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t\t\t\t\t\t\n", s.Name, s.Holder, s.Token, s.Running, s.Waiting)
 		if s.Held == nil {
 			continue
 		}
 		for _, server := range s.Held.Servers {
-			fmt.Fprintf(table, "\t\t\t\t\t%s\t%t\t%t\t%v/%v\t%s\n", server.Name, server.Reached, server.Leaving,
-				server.MemoryInUse, server.Memory, replicasText(server.Replicas))
+			fmt.Fprintf(table, "\t\t\t\t\t%s\t%t\t%t\t%t\t%v/%v\t%s\n", server.Name, server.Reached, server.Leaving,
+				server.Retired, server.MemoryInUse, server.Memory, replicasText(server.Replicas))
 		}
 	}
 	return table.Flush()
--- a/internal/admin/operator/api.go
+++ b/internal/admin/operator/api.go
@@ -20,9 +20,10 @@
 // Publication is a new version of the two tables.
 type Publication struct {
 	// Base is the version that it was edited from.
-	Base   int64
-	Routes json.RawMessage
-	Pools  json.RawMessage
+	Base int64
+	// Routes and Pools are the new tables. One that is left out stays as it is.
+	Routes json.RawMessage `json:",omitempty"`
+	Pools  json.RawMessage `json:",omitempty"`
 	Author string
 }
 
@@ -50,8 +51,10 @@
 
 // The failure codes.
 const (
-	FailureInvalidTables  FailureCode = "InvalidTables"
-	FailureConflict       FailureCode = "Conflict"
+	FailureInvalidTables FailureCode = "InvalidTables"
+	FailureConflict      FailureCode = "Conflict"
+	// FailureUnreadable means that this release can't read the tables in force.
+	FailureUnreadable     FailureCode = "Unreadable"
 	FailureLogUnavailable FailureCode = "LogUnavailable"
 	// FailureUnsettled means that the publication may or may not be on the log:
 	// show the configuration to see.
@@ -122,9 +125,11 @@
 
 // ServerStatus is a backend server as the holder counts it.
 type ServerStatus struct {
-	Name        string
-	Reached     bool
-	Leaving     bool
+	Name    string
+	Reached bool
+	Leaving bool
+	// Retired means that the table no longer names the server, which still counts.
+	Retired     bool
 	Memory      azurehitch.ByteSize
 	MemoryInUse azurehitch.ByteSize
 	Replicas    []Replica
--- a/internal/admin/operator/conversions.go
+++ b/internal/admin/operator/conversions.go
@@ -52,7 +52,7 @@
 
 func serverFrom(u planner.Usage) ServerStatus {
 	server := ServerStatus{
-		Name: u.Server, Reached: u.Reached, Leaving: u.Leaving, Memory: u.Memory, MemoryInUse: u.MemoryInUse,
+		Name: u.Server, Reached: u.Reached, Leaving: u.Leaving, Retired: u.Retired, Memory: u.Memory, MemoryInUse: u.MemoryInUse,
 		Replicas: []Replica{},
 	}
 	for _, p := range u.Placements {
--- a/internal/admin/operator/handler.go
+++ b/internal/admin/operator/handler.go
@@ -1,10 +1,13 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -115,45 +118,87 @@
 	}
 }
 
-// readPublication reads and checks the tables of a request. It answers and
-// returns false when they are refused.
-func (d Dependencies) readPublication(ctx *fasthttp.RequestCtx) (Publication, bool) {
+// readPublication reads the tables of a request and checks them against those that
+// they were edited from. It answers and returns false when they are refused.
+func (d Dependencies) readPublication(ctx *fasthttp.RequestCtx, baseOf func(Publication) int64) (configlog.Publication, bool) {
 	var p Publication
 	if !jsonhttp.Read(ctx, &p) {
-		return p, false
+		return configlog.Publication{}, false
 	}
-	current := d.Store.Published()
-	if p.Routes == nil {
-		p.Routes = current.Publication.Routes
+	p.Base = baseOf(p)
+	limited, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	publication, err := d.edit(limited, p)
+	if err != nil {
+		failEdit(ctx, err)
+		return configlog.Publication{}, false
+	}
+	return publication, true
+}
+
+// edit returns the publication that a request asks for. A table that it leaves out
+// is that of its base.
+func (d Dependencies) edit(ctx context.Context, p Publication) (configlog.Publication, error) {
+	base, err := d.Store.PublishedFrom(ctx, p.Base)
+	if err != nil {
+		return configlog.Publication{}, err
 	}
-	if p.Pools == nil {
-		p.Pools = current.Publication.Pools
+	if isLeftOut(p.Routes) {
+		p.Routes = base.Publication.Routes
 	}
-	_, err := tables.Parse(p.Routes, p.Pools)
+	if isLeftOut(p.Pools) {
+		p.Pools = base.Publication.Pools
+	}
+	if _, err := tables.Parse(p.Routes, p.Pools); err != nil {
+		return configlog.Publication{}, err
+	}
+	return base.Edit(p.Routes, p.Pools, p.Author)
+}
+
+// isLeftOut reports whether a request has no such table. The encoder of the client
+// writes a table that is left out as null.
+func isLeftOut(table json.RawMessage) bool { return len(table) == 0 || string(table) == "null" }
+
+func failEdit(ctx *fasthttp.RequestCtx, err error) {
 	var invalid *tables.ErrTables
-	if errors.As(err, &invalid) {
+	var conflict *configlog.ErrConflict
+	var unreadable *configlog.ErrUnreadable
+	switch {
+	case errors.As(err, &invalid):
 		fail(ctx, fasthttp.StatusUnprocessableEntity, Failure{
 			Code: FailureInvalidTables, Reason: "the tables are not valid; nothing was changed", Mistakes: mistakesFrom(invalid),
 		})
-		return p, false
+	case errors.As(err, &conflict):
+		failConflict(ctx, conflict)
+	case errors.As(err, &unreadable):
+		fail(ctx, fasthttp.StatusConflict, Failure{Code: FailureUnreadable, Reason: err.Error(), Current: unreadable.Version})
+	default:
+		fail(ctx, fasthttp.StatusServiceUnavailable, Failure{Code: FailureLogUnavailable, Reason: err.Error()})
 	}
-	return p, true
 }
 
+func failConflict(ctx *fasthttp.RequestCtx, conflict *configlog.ErrConflict) {
+	fail(ctx, fasthttp.StatusConflict, Failure{
+		Code: FailureConflict, Reason: conflict.Error(), Current: conflict.Current, CurrentAuthor: conflict.Author,
+	})
+}
+
+// serveCheck checks tables against those in force, or those of the base if one is
+// named.
 func (d Dependencies) serveCheck(ctx *fasthttp.RequestCtx) {
-	if _, ok := d.readPublication(ctx); ok {
+	inForce := func(p Publication) int64 { return cmp.Or(p.Base, d.Store.Published().Version) }
+	if _, ok := d.readPublication(ctx, inForce); ok {
 		jsonhttp.Write(ctx, fasthttp.StatusOK, struct{ Valid bool }{Valid: true})
 	}
 }
 
 func (d Dependencies) servePublish(ctx *fasthttp.RequestCtx) {
-	p, ok := d.readPublication(ctx)
+	publication, ok := d.readPublication(ctx, func(p Publication) int64 { return p.Base })
 	if !ok {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	publication := configlog.NewPublication(p.Base, p.Routes, p.Pools, p.Author)
 	verdict, err := d.Recorder.Append(limited, control.Record{Publication: &publication})
 	if err != nil {
 		failAppend(ctx, err)
@@ -164,9 +209,7 @@
 	case verdict.Err == nil:
 		jsonhttp.Write(ctx, fasthttp.StatusOK, Published{Version: verdict.Offset})
 	case errors.As(verdict.Err, &conflict):
-		fail(ctx, fasthttp.StatusConflict, Failure{
-			Code: FailureConflict, Reason: conflict.Error(), Current: conflict.Current, CurrentAuthor: conflict.Author,
-		})
+		failConflict(ctx, conflict)
 	default:
 		fail(ctx, fasthttp.StatusInternalServerError, Failure{Code: FailureUnsettled, Reason: verdict.Err.Error()})
 	}
@@ -204,10 +247,25 @@
 		held[status.Pool] = heldFrom(status)
 	}
 	statuses := []PoolStatus{}
-	for _, pool := range d.Store.Configuration().Pools.Pools {
-		status := poolFrom(pool.Name, d.Store.Lease(pool.Name), usage[pool.Name])
-		status.Held = held[pool.Name]
+	for _, name := range d.poolNames() {
+		status := poolFrom(name, d.Store.Lease(name), usage[name])
+		status.Held = held[name]
 		statuses = append(statuses, status)
 	}
 	return statuses
 }
+
+// poolNames returns the pools of the table, and those that it lost and that still
+// have servers.
+func (d Dependencies) poolNames() []string {
+	var names []string
+	for _, pool := range d.Store.Configuration().Pools.Pools {
+		names = append(names, pool.Name)
+	}
+	for _, setting := range d.Store.LeasedPools() {
+		if !slices.Contains(names, setting.Name) {
+			names = append(names, setting.Name)
+		}
+	}
+	return names
+}
--- a/internal/bench/policy/run.go
+++ b/internal/bench/policy/run.go
@@ -126,7 +126,7 @@
 		future:  map[azurehitch.Artifact][]time.Duration{},
 		result:  Result{Scenario: s.Name, Policy: p, Seed: seed, Requests: len(arrivals)},
 	}
-	r.plan = planner.New(s.pool(keepOf(s, p)), nil, r.clock())
+	r.plan = planner.New(planner.Scope{Pool: s.pool(keepOf(s, p))}, nil, r.clock())
 	r.startEngines(rand.New(rand.NewPCG(seed, 1)))
 	for _, a := range arrivals {
 		r.at(a.at, func() { r.arrive(a) })
--- a/internal/configuration/configlog/configlog_test.go
+++ b/internal/configuration/configlog/configlog_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/configuration/tables"
 	_ "azurehitch/internal/proof/fixedseed"
 
 	qt "github.com/frankban/quicktest"
@@ -50,3 +51,59 @@
 		}
 	})
 }
+
+const (
+	twoServers = `{"Pools":[{"Name":"llm","Kind":"Models","BackendServers":[{"Name":"a","Address":"127.0.0.1:1"},{"Name":"b","Address":"127.0.0.1:2"}]}]}`
+	oneServer  = `{"Pools":[{"Name":"llm","Kind":"Models","BackendServers":[{"Name":"a","Address":"127.0.0.1:1"}]}]}`
+	moved      = `{"Pools":[{"Name":"llm","Kind":"Models","BackendServers":[{"Name":"a","Address":"127.0.0.1:1"},{"Name":"b","Address":"127.0.0.1:3"}]}]}`
+)
+
+// edited returns the state after new tables of pools.
+func edited(c *qt.C, s configlog.State, offset int64, pools string) configlog.State {
+	c.Helper()
+	publication, err := s.Edit([]byte(`{}`), []byte(pools), "ana")
+	c.Assert(err, qt.IsNil)
+	next, verdict := s.Apply(offset, publication)
+	c.Assert(verdict, qt.IsNil)
+	return next
+}
+
+func TestRetired(t *testing.T) {
+	c := qt.New(t)
+	full := edited(c, configlog.State{}, 1, twoServers)
+	c.Assert(full.Retired, qt.HasLen, 0)
+	without := edited(c, full, 2, oneServer)
+	key := configlog.RetiredKey{Pool: "llm", Server: "b"}
+	c.Run("a server that is taken out is retired", func(c *qt.C) {
+		c.Assert(without.Retired, qt.HasLen, 1)
+		c.Assert(without.Retired[0].Key(), qt.Equals, key)
+		c.Assert(without.Retired[0].Since, qt.Equals, int64(2))
+		c.Assert(without.RetiredElsewhere("other"), qt.DeepEquals, map[string]bool{"b": true})
+		c.Assert(without.RetiredElsewhere("llm"), qt.HasLen, 0)
+	})
+	c.Run("it stays so in later versions", func(c *qt.C) {
+		c.Assert(edited(c, without, 3, oneServer).Retired, qt.DeepEquals, without.Retired)
+	})
+	c.Run("it ends when the server is empty", func(c *qt.C) {
+		next, meant := without.Empty(configlog.Emptied{RetiredKey: key, Since: 2})
+		c.Assert(meant, qt.IsTrue)
+		c.Assert(next.Retired, qt.HasLen, 0)
+		c.Assert(without.Retired, qt.HasLen, 1)
+	})
+	c.Run("a record about an earlier retirement does not count", func(c *qt.C) {
+		again := edited(c, edited(c, without, 3, twoServers), 4, oneServer)
+		c.Assert(again.Retired, qt.HasLen, 1)
+		_, meant := again.Empty(configlog.Emptied{RetiredKey: key, Since: 2})
+		c.Assert(meant, qt.IsFalse)
+	})
+	c.Run("a server keeps its address while it may hold replicas", func(c *qt.C) {
+		for _, state := range []configlog.State{full, without} {
+			_, err := state.Edit([]byte(`{}`), []byte(moved), "ana")
+			var mistakes *tables.ErrTables
+			c.Assert(errors.As(err, &mistakes), qt.IsTrue)
+			c.Assert(mistakes.Mistakes[0].Place, qt.Equals, "Pools.Pools[0].BackendServers[1].Address")
+		}
+		emptied, _ := without.Empty(configlog.Emptied{RetiredKey: key, Since: 2})
+		c.Assert(edited(c, emptied, 5, moved).Retired, qt.HasLen, 0)
+	})
+}
--- a/internal/configuration/configlog/fold.go
+++ b/internal/configuration/configlog/fold.go
@@ -29,7 +29,11 @@
 	Routes []byte
 	Pools  []byte
 	Author string
-	Digest uint64
+	// Retired are the servers that it takes out of their pools, and Restored those
+	// that it puts back.
+	Retired  []Retired
+	Restored []RetiredKey
+	Digest   uint64
 }
 
 // NewPublication returns a publication with its digest.
@@ -39,12 +43,23 @@
 	return p
 }
 
+// WithBase returns a copy that names another version as the one it was edited from.
+func (p Publication) WithBase(version int64) Publication {
+	p.Base = version
+	p.Digest = p.digest()
+	return p
+}
+
 func (p Publication) digest() uint64 {
 	hash := xxhash.New()
 	fmt.Fprintf(hash, "%d %q %d %d ", p.Base, p.Author, len(p.Routes), len(p.Pools))
 	// Writes to a hash do not fail.
 	_, _ = hash.Write(p.Routes)
 	_, _ = hash.Write(p.Pools)
+	for _, r := range p.Retired {
+		fmt.Fprintf(hash, "%+v", r.WithSince(0))
+	}
+	fmt.Fprintf(hash, "%+v", p.Restored)
 	return hash.Sum64()
 }
 
@@ -75,6 +90,9 @@
 	// Version is the offset of the publication in force; 0 is none.
 	Version     int64
 	Publication Publication
+	// Retired are the servers that were taken out of their pools and may still hold
+	// what was loaded there.
+	Retired []Retired
 }
 
 // Apply returns the state after a publication, and the verdict: nil if it came
@@ -86,7 +104,7 @@
 	if p.Base != s.Version && !sabotage.Active(sabotage.SkipBaseCheck) {
 		return s, &ErrConflict{Base: p.Base, Current: s.Version, Author: s.Publication.Author}
 	}
-	return State{Version: offset, Publication: p}, nil
+	return State{Version: offset, Publication: p, Retired: s.retiredAfter(offset, p)}, nil
 }
 
 // Configuration returns the parsed tables.
--- /dev/null
+++ b/internal/configuration/configlog/retired.go
@@ -0,0 +1,182 @@
+package configlog
+
+import (
+	"fmt"
+	"slices"
+
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/proof/sabotage"
+
+	"github.com/pkg/errors"
+)
+
+// RetiredKey names a retired server.
+type RetiredKey struct {
+	Pool   string
+	Server string
+}
+
+// Retired is a backend server that a publication took out of a pool. What was
+// loaded there counts for the pool until its holder has seen the server empty.
+type Retired struct {
+	Pool   string
+	Server tables.BackendServer
+	// Since is the version that took it out.
+	Since int64
+}
+
+// Key returns the name of the retired server.
+func (r Retired) Key() RetiredKey { return RetiredKey{Pool: r.Pool, Server: r.Server.Name} }
+
+// WithSince returns a copy with the version that took the server out.
+func (r Retired) WithSince(version int64) Retired {
+	r.Since = version
+	return r
+}
+
+// Emptied says that a retired server holds nothing of its pool any more. Only the
+// holder of the pool can know.
+type Emptied struct {
+	RetiredKey
+	Token int64
+	// Since is the version that took the server out. A server that was put back and
+	// taken out again since is not meant.
+	Since int64
+}
+
+// ErrUnreadable says that this release can't read the tables in force, and so
+// can't tell what a publication changes.
+type ErrUnreadable struct {
+	Version int64
+	Cause   error
+}
+
+// Error implements error.
+func (e *ErrUnreadable) Error() string {
+	return fmt.Sprintf("this release can't read the tables of version %d: %v", e.Version, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrUnreadable) Unwrap() error { return e.Cause }
+
+// Edit returns the publication of new tables that were edited from a state, with
+// the servers that it takes out of their pools. A *tables.ErrTables says that a
+// server changes its address while it may hold replicas.
+func (s State) Edit(routes, pools []byte, author string) (Publication, error) {
+	before, err := s.Configuration()
+	if err != nil {
+		return Publication{}, &ErrUnreadable{Version: s.Version, Cause: err}
+	}
+	after, err := tables.ParseLenient(routes, pools)
+	if err != nil {
+		return Publication{}, errors.Wrap(err, "new tables")
+	}
+	if err := s.checkAddresses(before, after); err != nil {
+		return Publication{}, err
+	}
+	p := Publication{Base: s.Version, Routes: routes, Pools: pools, Author: author}
+	for _, r := range modelServers(before) {
+		if _, stays := find(after, r.Key()); !stays {
+			p.Retired = append(p.Retired, r)
+		}
+	}
+	for _, r := range s.Retired {
+		if _, back := find(after, r.Key()); back {
+			p.Restored = append(p.Restored, r.Key())
+		}
+	}
+	p.Digest = p.digest()
+	return p, nil
+}
+
+// checkAddresses refuses a new address under the name of a server that may hold
+// replicas at its old one.
+func (s State) checkAddresses(before, after tables.Configuration) error {
+	addresses := map[string]string{}
+	for _, r := range append(modelServers(before), s.Retired...) {
+		addresses[r.Server.Name] = r.Server.Address
+	}
+	var mistakes []tables.Mistake
+	for i, pool := range after.Pools.Pools {
+		for j, server := range pool.BackendServers {
+			if old, known := addresses[server.Name]; known && old != server.Address {
+				mistakes = append(mistakes, tables.Mistake{
+					Place:  fmt.Sprintf("Pools.Pools[%d].BackendServers[%d].Address", i, j),
+					Reason: fmt.Sprintf("server %q is at %s: take it out and wait until it is empty, or use another name", server.Name, old),
+				})
+			}
+		}
+	}
+	if len(mistakes) > 0 {
+		return &tables.ErrTables{Mistakes: mistakes}
+	}
+	return nil
+}
+
+// modelServers returns the servers of all pools of models.
+func modelServers(c tables.Configuration) []Retired {
+	var servers []Retired
+	for _, pool := range c.Pools.Pools {
+		if pool.Kind != tables.PoolKindModels {
+			continue
+		}
+		for _, server := range pool.BackendServers {
+			servers = append(servers, Retired{Pool: pool.Name, Server: server})
+		}
+	}
+	return servers
+}
+
+func find(c tables.Configuration, key RetiredKey) (tables.BackendServer, bool) {
+	pool, ok := c.Pools.Pool(key.Pool)
+	if !ok || pool.Kind != tables.PoolKindModels {
+		return tables.BackendServer{}, false
+	}
+	return pool.Server(key.Server)
+}
+
+// retiredAfter returns the retired servers after a publication at an offset.
+func (s State) retiredAfter(offset int64, p Publication) []Retired {
+	if sabotage.Active(sabotage.SkipRetired) {
+		return nil
+	}
+	var retired []Retired
+	for _, r := range s.Retired {
+		if !slices.Contains(p.Restored, r.Key()) {
+			retired = append(retired, r)
+		}
+	}
+	for _, r := range p.Retired {
+		retired = append(retired, r.WithSince(offset))
+	}
+	return retired
+}
+
+// Empty returns the state after a retired server was found empty, and whether the
+// record still meant one.
+func (s State) Empty(emptied Emptied) (State, bool) {
+	i := slices.IndexFunc(s.Retired, func(r Retired) bool { return r.Key() == emptied.RetiredKey && r.Since == emptied.Since })
+	if i < 0 {
+		return s, false
+	}
+	s.Retired = slices.Delete(slices.Clone(s.Retired), i, i+1)
+	return s, true
+}
+
+// PoolRetired returns the retired servers of one pool that its table does not name
+// again.
+func (s State) PoolRetired(pool string) []Retired {
+	return slices.DeleteFunc(slices.Clone(s.Retired), func(r Retired) bool { return r.Pool != pool })
+}
+
+// RetiredElsewhere returns the names of servers that other pools have not yet
+// given up.
+func (s State) RetiredElsewhere(pool string) map[string]bool {
+	names := map[string]bool{}
+	for _, r := range s.Retired {
+		if r.Pool != pool {
+			names[r.Server.Name] = true
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/daemon/serve/publish_test.go
@@ -0,0 +1,112 @@
+package serve_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"azurehitch/internal/admin/operator"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/standin/fault"
+	"azurehitch/internal/standin/fleet"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+func publishPools(ctx context.Context, c *qt.C, f *fleet.Fleet, daemon int, base int64, pools tables.PoolTable) (int64, error) {
+	text, err := json.Marshal(pools)
+	c.Assert(err, qt.IsNil)
+	published, err := f.Daemons[daemon].Admin.Publish(ctx, operator.Publication{Base: base, Pools: text, Author: "ana"})
+	return published.Version, err
+}
+
+// TestPublishAtLaggingDaemon publishes the table of pools alone, through a daemon
+// that has not yet read the version that it was edited from. The routes of that
+// version must stay.
+func TestPublishAtLaggingDaemon(t *testing.T) {
+	withFleet(t, defaultOptions(), func(ctx context.Context, c *qt.C, f *fleet.Fleet) {
+		first, err := f.Publish(ctx, 0, 1)
+		c.Assert(err, qt.IsNil)
+		f.LogFault.Replace(fault.Fault{Kind: fault.KindFreeze, Method: http.MethodGet, Caller: "daemon-2"})
+		// The read that is under way brings this one; the next read is held back.
+		second, err := f.Publish(ctx, 0, first)
+		c.Assert(err, qt.IsNil)
+		f.Routes.Routes = f.Routes.Routes[:1]
+		third, err := f.Publish(ctx, 0, second)
+		c.Assert(err, qt.IsNil)
+		var group errgroup.Group
+		group.Go(func() error {
+			_, err := publishPools(ctx, c, f, 1, third, f.Pools)
+			return err
+		})
+		time.Sleep(200 * time.Millisecond)
+		f.LogFault.Replace()
+		c.Assert(group.Wait(), qt.IsNil)
+		shown, err := f.Daemons[1].Admin.Tables(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Assert(shown.Version > third, qt.IsTrue)
+		var routes tables.RouteTable
+		c.Assert(json.Unmarshal(shown.Routes, &routes), qt.IsNil)
+		c.Assert(routes, qt.DeepEquals, f.Routes)
+	})
+}
+
+// TestPublishConflict publishes from a version that is no longer in force.
+func TestPublishConflict(t *testing.T) {
+	withFleet(t, defaultOptions(), func(ctx context.Context, c *qt.C, f *fleet.Fleet) {
+		current, err := f.Publish(ctx, 0, 1)
+		c.Assert(err, qt.IsNil)
+		_, err = publishPools(ctx, c, f, 0, 1, f.Pools)
+		var failed *operator.ErrFailure
+		c.Assert(errors.As(err, &failed), qt.IsTrue)
+		c.Assert(failed.Code, qt.Equals, operator.FailureConflict)
+		c.Assert(failed.Current, qt.Equals, current)
+		c.Assert(failed.CurrentAuthor, qt.Equals, "fleet")
+	})
+}
+
+// TestMoveServer moves a server to another pool while it holds a model: the new
+// pool loads there only after the old one has given it up, and both are served.
+func TestMoveServer(t *testing.T) {
+	withFleet(t, defaultOptions(), func(ctx context.Context, c *qt.C, f *fleet.Fleet) {
+		answer, err := f.Chat(ctx, 0, fleet.PaidKey, `{"model":"care-note"}`)
+		c.Assert(err, qt.IsNil)
+		assertStatus(c, answer, http.StatusOK)
+		moved := movedServer(f, answer.Header.Get("Azurehitch-Backend-Server"))
+		_, err = f.Publish(ctx, 0, 1)
+		c.Assert(err, qt.IsNil)
+		answer, err = f.Chat(ctx, 0, fleet.PaidKey, `{"model":"follow-up"}`)
+		c.Assert(err, qt.IsNil)
+		assertStatus(c, answer, http.StatusOK)
+		c.Assert(answer.Header.Get("Azurehitch-Backend-Server"), qt.Equals, moved)
+		answer, err = f.Chat(ctx, 0, fleet.PaidKey, `{"model":"care-note"}`)
+		c.Assert(err, qt.IsNil)
+		assertStatus(c, answer, http.StatusOK)
+		c.Assert(answer.Header.Get("Azurehitch-Backend-Server"), qt.Not(qt.Equals), moved)
+	})
+}
+
+// movedServer changes the tables of the fleet: a server and the model follow-up go
+// to a pool of their own.
+func movedServer(f *fleet.Fleet, name string) string {
+	language := f.Pools.Pools[0]
+	second := language
+	second.Name = "second"
+	second.Models = language.Models[1:]
+	language.Models = language.Models[:1]
+	language.BackendServers, second.BackendServers = nil, nil
+	for _, server := range f.Pools.Pools[0].BackendServers {
+		if server.Name == name {
+			second.BackendServers = append(second.BackendServers, server)
+			continue
+		}
+		language.BackendServers = append(language.BackendServers, server)
+	}
+	f.Pools.Pools = append([]tables.Pool{language, second}, f.Pools.Pools[1:]...)
+	f.Routes.Routes[1].Pool = "second"
+	return name
+}
--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -92,13 +92,7 @@
 
 func (d *Daemon) environment() leaselog.Environment {
 	members := d.watch.Members()
-	environment := leaselog.Environment{Daemons: members.Daemons, Draining: d.isDraining()}
-	for _, pool := range d.store.Configuration().Pools.Pools {
-		if pool.Kind == tables.PoolKindModels {
-			environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: pool.Name, Duration: pool.LeaseDuration.Std()})
-		}
-	}
-	return environment
+	return leaselog.Environment{Pools: d.store.LeasedPools(), Daemons: members.Daemons, Draining: d.isDraining()}
 }
 
 // runGauges keeps the gauges and the log line of the configuration in force.
--- a/internal/lease/leaselog/leaselog_test.go
+++ b/internal/lease/leaselog/leaselog_test.go
@@ -200,3 +200,18 @@
 	// The share of 9 pools among 3 daemons is 3, bounded at 4.
 	c.Assert(released, qt.Equals, pools-4)
 }
+
+// TestUnneededPool drops a pool from the table while this daemon holds it.
+func TestUnneededPool(t *testing.T) {
+	c := qt.New(t)
+	fold := leaselog.NewFold()
+	fold.Claim(7, daemon("a"), leaselog.Claim{Pool: "llm", Duration: duration})
+	now := time.Unix(1000, 0)
+	m := leaselog.NewManager(daemon("a"), fold, now)
+	environment := leaselog.Environment{Daemons: []string{"a"}}
+	released := leaselog.Action{Release: &leaselog.Release{Pool: "llm", Token: 7}}
+	c.Assert(m.Decide(now, environment), qt.DeepEquals, []leaselog.Action{{Renew: true}, released})
+	c.Assert(m.Decide(now, environment), qt.HasLen, 0)
+	c.Assert(m.OnRelease(8, daemon("a"), *released.Release, now), qt.IsTrue)
+	c.Assert(m.Decide(now.Add(time.Hour), environment), qt.HasLen, 0)
+}
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -55,6 +55,8 @@
 	validFrom   map[string]time.Time
 	lastRenewal time.Time
 	lastClaim   map[string]time.Time
+	// lastRelease is when the release of a pool that needs no holder was last tried.
+	lastRelease map[string]time.Time
 	// lastRebalance is when a pool was last given away, or the daemon was last
 	// within its share.
 	lastRebalance time.Time
@@ -64,12 +66,13 @@
 // count as read now.
 func NewManager(self Holder, fold *Fold, now time.Time) *Manager {
 	m := &Manager{
-		self:      self,
-		fold:      fold,
-		seenAt:    map[string]time.Time{},
-		sentAt:    map[int64]time.Time{},
-		validFrom: map[string]time.Time{},
-		lastClaim: map[string]time.Time{},
+		self:        self,
+		fold:        fold,
+		seenAt:      map[string]time.Time{},
+		sentAt:      map[int64]time.Time{},
+		validFrom:   map[string]time.Time{},
+		lastClaim:   map[string]time.Time{},
+		lastRelease: map[string]time.Time{},
 	}
 	for _, lease := range fold.Leases() {
 		m.seenAt[lease.Pool] = now
@@ -154,6 +157,7 @@
 	if release := m.rebalance(now, environment); release != nil {
 		actions = append(actions, Action{Release: release})
 	}
+	actions = append(actions, m.releaseUnneeded(now, environment)...)
 	for _, pool := range environment.Pools {
 		if claim := m.claimDue(now, pool, environment); claim != nil {
 			m.lastClaim[pool.Name] = now
@@ -183,6 +187,19 @@
 	return nil
 }
 
+// releaseUnneeded returns the releases of pools that need no holder any more.
+func (m *Manager) releaseUnneeded(now time.Time, environment Environment) []Action {
+	var actions []Action
+	for _, lease := range m.fold.Leases() {
+		needed := slices.ContainsFunc(environment.Pools, func(p PoolSetting) bool { return p.Name == lease.Pool })
+		if lease.Holder == m.self && !needed && now.Sub(m.lastRelease[lease.Pool]) >= claimRetry {
+			m.lastRelease[lease.Pool] = now
+			actions = append(actions, Action{Release: &Release{Pool: lease.Pool, Token: lease.Token}})
+		}
+	}
+	return actions
+}
+
 // Releases returns the records that give back all leases of this daemon.
 func (m *Manager) Releases() []Action {
 	var actions []Action
--- a/internal/membership/hostwatch/hostwatch.go
+++ b/internal/membership/hostwatch/hostwatch.go
@@ -45,7 +45,8 @@
 	return address, ok
 }
 
-// Backends returns the state of each listed backend server.
+// Backends returns the state of each listed backend server; nil before the list was
+// first read.
 func (m *Members) Backends() map[string]azurehitch.HostState { return m.backends }
 
 // Rank returns the position of a daemon among the live ones; -1 if it is none.
@@ -63,7 +64,9 @@
 // New returns a watch of the daemon with a name.
 func New(list azurehitch.HostList, clock azurehitch.Clock, observer Observer, self string) *Watch {
 	w := &Watch{list: list, clock: clock, observer: observer, self: self}
-	w.members.Store(newMembers(nil, self))
+	unread := newMembers(nil, self)
+	unread.backends = nil
+	w.members.Store(unread)
 	return w
 }
 
--- a/internal/oplog/control/conversions.go
+++ b/internal/oplog/control/conversions.go
@@ -5,6 +5,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/oplog/recordpb"
 
@@ -30,6 +31,8 @@
 		message.Kind = &recordpb.Record_Intent{Intent: intentToProto(*r.Intent)}
 	case r.Resolution != nil:
 		message.Kind = &recordpb.Record_Resolution{Resolution: &recordpb.Resolution{Pool: r.Resolution.Pool, Intent: r.Resolution.Intent}}
+	case r.Emptied != nil:
+		message.Kind = &recordpb.Record_Emptied{Emptied: emptiedToProto(*r.Emptied)}
 	case r.Snapshot != nil:
 		message.Kind = &recordpb.Record_Snapshot{Snapshot: snapshotToProto(*r.Snapshot)}
 	default:
@@ -62,6 +65,9 @@
 		r.Intent = &intent
 	case *recordpb.Record_Resolution:
 		r.Resolution = &leaselog.Resolution{Pool: kind.Resolution.Pool, Intent: kind.Resolution.Intent}
+	case *recordpb.Record_Emptied:
+		emptied := emptiedFromProto(kind.Emptied)
+		r.Emptied = &emptied
 	case *recordpb.Record_Snapshot:
 		snapshot := snapshotFromProto(kind.Snapshot)
 		r.Snapshot = &snapshot
@@ -83,12 +89,58 @@
 }
 
 func publicationToProto(p configlog.Publication) *recordpb.Publication {
-	return &recordpb.Publication{Base: p.Base, Routes: p.Routes, Pools: p.Pools, Author: p.Author, Digest: p.Digest}
+	message := &recordpb.Publication{
+		Base: p.Base, Routes: p.Routes, Pools: p.Pools, Author: p.Author, Digest: p.Digest, Retired: retiredToProto(p.Retired),
+	}
+	for _, key := range p.Restored {
+		message.Restored = append(message.Restored, &recordpb.RestoredServer{Pool: key.Pool, Server: key.Server})
+	}
+	return message
 }
 
 func publicationFromProto(p *recordpb.Publication) configlog.Publication {
-	return configlog.Publication{
+	publication := configlog.Publication{
 		Base: p.GetBase(), Routes: p.GetRoutes(), Pools: p.GetPools(), Author: p.GetAuthor(), Digest: p.GetDigest(),
+		Retired: retiredFromProto(p.GetRetired()),
+	}
+	for _, key := range p.GetRestored() {
+		publication.Restored = append(publication.Restored, configlog.RetiredKey{Pool: key.GetPool(), Server: key.GetServer()})
+	}
+	return publication
+}
+
+func retiredToProto(servers []configlog.Retired) []*recordpb.RetiredServer {
+	var messages []*recordpb.RetiredServer
+	for _, r := range servers {
+		messages = append(messages, &recordpb.RetiredServer{
+			Pool: r.Pool, Server: r.Server.Name, Address: r.Server.Address, FailureDomain: r.Server.FailureDomain,
+			FencingToken: string(r.Server.FencingToken), AcceleratorMemory: int64(r.Server.AcceleratorMemory), Since: r.Since,
+		})
+	}
+	return messages
+}
+
+func retiredFromProto(messages []*recordpb.RetiredServer) []configlog.Retired {
+	var servers []configlog.Retired
+	for _, m := range messages {
+		servers = append(servers, configlog.Retired{
+			Pool: m.GetPool(), Since: m.GetSince(),
+			Server: tables.BackendServer{
+				Name: m.GetServer(), Address: m.GetAddress(), FailureDomain: m.GetFailureDomain(),
+				FencingToken: tables.TokenCheck(m.GetFencingToken()), AcceleratorMemory: azurehitch.ByteSize(m.GetAcceleratorMemory()),
+			},
+		})
+	}
+	return servers
+}
+
+func emptiedToProto(e configlog.Emptied) *recordpb.Emptied {
+	return &recordpb.Emptied{Pool: e.Pool, Server: e.Server, Token: e.Token, Since: e.Since}
+}
+
+func emptiedFromProto(m *recordpb.Emptied) configlog.Emptied {
+	return configlog.Emptied{
+		RetiredKey: configlog.RetiredKey{Pool: m.GetPool(), Server: m.GetServer()}, Token: m.GetToken(), Since: m.GetSince(),
 	}
 }
 
@@ -112,6 +164,7 @@
 		FoldedTo:             s.FoldedTo,
 		ConfigurationVersion: s.Configuration.Version,
 		Configuration:        publicationToProto(s.Configuration.Publication),
+		Retired:              retiredToProto(s.Configuration.Retired),
 	}
 	for _, l := range s.Leases {
 		message.Leases = append(message.Leases, &recordpb.PoolLease{
@@ -126,8 +179,11 @@
 
 func snapshotFromProto(s *recordpb.Snapshot) Snapshot {
 	snapshot := Snapshot{
-		FoldedTo:      s.GetFoldedTo(),
-		Configuration: configlog.State{Version: s.GetConfigurationVersion(), Publication: publicationFromProto(s.GetConfiguration())},
+		FoldedTo: s.GetFoldedTo(),
+		Configuration: configlog.State{
+			Version: s.GetConfigurationVersion(), Publication: publicationFromProto(s.GetConfiguration()),
+			Retired: retiredFromProto(s.GetRetired()),
+		},
 	}
 	for _, l := range s.GetLeases() {
 		snapshot.Leases = append(snapshot.Leases, leaselog.Lease{
--- a/internal/oplog/control/record.go
+++ b/internal/oplog/control/record.go
@@ -33,6 +33,7 @@
 	Release     *leaselog.Release
 	Intent      *leaselog.Intent
 	Resolution  *leaselog.Resolution
+	Emptied     *configlog.Emptied
 	Snapshot    *Snapshot
 }
 
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"cmp"
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +27,9 @@
 // its writer saw it.
 var ErrSuperseded = errors.New("the lease has changed")
 
+// removedPoolLease is the lease of a pool that the table lost before anybody held it.
+const removedPoolLease = 10 * time.Second
+
 // Store is the folded state of one daemon. It is safe for concurrent use.
 type Store struct {
 	self  leaselog.Holder
@@ -33,9 +39,12 @@
 	foldedTo      int64
 	state         configlog.State
 	configuration tables.Configuration
-	leases        *leaselog.Manager
-	changed       chan struct{}
-	expectations  *follow.Expectations[Verdict]
+	// scopesChangedAt is the offset of the last record that changed what holders
+	// decide on.
+	scopesChangedAt int64
+	leases          *leaselog.Manager
+	changed         chan struct{}
+	expectations    *follow.Expectations[Verdict]
 	// orphans are open intents of this daemon whose order was never sent.
 	orphans        []leaselog.Resolution
 	lastSnapshot   int64
@@ -95,6 +104,26 @@
 	return s.state
 }
 
+// PublishedFrom returns the publication in force, once this daemon has folded a
+// version. A *configlog.ErrConflict says that a later one is in force.
+func (s *Store) PublishedFrom(ctx context.Context, version int64) (configlog.State, error) {
+	for {
+		changed := s.Changed()
+		state := s.Published()
+		if state.Version == version {
+			return state, nil
+		}
+		if state.Version > version {
+			return state, &configlog.ErrConflict{Base: version, Current: state.Version, Author: state.Publication.Author}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return state, errors.Wrapf(ctx.Err(), "version %d is not known here; version %d is in force", version, state.Version)
+		}
+	}
+}
+
 // Changed returns a channel that is closed at the next change.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -123,6 +152,53 @@
 	return s.leases.Fold().PoolIntents(pool)
 }
 
+// LeasedPools returns the pools that need a holder: the pools of models, and those
+// that are no longer in the table and have retired servers.
+func (s *Store) LeasedPools() []leaselog.PoolSetting {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var pools []leaselog.PoolSetting
+	for _, pool := range s.configuration.Pools.Pools {
+		if pool.Kind == tables.PoolKindModels {
+			pools = append(pools, leaselog.PoolSetting{Name: pool.Name, Duration: pool.LeaseDuration.Std()})
+		}
+	}
+	for _, r := range s.state.Retired {
+		if slices.ContainsFunc(pools, func(p leaselog.PoolSetting) bool { return p.Name == r.Pool }) {
+			continue
+		}
+		duration := s.leases.Fold().Lease(r.Pool).Duration
+		pools = append(pools, leaselog.PoolSetting{Name: r.Pool, Duration: cmp.Or(duration, removedPoolLease)})
+	}
+	return pools
+}
+
+// PoolScope is what the holder of a pool decides on.
+type PoolScope struct {
+	// ChangedAt is the offset of the last record that changed any scope.
+	ChangedAt int64
+	// Pool is empty but for its name when the table no longer has it.
+	Pool tables.Pool
+	// Retired are the servers that were taken out of the pool.
+	Retired []configlog.Retired
+	// Foreign names the servers that other pools have not yet given up.
+	Foreign map[string]bool
+}
+
+// PoolScope returns what the holder of a pool decides on.
+func (s *Store) PoolScope(name string) PoolScope {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pool, ok := s.configuration.Pools.Pool(name)
+	if !ok || pool.Kind != tables.PoolKindModels {
+		pool = tables.Pool{Name: name, Kind: tables.PoolKindModels}
+	}
+	return PoolScope{
+		ChangedAt: s.scopesChangedAt, Pool: pool,
+		Retired: s.state.PoolRetired(name), Foreign: s.state.RetiredElsewhere(name),
+	}
+}
+
 // Token returns the fencing token with which this daemon holds a pool, and
 // whether the lease is valid now. The token is 0 if it doesn't hold the pool.
 func (s *Store) Token(pool string) (token int64, valid bool) {
@@ -202,6 +278,8 @@
 		return superseded(s.leases.Fold().Intend(offset, r.Writer, *r.Intent))
 	case r.Resolution != nil:
 		s.leases.Fold().Resolve(*r.Resolution)
+	case r.Emptied != nil:
+		return superseded(s.empty(r.Writer, *r.Emptied))
 	case r.Snapshot != nil:
 		s.lastSnapshot, s.lastSnapshotAt = offset, readAt
 	}
@@ -224,8 +302,20 @@
 	return nil
 }
 
+// empty drops a retired server, if the holder of its pool found it empty.
+func (s *Store) empty(writer leaselog.Holder, emptied configlog.Emptied) bool {
+	if lease := s.leases.Fold().Lease(emptied.Pool); lease.Holder != writer || lease.Token != emptied.Token {
+		return false
+	}
+	next, dropped := s.state.Empty(emptied)
+	s.state = next
+	s.scopesChangedAt = s.foldedTo
+	return dropped
+}
+
 func (s *Store) setConfiguration(state configlog.State) {
 	s.state = state
+	s.scopesChangedAt = s.foldedTo
 	configuration, err := state.Configuration()
 	if err != nil {
 		// The version counts as in force; this release can't read its tables.
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -60,7 +60,8 @@
 	Engines  azurehitch.EngineDialer
 	Clock    azurehitch.Clock
 	Counters Counters
-	// Hosts returns the state of each listed backend server.
+	// Hosts returns the state of each listed backend server; nil before the list was
+	// first read.
 	Hosts func() map[string]azurehitch.HostState
 	// RemoteLoads returns how many loads from the weight store may be under way.
 	RemoteLoads func() int
@@ -73,11 +74,11 @@
 	token int64
 	group *errgroup.Group
 
-	mu      sync.Mutex
-	plan    *planner.Plan
-	version int64
-	polls   map[string]*poll
-	times   loadTimes
+	mu    sync.Mutex
+	plan  *planner.Plan
+	scope control.PoolScope
+	polls map[string]*poll
+	times loadTimes
 	// appendFailedAt is when an intent could last not be recorded.
 	appendFailedAt time.Time
 	// renewedAt is when the lease was last given back for a new token.
@@ -86,13 +87,14 @@
 	wake      chan struct{}
 }
 
-func newPool(d Dependencies, configuration tables.Configuration, table tables.Pool, token int64) *pool {
+func newPool(d Dependencies, name string, token int64) *pool {
+	scope := d.Store.PoolScope(name)
 	return &pool{
 		Dependencies: d,
-		name:         table.Name,
+		name:         name,
 		token:        token,
-		plan:         planner.New(table, d.Store.PoolIntents(table.Name), d.Clock.Now()),
-		version:      configuration.Version,
+		plan:         planner.New(scopeOf(scope), d.Store.PoolIntents(name), d.Clock.Now()),
+		scope:        scope,
 		polls:        map[string]*poll{},
 		changed:      make(chan struct{}),
 		wake:         make(chan struct{}, 1),
@@ -137,7 +139,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.refreshTable()
+	p.refreshScope()
 	p.plan.SetHosts(p.Hosts())
 	for _, server := range p.plan.Servers() {
 		p.startPoll(ctx, server, now)
@@ -148,6 +150,9 @@
 			return nil
 		})
 	}
+	for _, server := range p.plan.TakeEmptied(now) {
+		p.noteEmptied(ctx, server)
+	}
 	if p.plan.NeedsNewToken(now) && now.Sub(p.renewedAt) >= renewInterval {
 		p.renewedAt = now
 		p.group.Go(func() error {
@@ -163,15 +168,19 @@
 	}
 }
 
-func (p *pool) refreshTable() {
-	configuration := p.Store.Configuration()
-	if configuration.Version == p.version {
-		return
+func (p *pool) refreshScope() {
+	if scope := p.Store.PoolScope(p.name); scope.ChangedAt != p.scope.ChangedAt {
+		p.scope = scope
+		p.plan.SetScope(scopeOf(scope))
 	}
-	p.version = configuration.Version
-	if table, ok := configuration.Pools.Pool(p.name); ok {
-		p.plan.SetPool(table)
+}
+
+func scopeOf(s control.PoolScope) planner.Scope {
+	scope := planner.Scope{Pool: s.Pool, Foreign: s.Foreign}
+	for _, r := range s.Retired {
+		scope.Retired = append(scope.Retired, r.Server)
 	}
+	return scope
 }
 
 func (p *pool) budget(now time.Time) planner.Budget {
--- a/internal/placement/enginepool/set.go
+++ b/internal/placement/enginepool/set.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 
-	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/placement/planner"
 
 	"golang.org/x/sync/errgroup"
@@ -47,13 +46,12 @@
 }
 
 func (s *Set) startHeld(ctx context.Context, group *errgroup.Group) {
-	configuration := s.Store.Configuration()
-	for _, table := range configuration.Pools.Pools {
-		token, _ := s.Store.Token(table.Name)
-		if token == 0 || s.isRunning(table.Name, token) {
+	for _, setting := range s.Store.LeasedPools() {
+		token, _ := s.Store.Token(setting.Name)
+		if token == 0 || s.isRunning(setting.Name, token) {
 			continue
 		}
-		p := s.start(configuration, table, token)
+		p := s.start(setting.Name, token)
 		group.Go(func() error {
 			err := p.run(ctx)
 			s.stopped(p)
@@ -69,12 +67,12 @@
 	return ok && p.token == token
 }
 
-func (s *Set) start(configuration tables.Configuration, table tables.Pool, token int64) *pool {
-	p := newPool(s.Dependencies, configuration, table, token)
+func (s *Set) start(name string, token int64) *pool {
+	p := newPool(s.Dependencies, name, token)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pools[table.Name] = p
-	s.Counters.PoolHeld(table.Name, token, true)
+	s.pools[name] = p
+	s.Counters.PoolHeld(name, token, true)
 	return p
 }
 
@@ -114,9 +112,9 @@
 // Status returns what the held pools count.
 func (s *Set) Status() []Status {
 	var statuses []Status
-	for _, table := range s.Store.Configuration().Pools.Pools {
+	for _, setting := range s.Store.LeasedPools() {
 		s.mu.Lock()
-		p, ok := s.pools[table.Name]
+		p, ok := s.pools[setting.Name]
 		s.mu.Unlock()
 		if ok {
 			statuses = append(statuses, p.status())
--- a/internal/placement/planner/decide.go
+++ b/internal/placement/planner/decide.go
@@ -25,7 +25,6 @@
 // Decide returns the actions that are due and books them.
 func (p *Plan) Decide(now time.Time, budget Budget) []Action {
 	p.decidedAt = now
-	p.forgetRemoved()
 	var actions []Action
 	actions = append(actions, p.repeatUncertain(budget)...)
 	actions = append(actions, p.drainLeaving(budget)...)
@@ -139,16 +138,6 @@
 	return bookings
 }
 
-// forgetRemoved drops servers that are no longer in the table and are empty.
-func (p *Plan) forgetRemoved() {
-	for name, removed := range p.removed {
-		if s := p.servers[name]; removed && (s.isGone() || s.reached && len(s.bookings) == 0) {
-			delete(p.servers, name)
-			delete(p.removed, name)
-		}
-	}
-}
-
 func (p *Plan) placeModel(artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
 	if !p.allReached() {
 		return Action{}, false
@@ -171,7 +160,7 @@
 	var candidates []*server
 	for _, name := range sortedKeys(p.servers) {
 		s := p.servers[name]
-		if s.accepts() && !p.removed[name] && p.mayOrder(s, budget) && suits(s) {
+		if s.accepts() && !s.foreign && p.mayOrder(s, budget) && suits(s) {
 			candidates = append(candidates, s)
 		}
 	}
--- a/internal/placement/planner/evict.go
+++ b/internal/placement/planner/evict.go
@@ -103,7 +103,7 @@
 func (p *Plan) drainLeaving(budget Budget) []Action {
 	return p.unloadWhere(budget, func(s *server, b *booking) bool {
 		_, known := p.pool.Memory(b.Artifact)
-		return !known || s.isLeaving() || p.removed[s.Name] || b.State == azurehitch.PlacementUnloading || b.draining
+		return !known || s.isLeaving() || s.retired || b.State == azurehitch.PlacementUnloading || b.draining
 	})
 }
 
--- a/internal/placement/planner/observe.go
+++ b/internal/placement/planner/observe.go
@@ -141,6 +141,23 @@
 	return due
 }
 
+// TakeEmptied returns the retired servers that hold nothing any more, and whose
+// record to that effect is due. Each comes again until the scope no longer has it.
+func (p *Plan) TakeEmptied(now time.Time) []string {
+	var due []string
+	for _, name := range sortedKeys(p.servers) {
+		s := p.servers[name]
+		if !s.retired || now.Sub(p.emptied[name]) < settleRetry {
+			continue
+		}
+		if s.isGone() || s.reached && len(s.bookings) == 0 {
+			p.emptied[name] = now
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
 // Resolved notes that the resolution of an intent is recorded.
 func (p *Plan) Resolved(intent int64) {
 	delete(p.settling, intent)
--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	plan := planner.New(pool, intents, now)
+//	plan := planner.New(planner.Scope{Pool: pool}, intents, now)
 //	plan.Observe(server, report, now)
 //	plan.Want(daemon, artifact, demand, now)
 //	for _, action := range plan.Decide(now, budget) { ... }
@@ -130,6 +130,11 @@
 	tables.BackendServer
 	reached     bool
 	incarnation string
+	// retired means that the table no longer names the server. It is drained.
+	retired bool
+	// foreign means that another pool has not yet given the server up. It gets no
+	// loads.
+	foreign bool
 	// unlisted means that the platform's list doesn't show the server.
 	unlisted bool
 	// listedLeaving and saysLeaving are the two signals that the server leaves.
@@ -175,8 +180,8 @@
 	histories map[azurehitch.Artifact]keepalive.History
 	// poolHistory is the gaps of all artifacts of the pool.
 	poolHistory keepalive.History
-	// removed names the servers that are no longer in the table and still count.
-	removed map[string]bool
+	// emptied is when the record that a retired server is empty was last tried.
+	emptied map[string]time.Time
 	// settling are the intents whose order has arrived or never will, with the
 	// time of the last try to record that.
 	settling map[int64]time.Time
@@ -184,41 +189,66 @@
 	decidedAt time.Time
 }
 
+// Scope is what a plan decides on.
+type Scope struct {
+	Pool tables.Pool
+	// Retired are the servers that the table no longer names and that may still
+	// hold what was loaded there.
+	Retired []tables.BackendServer
+	// Foreign names the servers that another pool has not yet given up.
+	Foreign map[string]bool
+}
+
 // New returns the plan of a new holder, which has reached no server yet. The
 // open intents of the pool at that moment are adopted.
-func New(pool tables.Pool, intents []leaselog.Intent, now time.Time) *Plan {
+func New(scope Scope, intents []leaselog.Intent, now time.Time) *Plan {
 	p := &Plan{
 		servers:   map[string]*server{},
 		wants:     map[azurehitch.Artifact]*want{},
 		lastUsed:  map[azurehitch.Artifact]time.Time{},
 		histories: map[azurehitch.Artifact]keepalive.History{},
-		removed:   map[string]bool{},
+		emptied:   map[string]time.Time{},
 		settling:  map[int64]time.Time{},
 	}
-	p.SetPool(pool)
+	p.SetScope(scope)
 	for _, intent := range intents {
 		p.adopt(intent, now)
 	}
 	return p
 }
 
-// SetPool applies a new version of the table. Servers that it no longer names
-// are drained, and count until they are empty.
-func (p *Plan) SetPool(pool tables.Pool) {
-	p.pool = pool
-	named := map[string]bool{}
-	for _, s := range pool.BackendServers {
-		named[s.Name] = true
-		existing, ok := p.servers[s.Name]
-		if ok && existing.Address == s.Address {
-			existing.BackendServer = s
-			continue
+// SetScope applies a new version of the table. Retired servers are drained, and
+// count until the scope no longer has them.
+func (p *Plan) SetScope(scope Scope) {
+	p.pool = scope.Pool
+	kept := map[string]bool{}
+	for _, s := range scope.Pool.BackendServers {
+		kept[s.Name] = true
+		p.keep(s, false)
+	}
+	for _, s := range scope.Retired {
+		if !kept[s.Name] {
+			kept[s.Name] = true
+			p.keep(s, true)
+		}
+	}
+	for name, s := range p.servers {
+		s.foreign = scope.Foreign[name]
+		if !kept[name] {
+			delete(p.servers, name)
+			delete(p.emptied, name)
 		}
-		p.servers[s.Name] = newServer(s)
 	}
-	for name := range p.servers {
-		p.removed[name] = !named[name]
+}
+
+func (p *Plan) keep(s tables.BackendServer, retired bool) {
+	existing, ok := p.servers[s.Name]
+	if !ok {
+		existing = newServer(s)
+		p.servers[s.Name] = existing
 	}
+	existing.BackendServer = s
+	existing.retired = retired
 }
 
 func newServer(s tables.BackendServer) *server {
@@ -253,7 +283,11 @@
 }
 
 // SetHosts tells which servers the platform's list shows, and which of them leave.
+// With nil, the list was not read yet, and no server counts as gone.
 func (p *Plan) SetHosts(states map[string]azurehitch.HostState) {
+	if states == nil {
+		return
+	}
 	for name, s := range p.servers {
 		state, listed := states[name]
 		s.unlisted = !listed
@@ -315,7 +349,7 @@
 }
 
 // accepts reports whether new work may go to the server.
-func (s *server) accepts() bool { return s.reached && !s.isLeaving() && !s.unlisted }
+func (s *server) accepts() bool { return s.reached && !s.isLeaving() && !s.unlisted && !s.retired }
 
 func (s *server) isLeaving() bool {
 	return (s.listedLeaving || s.saysLeaving) && !sabotage.Active(sabotage.IgnoreLeaving)
@@ -345,9 +379,11 @@
 
 // Usage is what a plan counts, for operators and for checks.
 type Usage struct {
-	Server      string
-	Reached     bool
-	Leaving     bool
+	Server  string
+	Reached bool
+	Leaving bool
+	// Retired means that the table no longer names the server.
+	Retired     bool
 	Memory      azurehitch.ByteSize
 	MemoryInUse azurehitch.ByteSize
 	Placements  []azurehitch.Placement
@@ -359,7 +395,7 @@
 	for _, name := range sortedKeys(p.servers) {
 		s := p.servers[name]
 		u := Usage{
-			Server: name, Reached: s.reached, Leaving: s.isLeaving(),
+			Server: name, Reached: s.reached, Leaving: s.isLeaving(), Retired: s.retired,
 			Memory: s.AcceleratorMemory, MemoryInUse: s.memoryInUse(),
 		}
 		for _, artifact := range sortedArtifacts(s.bookings) {
--- /dev/null
+++ b/internal/placement/planner/planner_test.go
@@ -0,0 +1,122 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/placement/planner"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const modelMemory = 30 * azurehitch.Gibibyte
+
+var (
+	start = time.Unix(1000, 0)
+	note  = azurehitch.Artifact{Model: "note", Version: "1"}
+)
+
+func server(name string) tables.BackendServer {
+	return tables.BackendServer{Name: name, Address: name, FencingToken: tables.TokenChecked, AcceleratorMemory: 80 * azurehitch.Gibibyte}
+}
+
+func poolOf(servers ...tables.BackendServer) tables.Pool {
+	return tables.Pool{
+		Name: "llm", BackendServers: servers, IdleTimeout: azurehitch.Duration(time.Hour),
+		Models: []tables.Model{{Name: "note", MaxReplicas: 1, Versions: []tables.ModelVersion{{Version: "1", Memory: modelMemory}}}},
+	}
+}
+
+// withPlan gives a plan whose servers are listed, reached and empty.
+func withPlan(t *testing.T, scope planner.Scope, run func(c *qt.C, plan *planner.Plan)) {
+	t.Helper()
+	plan := planner.New(scope, nil, start)
+	states := map[string]azurehitch.HostState{}
+	for _, s := range plan.Servers() {
+		states[s.Name] = azurehitch.HostStateLive
+		observe(plan, s.Name)
+	}
+	plan.SetHosts(states)
+	run(qt.New(t), plan)
+}
+
+func observe(plan *planner.Plan, name string, placements ...azurehitch.Placement) {
+	state := azurehitch.EngineState{Name: name, Incarnation: "1", Memory: 80 * azurehitch.Gibibyte, Placements: placements}
+	plan.Observe(name, planner.Report{State: state, StartedAt: start}, start)
+}
+
+func ready(artifact azurehitch.Artifact) azurehitch.Placement {
+	return azurehitch.Placement{Artifact: artifact, State: azurehitch.PlacementReady, Memory: modelMemory}
+}
+
+func decide(plan *planner.Plan, now time.Time) []planner.Action {
+	return plan.Decide(now, planner.Budget{RemoteLoads: 4, LeaseValid: true, LogWorks: true})
+}
+
+// assertLoads checks that one wanted model is ordered on a server; an empty name
+// means on none.
+func assertLoads(c *qt.C, plan *planner.Plan, want string) {
+	c.Helper()
+	plan.Want("daemon-1", note, planner.Demand{Waiting: 1}, start)
+	actions := decide(plan, start)
+	if want == "" {
+		c.Assert(actions, qt.HasLen, 0)
+		return
+	}
+	c.Assert(actions, qt.HasLen, 1)
+	c.Assert(actions[0].Kind, qt.Equals, planner.ActionLoad)
+	c.Assert(actions[0].Server, qt.Equals, want)
+}
+
+func TestForeignServer(t *testing.T) {
+	scope := planner.Scope{Pool: poolOf(server("a"), server("b")), Foreign: map[string]bool{"a": true}}
+	withPlan(t, scope, func(c *qt.C, plan *planner.Plan) { assertLoads(c, plan, "b") })
+	scope.Foreign["b"] = true
+	withPlan(t, scope, func(c *qt.C, plan *planner.Plan) {
+		assertLoads(c, plan, "")
+		plan.SetScope(planner.Scope{Pool: scope.Pool, Foreign: map[string]bool{"b": true}})
+		assertLoads(c, plan, "a")
+	})
+}
+
+func TestRetiredServer(t *testing.T) {
+	scope := planner.Scope{Pool: poolOf(server("a")), Retired: []tables.BackendServer{server("b")}}
+	withPlan(t, scope, func(c *qt.C, plan *planner.Plan) {
+		observe(plan, "b", ready(note))
+		c.Run("its replica counts, gets no requests and is unloaded", func(c *qt.C) {
+			plan.Want("daemon-1", note, planner.Demand{Waiting: 1}, start)
+			c.Assert(plan.Ready(note), qt.HasLen, 0)
+			actions := decide(plan, start)
+			c.Assert(actions, qt.HasLen, 1)
+			c.Assert(actions[0].Kind, qt.Equals, planner.ActionUnload)
+			c.Assert(plan.TakeEmptied(start), qt.HasLen, 0)
+			plan.Finished(actions[0], planner.Result{Outcome: planner.OutcomeDone, Incarnation: "1"}, start)
+		})
+		c.Run("it is reported as empty until the scope drops it", func(c *qt.C) {
+			c.Assert(plan.TakeEmptied(start), qt.DeepEquals, []string{"b"})
+			c.Assert(plan.TakeEmptied(start), qt.HasLen, 0)
+			c.Assert(plan.TakeEmptied(start.Add(time.Minute)), qt.DeepEquals, []string{"b"})
+			plan.SetScope(planner.Scope{Pool: scope.Pool})
+			c.Assert(plan.TakeEmptied(start.Add(time.Hour)), qt.HasLen, 0)
+			assertLoads(c, plan, "a")
+		})
+	})
+}
+
+func TestUnreadHostList(t *testing.T) {
+	c := qt.New(t)
+	plan := planner.New(planner.Scope{Pool: poolOf(server("a")), Retired: []tables.BackendServer{server("b")}}, nil, start)
+	plan.SetHosts(nil)
+	observe(plan, "a")
+	c.Run("a server that was not reached does not count as gone", func(c *qt.C) {
+		c.Assert(plan.TakeEmptied(start), qt.HasLen, 0)
+		assertLoads(c, plan, "")
+	})
+	c.Run("it does once the list was read without it", func(c *qt.C) {
+		plan.SetHosts(map[string]azurehitch.HostState{"a": azurehitch.HostStateLive})
+		c.Assert(plan.TakeEmptied(start), qt.DeepEquals, []string{"b"})
+		assertLoads(c, plan, "a")
+	})
+}
--- a/internal/proof/points/capacity_test.go
+++ b/internal/proof/points/capacity_test.go
@@ -60,6 +60,7 @@
 
 // chaos is one run of callers and faults on a virtual clock.
 type chaos struct {
+	t      *testing.T
 	world  *poolworld.World
 	random *rand.Rand
 	until  time.Time
@@ -71,7 +72,7 @@
 		w := poolworld.New(options)
 		defer w.Stop()
 		publish(t, w, w.Pool(leaseTime, models()...))
-		c := &chaos{world: w, random: rand.New(rand.NewPCG(seed, 1)), until: time.Now().Add(chaosTime)}
+		c := &chaos{t: t, world: w, random: rand.New(rand.NewPCG(seed, 1)), until: time.Now().Add(chaosTime)}
 		var group errgroup.Group
 		for caller := range 4 {
 			random := rand.New(rand.NewPCG(seed, uint64(caller)+100))
@@ -117,6 +118,9 @@
 
 func (c *chaos) injectFaults() {
 	for time.Now().Before(c.until) {
+		if c.world.Options.ChangeTables && c.random.IntN(3) == 0 {
+			c.changeTables()
+		}
 		daemon := poolworld.DaemonName(c.random.IntN(c.world.Options.Daemons))
 		switch c.random.IntN(9) {
 		case 0, 1:
@@ -145,6 +149,10 @@
 	for i := range c.world.Options.Daemons {
 		c.world.SetFault(poolworld.DaemonName(i), poolworld.Fault{})
 	}
+	if c.world.Options.ChangeTables {
+		time.Sleep(settleTime)
+		publish(c.t, c.world, c.world.Pool(leaseTime, models()...))
+	}
 }
 
 // assertRecovers checks that, with all faults over, each model can be had. What
--- a/internal/proof/points/configuration_test.go
+++ b/internal/proof/points/configuration_test.go
@@ -89,7 +89,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(operator)))
 		group.Go(func() { o.operate(operator, random) })
 	}
-	c := &chaos{world: w, random: rand.New(rand.NewPCG(seed, 99)), until: time.Now().Add(30 * time.Second)}
+	c := &chaos{t: t, world: w, random: rand.New(rand.NewPCG(seed, 99)), until: time.Now().Add(30 * time.Second)}
 	c.injectFaults()
 	c.endFaults()
 	group.Wait()
--- a/internal/proof/poolworld/world.go
+++ b/internal/proof/poolworld/world.go
@@ -21,7 +21,6 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/configuration/configlog"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/lease/leaserunner"
@@ -43,6 +42,8 @@
 // PoolName is the pool of a world.
 const PoolName = "language"
 
+var errGone = errors.New("daemon is gone")
+
 const (
 	askInterval      = 50 * time.Millisecond
 	remoteLoads      = 8
@@ -61,6 +62,8 @@
 	LoadTime  time.Duration
 	// Retention is the records that the log keeps; 0 keeps all.
 	Retention int
+	// ChangeTables lets random runs take servers out of the table and put them back.
+	ChangeTables bool
 	// SnapshotRecords is after how many records a snapshot is appended.
 	SnapshotRecords int64
 }
@@ -202,11 +205,7 @@
 }
 
 func (w *World) environment(store *control.Store) leaselog.Environment {
-	environment := leaselog.Environment{Daemons: w.Names()}
-	for _, pool := range store.Configuration().Pools.Pools {
-		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: pool.Name, Duration: pool.LeaseDuration.Std()})
-	}
-	return environment
+	return leaselog.Environment{Pools: store.LeasedPools(), Daemons: w.Names()}
 }
 
 // Names returns the names of all daemons.
@@ -303,6 +302,9 @@
 // Publish publishes tables with one pool through a daemon.
 func (w *World) Publish(ctx context.Context, daemon string, pool tables.Pool) (control.Verdict, error) {
 	d := w.Daemon(daemon)
+	if d == nil {
+		return control.Verdict{}, errGone
+	}
 	return w.PublishFrom(ctx, daemon, d.Store.Published().Version, pool, daemon)
 }
 
@@ -312,11 +314,15 @@
 	if err != nil {
 		return control.Verdict{}, err
 	}
-	publication := configlog.NewPublication(base, []byte(`{}`), pools, author)
 	d := w.Daemon(daemon)
 	if d == nil {
-		return control.Verdict{}, errors.New("daemon is gone")
+		return control.Verdict{}, errGone
+	}
+	publication, err := d.Store.Published().Edit([]byte(`{}`), pools, author)
+	if err != nil {
+		return control.Verdict{}, err
 	}
+	publication = publication.WithBase(base)
 	return d.Writer.Append(ctx, control.Record{Publication: &publication})
 }
 
--- a/internal/proof/sabotage/sabotage.go
+++ b/internal/proof/sabotage/sabotage.go
@@ -57,6 +57,8 @@
 	SkipBudget Mechanism = "SkipBudget"
 	// SkipPromise lets trials use what is promised to paying callers.
 	SkipPromise Mechanism = "SkipPromise"
+	// SkipRetired forgets servers that a publication takes out of a pool.
+	SkipRetired Mechanism = "SkipRetired"
 	// SkipSnapshots appends no snapshots.
 	SkipSnapshots Mechanism = "SkipSnapshots"
 )
