--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The proofs on a virtual clock.
-VIRTUAL = ReplicaLimit|MemoryLimit|FrozenHolder|UnreachedServer|RemovedServer|LoweredLimit|WaitingRequests|Configuration|LogOutage|LogCutForHolder
+VIRTUAL = ReplicaLimit|MemoryLimit|FrozenHolder|UnreachedServer|RemovedServer|TwoReleases|Overload|LoweredLimit|WaitingRequests|Configuration|LogOutage|LogCutForHolder
 
 .PHONY: build demo test lint bench prove generate clean
 
--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -85,8 +85,10 @@
 prove GracefulStop points SkipDrain
 prove Handover points SkipRelease
 prove Configuration points SkipBaseCheck SkipSnapshots
+prove TwoReleases points JudgeByTables
 prove LogOutage points SkipLeaseCheck
 prove LogCutForHolder points SkipFence
 prove RetryBudget points SkipBudget
+prove Overload points SkipQueueLimit SkipBudget
 prove PaidBeforeTrial points SkipPromise
 exit $failed
--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -110,6 +110,10 @@
 	read, written := countconn.Totals()
 	d.metrics.Set(metrics.ControlBytesRead, read)
 	d.metrics.Set(metrics.ControlBytesWritten, written)
+	d.metrics.Set(metrics.RecordsDamaged, int64(d.store.Damaged()))
+	d.metrics.Set(metrics.KeysClaimed, int64(d.claims.Len()))
+	d.metrics.Set(metrics.ClaimGaps, int64(d.claims.Gaps()))
+	d.noteUnreadable(d.store.IsUnreadable())
 	version := d.store.Configuration().Version
 	if d.metrics.Get(metrics.ConfigurationVersion) != version {
 		d.metrics.Add(metrics.ConfigurationChanges, 1)
@@ -118,6 +122,20 @@
 	}
 }
 
+// noteUnreadable logs when this release stops or starts to read the tables in force.
+func (d *Daemon) noteUnreadable(unreadable bool) {
+	before := d.metrics.Get(metrics.ConfigurationUnreadable) == 1
+	if unreadable == before {
+		return
+	}
+	value, message := int64(0), "tables in force are readable again"
+	if unreadable {
+		value, message = 1, "this release can't read the tables in force: it keeps the last ones and holds no pools"
+	}
+	d.metrics.Set(metrics.ConfigurationUnreadable, value)
+	d.Logs.Layer(logging.LayerConfiguration).Warn().Int64("Version", d.store.Published().Version).Msg(message)
+}
+
 // runStateFetch takes the state from peers while the log has never answered.
 func (d *Daemon) runStateFetch(ctx context.Context) error {
 	for d.store.ReadAt().IsZero() {
--- a/internal/forward/admission/gate.go
+++ b/internal/forward/admission/gate.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"azurehitch"
@@ -70,6 +71,9 @@
 func (g *Gate) SetLimits(limits Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if sabotage.Active(sabotage.SkipQueueLimit) {
+		limits = Limits{Total: math.MaxInt, Trial: math.MaxInt, Queue: math.MaxInt}
+	}
 	if g.limits != limits {
 		g.limits = limits
 		g.admit()
--- a/internal/idempotency/claimlog/claimer.go
+++ b/internal/idempotency/claimlog/claimer.go
@@ -56,13 +56,16 @@
 
 // Claim claims a key. It returns the claim that has the key, and whether that is
 // the one made by this call. The callers of one daemon must not claim the same
-// key at the same time.
+// key at the same time. An *ErrClaimsMissing says that nobody can tell.
 func (c *Claimer) Claim(ctx context.Context, key Key, body uint64) (claim Claim, won bool, err error) {
 	message := &recordpb.CallClaim{KeyHigh: key.High, KeyLow: key.Low, Body: body}
 	b := c.join(func(b *batch) { b.claims = append(b.claims, message) })
 	if err := b.wait(ctx); err != nil {
 		return Claim{}, false, err
 	}
+	if err := c.fold.missing(); err != nil {
+		return Claim{}, false, err
+	}
 	for _, winner := range b.verdict.winners {
 		if winner.Key == key {
 			return winner, winner.Offset == b.verdict.offset, nil
--- a/internal/idempotency/claimlog/fold.go
+++ b/internal/idempotency/claimlog/fold.go
@@ -53,6 +53,20 @@
 	// order is the claims by age, for expiry.
 	order []agedKey
 	gaps  int
+	// gapAt is when claims were last found missing.
+	gapAt time.Time
+}
+
+// ErrClaimsMissing says that the log has dropped claims which this daemon had not
+// read. It can't tell whether a key is taken until the window has passed.
+type ErrClaimsMissing struct {
+	// Until is when the window of the missing claims ends.
+	Until time.Time
+}
+
+// Error implements error.
+func (e *ErrClaimsMissing) Error() string {
+	return "the log dropped claims before they were read; keys can be claimed again from " + e.Until.Format(time.RFC3339)
 }
 
 // verdict is what the fold made of a record with claims.
@@ -92,6 +106,7 @@
 	defer f.mu.Unlock()
 	if f.foldedTo > 0 && batch.First > f.foldedTo+1 {
 		f.gaps++
+		f.gapAt = f.clock.Now()
 	}
 	f.foldedTo = max(f.foldedTo, batch.First-1)
 	return nil
@@ -157,6 +172,23 @@
 	}
 }
 
+// missing returns an error while claims may be missing.
+func (f *Fold) missing() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if until := f.gapAt.Add(f.window); f.gaps > 0 && f.clock.Now().Before(until) {
+		return &ErrClaimsMissing{Until: until}
+	}
+	return nil
+}
+
+// Gaps returns how often the log had dropped claims before they were read.
+func (f *Fold) Gaps() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gaps
+}
+
 // Len returns the number of keys that count.
 func (f *Fold) Len() int {
 	f.mu.Lock()
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -12,6 +12,7 @@
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/oplog/follow"
+	"azurehitch/internal/proof/sabotage"
 
 	"github.com/pkg/errors"
 )
@@ -39,6 +40,9 @@
 	foldedTo      int64
 	state         configlog.State
 	configuration tables.Configuration
+	// unreadable is true while this release can't read the tables of the state.
+	unreadable bool
+	read       Reader
 	// scopesChangedAt is the offset of the last record that changed what holders
 	// decide on.
 	scopesChangedAt int64
@@ -62,10 +66,21 @@
 		leases:         leaselog.NewManager(self, leaselog.NewFold(), now),
 		changed:        make(chan struct{}),
 		expectations:   follow.NewExpectations[Verdict](),
+		read:           configlog.State.Configuration,
 		lastSnapshotAt: now,
 	}
 }
 
+// Reader reads the tables of a state.
+type Reader func(configlog.State) (tables.Configuration, error)
+
+// WithReader makes a store without records read tables as another release does, and
+// returns it.
+func (s *Store) WithReader(read Reader) *Store {
+	s.read = read
+	return s
+}
+
 // Self returns the identity of this daemon.
 func (s *Store) Self() leaselog.Holder { return s.self }
 
@@ -83,6 +98,13 @@
 	return s.readAt
 }
 
+// IsUnreadable reports whether this release can't read the tables in force.
+func (s *Store) IsUnreadable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreadable
+}
+
 // Damaged returns how many records could not be decoded.
 func (s *Store) Damaged() int {
 	s.mu.Lock()
@@ -153,10 +175,14 @@
 }
 
 // LeasedPools returns the pools that need a holder: the pools of models, and those
-// that are no longer in the table and have retired servers.
+// that are no longer in the table and have retired servers. There are none while this
+// release can't read the tables in force.
 func (s *Store) LeasedPools() []leaselog.PoolSetting {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unreadable {
+		return nil
+	}
 	var pools []leaselog.PoolSetting
 	for _, pool := range s.configuration.Pools.Pools {
 		if pool.Kind == tables.PoolKindModels {
@@ -298,6 +324,9 @@
 	if verdict != nil {
 		return verdict
 	}
+	if _, err := s.read(next); err != nil && sabotage.Active(sabotage.JudgeByTables) {
+		return err
+	}
 	s.setConfiguration(next)
 	return nil
 }
@@ -313,17 +342,17 @@
 	return dropped
 }
 
+// setConfiguration brings a publication into force. When this release can't read its
+// tables, the last ones stay in force here for forwarding, and this daemon holds no
+// pools: the new ones may decide on less capacity.
 func (s *Store) setConfiguration(state configlog.State) {
 	s.state = state
 	s.scopesChangedAt = s.foldedTo
-	configuration, err := state.Configuration()
-	if err != nil {
-		// The version counts as in force; this release can't read its tables.
-		s.damaged++
-		s.configuration = s.configuration.WithVersion(state.Version)
-		return
+	configuration, err := s.read(state)
+	s.unreadable = err != nil
+	if err == nil {
+		s.configuration = configuration
 	}
-	s.configuration = configuration
 }
 
 func (s *Store) deliver(r Record, verdict Verdict) {
--- a/internal/proof/points/burst_test.go
+++ b/internal/proof/points/burst_test.go
@@ -60,19 +60,24 @@
 	for _, ignoreToken := range []int{0, 3} {
 		for _, deadline := range []time.Duration{2 * time.Second, 20 * time.Second} {
 			t.Run(fmt.Sprintf("%d ignore tokens, deadline %v", ignoreToken, deadline), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { runBurst(t, ignoreToken, deadline) })
+				synctest.Test(t, func(t *testing.T) { runBurst(t, ignoreToken, deadline, 1) })
 			})
 		}
+		t.Run(fmt.Sprintf("%d ignore tokens, weight store at a tenth", ignoreToken), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runBurst(t, ignoreToken, 2*time.Minute, 10) })
+			synctest.Test(t, func(t *testing.T) { runBurst(t, ignoreToken, 5*time.Second, 10) })
+		})
 	}
 }
 
-func runBurst(t *testing.T, ignoreToken int, deadline time.Duration) {
+func runBurst(t *testing.T, ignoreToken int, deadline time.Duration, slowdown float64) {
 	const daemons, callersEach = 8, 25
 	options := frozenOptions(ignoreToken)
 	options.Daemons = daemons
 	options.LoadTime = 2500 * time.Millisecond
 	w := poolworld.New(options)
 	defer w.Stop()
+	w.Weights.SetSlowdown(slowdown)
 	publish(t, w, w.Pool(leaseTime, oneModel()))
 	first := awaitHolder(t, w, "")
 	var result ends
--- a/internal/proof/poolworld/world.go
+++ b/internal/proof/poolworld/world.go
@@ -17,10 +17,12 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/configuration/configlog"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/lease/leaserunner"
@@ -62,6 +64,9 @@
 	LoadTime  time.Duration
 	// Retention is the records that the log keeps; 0 keeps all.
 	Retention int
+	// OldReleases is the number of daemons, the last ones, whose release can't read
+	// tables with a model whose name begins with NovelPrefix.
+	OldReleases int
 	// ChangeTables lets random runs take servers out of the table and put them back.
 	ChangeTables bool
 	// SnapshotRecords is after how many records a snapshot is appended.
@@ -162,7 +167,11 @@
 	clock := azurehitch.SystemClock{}
 	self := leaselog.Holder{Daemon: name, Incarnation: fmt.Sprint(w.starts[name])}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Store: control.NewStore(self, clock), life: ctx, cancel: cancel, done: make(chan struct{})}
+	store := control.NewStore(self, clock)
+	if w.IsOldRelease(name) {
+		store = store.WithReader(readAsOldRelease)
+	}
+	d := &Daemon{Store: store, life: ctx, cancel: cancel, done: make(chan struct{})}
 	log := &faultyLog{world: w, daemon: name, ctx: ctx}
 	d.Writer = control.NewWriter(log, Stream, d.Store, quiet{})
 	d.Set = enginepool.NewSet(enginepool.Dependencies{
@@ -179,6 +188,26 @@
 	w.run(ctx, d, log, name)
 }
 
+// IsOldRelease reports whether a daemon is of the older release.
+func (w *World) IsOldRelease(daemon string) bool {
+	return slices.Index(w.Names(), daemon) >= w.Options.Daemons-w.Options.OldReleases
+}
+
+// NovelPrefix begins the names of models that older releases can't read.
+const NovelPrefix = "novel-"
+
+func readAsOldRelease(s configlog.State) (tables.Configuration, error) {
+	configuration, err := s.Configuration()
+	for _, pool := range configuration.Pools.Pools {
+		for _, model := range pool.Models {
+			if strings.HasPrefix(model.Name, NovelPrefix) {
+				return tables.Configuration{}, errors.Errorf("model %q is not for this release", model.Name)
+			}
+		}
+	}
+	return configuration, err
+}
+
 func (w *World) run(ctx context.Context, d *Daemon, log azurehitch.Log, name string) {
 	clock := azurehitch.SystemClock{}
 	follower := follow.NewFollower(log, Stream, d.Store, clock, quiet{})
--- a/internal/proof/processes/processes_test.go
+++ b/internal/proof/processes/processes_test.go
@@ -18,6 +18,7 @@
 	"azurehitch/internal/admin/operator"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/standin/engine"
+	"azurehitch/internal/standin/fault"
 	"azurehitch/internal/standin/fleet"
 	"azurehitch/internal/transport/jsonhttp"
 )
@@ -51,6 +52,7 @@
 	t       *testing.T
 	bin     string
 	hosts   string
+	log     string
 	engines []*process
 	daemons []*process
 	desk    *process
@@ -109,16 +111,16 @@
 
 func startSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, bin: t.TempDir(), hosts: freeAddress(t)}
+	s := &system{t: t, bin: t.TempDir(), hosts: freeAddress(t), log: freeAddress(t)}
 	build := exec.Command("go", "build", "-o", s.bin, "azurehitch/cmd/azurehitch", "azurehitch/cmd/azurehitch-standin")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, output)
 	}
-	log, weights := freeAddress(t), freeAddress(t)
-	s.start("log", "azurehitch-standin", "log", "--listen", log)
+	weights := freeAddress(t)
+	s.start("log", "azurehitch-standin", "log", "--listen", s.log)
 	s.start("hosts", "azurehitch-standin", "hosts", "--listen", s.hosts, "--lag", "0s")
 	s.start("weights", "azurehitch-standin", "weights", "--listen", weights, "--load-time", "1s")
-	for _, address := range []string{log, s.hosts, weights} {
+	for _, address := range []string{s.log, s.hosts, weights} {
 		s.await(address, func() bool { return listens(address) })
 	}
 	for i := range engineCount {
@@ -126,7 +128,7 @@
 	}
 	s.startDesk()
 	for i := range daemonCount {
-		s.startDaemon(fmt.Sprintf("daemon-%d", i+1), log, weights)
+		s.startDaemon(fmt.Sprintf("daemon-%d", i+1), weights)
 	}
 	s.publish()
 	return s
@@ -151,10 +153,10 @@
 	s.list("desk", address, azurehitch.HostRoleBackend)
 }
 
-func (s *system) startDaemon(name, log, weights string) {
+func (s *system) startDaemon(name, weights string) {
 	address, peer, admin := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
 	p := s.start(name, "azurehitch", "serve", "--name", name, "--listen", address, "--peer-listen", peer,
-		"--admin-listen", admin, "--log-service", log, "--host-list", s.hosts, "--weight-store", weights)
+		"--admin-listen", admin, "--log-service", s.log, "--host-list", s.hosts, "--weight-store", weights)
 	p.address, p.admin = address, admin
 	s.daemons = append(s.daemons, p)
 	s.await(name, func() bool { return listens(admin) })
@@ -314,36 +316,87 @@
 	s.assertLimits()
 }
 
+const reminderKey = "reminder-1"
+
+// remind makes a call that may not be repeated, with a key.
+func (s *system) remind(daemon *process) (fleet.Answer, error) {
+	return s.remindWith(daemon, reminderKey)
+}
+
+func (s *system) remindWith(daemon *process, key string) (fleet.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), upTimeout)
+	defer cancel()
+	return fleet.Send(ctx, daemon.address, fleet.Request{
+		Method: http.MethodPost, Path: "/booking/reminders", Key: fleet.PaidKey,
+		Headers: map[string]string{"Idempotency-Key": key, "Azurehitch-Timeout": "5s"},
+	})
+}
+
+// assertUnknownElsewhere tries the call again at the other daemons: nobody is told
+// that it was not run.
+func (s *system) assertUnknownElsewhere(victim *process) {
+	s.t.Helper()
+	for _, d := range s.daemons {
+		if d == victim {
+			continue
+		}
+		answer, err := s.remind(d)
+		if err != nil || answer.Status != http.StatusConflict || answer.Header.Get("Azurehitch-Run") != "Unknown" {
+			s.t.Errorf("%s: %v, status %d: %s", d.name, err, answer.Status, answer.Body)
+		}
+	}
+}
+
+// assertRuns checks by the service's own journal how often the call was run.
+func (s *system) assertRuns(want int) {
+	s.t.Helper()
+	var runs map[string]int
+	if err := jsonhttp.NewClient(s.desk.address, "test").Call(context.Background(), http.MethodGet, "/v1/journal", nil, &runs); err != nil {
+		s.t.Fatal(err)
+	}
+	if runs[reminderKey] != want {
+		s.t.Errorf("the call was run %d times and not %d", runs[reminderKey], want)
+	}
+}
+
 // TestProveKilledDuringCall kills a daemon while a call that may not be repeated is
 // under way. Its caller tries again with the key at the other daemons: the call is
-// run once, and nobody is told that it was not run.
+// run once.
 func TestProveKilledDuringCall(t *testing.T) {
 	s := startSystem(t)
-	const key = "reminder-1"
-	remind := func(daemon *process) (fleet.Answer, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), upTimeout)
-		defer cancel()
-		return fleet.Send(ctx, daemon.address, fleet.Request{
-			Method: http.MethodPost, Path: "/booking/reminders", Key: fleet.PaidKey,
-			Headers: map[string]string{"Idempotency-Key": key, "Azurehitch-Timeout": "5s"},
-		})
-	}
 	victim := s.daemons[0]
 	time.AfterFunc(deskRunTime/2, func() { victim.signal(t, syscall.SIGKILL) })
-	if answer, err := remind(victim); err == nil {
+	if answer, err := s.remind(victim); err == nil {
 		t.Fatalf("a killed daemon answered with status %d: %s", answer.Status, answer.Body)
 	}
-	for _, d := range s.daemons[1:] {
-		answer, err := remind(d)
-		if err != nil || answer.Status != http.StatusConflict || answer.Header.Get("Azurehitch-Run") != "Unknown" {
-			t.Errorf("%s: %v, status %d: %s", d.name, err, answer.Status, answer.Body)
-		}
-	}
-	var runs map[string]int
-	if err := jsonhttp.NewClient(s.desk.address, "test").Call(context.Background(), http.MethodGet, "/v1/journal", nil, &runs); err != nil {
+	s.assertUnknownElsewhere(victim)
+	s.assertRuns(1)
+}
+
+// TestProveKilledBetweenClaimAndCall kills a daemon whose claim of a key is on the
+// log and which has not read it back yet, so that it has not made the call.
+func TestProveKilledBetweenClaimAndCall(t *testing.T) {
+	s := startSystem(t)
+	victim := s.daemons[0]
+	s.setLogFaults(fault.Fault{Kind: fault.KindFreeze, Method: http.MethodGet, Caller: victim.name})
+	// The read that is under way ends with this claim of another daemon.
+	if _, err := s.remindWith(s.daemons[1], "another"); err != nil {
 		t.Fatal(err)
 	}
-	if runs[key] != 1 {
-		t.Errorf("the call was run %d times", runs[key])
+	time.AfterFunc(time.Second, func() { victim.signal(t, syscall.SIGKILL) })
+	if answer, err := s.remind(victim); err == nil {
+		t.Fatalf("a killed daemon answered with status %d: %s", answer.Status, answer.Body)
+	}
+	s.setLogFaults()
+	s.assertUnknownElsewhere(victim)
+	s.assertRuns(0)
+}
+
+// setLogFaults replaces the faults of the log.
+func (s *system) setLogFaults(faults ...fault.Fault) {
+	s.t.Helper()
+	client := jsonhttp.NewClient(s.log, "test")
+	if err := client.Call(context.Background(), http.MethodPut, fault.Path, append([]fault.Fault{}, faults...), nil); err != nil {
+		s.t.Fatal(err)
 	}
 }
--- a/internal/proof/sabotage/sabotage.go
+++ b/internal/proof/sabotage/sabotage.go
@@ -59,6 +59,10 @@
 	SkipPromise Mechanism = "SkipPromise"
 	// SkipRetired forgets servers that a publication takes out of a pool.
 	SkipRetired Mechanism = "SkipRetired"
+	// JudgeByTables refuses publications whose tables this release can't read.
+	JudgeByTables Mechanism = "JudgeByTables"
+	// SkipQueueLimit admits all requests at once.
+	SkipQueueLimit Mechanism = "SkipQueueLimit"
 	// SkipSnapshots appends no snapshots.
 	SkipSnapshots Mechanism = "SkipSnapshots"
 )
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -64,6 +64,11 @@
 	ControlBytesWritten  Name = "ControlBytesWritten"
 	RequestsInProgress   Name = "RequestsInProgress"
 	RequestsWaiting      Name = "RequestsWaiting"
+	// ConfigurationUnreadable is 1 while this release can't read the tables in force.
+	ConfigurationUnreadable Name = "ConfigurationUnreadable"
+	RecordsDamaged          Name = "RecordsDamaged"
+	KeysClaimed             Name = "KeysClaimed"
+	ClaimGaps               Name = "ClaimGaps"
 )
 
 // Metrics is the variables of one daemon.
