--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 # The proofs on a virtual clock.
-VIRTUAL = ReplicaLimit|MemoryLimit|FrozenHolder|UnreachedServer|RemovedServer|TwoReleases|Overload|LoweredLimit|WaitingRequests|Configuration|LogOutage|LogCutForHolder
+VIRTUAL = ReplicaLimit|MemoryLimit|FrozenHolder|UnreachedServer|RemovedServer|TwoReleases|WeightStoreShare|PaidLoadsFirst|Overload|LoweredLimit|WaitingRequests|Configuration|LogOutage|LogCutForHolder
 
 .PHONY: build demo test lint bench prove generate clean
 
 build:
-	go build -o bin ./cmd/...
+	go build -o bin/ ./cmd/...
 
 # KEEP=1 stays up until Ctrl-C; KILL=2 kills daemon-2 after the requests.
 demo: build
@@ -12,7 +12,7 @@
 
 # The second step runs what the race detector can't, see chaos_test.go. The third
 # checks the specification where spin is installed, as CI does.
-test: lint
+test: lint build
 	go test -race ./...
 	go test -run 'TestProve($(VIRTUAL))' ./internal/proof/points
 	_scripts/specification.sh
--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -90,5 +90,7 @@
 prove LogCutForHolder points SkipFence
 prove RetryBudget points SkipBudget
 prove Overload points SkipQueueLimit SkipBudget
+prove WeightStoreShare points SkipLoadSlots
+prove PaidLoadsFirst points TrialsLikePaid
 prove PaidBeforeTrial points SkipPromise
 exit $failed
--- a/engine.go
+++ b/engine.go
@@ -83,6 +83,9 @@
 	Artifact Artifact
 	// Memory is the accelerator memory that a load needs.
 	Memory ByteSize
+	// CancelTrials makes an unload cancel the requests of trials instead of waiting for
+	// their end. A cancelled stream can be resumed.
+	CancelTrials bool `json:",omitempty"`
 }
 
 // EngineSession is a connection to one incarnation of an engine. It never
--- a/internal/bench/policy/run.go
+++ b/internal/bench/policy/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/placement/planner"
 )
 
@@ -33,7 +35,9 @@
 const (
 	fixedKeep   = 10 * time.Minute
 	longestKeep = 2 * time.Hour
-	reportEvery = 5 * time.Second
+	reportEvery = 2 * time.Second
+	// slotRetry is how often the queue of loads is looked at.
+	slotRetry   = 200 * time.Millisecond
 	adapterLoad = 7 * time.Millisecond
 	caller      = "daemon"
 )
@@ -107,7 +111,12 @@
 	waiting map[azurehitch.Artifact][]*waiter
 	active  map[azurehitch.Artifact]int
 	future  map[azurehitch.Artifact][]time.Duration
-	result  Result
+	slots   *loadslots.Scheduler
+	loading map[loadslots.Key]loadslots.Class
+	granted map[azurehitch.Artifact]bool
+	// retrying is true while a look at the queue of loads is due.
+	retrying bool
+	result   Result
 }
 
 type waiter struct {
@@ -124,9 +133,11 @@
 		waiting: map[azurehitch.Artifact][]*waiter{},
 		active:  map[azurehitch.Artifact]int{},
 		future:  map[azurehitch.Artifact][]time.Duration{},
+		loading: map[loadslots.Key]loadslots.Class{},
 		result:  Result{Scenario: s.Name, Policy: p, Seed: seed, Requests: len(arrivals)},
 	}
 	r.plan = planner.New(planner.Scope{Pool: s.pool(keepOf(s, p))}, nil, r.clock())
+	r.slots = loadslots.NewScheduler(s.limits(), r.clock())
 	r.startEngines(rand.New(rand.NewPCG(seed, 1)))
 	for _, a := range arrivals {
 		r.at(a.at, func() { r.arrive(a) })
@@ -259,10 +270,37 @@
 
 // decide carries out what the plan decides.
 func (r *run) decide() {
-	budget := planner.Budget{RemoteLoads: r.scenario.ConcurrentLoads, LeaseValid: true, LogWorks: true}
-	for _, action := range r.plan.Decide(r.clock(), budget) {
-		r.execute(action)
+	for again := true; again; {
+		budget := planner.Budget{Slots: r.granted, LeaseValid: true, LogWorks: true}
+		for _, action := range r.plan.Decide(r.clock(), budget) {
+			r.execute(action)
+		}
+		again = r.schedule()
+	}
+}
+
+// schedule reports to the scheduler of loads, and returns whether it granted any.
+func (r *run) schedule() bool {
+	r.sequence++
+	report := loadslots.Report{Sequence: int64(r.sequence), Wants: r.plan.SlotWants()}
+	for _, key := range slices.SortedFunc(maps.Keys(r.loading), loadslots.CompareKeys) {
+		report.Loading = append(report.Loading, loadslots.Loading{Key: key, Class: r.loading[key]})
+	}
+	r.slots.Report(caller, report, r.clock())
+	r.slots.Decide(r.clock())
+	answer := r.slots.Answer(caller)
+	r.granted = map[azurehitch.Artifact]bool{}
+	for _, key := range answer.Granted {
+		r.granted[key.Artifact] = true
 	}
+	if len(answer.Ahead) > 0 && !r.retrying {
+		r.retrying = true
+		r.at(r.now+slotRetry, func() {
+			r.retrying = false
+			r.decide()
+		})
+	}
+	return len(r.granted) > 0
 }
 
 func (r *run) execute(action planner.Action) {
@@ -273,7 +311,13 @@
 	}
 	r.result.Loads++
 	e.reserve(action.Artifact, action.Memory)
+	key := loadslots.Key{Pool: r.scenario.Name, Artifact: action.Artifact}
+	if action.Remote {
+		r.loading[key] = loadslots.ClassPaid
+		delete(r.granted, action.Artifact)
+	}
 	r.at(r.now+r.loadTime(e, action), func() {
+		delete(r.loading, key)
 		e.ready(action.Artifact)
 		r.plan.Finished(action, planner.Result{Outcome: planner.OutcomeDone, Incarnation: action.Incarnation}, r.clock())
 		r.serveReady()
--- a/internal/bench/policy/workload.go
+++ b/internal/bench/policy/workload.go
@@ -19,6 +19,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/placement/loadslots"
 )
 
 // Scenario is a workload at the size of one user.
@@ -93,6 +94,13 @@
 	}
 }
 
+// limits returns the limits of the weight store.
+func (s Scenario) limits() loadslots.Limits {
+	return loadslots.NewLimits(azurehitch.WeightStoreLimits{
+		LoadsPerSecond: s.LoadsPerSecond, ConcurrentLoads: s.ConcurrentLoads, ConcurrentAdapterLoads: concurrentAdapters,
+	})
+}
+
 // arrival is one request.
 type arrival struct {
 	at       time.Duration
@@ -100,7 +108,10 @@
 	runTime  time.Duration
 }
 
-const meanRunTime = 3 * time.Second
+const (
+	meanRunTime        = 3 * time.Second
+	concurrentAdapters = 30
+)
 
 func modelName(i int) string { return fmt.Sprintf("model-%d", i) }
 
--- a/internal/configuration/tables/tables.go
+++ b/internal/configuration/tables/tables.go
@@ -83,6 +83,9 @@
 	ConcurrentRequests int
 	// PromisedToPaid is the part of ConcurrentRequests that trials never use.
 	PromisedToPaid int
+	// PromisedMemoryToPaid is the part of the accelerator memory that artifacts which
+	// only trials use never occupy.
+	PromisedMemoryToPaid azurehitch.ByteSize `json:",omitempty"`
 	// QueueLimit is the number of requests that may wait at one daemon.
 	QueueLimit int
 	// IdleTimeout is how long a replica without requests stays loaded at most.
--- a/internal/configuration/tables/validate.go
+++ b/internal/configuration/tables/validate.go
@@ -136,6 +136,12 @@
 	lease := pool.LeaseDuration.Std()
 	c.require(lease >= MinLeaseDuration && lease <= MaxLeaseDuration, at+".LeaseDuration",
 		"is not between %v and %v", MinLeaseDuration, MaxLeaseDuration)
+	var memory azurehitch.ByteSize
+	for _, server := range pool.BackendServers {
+		memory += server.AcceleratorMemory
+	}
+	c.require(pool.PromisedMemoryToPaid >= 0 && pool.PromisedMemoryToPaid <= memory, at+".PromisedMemoryToPaid",
+		"promises %v, and the pool has %v", pool.PromisedMemoryToPaid, memory)
 	c.require(len(pool.Calls) == 0, at+".Calls", "a pool of models has no calls")
 	names := map[string]bool{}
 	for i, model := range pool.Models {
--- a/internal/daemon/serve/budget.go
+++ b/internal/daemon/serve/budget.go
@@ -6,57 +6,59 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/lease/leaselog"
-	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/placement/loadslots"
 )
 
 const (
-	limitsInterval       = 10 * time.Second
-	limitsTimeout        = 2 * time.Second
-	defaultConcurrentMax = 4
+	limitsInterval = 10 * time.Second
+	limitsTimeout  = 2 * time.Second
+	// defaultModelLoads and defaultAdapterLoads are the loads at full speed while the
+	// weight store has not told them.
+	defaultModelLoads   = 4
+	defaultAdapterLoads = 30
 )
 
-// loadBudget gives this daemon its share of the loads that the weight store
-// takes at full speed. Each holder of a pool has at least one.
-type loadBudget struct {
-	weights    azurehitch.WeightStore
-	clock      azurehitch.Clock
-	store      *control.Store
-	concurrent atomic.Int64
+// weightLimits follows the limits of the weight store.
+type weightLimits struct {
+	weights azurehitch.WeightStore
+	clock   azurehitch.Clock
+	limits  atomic.Pointer[loadslots.Limits]
 }
 
-func newLoadBudget(weights azurehitch.WeightStore, clock azurehitch.Clock, store *control.Store) *loadBudget {
-	b := &loadBudget{weights: weights, clock: clock, store: store}
-	b.concurrent.Store(defaultConcurrentMax)
-	return b
+func newWeightLimits(weights azurehitch.WeightStore, clock azurehitch.Clock) *weightLimits {
+	w := &weightLimits{weights: weights, clock: clock}
+	w.set(azurehitch.WeightStoreLimits{})
+	return w
 }
 
-// Run reads the limits of the weight store until the context ends.
-func (b *loadBudget) Run(ctx context.Context) error {
+func (w *weightLimits) set(store azurehitch.WeightStoreLimits) {
+	if store.ConcurrentLoads <= 0 {
+		store.ConcurrentLoads = defaultModelLoads
+	}
+	if store.ConcurrentAdapterLoads <= 0 {
+		store.ConcurrentAdapterLoads = defaultAdapterLoads
+	}
+	limits := loadslots.NewLimits(store)
+	w.limits.Store(&limits)
+}
+
+// Limits returns the limits that the store told last.
+func (w *weightLimits) Limits() loadslots.Limits { return *w.limits.Load() }
+
+// Run reads the limits until the context ends.
+func (w *weightLimits) Run(ctx context.Context) error {
 	for {
-		b.refresh(ctx)
-		if err := b.clock.Sleep(ctx, limitsInterval); err != nil {
+		w.refresh(ctx)
+		if err := w.clock.Sleep(ctx, limitsInterval); err != nil {
 			return nil
 		}
 	}
 }
 
-func (b *loadBudget) refresh(ctx context.Context) {
+func (w *weightLimits) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
 	defer cancel()
-	limits, err := b.weights.Limits(ctx)
-	if err == nil && limits.ConcurrentLoads > 0 {
-		b.concurrent.Store(int64(limits.ConcurrentLoads))
-	}
-}
-
-// RemoteLoads returns how many loads each pool of this daemon may have under way.
-func (b *loadBudget) RemoteLoads() int {
-	held := 0
-	for _, lease := range b.store.Leases() {
-		if lease.Holder != (leaselog.Holder{}) {
-			held++
-		}
+	if limits, err := w.weights.Limits(ctx); err == nil {
+		w.set(limits)
 	}
-	return max(int(b.concurrent.Load())/max(held, 1), 1)
 }
--- a/internal/daemon/serve/daemon.go
+++ b/internal/daemon/serve/daemon.go
@@ -33,6 +33,7 @@
 	"azurehitch/internal/placement/directory"
 	"azurehitch/internal/placement/enginepool"
 	"azurehitch/internal/placement/holderpeer"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
@@ -77,7 +78,9 @@
 	outcomes  *outcomes.Store
 	directory *directory.Directory
 	callers   *caller.Server
-	budget    *loadBudget
+	limits    *weightLimits
+	scheduler *loadslots.Server
+	slots     *loadslots.Client
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -134,20 +137,12 @@
 }
 
 func (d *Daemon) assemblePlacement() {
-	d.budget = newLoadBudget(d.Weights, d.Clock, d.store)
-	d.pools = enginepool.NewSet(enginepool.Dependencies{
-		Store:       d.store,
-		Recorder:    d.writer,
-		Engines:     d.Engines,
-		Clock:       d.Clock,
-		Counters:    d.observer,
-		Hosts:       func() map[string]azurehitch.HostState { return d.watch.Members().Backends() },
-		RemoteLoads: d.budget.RemoteLoads,
-	})
+	d.limits = newWeightLimits(d.Weights, d.Clock)
+	d.scheduler = loadslots.NewServer(d.Clock, d.schedulerToken, d.limits.Limits)
 	d.peers = mux.NewClient(d.settings.Name)
 	d.holders = &holderpeer.Client{
 		Store:   d.store,
-		Pools:   d.pools,
+		Slots:   d.scheduler,
 		Peers:   d.peers,
 		Members: d.watch.Members,
 		Engines: d.Engines,
@@ -155,9 +150,27 @@
 		Metrics: d.metrics,
 		Tracer:  d.Tracer,
 	}
+	d.slots = loadslots.NewClient(d.holders, d.Clock, d.observer, d.limits.Limits, func(pool string) { d.pools.Wake(pool) })
+	d.pools = enginepool.NewSet(enginepool.Dependencies{
+		Store:    d.store,
+		Recorder: d.writer,
+		Engines:  d.Engines,
+		Clock:    d.Clock,
+		Counters: d.observer,
+		Hosts:    func() map[string]azurehitch.HostState { return d.watch.Members().Backends() },
+		Slots:    d.slots,
+	})
+	d.holders.Pools = d.pools
 	d.directory = directory.New(d.holders, d.Clock, d.settings.Name)
 }
 
+// schedulerToken returns the token of the lease for the weight store; 0 if another
+// daemon has it.
+func (d *Daemon) schedulerToken() int64 {
+	token, _ := d.store.Token(loadslots.Lease)
+	return token
+}
+
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
 	d.outcomes = outcomes.NewStore(d.Clock, s.IdempotencyWindow)
@@ -270,7 +283,8 @@
 
 func (d *Daemon) peerServer() *mux.Server {
 	server := &holderpeer.Server{
-		Store: d.store, Pools: d.pools, Outcomes: d.outcomes, Tracer: d.Tracer, Status: d.status,
+		Store: d.store, Pools: d.pools, Outcomes: d.outcomes, Slots: d.scheduler, Clock: d.Clock, Tracer: d.Tracer,
+		Status: d.status,
 	}
 	return mux.NewServer(d.peerListener, server.Handler())
 }
--- a/internal/daemon/serve/observer.go
+++ b/internal/daemon/serve/observer.go
@@ -82,6 +82,14 @@
 		Str("Outcome", string(outcome)).Dur("Took", took).Msg("load finished")
 }
 
+// LoadScheduled implements loadslots.Observer.
+func (o *observer) LoadScheduled(alone bool) {
+	o.metrics.Add(metrics.LoadSlotsGranted, 1)
+	if alone {
+		o.metrics.Add(metrics.LoadSlotsAlone, 1)
+	}
+}
+
 // UnloadFinished implements enginepool.Counters.
 func (o *observer) UnloadFinished(pool string, outcome planner.Outcome) {
 	if outcome == planner.OutcomeDone {
--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -7,6 +7,7 @@
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -21,6 +22,7 @@
 	gaugeInterval     = 200 * time.Millisecond
 	fetchInterval     = 500 * time.Millisecond
 	releaseTimeout    = 3 * time.Second
+	schedulerLease    = 15 * time.Second
 	maxAdminBodyBytes = 3 * tables.MaxTableBytes
 )
 
@@ -31,7 +33,7 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	for _, loop := range []func(context.Context) error{
-		d.follower.Run, d.callsTail.Run, d.watch.Run, d.pools.Run, d.budget.Run,
+		d.follower.Run, d.callsTail.Run, d.watch.Run, d.pools.Run, d.limits.Run, d.scheduler.Run, d.slots.Run,
 		d.leases.Run, d.snapshots.Run, d.runGauges, d.runStateFetch, d.peerServer().Run, d.runAdmin,
 	} {
 		group.Go(func() error { return loop(running) })
@@ -92,7 +94,11 @@
 
 func (d *Daemon) environment() leaselog.Environment {
 	members := d.watch.Members()
-	return leaselog.Environment{Pools: d.store.LeasedPools(), Daemons: members.Daemons, Draining: d.isDraining()}
+	pools := d.store.LeasedPools()
+	if d.store.Published().Version > 0 {
+		pools = append(pools, leaselog.PoolSetting{Name: loadslots.Lease, Duration: schedulerLease})
+	}
+	return leaselog.Environment{Pools: pools, Daemons: members.Daemons, Draining: d.isDraining()}
 }
 
 // runGauges keeps the gauges and the log line of the configuration in force.
--- a/internal/forward/caller/completion.go
+++ b/internal/forward/caller/completion.go
@@ -10,6 +10,7 @@
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/forward/backend"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/placement/directory"
 	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
@@ -78,7 +79,7 @@
 		return
 	}
 	c := &completion{request: r, target: target, tried: newAttempts()}
-	c.endProgress = r.server.Directory.Begin(target.Pool.Name, target.Artifact)
+	c.endProgress = r.server.Directory.Begin(c.key())
 	c.serve(body.Stream)
 }
 
@@ -106,6 +107,11 @@
 	endProgress func()
 }
 
+// key names what the completion uses.
+func (c *completion) key() directory.Key {
+	return directory.Key{Pool: c.target.Pool.Name, Artifact: c.target.Artifact, Tier: c.caller.Tier}
+}
+
 // release gives back what the completion holds.
 func (c *completion) release() {
 	c.endProgress()
@@ -143,7 +149,7 @@
 
 // attempt sends the request to one ready replica, to resume at a position.
 func (c *completion) attempt(resumeFrom int) (tables.BackendServer, *backend.Exchange, error) {
-	view, err := c.server.Directory.Find(c.ctx, c.target.Pool.Name, c.target.Artifact)
+	view, err := c.server.Directory.Find(c.ctx, c.key())
 	if err != nil {
 		return tables.BackendServer{}, nil, err
 	}
@@ -221,7 +227,7 @@
 	case backend.NotRunLeaving:
 		c.server.Directory.Avoid(server.Name)
 	case backend.NotRunNotLoaded, "":
-		c.server.Directory.Drop(c.target.Pool.Name, c.target.Artifact, server.Name)
+		c.server.Directory.Drop(c.key(), server.Name)
 	}
 }
 
--- a/internal/placement/directory/directory.go
+++ b/internal/placement/directory/directory.go
@@ -4,11 +4,11 @@
 // # Usage
 //
 //	d := directory.New(asker, clock, "daemon-1")
-//	view, err := d.Find(ctx, "llm", artifact)
-//	defer d.Begin("llm", artifact)()
+//	view, err := d.Find(ctx, directory.Key{Pool: "llm", Artifact: artifact, Tier: tables.TierPaid})
+//	defer d.Begin(key)()
 //
-// The daemon asks the holder of a pool once for all requests that wait for the
-// same artifact. A view that has expired is used on while it is refreshed, and
+// The daemon asks the holder of a pool once for all requests of one tier that wait for
+// the same artifact. A view that has expired is used on while it is refreshed, and
 // while the holder can't be asked: an engine refuses requests for what it no
 // longer has, so an old view costs an attempt and nothing else.
 package directory
@@ -52,9 +52,11 @@
 	ColdStart time.Duration
 }
 
-type key struct {
-	pool     string
-	artifact azurehitch.Artifact
+// Key names what requests of one tier use.
+type Key struct {
+	Pool     string
+	Artifact azurehitch.Artifact
+	Tier     tables.Tier
 }
 
 type entry struct {
@@ -79,7 +81,7 @@
 	group  *errgroup.Group
 
 	mu      sync.Mutex
-	entries map[key]*entry
+	entries map[Key]*entry
 	avoided map[string]time.Time
 }
 
@@ -90,17 +92,16 @@
 		clock:   clock,
 		daemon:  daemon,
 		group:   &errgroup.Group{},
-		entries: map[key]*entry{},
+		entries: map[Key]*entry{},
 		avoided: map[string]time.Time{},
 	}
 }
 
 // Find returns where an artifact is ready, and waits for that if need be.
-func (d *Directory) Find(ctx context.Context, pool string, artifact azurehitch.Artifact) (View, error) {
+func (d *Directory) Find(ctx context.Context, k Key) (View, error) {
 	if sabotage.Active(sabotage.SkipWaitLimit) {
 		ctx = context.WithoutCancel(ctx)
 	}
-	k := key{pool: pool, artifact: artifact}
 	d.changeWaiting(k, 1)
 	defer d.changeWaiting(k, -1)
 	for {
@@ -120,7 +121,7 @@
 }
 
 // look returns the view, or the channel of the ask to wait for.
-func (d *Directory) look(ctx context.Context, k key) (View, <-chan struct{}) {
+func (d *Directory) look(ctx context.Context, k Key) (View, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
@@ -156,7 +157,7 @@
 	})
 }
 
-func (d *Directory) entry(k key) *entry {
+func (d *Directory) entry(k Key) *entry {
 	e, ok := d.entries[k]
 	if !ok {
 		e = &entry{}
@@ -165,7 +166,7 @@
 	return e
 }
 
-func (d *Directory) startAsk(ctx context.Context, k key, e *entry, deadline time.Time) {
+func (d *Directory) startAsk(ctx context.Context, k Key, e *entry, deadline time.Time) {
 	if e.asking {
 		return
 	}
@@ -173,8 +174,8 @@
 	e.askedUntil = deadline
 	e.answered = make(chan struct{})
 	request := enginepool.Request{
-		Pool: k.pool, Daemon: d.daemon, Artifact: k.artifact,
-		Demand: planner.Demand{Waiting: e.waiting, InProgress: e.inProgress},
+		Pool: k.Pool, Daemon: d.daemon, Artifact: k.Artifact,
+		Demand: planner.Demand{Tier: k.Tier, Waiting: e.waiting, InProgress: e.inProgress},
 	}
 	d.group.Go(func() error {
 		ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -185,7 +186,7 @@
 	})
 }
 
-func (d *Directory) answered(k key, grant enginepool.Grant, err error) {
+func (d *Directory) answered(k Key, grant enginepool.Grant, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entry(k)
@@ -201,7 +202,7 @@
 
 // outcome returns the refusal that an ask brought. One that had an earlier
 // deadline than this request is no refusal of this one.
-func (d *Directory) outcome(ctx context.Context, k key, answered <-chan struct{}) error {
+func (d *Directory) outcome(ctx context.Context, k Key, answered <-chan struct{}) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entry(k)
@@ -214,20 +215,19 @@
 	return e.answer
 }
 
-func (d *Directory) changeWaiting(k key, n int) {
+func (d *Directory) changeWaiting(k Key, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.entry(k).waiting += n
 }
 
 // Begin counts a request in progress on an artifact. The returned function ends it.
-func (d *Directory) Begin(pool string, artifact azurehitch.Artifact) (end func()) {
-	k := key{pool: pool, artifact: artifact}
+func (d *Directory) Begin(k Key) (end func()) {
 	d.changeInProgress(k, 1)
 	return func() { d.changeInProgress(k, -1) }
 }
 
-func (d *Directory) changeInProgress(k key, n int) {
+func (d *Directory) changeInProgress(k Key, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.entry(k).inProgress += n
@@ -241,10 +241,10 @@
 }
 
 // Drop forgets that an artifact is ready on a server.
-func (d *Directory) Drop(pool string, artifact azurehitch.Artifact, server string) {
+func (d *Directory) Drop(k Key, server string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.entry(key{pool: pool, artifact: artifact})
+	e := d.entry(k)
 	e.servers = slices.DeleteFunc(slices.Clone(e.servers), func(s tables.BackendServer) bool { return s.Name == server })
 	if now := d.clock.Now(); now.Before(e.validUntil) {
 		e.validUntil = now
--- a/internal/placement/enginepool/acquire.go
+++ b/internal/placement/enginepool/acquire.go
@@ -64,7 +64,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.plan.Want(request.Daemon, request.Artifact, request.Demand, now)
+	demand := request.Demand
+	demand.Deadline, _ = ctx.Deadline()
+	p.plan.Want(request.Daemon, request.Artifact, demand, now)
 	if servers := p.plan.Ready(request.Artifact); len(servers) > 0 {
 		return Grant{Servers: servers, Token: p.token, ValidFor: viewValidity, Waited: now.Sub(began)}, nil, nil
 	}
@@ -115,7 +117,12 @@
 // estimate returns how long an artifact takes to become ready, from the load
 // times seen so far and the loads ahead of it.
 func (p *pool) estimate(artifact azurehitch.Artifact) (time.Duration, bool) {
-	return p.times.estimate(artifact, p.plan.LoadsAhead(artifact), p.RemoteLoads())
+	base := artifact.WithoutAdapter()
+	queued, concurrent, known := p.Slots.Ahead(p.name, base)
+	if !known {
+		queued = p.plan.LoadsAhead(artifact).Remotes
+	}
+	return p.times.estimate(artifact, p.plan.LoadsAhead(artifact), queued, concurrent)
 }
 
 // loadTimes is the moving average of the load times of models.
@@ -142,13 +149,13 @@
 	*average = time.Duration(smoothing*float64(*average) + (1-smoothing)*float64(took))
 }
 
-func (t *loadTimes) estimate(artifact azurehitch.Artifact, ahead planner.LoadsAhead, concurrent int) (time.Duration, bool) {
+func (t *loadTimes) estimate(artifact azurehitch.Artifact, ahead planner.LoadsAhead, queued, concurrent int) (time.Duration, bool) {
 	if ahead.BaseReady && artifact.Adapter != "" {
 		return 0, false
 	}
 	if !ahead.Remote {
 		return t.local, t.local > 0
 	}
-	rounds := 1 + ahead.Remotes/max(concurrent, 1)
+	rounds := 1 + queued/max(concurrent, 1)
 	return time.Duration(rounds) * t.remote, t.remote > 0
 }
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -20,6 +20,7 @@
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/placement/planner"
 	"azurehitch/internal/proof/sabotage"
 
@@ -63,8 +64,22 @@
 	// Hosts returns the state of each listed backend server; nil before the list was
 	// first read.
 	Hosts func() map[string]azurehitch.HostState
-	// RemoteLoads returns how many loads from the weight store may be under way.
-	RemoteLoads func() int
+	// Slots shares the weight store's speed with the other pools.
+	Slots Slots
+}
+
+// Slots grants loads from the weight store.
+type Slots interface {
+	// Want replaces what a pool would load now.
+	Want(pool string, wants []loadslots.Want)
+	// Granted returns the loads of a pool that may begin.
+	Granted(pool string) map[azurehitch.Artifact]bool
+	// Begin and End note that a granted load is, or is no longer, under way.
+	Begin(pool string, artifact azurehitch.Artifact)
+	End(pool string, artifact azurehitch.Artifact)
+	// Ahead returns how many loads go before a wanted one, if that is known, and how
+	// many the store takes at once.
+	Ahead(pool string, artifact azurehitch.Artifact) (ahead, concurrent int, known bool)
 }
 
 // pool is one pool while this daemon holds it.
@@ -115,6 +130,7 @@
 		return nil
 	})
 	err := group.Wait()
+	p.Slots.Want(p.name, nil)
 	p.closePolls()
 	return err
 }
@@ -161,11 +177,15 @@
 		})
 	}
 	for _, action := range p.plan.Decide(now, p.budget(now)) {
+		if action.Remote {
+			p.Slots.Begin(p.name, action.Artifact)
+		}
 		p.group.Go(func() error {
 			p.execute(ctx, action)
 			return nil
 		})
 	}
+	p.Slots.Want(p.name, p.plan.SlotWants())
 }
 
 func (p *pool) refreshScope() {
@@ -187,7 +207,7 @@
 	_, valid := p.Store.Token(p.name)
 	valid = valid || sabotage.Active(sabotage.SkipLeaseCheck)
 	logWorks := now.Sub(p.appendFailedAt) >= logRecovery
-	return planner.Budget{RemoteLoads: p.RemoteLoads(), LeaseValid: valid, LogWorks: logWorks}
+	return planner.Budget{Slots: p.Slots.Granted(p.name), LeaseValid: valid, LogWorks: logWorks}
 }
 
 func (p *pool) notify() {
@@ -202,6 +222,9 @@
 func (p *pool) execute(ctx context.Context, action planner.Action) {
 	started := p.Clock.Now()
 	result := p.order(ctx, action)
+	if action.Remote {
+		p.Slots.End(p.name, action.Artifact)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -282,6 +305,7 @@
 	}
 	err := session.Order(ctx, azurehitch.EngineOrder{
 		Kind: kind, Pool: p.name, Token: p.token, Artifact: action.Artifact, Memory: action.Memory,
+		CancelTrials: action.Preempt,
 	})
 	var failed *azurehitch.ErrOrder
 	switch {
--- a/internal/placement/enginepool/set.go
+++ b/internal/placement/enginepool/set.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// Wake makes the runner of a pool look at what is due.
+func (s *Set) Wake(pool string) {
+	s.mu.Lock()
+	p, ok := s.pools[pool]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Acquire waits for a replica in a pool that this daemon holds. It returns
 // *ErrNotHeld otherwise.
 func (s *Set) Acquire(ctx context.Context, request Request) (Grant, error) {
--- a/internal/placement/holderpeer/client.go
+++ b/internal/placement/holderpeer/client.go
@@ -23,6 +23,7 @@
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
 
@@ -50,6 +51,7 @@
 type Client struct {
 	Store   *control.Store
 	Pools   *enginepool.Set
+	Slots   *loadslots.Server
 	Peers   *mux.Client
 	Members func() *hostwatch.Members
 	Engines azurehitch.EngineDialer
@@ -202,6 +204,25 @@
 	return outcomes.Outcome{}, errNotHeld
 }
 
+// Exchange implements loadslots.Exchanger: it reports to the daemon that schedules the
+// loads from the weight store.
+func (c *Client) Exchange(ctx context.Context, report loadslots.Report) (loadslots.Answer, error) {
+	holder := c.Store.Lease(loadslots.Lease).Holder
+	if holder == c.Store.Self() {
+		return c.Slots.Exchange(ctx, holder.Daemon, report)
+	}
+	response, err := c.call(ctx, holder, &peerpb.Request{
+		Kind: &peerpb.Request_Slots{Slots: slotsToProto(report, c.Clock.Now())},
+	})
+	if err != nil {
+		return loadslots.Answer{}, err
+	}
+	if kind, ok := response.Kind.(*peerpb.Response_Slots); ok {
+		return slotsAnswerFromProto(kind.Slots), nil
+	}
+	return loadslots.Answer{}, loadslots.ErrNotScheduler
+}
+
 // FetchState restores the control state from the peer that has folded furthest,
 // for a daemon that starts while the log is down. It reports whether any peer
 // had newer state.
--- a/internal/placement/holderpeer/conversions.go
+++ b/internal/placement/holderpeer/conversions.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/idempotency/outcomes"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/placement/planner"
 
 	"github.com/pkg/errors"
@@ -17,7 +18,7 @@
 func acquireToProto(r enginepool.Request) *peerpb.AcquireRequest {
 	return &peerpb.AcquireRequest{
 		Pool: r.Pool, Model: r.Artifact.Model, Version: r.Artifact.Version, Adapter: r.Artifact.Adapter,
-		Waiters: int32(r.Demand.Waiting), InProgress: int32(r.Demand.InProgress),
+		Waiters: int32(r.Demand.Waiting), InProgress: int32(r.Demand.InProgress), Tier: string(r.Demand.Tier),
 	}
 }
 
@@ -26,10 +27,82 @@
 		Pool:     r.GetPool(),
 		Daemon:   daemon,
 		Artifact: azurehitch.Artifact{Model: r.GetModel(), Version: r.GetVersion(), Adapter: r.GetAdapter()},
-		Demand:   planner.Demand{Waiting: int(r.GetWaiters()), InProgress: int(r.GetInProgress())},
+		Demand: planner.Demand{
+			Tier: tables.Tier(r.GetTier()), Waiting: int(r.GetWaiters()), InProgress: int(r.GetInProgress()),
+		},
 	}
 }
 
+func loadToProto(key loadslots.Key) *peerpb.Load {
+	return &peerpb.Load{Pool: key.Pool, Model: key.Artifact.Model, Version: key.Artifact.Version, Adapter: key.Artifact.Adapter}
+}
+
+func loadFromProto(m *peerpb.Load) loadslots.Key {
+	return loadslots.Key{
+		Pool:     m.GetPool(),
+		Artifact: azurehitch.Artifact{Model: m.GetModel(), Version: m.GetVersion(), Adapter: m.GetAdapter()},
+	}
+}
+
+// slotsToProto sends times as durations, since daemons have clocks of their own.
+func slotsToProto(r loadslots.Report, now time.Time) *peerpb.SlotsRequest {
+	message := &peerpb.SlotsRequest{Sequence: r.Sequence}
+	for _, w := range r.Wants {
+		want := &peerpb.SlotWant{Load: loadToProto(w.Key), Class: string(w.Class), WaitedMs: now.Sub(w.Since).Milliseconds()}
+		if !w.Deadline.IsZero() {
+			want.DeadlineMs = max(w.Deadline.Sub(now).Milliseconds(), 1)
+		}
+		message.Wants = append(message.Wants, want)
+	}
+	for _, key := range r.Granted {
+		message.Granted = append(message.Granted, loadToProto(key))
+	}
+	for _, l := range r.Loading {
+		message.Loading = append(message.Loading, &peerpb.SlotLoading{Load: loadToProto(l.Key), Class: string(l.Class)})
+	}
+	return message
+}
+
+func slotsFromProto(m *peerpb.SlotsRequest, now time.Time) loadslots.Report {
+	report := loadslots.Report{Sequence: m.GetSequence()}
+	for _, w := range m.GetWants() {
+		want := loadslots.Want{Key: loadFromProto(w.GetLoad()), Class: loadslots.Class(w.GetClass()), Since: now.Add(-milliseconds(w.GetWaitedMs()))}
+		if w.GetDeadlineMs() > 0 {
+			want.Deadline = now.Add(milliseconds(w.GetDeadlineMs()))
+		}
+		report.Wants = append(report.Wants, want)
+	}
+	for _, l := range m.GetGranted() {
+		report.Granted = append(report.Granted, loadFromProto(l))
+	}
+	for _, l := range m.GetLoading() {
+		report.Loading = append(report.Loading, loadslots.Loading{Key: loadFromProto(l.GetLoad()), Class: loadslots.Class(l.GetClass())})
+	}
+	return report
+}
+
+func slotsAnswerToProto(a loadslots.Answer) *peerpb.Response {
+	message := &peerpb.SlotsResponse{}
+	for _, key := range a.Granted {
+		message.Granted = append(message.Granted, loadToProto(key))
+	}
+	for key, ahead := range a.Ahead {
+		message.Queued = append(message.Queued, &peerpb.SlotQueued{Load: loadToProto(key), Ahead: int32(ahead)})
+	}
+	return &peerpb.Response{Kind: &peerpb.Response_Slots{Slots: message}}
+}
+
+func slotsAnswerFromProto(m *peerpb.SlotsResponse) loadslots.Answer {
+	answer := loadslots.Answer{Ahead: map[loadslots.Key]int{}}
+	for _, l := range m.GetGranted() {
+		answer.Granted = append(answer.Granted, loadFromProto(l))
+	}
+	for _, q := range m.GetQueued() {
+		answer.Ahead[loadFromProto(q.GetLoad())] = int(q.GetAhead())
+	}
+	return answer
+}
+
 func grantToProto(g enginepool.Grant) *peerpb.Response {
 	message := &peerpb.AcquireResponse{
 		Token: g.Token, ValidMs: g.ValidFor.Milliseconds(), ColdStartMs: g.Waited.Milliseconds(),
--- a/internal/placement/holderpeer/server.go
+++ b/internal/placement/holderpeer/server.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/enginepool"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/telemetry/tracing"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 	Store    *control.Store
 	Pools    *enginepool.Set
 	Outcomes *outcomes.Store
+	Slots    *loadslots.Server
+	Clock    azurehitch.Clock
 	Tracer   *tracing.Tracer
 	// Status returns what this daemon has in force.
 	Status func() *peerpb.StatusResponse
@@ -38,6 +41,8 @@
 			return s.outcome(ctx, kind.Outcome)
 		case *peerpb.Request_State:
 			return s.state()
+		case *peerpb.Request_Slots:
+			return s.slots(ctx, request.GetDaemon(), kind.Slots)
 		case *peerpb.Request_Status:
 			return &peerpb.Response{Kind: &peerpb.Response_Status{Status: s.Status()}}
 		}
@@ -61,6 +66,14 @@
 	return errorToProto(err)
 }
 
+func (s *Server) slots(ctx context.Context, daemon string, request *peerpb.SlotsRequest) *peerpb.Response {
+	answer, err := s.Slots.Exchange(ctx, daemon, slotsFromProto(request, s.Clock.Now()))
+	if err != nil {
+		return notHeld()
+	}
+	return slotsAnswerToProto(answer)
+}
+
 func (s *Server) outcome(ctx context.Context, request *peerpb.OutcomeRequest) *peerpb.Response {
 	run, ok := s.Outcomes.Find(keyFromProto(request))
 	if !ok {
--- /dev/null
+++ b/internal/placement/loadslots/server.go
@@ -0,0 +1,138 @@
+package loadslots
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/proof/sabotage"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// takeoverPause is how long a new scheduler waits for the reports of all daemons,
+	// which send them as soon as they see that the lease has changed hands.
+	takeoverPause = 300 * time.Millisecond
+	// answerWait is how long an answer waits for a new grant.
+	answerWait = 300 * time.Millisecond
+	// decideInterval is how often the scheduler looks at what is due by time alone.
+	decideInterval = 50 * time.Millisecond
+)
+
+// ErrNotScheduler is the answer of a daemon that does not hold the lease.
+var ErrNotScheduler = errors.New("this daemon does not schedule loads")
+
+// Server runs the scheduler while this daemon holds the lease. It is safe for
+// concurrent use.
+type Server struct {
+	clock azurehitch.Clock
+	// token returns the fencing token of the lease; 0 if this daemon doesn't hold it.
+	token  func() int64
+	limits func() Limits
+
+	mu        sync.Mutex
+	scheduler *Scheduler
+	heldToken int64
+	changed   chan struct{}
+}
+
+// NewServer returns a server.
+func NewServer(clock azurehitch.Clock, token func() int64, limits func() Limits) *Server {
+	return &Server{clock: clock, token: token, limits: limits, changed: make(chan struct{})}
+}
+
+// Run keeps the scheduler until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	for {
+		s.step()
+		if err := s.clock.Sleep(ctx, decideInterval); err != nil {
+			return nil
+		}
+	}
+}
+
+// step begins to schedule when the lease is won, and decides what time alone allows.
+func (s *Server) step() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if token := s.token(); token != s.heldToken {
+		s.heldToken = token
+		s.scheduler = nil
+		if token != 0 {
+			s.scheduler = NewScheduler(s.limits(), now.Add(takeoverPause))
+		}
+	}
+	if s.scheduler != nil {
+		s.scheduler.SetLimits(s.limits())
+		s.scheduler.Decide(now)
+	}
+	s.notify()
+}
+
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Exchange takes in the report of a daemon. It answers as soon as something is granted
+// that the report does not know of, or after a short wait. The error is
+// ErrNotScheduler, or that of the context.
+func (s *Server) Exchange(ctx context.Context, daemon string, report Report) (Answer, error) {
+	if err := s.report(daemon, report); err != nil {
+		return Answer{}, err
+	}
+	until := s.clock.Now().Add(answerWait)
+	for {
+		answer, changed, err := s.answer(daemon)
+		if err != nil || len(report.Wants) == 0 || report.isNews(answer) || !s.clock.Now().Before(until) {
+			return answer, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Answer{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Server) report(daemon string, report Report) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return ErrNotScheduler
+	}
+	now := s.clock.Now()
+	s.scheduler.Report(daemon, report, now)
+	s.scheduler.Decide(now)
+	s.notify()
+	return nil
+}
+
+func (s *Server) answer(daemon string) (Answer, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return Answer{}, nil, ErrNotScheduler
+	}
+	if sabotage.Active(sabotage.SkipLoadSlots) {
+		return s.scheduler.all(daemon), s.changed, nil
+	}
+	return s.scheduler.Answer(daemon), s.changed, nil
+}
+
+// isNews reports whether an answer grants what the report does not know of.
+func (r Report) isNews(answer Answer) bool {
+	known := map[Key]bool{}
+	for _, key := range r.Granted {
+		known[key] = true
+	}
+	for _, key := range answer.Granted {
+		if !known[key] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/planner/decide.go
+++ b/internal/placement/planner/decide.go
@@ -8,74 +8,111 @@
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/proof/sabotage"
 )
 
 // Budget is what the holder may do now.
 type Budget struct {
-	// RemoteLoads is the number of loads from the weight store that may be under
-	// way at once.
-	RemoteLoads int
+	// Slots are the loads from the weight store that may begin now.
+	Slots map[azurehitch.Artifact]bool
 	// LeaseValid is whether the holder's lease has not expired.
 	LeaseValid bool
 	// LogWorks is whether intents can be recorded.
 	LogWorks bool
 }
 
+// need is a load that callers need next.
+type need struct {
+	artifact azurehitch.Artifact
+	memory   azurehitch.ByteSize
+	class    loadslots.Class
+	deadline time.Time
+	since    time.Time
+}
+
 // Decide returns the actions that are due and books them.
 func (p *Plan) Decide(now time.Time, budget Budget) []Action {
 	p.decidedAt = now
+	p.slotWants = nil
 	var actions []Action
 	actions = append(actions, p.repeatUncertain(budget)...)
 	actions = append(actions, p.drainLeaving(budget)...)
 	actions = append(actions, p.lowerReplicas(budget)...)
 	actions = append(actions, p.unloadIdle(now, budget)...)
-	for _, artifact := range p.wanted(now) {
-		if action, ok := p.serve(artifact, now, budget); ok {
+	for _, n := range p.needs(now) {
+		if action, ok := p.serve(n, now, budget); ok {
 			actions = append(actions, action)
 		}
 	}
 	return actions
 }
 
-// wanted returns the artifacts that callers want, the longest wait first.
-func (p *Plan) wanted(now time.Time) []azurehitch.Artifact {
-	var artifacts []azurehitch.Artifact
+// SlotWants returns the loads that the last decision would have begun with a slot of
+// the weight store.
+func (p *Plan) SlotWants() []loadslots.Want { return p.slotWants }
+
+// needs returns the loads that callers need, the most urgent first: those of paying
+// callers, then by deadline, then by the longest wait.
+func (p *Plan) needs(now time.Time) []need {
+	var needs []need
 	for artifact, w := range p.wants {
-		if _, current := w.total(now); !current {
+		demand, current := w.total(now)
+		if !current {
 			delete(p.wants, artifact)
 			continue
 		}
-		artifacts = append(artifacts, artifact)
+		memory, known := p.pool.Memory(artifact)
+		if known && !p.enough(artifact, demand) {
+			needs = append(needs, need{
+				artifact: artifact, memory: memory, class: p.classOf(artifact, demand.Tier), deadline: demand.Deadline, since: w.since,
+			})
+		}
 	}
-	slices.SortFunc(artifacts, func(a, b azurehitch.Artifact) int {
-		return cmp.Or(p.wants[a].since.Compare(p.wants[b].since), compareArtifacts(a, b))
-	})
-	return artifacts
+	slices.SortFunc(needs, func(a, b need) int { return loadslots.Compare(p.slotWant(a), p.slotWant(b)) })
+	return needs
 }
 
-// serve returns the next action towards a wanted artifact, if one is due.
-func (p *Plan) serve(artifact azurehitch.Artifact, now time.Time, budget Budget) (Action, bool) {
-	memory, known := p.pool.Memory(artifact)
-	if !known || p.underWay(artifact) || p.enough(artifact, now) {
-		return Action{}, false
+func (p *Plan) slotWant(n need) loadslots.Want {
+	return loadslots.Want{
+		Key:   loadslots.Key{Pool: p.pool.Name, Artifact: n.artifact},
+		Class: n.class, Deadline: n.deadline, Since: n.since,
 	}
-	if artifact.Adapter == "" {
-		return p.placeModel(artifact, memory, now, budget)
-	}
-	base := artifact.WithoutAdapter()
-	if len(p.Ready(base)) == 0 {
-		return p.serveBase(base, now, budget)
+}
+
+func (p *Plan) classOf(artifact azurehitch.Artifact, tier tables.Tier) loadslots.Class {
+	isFirst := len(p.Ready(artifact)) == 0
+	switch {
+	case tier == tables.TierPaid || sabotage.Active(sabotage.TrialsLikePaid):
+		if isFirst {
+			return loadslots.ClassPaid
+		}
+		return loadslots.ClassPaidMore
+	case isFirst:
+		return loadslots.ClassTrial
 	}
-	return p.placeAdapter(artifact, memory, now, budget)
+	return loadslots.ClassTrialMore
 }
 
-func (p *Plan) serveBase(base azurehitch.Artifact, now time.Time, budget Budget) (Action, bool) {
+// serve returns the next action towards a need, if one is due. An adapter needs its
+// model first.
+func (p *Plan) serve(n need, now time.Time, budget Budget) (Action, bool) {
+	if p.underWay(n.artifact) {
+		return Action{}, false
+	}
+	if n.artifact.Adapter == "" {
+		return p.placeModel(n, now, budget)
+	}
+	base := n.artifact.WithoutAdapter()
+	if len(p.Ready(base)) > 0 {
+		return p.placeAdapter(n, now, budget)
+	}
 	memory, known := p.pool.Memory(base)
 	if !known || p.underWay(base) {
 		return Action{}, false
 	}
-	return p.placeModel(base, memory, now, budget)
+	n.artifact, n.memory = base, memory
+	return p.placeModel(n, now, budget)
 }
 
 func (p *Plan) underWay(artifact azurehitch.Artifact) bool {
@@ -89,12 +126,11 @@
 }
 
 // enough reports whether the ready replicas suffice for the demand.
-func (p *Plan) enough(artifact azurehitch.Artifact, now time.Time) bool {
+func (p *Plan) enough(artifact azurehitch.Artifact, demand Demand) bool {
 	ready := len(p.Ready(artifact))
 	if ready == 0 {
 		return false
 	}
-	demand, _ := p.wants[artifact].total(now)
 	needed := (demand.Waiting + demand.InProgress + requestsPerReplica - 1) / requestsPerReplica
 	return ready >= min(needed, p.pool.MaxReplicas(artifact.Model))
 }
@@ -138,21 +174,21 @@
 	return bookings
 }
 
-func (p *Plan) placeModel(artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
+func (p *Plan) placeModel(n need, now time.Time, budget Budget) (Action, bool) {
 	if !p.allReached() {
 		return Action{}, false
 	}
-	if p.replicas(artifact.Model) >= p.pool.MaxReplicas(artifact.Model) {
-		return p.evictOtherVersion(artifact, now, budget)
+	if p.replicas(n.artifact.Model) >= p.pool.MaxReplicas(n.artifact.Model) {
+		return p.evictOtherVersion(n, now, budget)
 	}
-	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[artifact] == nil && s.AcceleratorMemory >= memory })
-	return p.placeOnBest(candidates, artifact, memory, now, budget)
+	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[n.artifact] == nil && s.AcceleratorMemory >= n.memory })
+	return p.placeOnBest(candidates, n, now, budget)
 }
 
-func (p *Plan) placeAdapter(artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
-	base := artifact.WithoutAdapter()
-	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[artifact] == nil && s.isReady(base) })
-	return p.placeOnBest(candidates, artifact, memory, now, budget)
+func (p *Plan) placeAdapter(n need, now time.Time, budget Budget) (Action, bool) {
+	base := n.artifact.WithoutAdapter()
+	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[n.artifact] == nil && s.isReady(base) })
+	return p.placeOnBest(candidates, n, now, budget)
 }
 
 // candidates returns the servers that take orders and suit, in a stable order.
@@ -185,22 +221,31 @@
 }
 
 // placeOnBest loads where the checkpoint is nearest and room is largest; with no
-// room anywhere, it evicts what was idle longest.
-func (p *Plan) placeOnBest(candidates []*server, artifact azurehitch.Artifact, memory azurehitch.ByteSize, now time.Time, budget Budget) (Action, bool) {
+// room anywhere, it evicts what was idle longest. What is lent to trials counts as
+// room for a paying caller. A load from the weight store waits for a slot.
+func (p *Plan) placeOnBest(candidates []*server, n need, now time.Time, budget Budget) (Action, bool) {
 	slices.SortStableFunc(candidates, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.distance(artifact), b.distance(artifact)), cmp.Compare(b.free(), a.free()))
+		return cmp.Or(cmp.Compare(a.distance(n.artifact), b.distance(n.artifact)), cmp.Compare(b.free(), a.free()))
 	})
+	paid := n.class.IsPaid()
+	if !paid && p.lendable(now) < n.memory {
+		return p.evictFor(candidates, n, now)
+	}
 	for _, s := range candidates {
-		if s.free() < memory {
+		if s.free() < n.memory {
+			if action, due := p.takeBack(s, n, now); paid && due {
+				return action, action.Kind != ""
+			}
 			continue
 		}
-		remote := artifact.Adapter == "" && s.distance(artifact) == distanceRemote
-		if remote && p.remoteLoads() >= budget.RemoteLoads {
+		remote := s.distance(n.artifact) == distanceRemote
+		if remote && !budget.Slots[n.artifact] {
+			p.slotWants = append(p.slotWants, p.slotWant(n))
 			return Action{}, false
 		}
-		return p.bookLoad(s, artifact, memory, remote, now), true
+		return p.bookLoad(s, n.artifact, n.memory, remote, now), true
 	}
-	return p.evictFor(candidates, memory, now)
+	return p.evictFor(candidates, n, now)
 }
 
 const (
@@ -219,18 +264,6 @@
 	return distanceRemote
 }
 
-func (p *Plan) remoteLoads() int {
-	count := 0
-	for _, s := range p.servers {
-		for artifact, b := range s.bookings {
-			if artifact.Adapter == "" && b.ordered && b.State == azurehitch.PlacementIntended && s.distance(artifact) == distanceRemote {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 func (p *Plan) bookLoad(s *server, artifact azurehitch.Artifact, memory azurehitch.ByteSize, remote bool, now time.Time) Action {
 	s.bookings[artifact] = &booking{
 		Placement: azurehitch.Placement{Artifact: artifact, State: azurehitch.PlacementIntended, Memory: memory},
--- a/internal/placement/planner/evict.go
+++ b/internal/placement/planner/evict.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -8,30 +10,35 @@
 	"azurehitch/internal/proof/sabotage"
 )
 
-// evictFor unloads, on the server where the least recently used suffices, one
-// artifact towards the room that a load needs.
-func (p *Plan) evictFor(candidates []*server, memory azurehitch.ByteSize, now time.Time) (Action, bool) {
-	var best *server
-	var bestVictim *booking
+// evictFor unloads, on the server where the least valuable suffices, one artifact
+// towards the room that a load needs.
+func (p *Plan) evictFor(candidates []*server, n need, now time.Time) (Action, bool) {
+	var on *server
+	var best victim
 	for _, s := range candidates {
-		victims, enough := p.victims(s, memory, now)
-		if !enough {
-			continue
-		}
-		if bestVictim == nil || victims[0].lastUsed.Before(bestVictim.lastUsed) {
-			best, bestVictim = s, victims[0]
+		victims, enough := p.victims(s, n, now)
+		if enough && (on == nil || victims[0].compare(best) < 0) {
+			on, best = s, victims[0]
 		}
 	}
-	if best == nil {
+	if on == nil {
 		return Action{}, false
 	}
-	return p.evict(best, bestVictim), true
+	return p.evictVictim(on, best), true
+}
+
+// evictVictim begins to unload a victim; requests of trials on it are cancelled.
+func (p *Plan) evictVictim(s *server, v victim) Action {
+	v.preempt = v.value == valueTrialBusy
+	return p.evict(s, v.booking)
 }
 
 // evict begins to unload an artifact, adapters that lie on it first.
 func (p *Plan) evict(s *server, b *booking) Action {
 	b.draining = true
-	return p.bookUnload(s, s.topmost(b))
+	action := p.bookUnload(s, s.topmost(b))
+	action.Preempt = b.preempt
+	return action
 }
 
 // topmost returns an adapter that lies on a model, which must go first, or the
@@ -45,24 +52,114 @@
 	return b
 }
 
-// victims returns what may be evicted from a server, the longest idle first, and
-// whether that and what is being unloaded make enough room.
-func (p *Plan) victims(s *server, memory azurehitch.ByteSize, now time.Time) ([]*booking, bool) {
+// The values of what may be evicted, the least first.
+const (
+	// valueTrialIdle is used by trials only, and idle.
+	valueTrialIdle = iota
+	// valueIdle is idle.
+	valueIdle
+	// valueTrialBusy is used by trials only, whose requests are cancelled and resumed.
+	valueTrialBusy
+)
+
+// victim is a booking that may be evicted.
+type victim struct {
+	*booking
+	value int
+}
+
+// compare orders victims by value, the longest idle first among equals.
+func (v victim) compare(other victim) int {
+	return cmp.Or(cmp.Compare(v.value, other.value), v.lastUsed.Compare(other.lastUsed))
+}
+
+// victims returns what may be evicted from a server for a need, the least valuable
+// first, and whether that and what is being unloaded make enough room.
+func (p *Plan) victims(s *server, n need, now time.Time) ([]victim, bool) {
 	room := s.free()
-	var victims []*booking
+	var victims []victim
+	for _, artifact := range sortedArtifacts(s.bookings) {
+		b := s.bookings[artifact]
+		if value, ok := p.valueOf(s, b, n, now); ok {
+			victims = append(victims, victim{booking: b, value: value})
+			room += b.Memory
+		}
+	}
+	slices.SortStableFunc(victims, victim.compare)
+	return victims, len(victims) > 0 && room >= n.memory
+}
+
+// valueOf returns the value of a booking as a victim, and false if it may not be
+// evicted for the need. A need of trials takes nothing that a paying caller may come
+// back to; one of paying callers takes also what trials are using.
+func (p *Plan) valueOf(s *server, b *booking, n need, now time.Time) (value int, ok bool) {
+	if !s.isUnloadable(b) || b.Artifact == n.artifact.WithoutAdapter() {
+		return 0, false
+	}
+	lent, paid := p.isLent(b.Artifact, now), n.class.IsPaid()
+	isIdle := b.Active == 0 && now.Sub(b.lastUsed) >= minimumKeep
+	switch {
+	case lent && isIdle:
+		return valueTrialIdle, true
+	case paid && isIdle:
+		return valueIdle, true
+	case paid && lent:
+		return valueTrialBusy, true
+	}
+	return 0, false
+}
+
+// takeBack unloads one artifact that is lent to trials, if that gives a server room
+// for a need. It returns no action while enough is being unloaded already.
+func (p *Plan) takeBack(s *server, n need, now time.Time) (action Action, due bool) {
+	room, going := s.free(), s.free()
+	var lent []victim
 	for _, artifact := range sortedArtifacts(s.bookings) {
 		b := s.bookings[artifact]
-		if p.isEvictable(s, b, now) {
-			victims = append(victims, b)
+		if !p.isLent(artifact, now) {
+			continue
+		}
+		value, ok := p.valueOf(s, b, n, now)
+		switch {
+		case b.draining:
+			going += b.Memory
+			room += b.Memory
+		case ok:
+			lent = append(lent, victim{booking: b, value: value})
 			room += b.Memory
 		}
 	}
-	slices.SortStableFunc(victims, func(a, b *booking) int { return a.lastUsed.Compare(b.lastUsed) })
-	return victims, len(victims) > 0 && room >= memory
+	if room < n.memory || going >= n.memory {
+		return Action{}, room >= n.memory
+	}
+	return p.evictVictim(s, slices.MinFunc(lent, victim.compare)), true
+}
+
+// isLent reports whether only trials have used an artifact within its keep time, so
+// that its memory is spare capacity that is taken back when a paying caller needs it.
+func (p *Plan) isLent(artifact azurehitch.Artifact, now time.Time) bool {
+	paidAt, known := p.paidAt[artifact]
+	return !known || now.Sub(paidAt) >= p.keepTime(artifact)
 }
 
-func (p *Plan) isEvictable(s *server, b *booking, now time.Time) bool {
-	return s.isUnloadable(b) && b.Active == 0 && now.Sub(b.lastUsed) >= minimumKeep
+// lendable returns how much memory trials may still take: what is not promised to
+// paying callers, less what they have.
+func (p *Plan) lendable(now time.Time) azurehitch.ByteSize {
+	if p.pool.PromisedMemoryToPaid == 0 || sabotage.Active(sabotage.TrialsLikePaid) {
+		return math.MaxInt64
+	}
+	left := -p.pool.PromisedMemoryToPaid
+	for _, s := range p.servers {
+		if s.accepts() {
+			left += s.AcceleratorMemory
+		}
+		for artifact, b := range s.bookings {
+			if p.isLent(artifact, now) {
+				left -= b.Memory
+			}
+		}
+	}
+	return left
 }
 
 // isUnloadable reports whether an unload may be ordered: nothing is under way on
@@ -84,13 +181,15 @@
 
 // evictOtherVersion makes room under the replica limit by unloading an idle
 // replica of another version, or one on a server that takes no requests.
-func (p *Plan) evictOtherVersion(artifact azurehitch.Artifact, now time.Time, budget Budget) (Action, bool) {
+func (p *Plan) evictOtherVersion(n need, now time.Time, budget Budget) (Action, bool) {
 	for _, name := range sortedKeys(p.servers) {
 		s := p.servers[name]
 		for _, other := range sortedArtifacts(s.bookings) {
 			b := s.bookings[other]
-			if other.Model == artifact.Model && other.Version != artifact.Version &&
-				p.mayOrder(s, budget) && p.isEvictable(s, b, now) {
+			if other.Model != n.artifact.Model || other.Version == n.artifact.Version || !p.mayOrder(s, budget) {
+				continue
+			}
+			if value, ok := p.valueOf(s, b, n, now); ok && value != valueTrialBusy {
 				return p.evict(s, b), true
 			}
 		}
--- a/internal/placement/planner/observe.go
+++ b/internal/placement/planner/observe.go
@@ -97,6 +97,10 @@
 	b, ok := s.bookings[placement.Artifact]
 	if !ok {
 		b = &booking{lastUsed: p.usedAt(placement.Artifact, now), changedAt: startedAt}
+		if _, known := p.lastUsed[placement.Artifact]; !known {
+			// A former holder loaded it, perhaps for a paying caller.
+			p.paidAt[placement.Artifact] = now
+		}
 		b.Placement = placement
 		s.bookings[placement.Artifact] = b
 	}
--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -6,6 +6,7 @@
 //	plan.Observe(server, report, now)
 //	plan.Want(daemon, artifact, demand, now)
 //	for _, action := range plan.Decide(now, budget) { ... }
+//	slots.Want(pool, plan.SlotWants())
 //	plan.Finished(action, result, now)
 //
 // A Plan is the state of a pool's lease holder. It does no I/O: events and the
@@ -21,12 +22,14 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/placement/keepalive"
+	"azurehitch/internal/placement/loadslots"
 	"azurehitch/internal/proof/sabotage"
 )
 
@@ -69,8 +72,11 @@
 	Incarnation string
 	Artifact    azurehitch.Artifact
 	Memory      azurehitch.ByteSize
-	// Remote tells that a load comes from the weight store.
+	// Remote tells that a load comes from the weight store, and uses the slot that was
+	// granted for it.
 	Remote bool
+	// Preempt tells that an unload cancels requests of trials instead of ending them.
+	Preempt bool
 }
 
 // Outcome is how an action ended.
@@ -94,12 +100,16 @@
 	Intent int64
 }
 
-// Demand is what callers want of an artifact.
+// Demand is what the callers of one tier want of an artifact.
 type Demand struct {
+	Tier tables.Tier
 	// Waiting is the number of requests that wait for the first replica.
 	Waiting int
 	// InProgress is the number of requests that run.
 	InProgress int
+	// Deadline is when the first of the waiting requests has to be refused; zero if
+	// that is not known.
+	Deadline time.Time
 }
 
 // booking is an artifact on a server as the holder counts it.
@@ -108,6 +118,8 @@
 	// draining is true from the decision to unload it: it gets no new work, and no
 	// adapter is loaded on it.
 	draining bool
+	// preempt is true when requests of trials on it are cancelled.
+	preempt bool
 	// ordered is true while an own order is under way.
 	ordered bool
 	// uncertain is true when an order to this incarnation may still arrive. The
@@ -146,10 +158,15 @@
 	cached   map[azurehitch.Artifact]azurehitch.CacheTier
 }
 
-// want is the demand for one artifact, by the daemon that reported it.
+// want is the demand for one artifact, by the daemon and tier that reported it.
 type want struct {
 	since   time.Time
-	demands map[string]reportedDemand
+	demands map[demandSource]reportedDemand
+}
+
+type demandSource struct {
+	daemon string
+	tier   tables.Tier
 }
 
 type reportedDemand struct {
@@ -157,26 +174,44 @@
 	at time.Time
 }
 
-// total returns the sum of the demands that still count.
+// total returns the sum of the demands that still count. Its tier is Paid if there is
+// a paying caller among them; its deadline is the first of that tier.
 func (w *want) total(now time.Time) (sum Demand, current bool) {
-	for _, d := range w.demands {
+	sum.Tier = tables.TierTrial
+	for source, d := range w.demands {
 		if now.Sub(d.at) > demandTTL {
 			continue
 		}
 		current = true
 		sum.Waiting += d.Waiting
 		sum.InProgress += d.InProgress
+		if source.tier != tables.TierTrial && sum.Tier == tables.TierTrial {
+			sum.Tier, sum.Deadline = tables.TierPaid, time.Time{}
+		}
+		if sum.Tier == source.tier {
+			sum.Deadline = earlier(sum.Deadline, d.Deadline)
+		}
 	}
 	return sum, current
 }
 
+// earlier returns the earlier of two times, of which zero is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Plan is the state of a pool's holder. It is not safe for concurrent use.
 type Plan struct {
 	pool    tables.Pool
 	servers map[string]*server
 	wants   map[azurehitch.Artifact]*want
-	// lastUsed and histories survive the unloading of an artifact.
+	// lastUsed, paidAt and histories survive the unloading of an artifact. paidAt is
+	// when a paying caller last used it.
 	lastUsed  map[azurehitch.Artifact]time.Time
+	paidAt    map[azurehitch.Artifact]time.Time
 	histories map[azurehitch.Artifact]keepalive.History
 	// poolHistory is the gaps of all artifacts of the pool.
 	poolHistory keepalive.History
@@ -187,6 +222,8 @@
 	settling map[int64]time.Time
 	// decidedAt is the time of the decision that is under way.
 	decidedAt time.Time
+	// slotWants are the loads that the last decision would have begun with a slot.
+	slotWants []loadslots.Want
 }
 
 // Scope is what a plan decides on.
@@ -206,6 +243,7 @@
 		servers:   map[string]*server{},
 		wants:     map[azurehitch.Artifact]*want{},
 		lastUsed:  map[azurehitch.Artifact]time.Time{},
+		paidAt:    map[azurehitch.Artifact]time.Time{},
 		histories: map[azurehitch.Artifact]keepalive.History{},
 		emptied:   map[string]time.Time{},
 		settling:  map[int64]time.Time{},
@@ -299,17 +337,21 @@
 func (p *Plan) Want(daemon string, artifact azurehitch.Artifact, demand Demand, now time.Time) {
 	w, ok := p.wants[artifact]
 	if !ok {
-		w = &want{since: now, demands: map[string]reportedDemand{}}
+		w = &want{since: now, demands: map[demandSource]reportedDemand{}}
 		p.wants[artifact] = w
 	}
-	w.demands[daemon] = reportedDemand{Demand: demand, at: now}
-	p.touch(artifact, now)
+	demand.Tier = cmp.Or(demand.Tier, tables.TierPaid)
+	w.demands[demandSource{daemon: daemon, tier: demand.Tier}] = reportedDemand{Demand: demand, at: now}
+	p.touch(artifact, demand.Tier, now)
 }
 
-func (p *Plan) touch(artifact azurehitch.Artifact, now time.Time) {
+func (p *Plan) touch(artifact azurehitch.Artifact, tier tables.Tier, now time.Time) {
 	for _, used := range []azurehitch.Artifact{artifact, artifact.WithoutAdapter()} {
 		p.noteGap(used, now)
 		p.lastUsed[used] = now
+		if tier == tables.TierPaid || sabotage.Active(sabotage.TrialsLikePaid) {
+			p.paidAt[used] = now
+		}
 		for _, s := range p.servers {
 			if b, ok := s.bookings[used]; ok {
 				b.lastUsed = now
--- a/internal/placement/planner/planner_test.go
+++ b/internal/placement/planner/planner_test.go
@@ -16,6 +16,7 @@
 var (
 	start = time.Unix(1000, 0)
 	note  = azurehitch.Artifact{Model: "note", Version: "1"}
+	other = azurehitch.Artifact{Model: "other", Version: "1"}
 )
 
 func server(name string) tables.BackendServer {
@@ -25,7 +26,10 @@
 func poolOf(servers ...tables.BackendServer) tables.Pool {
 	return tables.Pool{
 		Name: "llm", BackendServers: servers, IdleTimeout: azurehitch.Duration(time.Hour),
-		Models: []tables.Model{{Name: "note", MaxReplicas: 1, Versions: []tables.ModelVersion{{Version: "1", Memory: modelMemory}}}},
+		Models: []tables.Model{
+			{Name: "note", MaxReplicas: 1, Versions: []tables.ModelVersion{{Version: "1", Memory: modelMemory}}},
+			{Name: "other", MaxReplicas: 1, Versions: []tables.ModelVersion{{Version: "1", Memory: modelMemory}}},
+		},
 	}
 }
 
@@ -52,7 +56,7 @@
 }
 
 func decide(plan *planner.Plan, now time.Time) []planner.Action {
-	return plan.Decide(now, planner.Budget{RemoteLoads: 4, LeaseValid: true, LogWorks: true})
+	return plan.Decide(now, planner.Budget{Slots: map[azurehitch.Artifact]bool{note: true, other: true}, LeaseValid: true, LogWorks: true})
 }
 
 // assertLoads checks that one wanted model is ordered on a server; an empty name
--- a/internal/proof/points/burst_test.go
+++ b/internal/proof/points/burst_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/placement/directory"
 	"azurehitch/internal/placement/enginepool"
 	"azurehitch/internal/proof/poolworld"
@@ -89,7 +90,7 @@
 				began := time.Now()
 				ctx, cancel := context.WithTimeout(context.Background(), deadline)
 				defer cancel()
-				_, err := view.Find(ctx, poolworld.PoolName, sleeping)
+				_, err := view.Find(ctx, directory.Key{Pool: poolworld.PoolName, Artifact: sleeping, Tier: tables.TierPaid})
 				result.add(err, time.Since(began)-deadline)
 			})
 		}
--- a/internal/proof/poolworld/world.go
+++ b/internal/proof/poolworld/world.go
@@ -176,9 +176,9 @@
 	d.Writer = control.NewWriter(log, Stream, d.Store, quiet{})
 	d.Set = enginepool.NewSet(enginepool.Dependencies{
 		Store: d.Store, Recorder: d.Writer, Clock: clock, Counters: quiet{},
-		Engines:     engine.Dialer{Caller: name, Engines: w.Engines, Hooks: w.hooks(ctx)},
-		Hosts:       w.Hosts,
-		RemoteLoads: func() int { return remoteLoads },
+		Engines: engine.Dialer{Caller: name, Engines: w.Engines, Hooks: w.hooks(ctx)},
+		Hosts:   w.Hosts,
+		Slots:   newFreeSlots(),
 	})
 	d.Leases = leaserunner.Runner{
 		Store: d.Store, Writer: d.Writer, Clock: clock, Counters: quiet{},
--- a/internal/proof/sabotage/sabotage.go
+++ b/internal/proof/sabotage/sabotage.go
@@ -63,6 +63,10 @@
 	JudgeByTables Mechanism = "JudgeByTables"
 	// SkipQueueLimit admits all requests at once.
 	SkipQueueLimit Mechanism = "SkipQueueLimit"
+	// SkipLoadSlots lets each load from the weight store begin at once.
+	SkipLoadSlots Mechanism = "SkipLoadSlots"
+	// TrialsLikePaid loads for trials as for paying callers.
+	TrialsLikePaid Mechanism = "TrialsLikePaid"
 	// SkipSnapshots appends no snapshots.
 	SkipSnapshots Mechanism = "SkipSnapshots"
 )
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -78,8 +78,9 @@
 // Limits implements azurehitch.WeightStore.
 func (s *Store) Limits(context.Context) (azurehitch.WeightStoreLimits, error) {
 	return azurehitch.WeightStoreLimits{
-		LoadsPerSecond:  s.options.LoadsPerSecond,
-		ConcurrentLoads: s.options.ConcurrentLoads,
+		LoadsPerSecond:         s.options.LoadsPerSecond,
+		ConcurrentLoads:        s.options.ConcurrentLoads,
+		ConcurrentAdapterLoads: s.options.ConcurrentAdapters,
 	}, nil
 }
 
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -53,6 +53,8 @@
 	DirectDiscoveries    Name = "DirectDiscoveries"
 	DuplicateCalls       Name = "DuplicateCalls"
 	ConfigurationChanges Name = "ConfigurationChanges"
+	LoadSlotsGranted     Name = "LoadSlotsGranted"
+	LoadSlotsAlone       Name = "LoadSlotsAlone"
 )
 
 // The gauges.
--- a/weightstore.go
+++ b/weightstore.go
@@ -17,8 +17,10 @@
 type WeightStoreLimits struct {
 	// LoadsPerSecond is the rate of loads that may start.
 	LoadsPerSecond float64
-	// ConcurrentLoads is the number of loads at full speed.
+	// ConcurrentLoads is the number of model loads at full speed.
 	ConcurrentLoads int
+	// ConcurrentAdapterLoads is the number of adapter loads at full speed.
+	ConcurrentAdapterLoads int
 }
 
 // WeightStore is the platform's rate-limited store of checkpoints.
