--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -92,5 +92,6 @@
 prove Overload points SkipQueueLimit SkipBudget
 prove WeightStoreShare points SkipLoadSlots
 prove PaidLoadsFirst points TrialsLikePaid
+prove TrialMoves points ResumeFromStart TrialsLikePaid
 prove PaidBeforeTrial points SkipPromise
 exit $failed
--- a/cmd/azurehitch-bench/cmds/policy.go
+++ b/cmd/azurehitch-bench/cmds/policy.go
@@ -79,10 +79,18 @@
 		figure(out, "IdleHours"+suffix, s.IdleHours, "h")
 		figure(out, "Loads"+suffix, float64(s.Loads), "loads")
 		figure(out, "Refused"+suffix, float64(s.Refused), "requests")
+		figure(out, "LoadsAhead"+suffix, float64(s.LoadsAhead), "loads")
+		figure(out, "ExcessReplicas"+suffix, float64(s.ExcessReplicas), "replicas")
+		figure(out, "RefusedLoads"+suffix, float64(s.RefusedLoads), "loads")
+		figure(out, "PeakRemoteLoads"+suffix, float64(s.PeakRemoteLoads), "loads")
+		figure(out, "TrialWaitP99"+suffix, s.TrialWaitP99.Seconds(), "s")
+		figure(out, "TrialRefused"+suffix, float64(s.TrialRefused), "requests")
+		figure(out, "TrialsMoved"+suffix, float64(s.TrialsMoved), "requests")
 	}
 	learned, fixed, offline := c.Summary(policy.Learned), c.Summary(policy.Fixed), c.Summary(policy.Offline)
 	figure(out, "ColdStartP99Ratio."+c.Scenario, learned.ColdStartP99.Seconds()/offline.ColdStartP99.Seconds(), "ratio")
 	figure(out, "ColdStartP99ToFixed."+c.Scenario, learned.ColdStartP99.Seconds()/fixed.ColdStartP99.Seconds(), "ratio")
 	figure(out, "IdleHoursRatio."+c.Scenario, learned.IdleHours/fixed.IdleHours, "ratio")
+	figure(out, "PaidDisplacedByTrial."+c.Scenario, float64(learned.Displaced), "requests")
 	figure(out, "LateOrDropped."+c.Scenario, float64(learned.Late+learned.Unended), "requests")
 }
--- a/engine.go
+++ b/engine.go
@@ -83,11 +83,17 @@
 	Artifact Artifact
 	// Memory is the accelerator memory that a load needs.
 	Memory ByteSize
-	// CancelTrials makes an unload cancel the requests of trials instead of waiting for
-	// their end. A cancelled stream can be resumed.
-	CancelTrials bool `json:",omitempty"`
+	// CancelBelow makes an unload cancel the requests of a lower priority instead of
+	// waiting for their end; 0 cancels none. A cancelled stream can be resumed.
+	CancelBelow int `json:",omitempty"`
 }
 
+// The priorities of requests at the engines.
+const (
+	PriorityPaid  = 10
+	PriorityTrial = 1
+)
+
 // EngineSession is a connection to one incarnation of an engine. It never
 // connects anew: an order either reaches the incarnation that was dialed or
 // fails, so an order held back by a paused process cannot reach a later
--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -9,43 +9,88 @@
 	"azurehitch"
 )
 
+// memoryModels is how many checkpoints the memory of a host keeps.
+const memoryModels = 4
+
 // fakeEngine is what a server has loaded and cached.
 type fakeEngine struct {
 	name       string
 	placements map[azurehitch.Artifact]*azurehitch.Placement
 	cached     map[azurehitch.Artifact]azurehitch.CacheTier
+	// inMemory are the checkpoints in the host's memory, the last one loaded last;
+	// onDisk are those on its disk.
+	inMemory []azurehitch.Artifact
+	onDisk   map[azurehitch.Artifact]bool
+	// removed is told what was unloaded.
+	removed func(azurehitch.Artifact)
 }
 
 // startEngines starts the engines with some checkpoints on their disks.
 func (r *run) startEngines(random *rand.Rand) {
-	for _, server := range r.plan.Servers() {
+	for _, server := range r.scenario.pool(0, 0).BackendServers {
 		e := &fakeEngine{
 			name:       server.Name,
 			placements: map[azurehitch.Artifact]*azurehitch.Placement{},
 			cached:     map[azurehitch.Artifact]azurehitch.CacheTier{},
+			onDisk:     map[azurehitch.Artifact]bool{},
+			removed:    func(artifact azurehitch.Artifact) { r.unloaded(artifact) },
 		}
 		for range r.scenario.DiskModels {
 			model := azurehitch.Artifact{Model: modelName(random.IntN(r.scenario.Models)), Version: "1"}
 			e.cached[model] = azurehitch.CacheTierDisk
+			e.onDisk[model] = true
 		}
 		r.engines[server.Name] = e
 		r.names = append(r.names, server.Name)
 	}
-	states := map[string]azurehitch.HostState{}
-	for name := range r.engines {
-		states[name] = azurehitch.HostStateLive
+}
+
+func (r *run) unloaded(artifact azurehitch.Artifact) {
+	if artifact.Adapter == "" {
+		r.replicas[artifact.Model]--
 	}
-	r.plan.SetHosts(states)
 }
 
-func (e *fakeEngine) reserve(artifact azurehitch.Artifact, memory azurehitch.ByteSize) {
+// reserve takes the memory of a load. It returns false if there is not enough.
+func (e *fakeEngine) reserve(artifact azurehitch.Artifact, memory azurehitch.ByteSize) bool {
+	free := serverMemory - memory
+	for _, p := range e.placements {
+		free -= p.Memory
+	}
+	if _, loaded := e.placements[artifact]; loaded || free < 0 {
+		return false
+	}
 	e.placements[artifact] = &azurehitch.Placement{Artifact: artifact, State: azurehitch.PlacementLoading, Memory: memory}
+	return true
 }
 
+func (e *fakeEngine) remove(artifact azurehitch.Artifact) {
+	if _, ok := e.placements[artifact]; ok {
+		delete(e.placements, artifact)
+		e.removed(artifact)
+	}
+}
+
+// ready notes the end of a load, after which the checkpoint of a model lies in the
+// host's memory. That holds a few, of which the one loaded longest ago goes.
 func (e *fakeEngine) ready(artifact azurehitch.Artifact) {
 	if p, ok := e.placements[artifact]; ok {
 		p.State = azurehitch.PlacementReady
 	}
+	if artifact.Adapter != "" {
+		return
+	}
+	e.inMemory = append(slices.DeleteFunc(e.inMemory, func(a azurehitch.Artifact) bool { return a == artifact }), artifact)
+	e.cached[artifact] = azurehitch.CacheTierMemory
+	if len(e.inMemory) <= memoryModels {
+		return
+	}
+	oldest := e.inMemory[0]
+	e.inMemory = e.inMemory[1:]
+	delete(e.cached, oldest)
+	if e.onDisk[oldest] {
+		e.cached[oldest] = azurehitch.CacheTierDisk
+	}
 }
 
 func (e *fakeEngine) begin(artifact azurehitch.Artifact) { e.changeActive(artifact, 1) }
@@ -54,13 +99,13 @@
 
 func (e *fakeEngine) changeActive(artifact azurehitch.Artifact, n int) {
 	if p, ok := e.placements[artifact]; ok {
-		p.Active += n
+		p.Active = max(p.Active+n, 0)
 	}
 	if artifact.Adapter == "" {
 		return
 	}
 	if p, ok := e.placements[artifact.WithoutAdapter()]; ok {
-		p.Active += n
+		p.Active = max(p.Active+n, 0)
 	}
 }
 
@@ -94,7 +139,9 @@
 }
 
 func sortedArtifacts[V any](m map[azurehitch.Artifact]V) []azurehitch.Artifact {
-	return slices.SortedFunc(maps.Keys(m), func(a, b azurehitch.Artifact) int {
-		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
-	})
+	return slices.SortedFunc(maps.Keys(m), compareArtifacts)
+}
+
+func compareArtifacts(a, b azurehitch.Artifact) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
 }
--- a/internal/bench/policy/policy_test.go
+++ b/internal/bench/policy/policy_test.go
@@ -11,7 +11,7 @@
 
 func small() policy.Scenario {
 	s := policy.DairyBoard()
-	s.Models, s.Adapters, s.Servers, s.Length = 10, 5, 3, 6*time.Hour
+	s.Models, s.Adapters, s.Servers, s.Length, s.WarmUp, s.PromisedServers = 10, 5, 3, 6*time.Hour, 0, 2
 	return s
 }
 
@@ -25,8 +25,17 @@
 			})
 			c.Run("each request comes to one end", func(c *qt.C) {
 				c.Assert(first.Served+first.Refused, qt.Equals, first.Requests)
+				c.Assert(first.TrialServed+first.TrialRefused, qt.Equals, first.TrialRequests)
 				c.Assert(first.Late, qt.Equals, 0)
 			})
+			if p == policy.Uncoordinated {
+				return
+			}
+			c.Run("limits hold", func(c *qt.C) {
+				c.Assert(first.ExcessReplicas, qt.Equals, 0)
+				c.Assert(first.RefusedLoads, qt.Equals, 0)
+				c.Assert(first.PeakRemoteLoads <= small().ConcurrentLoads, qt.IsTrue)
+			})
 		})
 	}
 }
--- a/internal/configuration/tables/tables.go
+++ b/internal/configuration/tables/tables.go
@@ -94,6 +94,9 @@
 	// start. With it, each artifact is kept as its own arrivals suggest; without
 	// it, all are kept for IdleTimeout.
 	ColdStartPrice azurehitch.Duration `json:",omitempty"`
+	// WakeAhead wakes models before the times of day at which they were used on earlier
+	// days, where that pays at ColdStartPrice.
+	WakeAhead bool `json:",omitempty"`
 	// LeaseDuration is how long the holder of the pool stays in office without a
 	// renewal.
 	LeaseDuration azurehitch.Duration `json:",omitempty"`
@@ -177,31 +180,21 @@
 	return p.BackendServers[i], true
 }
 
-// Memory returns the accelerator memory that an artifact needs by itself, and
-// false if the pool doesn't have it.
-func (p Pool) Memory(artifact azurehitch.Artifact) (azurehitch.ByteSize, bool) {
-	model, ok := p.Model(artifact.Model)
-	if !ok {
-		return 0, false
+// Memories returns the accelerator memory that each artifact of the pool needs by
+// itself.
+func (p Pool) Memories() map[azurehitch.Artifact]azurehitch.ByteSize {
+	memories := map[azurehitch.Artifact]azurehitch.ByteSize{}
+	for _, model := range p.Models {
+		for _, version := range model.Versions {
+			artifact := azurehitch.Artifact{Model: model.Name, Version: version.Version}
+			memories[artifact] = version.Memory
+			for _, adapter := range model.Adapters {
+				artifact.Adapter = adapter.Name
+				memories[artifact] = adapter.Memory
+			}
+		}
 	}
-	version := slices.IndexFunc(model.Versions, func(v ModelVersion) bool { return v.Version == artifact.Version })
-	if version < 0 {
-		return 0, false
-	}
-	if artifact.Adapter == "" {
-		return model.Versions[version].Memory, true
-	}
-	adapter := slices.IndexFunc(model.Adapters, func(a Adapter) bool { return a.Name == artifact.Adapter })
-	if adapter < 0 {
-		return 0, false
-	}
-	return model.Adapters[adapter].Memory, true
-}
-
-// MaxReplicas returns the replica limit of a model; 0 if the pool doesn't have it.
-func (p Pool) MaxReplicas(model string) int {
-	m, _ := p.Model(model)
-	return m.MaxReplicas
+	return memories
 }
 
 // Configuration is a valid pair of tables, with the version that the log gave it.
--- a/internal/configuration/tables/tables_test.go
+++ b/internal/configuration/tables/tables_test.go
@@ -54,7 +54,7 @@
 		{azurehitch.Artifact{Model: "nobody", Version: "1"}, 0, false},
 	} {
 		c.Run(test.artifact.String(), func(c *qt.C) {
-			memory, known := pool.Memory(test.artifact)
+			memory, known := pool.Memories()[test.artifact]
 			c.Assert(known, qt.Equals, test.known)
 			c.Assert(memory, qt.Equals, test.memory)
 		})
--- a/internal/daemon/serve/observer.go
+++ b/internal/daemon/serve/observer.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"azurehitch/internal/placement/enginepool"
 	"azurehitch/internal/placement/planner"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -123,6 +124,11 @@
 	o.logs.Layer(logging.LayerLease).Info().Str("Pool", pool).Int64("Token", token).Msg(message)
 }
 
+// EstimateEnded implements enginepool.Counters.
+func (o *observer) EstimateEnded(_ string, end enginepool.EstimateEnd) {
+	o.metrics.AddLabeled(metrics.EstimatesEnded, string(end), 1)
+}
+
 // ClaimSettled implements leaserunner.Counters.
 func (o *observer) ClaimSettled(won bool) {
 	if won {
--- a/internal/forward/backend/transport.go
+++ b/internal/forward/backend/transport.go
@@ -40,6 +40,9 @@
 	NotRunLeaving   NotRunReason = "Leaving"
 	NotRunNotLoaded NotRunReason = "NotLoaded"
 	NotRunBusy      NotRunReason = "Busy"
+	// NotRunCancelled is a request that made room for one of higher priority. Nothing of
+	// an answer was sent.
+	NotRunCancelled NotRunReason = "Cancelled"
 )
 
 // ErrAttempt is an attempt at a backend server that brought no answer.
--- a/internal/forward/caller/completion.go
+++ b/internal/forward/caller/completion.go
@@ -33,8 +33,6 @@
 	maxAttempts = 4
 	// breakerPause is the pause between looks at open circuit breakers.
 	breakerPause   = 50 * time.Millisecond
-	priorityPaid   = 10
-	priorityTrial  = 1
 	maxAnswerBytes = 64 << 20
 )
 
@@ -149,12 +147,7 @@
 
 // attempt sends the request to one ready replica, to resume at a position.
 func (c *completion) attempt(resumeFrom int) (tables.BackendServer, *backend.Exchange, error) {
-	view, err := c.server.Directory.Find(c.ctx, c.key())
-	if err != nil {
-		return tables.BackendServer{}, nil, err
-	}
-	c.coldStart = max(c.coldStart, view.ColdStart)
-	server, err := c.pick(view.Servers)
+	server, err := c.find()
 	if err != nil {
 		return server, nil, err
 	}
@@ -162,6 +155,16 @@
 	return server, exchange, err
 }
 
+// find waits for a ready replica.
+func (c *completion) find() (tables.BackendServer, error) {
+	view, err := c.server.Directory.Find(c.ctx, c.key())
+	if err != nil {
+		return tables.BackendServer{}, err
+	}
+	c.coldStart = max(c.coldStart, view.ColdStart)
+	return c.pick(view.Servers)
+}
+
 // pick chooses a replica. While the circuit breakers of all are open, it waits for
 // one to let a request try again.
 func (c *completion) pick(servers []tables.BackendServer) (tables.BackendServer, error) {
@@ -211,9 +214,9 @@
 
 func (c *completion) priority() int {
 	if c.caller.Tier == tables.TierPaid {
-		return priorityPaid
+		return azurehitch.PriorityPaid
 	}
-	return priorityTrial
+	return azurehitch.PriorityTrial
 }
 
 // learn corrects the directory by what a server said or failed to do.
@@ -226,7 +229,7 @@
 	switch failed.Reason {
 	case backend.NotRunLeaving:
 		c.server.Directory.Avoid(server.Name)
-	case backend.NotRunNotLoaded, "":
+	case backend.NotRunNotLoaded, backend.NotRunCancelled, "":
 		c.server.Directory.Drop(c.key(), server.Name)
 	}
 }
--- a/internal/forward/caller/relay.go
+++ b/internal/forward/caller/relay.go
@@ -31,7 +31,8 @@
 
 // relay passes the events of a streamed answer on, each whole. When the
 // connection to the engine breaks, it resumes after the last event that it has
-// passed on, so that no token is doubled or lost.
+// passed on, so that no token is doubled or lost: at the same server, or at another one
+// that takes the state of the request over.
 type relay struct {
 	completion *completion
 	server     tables.BackendServer
@@ -132,13 +133,13 @@
 	c := r.completion
 	for r.next > 0 && r.resumes < maxResumes && c.ctx.Err() == nil {
 		r.resumes++
-		exchange, err := c.send(r.server, r.resumePosition())
+		server, exchange, err := r.reconnect()
 		if err != nil {
 			continue
 		}
 		c.server.load.add(r.server.Name, -1)
 		r.exchange.Close()
-		r.exchange = exchange
+		r.server, r.exchange = server, exchange
 		r.reader = bufio.NewReaderSize(exchange.Body(), relayBufferBytes)
 		c.server.Metrics.Add(metrics.StreamsResumed, 1)
 		return true
--- a/internal/placement/enginepool/acquire.go
+++ b/internal/placement/enginepool/acquire.go
@@ -50,9 +50,13 @@
 		}
 		grant, changed, err := p.tryAcquire(ctx, request, began, first)
 		if changed == nil {
+			if err == nil && !first {
+				p.Counters.EstimateEnded(p.name, EstimateRight)
+			}
 			return grant, err
 		}
 		if err := p.await(ctx, changed); err != nil {
+			p.Counters.EstimateEnded(p.name, EstimateTooShort)
 			return Grant{}, p.refuse(request, "no replica became ready in time")
 		}
 	}
@@ -72,6 +76,7 @@
 	}
 	if estimate, known := p.estimate(request.Artifact); known && first {
 		if deadline, ok := ctx.Deadline(); ok && now.Add(estimate).After(deadline) {
+			p.followUp(request.Artifact, deadline)
 			refusal := azurehitch.Refuse(azurehitch.CodeDeadlineTooShort,
 				"%v takes about %v to load", request.Artifact, estimate.Round(time.Millisecond))
 			return Grant{}, nil, refusal.WithRetryAfter(estimate)
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -52,6 +52,8 @@
 	// IntentLeftOpen counts resolutions that could not be recorded.
 	IntentLeftOpen(pool string)
 	PoolHeld(pool string, token int64, held bool)
+	// EstimateEnded counts how estimates of waits turned out.
+	EstimateEnded(pool string, end EstimateEnd)
 }
 
 // Dependencies are what the runners need.
@@ -94,6 +96,8 @@
 	scope control.PoolScope
 	polls map[string]*poll
 	times loadTimes
+	// refused are the refusals by estimates that are followed up.
+	refused []refusedWait
 	// appendFailedAt is when an intent could last not be recorded.
 	appendFailedAt time.Time
 	// renewedAt is when the lease was last given back for a new token.
@@ -156,6 +160,7 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	p.refreshScope()
+	p.judge(now)
 	p.plan.SetHosts(p.Hosts())
 	for _, server := range p.plan.Servers() {
 		p.startPoll(ctx, server, now)
@@ -303,10 +308,11 @@
 	if action.Kind == planner.ActionUnload {
 		kind = azurehitch.OrderUnload
 	}
-	err := session.Order(ctx, azurehitch.EngineOrder{
-		Kind: kind, Pool: p.name, Token: p.token, Artifact: action.Artifact, Memory: action.Memory,
-		CancelTrials: action.Preempt,
-	})
+	order := azurehitch.EngineOrder{Kind: kind, Pool: p.name, Token: p.token, Artifact: action.Artifact, Memory: action.Memory}
+	if action.Preempt {
+		order.CancelBelow = azurehitch.PriorityPaid
+	}
+	err := session.Order(ctx, order)
 	var failed *azurehitch.ErrOrder
 	switch {
 	case err == nil:
--- a/internal/placement/planner/decide.go
+++ b/internal/placement/planner/decide.go
@@ -45,6 +45,11 @@
 			actions = append(actions, action)
 		}
 	}
+	for _, n := range p.wake(now) {
+		if action, ok := p.placeAhead(n, now, budget); ok {
+			actions = append(actions, action)
+		}
+	}
 	return actions
 }
 
@@ -62,7 +67,7 @@
 			delete(p.wants, artifact)
 			continue
 		}
-		memory, known := p.pool.Memory(artifact)
+		memory, known := p.memory(artifact)
 		if known && !p.enough(artifact, demand) {
 			needs = append(needs, need{
 				artifact: artifact, memory: memory, class: p.classOf(artifact, demand.Tier), deadline: demand.Deadline, since: w.since,
@@ -107,7 +112,7 @@
 	if len(p.Ready(base)) > 0 {
 		return p.placeAdapter(n, now, budget)
 	}
-	memory, known := p.pool.Memory(base)
+	memory, known := p.memory(base)
 	if !known || p.underWay(base) {
 		return Action{}, false
 	}
@@ -132,7 +137,7 @@
 		return false
 	}
 	needed := (demand.Waiting + demand.InProgress + requestsPerReplica - 1) / requestsPerReplica
-	return ready >= min(needed, p.pool.MaxReplicas(artifact.Model))
+	return ready >= min(needed, p.maxReplicas[artifact.Model])
 }
 
 // replicas counts what may be loaded of a model, in all versions.
@@ -178,7 +183,7 @@
 	if !p.allReached() {
 		return Action{}, false
 	}
-	if p.replicas(n.artifact.Model) >= p.pool.MaxReplicas(n.artifact.Model) {
+	if p.replicas(n.artifact.Model) >= p.maxReplicas[n.artifact.Model] {
 		return p.evictOtherVersion(n, now, budget)
 	}
 	candidates := p.candidates(budget, func(s *server) bool { return s.bookings[n.artifact] == nil && s.AcceleratorMemory >= n.memory })
@@ -194,7 +199,7 @@
 // candidates returns the servers that take orders and suit, in a stable order.
 func (p *Plan) candidates(budget Budget, suits func(*server) bool) []*server {
 	var candidates []*server
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		if s.accepts() && !s.foreign && p.mayOrder(s, budget) && suits(s) {
 			candidates = append(candidates, s)
@@ -224,36 +229,53 @@
 // room anywhere, it evicts what was idle longest. What is lent to trials counts as
 // room for a paying caller. A load from the weight store waits for a slot.
 func (p *Plan) placeOnBest(candidates []*server, n need, now time.Time, budget Budget) (Action, bool) {
-	slices.SortStableFunc(candidates, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.distance(n.artifact), b.distance(n.artifact)), cmp.Compare(b.free(), a.free()))
-	})
+	slices.SortStableFunc(candidates, byDistance(n.artifact))
 	paid := n.class.IsPaid()
 	if !paid && p.lendable(now) < n.memory {
 		return p.evictFor(candidates, n, now)
 	}
 	for _, s := range candidates {
-		if s.free() < n.memory {
-			if action, due := p.takeBack(s, n, now); paid && due {
-				return action, action.Kind != ""
-			}
+		if s.free() >= n.memory {
+			return p.loadOn(s, n, now, budget)
+		}
+		if !paid {
 			continue
 		}
-		remote := s.distance(n.artifact) == distanceRemote
-		if remote && !budget.Slots[n.artifact] {
-			p.slotWants = append(p.slotWants, p.slotWant(n))
-			return Action{}, false
+		if action, due := p.takeBack(s, n, now); due {
+			return action, action.Kind != ""
 		}
-		return p.bookLoad(s, n.artifact, n.memory, remote, now), true
 	}
 	return p.evictFor(candidates, n, now)
 }
 
+// byDistance orders servers by how near a checkpoint lies, and by free memory.
+func byDistance(artifact azurehitch.Artifact) func(a, b *server) int {
+	return func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.distance(artifact), b.distance(artifact)), cmp.Compare(b.free(), a.free()))
+	}
+}
+
+// loadOn begins a load, or wants a slot for it.
+func (p *Plan) loadOn(s *server, n need, now time.Time, budget Budget) (Action, bool) {
+	remote := s.distance(n.artifact) == distanceRemote
+	if remote && !budget.Slots[n.artifact] {
+		p.slotWants = append(p.slotWants, p.slotWant(n))
+		return Action{}, false
+	}
+	return p.bookLoad(s, n, remote, now), true
+}
+
 const (
 	distanceMemory = iota
 	distanceDisk
 	distanceRemote
 )
 
+// tier returns where the checkpoint of an artifact lies as seen from the server.
+func (s *server) tier(artifact azurehitch.Artifact) azurehitch.CacheTier {
+	return cmp.Or(s.cached[artifact], azurehitch.CacheTierRemote)
+}
+
 func (s *server) distance(artifact azurehitch.Artifact) int {
 	switch s.cached[artifact] {
 	case azurehitch.CacheTierMemory:
@@ -264,15 +286,16 @@
 	return distanceRemote
 }
 
-func (p *Plan) bookLoad(s *server, artifact azurehitch.Artifact, memory azurehitch.ByteSize, remote bool, now time.Time) Action {
-	s.bookings[artifact] = &booking{
-		Placement: azurehitch.Placement{Artifact: artifact, State: azurehitch.PlacementIntended, Memory: memory},
+func (p *Plan) bookLoad(s *server, n need, remote bool, now time.Time) Action {
+	s.bookings[n.artifact] = &booking{
+		Placement: azurehitch.Placement{Artifact: n.artifact, State: azurehitch.PlacementIntended, Memory: n.memory},
 		ordered:   true,
 		changedAt: now,
 		lastUsed:  now,
 	}
 	return Action{
-		Kind: ActionLoad, Server: s.Name, Incarnation: s.incarnation, Artifact: artifact, Memory: memory, Remote: remote,
+		Kind: ActionLoad, Server: s.Name, Incarnation: s.incarnation, Artifact: n.artifact, Memory: n.memory,
+		Remote: remote, Class: n.class, Tier: s.tier(n.artifact),
 	}
 }
 
@@ -286,7 +309,7 @@
 // becomes known. A load of what is loaded changes nothing.
 func (p *Plan) repeatUncertain(budget Budget) []Action {
 	var actions []Action
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		if !s.accepts() || !p.mayOrder(s, budget) {
 			continue
@@ -314,7 +337,7 @@
 		return false
 	}
 	_, wanted := p.wants[b.Artifact]
-	fits := s.free() >= 0 && p.replicas(b.Artifact.Model) <= p.pool.MaxReplicas(b.Artifact.Model)
+	fits := s.free() >= 0 && p.replicas(b.Artifact.Model) <= p.maxReplicas[b.Artifact.Model]
 	return fits && (b.uncertain || len(b.intents) > 0 && wanted)
 }
 
--- a/internal/placement/planner/evict.go
+++ b/internal/placement/planner/evict.go
@@ -138,6 +138,9 @@
 // isLent reports whether only trials have used an artifact within its keep time, so
 // that its memory is spare capacity that is taken back when a paying caller needs it.
 func (p *Plan) isLent(artifact azurehitch.Artifact, now time.Time) bool {
+	if now.Before(p.wakes[artifact]) {
+		return false
+	}
 	paidAt, known := p.paidAt[artifact]
 	return !known || now.Sub(paidAt) >= p.keepTime(artifact)
 }
@@ -182,7 +185,7 @@
 // evictOtherVersion makes room under the replica limit by unloading an idle
 // replica of another version, or one on a server that takes no requests.
 func (p *Plan) evictOtherVersion(n need, now time.Time, budget Budget) (Action, bool) {
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		for _, other := range sortedArtifacts(s.bookings) {
 			b := s.bookings[other]
@@ -201,21 +204,21 @@
 // and what the table no longer has. The engine finishes requests in progress.
 func (p *Plan) drainLeaving(budget Budget) []Action {
 	return p.unloadWhere(budget, func(s *server, b *booking) bool {
-		_, known := p.pool.Memory(b.Artifact)
+		_, known := p.memory(b.Artifact)
 		return !known || s.isLeaving() || s.retired || b.State == azurehitch.PlacementUnloading || b.draining
 	})
 }
 
 // unloadIdle unloads what nobody has used for its keep time.
 func (p *Plan) unloadIdle(now time.Time, budget Budget) []Action {
-	return p.unloadWhere(budget, func(_ *server, b *booking) bool {
-		return b.Active == 0 && now.Sub(b.lastUsed) >= p.keepTime(b.Artifact)
+	return p.unloadWhere(budget, func(s *server, b *booking) bool {
+		return b.Active == 0 && now.Sub(b.lastUsed) >= p.keepTimeOn(s, b.Artifact) && !p.isHeldAhead(b, now)
 	})
 }
 
 func (p *Plan) unloadWhere(budget Budget, due func(*server, *booking) bool) []Action {
 	var actions []Action
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		if !p.mayOrder(s, budget) || !s.any(due) {
 			continue
@@ -245,9 +248,9 @@
 		return nil
 	}
 	var actions []Action
-	staying := p.staying()
-	for _, model := range sortedKeys(staying) {
-		for excess := staying[model] - p.pool.MaxReplicas(model); excess > 0; excess-- {
+	excesses := p.excesses()
+	for _, model := range sortedKeys(excesses) {
+		for excess := excesses[model]; excess > 0; excess-- {
 			action, ok := p.unloadLeastBusy(model, budget)
 			if !ok {
 				break
@@ -258,9 +261,9 @@
 	return actions
 }
 
-// staying counts the replicas of each model that are booked and not to be
-// unloaded.
-func (p *Plan) staying() map[string]int {
+// excesses returns how many replicas above its limit a model has booked that are not
+// to be unloaded, for the models that have any.
+func (p *Plan) excesses() map[string]int {
 	count := map[string]int{}
 	for _, s := range p.servers {
 		for artifact, b := range s.bookings {
@@ -269,13 +272,18 @@
 			}
 		}
 	}
+	for model := range count {
+		if count[model] -= p.maxReplicas[model]; count[model] <= 0 {
+			delete(count, model)
+		}
+	}
 	return count
 }
 
 func (p *Plan) unloadLeastBusy(model string, budget Budget) (Action, bool) {
 	var on *server
 	var least *booking
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		if !p.mayOrder(s, budget) {
 			continue
--- a/internal/placement/planner/observe.go
+++ b/internal/placement/planner/observe.go
@@ -149,7 +149,7 @@
 // record to that effect is due. Each comes again until the scope no longer has it.
 func (p *Plan) TakeEmptied(now time.Time) []string {
 	var due []string
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		if !s.retired || now.Sub(p.emptied[name]) < settleRetry {
 			continue
@@ -188,6 +188,9 @@
 	if !ok {
 		return
 	}
+	if action.Kind == ActionLoad && action.Tier != "" && action.Artifact.Adapter == "" && result.Outcome == OutcomeDone {
+		p.loadTimes.observe(action.Tier, now.Sub(b.changedAt))
+	}
 	b.ordered = false
 	b.changedAt = now
 	if action.Kind == ActionUnload {
--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -75,6 +75,9 @@
 	// Remote tells that a load comes from the weight store, and uses the slot that was
 	// granted for it.
 	Remote bool
+	// Class tells who waits for a load, and Tier where the checkpoint lies.
+	Class loadslots.Class
+	Tier  azurehitch.CacheTier
 	// Preempt tells that an unload cancels requests of trials instead of ending them.
 	Preempt bool
 }
@@ -205,18 +208,31 @@
 
 // Plan is the state of a pool's holder. It is not safe for concurrent use.
 type Plan struct {
-	pool    tables.Pool
-	servers map[string]*server
-	wants   map[azurehitch.Artifact]*want
+	pool tables.Pool
+	// memories is the memory of each artifact of the pool.
+	memories map[azurehitch.Artifact]azurehitch.ByteSize
+	// maxReplicas is the limit of each model of the pool.
+	maxReplicas map[string]int
+	servers     map[string]*server
+	// names are the names of the servers in order.
+	names []string
+	wants map[azurehitch.Artifact]*want
 	// lastUsed, paidAt and histories survive the unloading of an artifact. paidAt is
 	// when a paying caller last used it.
 	lastUsed  map[azurehitch.Artifact]time.Time
 	paidAt    map[azurehitch.Artifact]time.Time
 	histories map[azurehitch.Artifact]keepalive.History
+	// profiles are the times of day at which models are used, wakes the models that
+	// should be awake, and until when they wait for a use.
+	profiles map[azurehitch.Artifact]keepalive.Profile
+	wakes    map[azurehitch.Artifact]time.Time
+	wokenAt  time.Time
 	// poolHistory is the gaps of all artifacts of the pool.
 	poolHistory keepalive.History
 	// emptied is when the record that a retired server is empty was last tried.
 	emptied map[string]time.Time
+	// loadTimes are the load times of models by where their checkpoints lay.
+	loadTimes loadTimes
 	// settling are the intents whose order has arrived or never will, with the
 	// time of the last try to record that.
 	settling map[int64]time.Time
@@ -245,7 +261,10 @@
 		lastUsed:  map[azurehitch.Artifact]time.Time{},
 		paidAt:    map[azurehitch.Artifact]time.Time{},
 		histories: map[azurehitch.Artifact]keepalive.History{},
+		profiles:  map[azurehitch.Artifact]keepalive.Profile{},
+		wakes:     map[azurehitch.Artifact]time.Time{},
 		emptied:   map[string]time.Time{},
+		loadTimes: loadTimes{},
 		settling:  map[int64]time.Time{},
 	}
 	p.SetScope(scope)
@@ -259,6 +278,11 @@
 // count until the scope no longer has them.
 func (p *Plan) SetScope(scope Scope) {
 	p.pool = scope.Pool
+	p.memories = scope.Pool.Memories()
+	p.maxReplicas = map[string]int{}
+	for _, model := range scope.Pool.Models {
+		p.maxReplicas[model.Name] = model.MaxReplicas
+	}
 	kept := map[string]bool{}
 	for _, s := range scope.Pool.BackendServers {
 		kept[s.Name] = true
@@ -277,6 +301,14 @@
 			delete(p.emptied, name)
 		}
 	}
+	p.names = sortedKeys(p.servers)
+}
+
+// memory returns the memory that an artifact needs by itself, and false if the pool
+// doesn't have it.
+func (p *Plan) memory(artifact azurehitch.Artifact) (azurehitch.ByteSize, bool) {
+	memory, known := p.memories[artifact]
+	return memory, known
 }
 
 func (p *Plan) keep(s tables.BackendServer, retired bool) {
@@ -314,7 +346,7 @@
 // Servers returns the servers with their addresses that the plan counts.
 func (p *Plan) Servers() []tables.BackendServer {
 	var servers []tables.BackendServer
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		servers = append(servers, p.servers[name].BackendServer)
 	}
 	return servers
@@ -347,10 +379,12 @@
 
 func (p *Plan) touch(artifact azurehitch.Artifact, tier tables.Tier, now time.Time) {
 	for _, used := range []azurehitch.Artifact{artifact, artifact.WithoutAdapter()} {
-		p.noteGap(used, now)
 		p.lastUsed[used] = now
 		if tier == tables.TierPaid || sabotage.Active(sabotage.TrialsLikePaid) {
+			p.noteGap(used, now)
+			p.noteStart(used, now)
 			p.paidAt[used] = now
+			delete(p.wakes, used)
 		}
 		for _, s := range p.servers {
 			if b, ok := s.bookings[used]; ok {
@@ -360,9 +394,9 @@
 	}
 }
 
-// noteGap learns from a use after a pause.
+// noteGap learns from a paying caller's use after a pause.
 func (p *Plan) noteGap(artifact azurehitch.Artifact, now time.Time) {
-	last, used := p.lastUsed[artifact]
+	last, used := p.paidAt[artifact]
 	if gap := now.Sub(last); used && gap > shortestGap {
 		p.histories[artifact] = p.histories[artifact].WithGap(gap)
 		p.poolHistory = p.poolHistory.WithPoolGap(gap)
@@ -371,17 +405,28 @@
 
 // keepTime returns how long an artifact is kept after its last use.
 func (p *Plan) keepTime(artifact azurehitch.Artifact) time.Duration {
+	return p.keepTimeAt(artifact, p.pool.ColdStartPrice.Std())
+}
+
+// keepTimeOn returns how long an artifact is kept on a server. Where its checkpoint lies
+// near, a cold start takes less time and costs less.
+func (p *Plan) keepTimeOn(s *server, artifact azurehitch.Artifact) time.Duration {
+	price := p.pool.ColdStartPrice.Std()
+	return p.keepTimeAt(artifact, time.Duration(float64(price)*p.loadTimes.share(s.tier(artifact))))
+}
+
+func (p *Plan) keepTimeAt(artifact azurehitch.Artifact, price time.Duration) time.Duration {
 	limit := p.pool.IdleTimeout.Std()
 	if p.pool.ColdStartPrice == 0 {
 		return limit
 	}
-	return max(p.histories[artifact].WithPrior(p.poolHistory).KeepTime(p.pool.ColdStartPrice.Std(), limit), minimumKeep)
+	return max(p.histories[artifact].WithPrior(p.poolHistory).KeepTime(price, limit), minimumKeep)
 }
 
 // Ready returns the servers on which an artifact is ready for new requests.
 func (p *Plan) Ready(artifact azurehitch.Artifact) []tables.BackendServer {
 	var ready []tables.BackendServer
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		if s.accepts() && s.isReady(artifact) && s.isReady(artifact.WithoutAdapter()) {
 			ready = append(ready, s.BackendServer)
@@ -434,7 +479,7 @@
 // Usage returns what the plan counts on each server.
 func (p *Plan) Usage() []Usage {
 	var usage []Usage
-	for _, name := range sortedKeys(p.servers) {
+	for _, name := range p.names {
 		s := p.servers[name]
 		u := Usage{
 			Server: name, Reached: s.reached, Leaving: s.isLeaving(), Retired: s.retired,
--- a/internal/placement/planner/planner_test.go
+++ b/internal/placement/planner/planner_test.go
@@ -109,6 +109,59 @@
 	})
 }
 
+// withLentServer gives a plan whose only server is full of a model that trials use.
+func withLentServer(t *testing.T, promised azurehitch.ByteSize, run func(c *qt.C, plan *planner.Plan)) {
+	t.Helper()
+	small := server("a")
+	small.AcceleratorMemory = modelMemory + modelMemory/2
+	pool := poolOf(small)
+	pool.PromisedMemoryToPaid = promised
+	withPlan(t, planner.Scope{Pool: pool}, func(c *qt.C, plan *planner.Plan) {
+		plan.Want("daemon-1", note, planner.Demand{Tier: tables.TierTrial, InProgress: 1}, start)
+		placement := ready(note)
+		placement.Active = 1
+		observe(plan, "a", placement)
+		run(c, plan)
+	})
+}
+
+func TestTakeBack(t *testing.T) {
+	withLentServer(t, 0, func(c *qt.C, plan *planner.Plan) {
+		c.Run("a trial takes nothing that is in use", func(c *qt.C) {
+			plan.Want("daemon-1", other, planner.Demand{Tier: tables.TierTrial, Waiting: 1}, start)
+			c.Assert(decide(plan, start), qt.HasLen, 0)
+			c.Assert(plan.Ready(note), qt.HasLen, 1)
+		})
+		c.Run("a paying caller takes it back", func(c *qt.C) {
+			plan.Want("daemon-1", other, planner.Demand{Tier: tables.TierPaid, Waiting: 1}, start)
+			actions := decide(plan, start)
+			c.Assert(actions, qt.HasLen, 1)
+			c.Assert(actions[0].Kind, qt.Equals, planner.ActionUnload)
+			c.Assert(actions[0].Preempt, qt.IsTrue)
+			c.Assert(decide(plan, start), qt.HasLen, 0)
+			plan.Finished(actions[0], planner.Result{Outcome: planner.OutcomeDone, Incarnation: "1"}, start)
+			loads := decide(plan, start)
+			c.Assert(loads, qt.HasLen, 1)
+			c.Assert(loads[0].Artifact, qt.Equals, other)
+		})
+	})
+}
+
+func TestPromisedMemory(t *testing.T) {
+	withLentServer(t, 0, func(c *qt.C, plan *planner.Plan) {
+		plan.Want("daemon-1", note, planner.Demand{Tier: tables.TierPaid, InProgress: 1}, start)
+		plan.Want("daemon-1", other, planner.Demand{Tier: tables.TierPaid, Waiting: 1}, start)
+		c.Assert(decide(plan, start), qt.HasLen, 0)
+	})
+	scope := planner.Scope{Pool: poolOf(server("a"))}
+	scope.Pool.PromisedMemoryToPaid = 60 * azurehitch.Gibibyte
+	withPlan(t, scope, func(c *qt.C, plan *planner.Plan) {
+		plan.Want("daemon-1", note, planner.Demand{Tier: tables.TierTrial, Waiting: 1}, start)
+		c.Assert(decide(plan, start), qt.HasLen, 0)
+		assertLoads(c, plan, "a")
+	})
+}
+
 func TestUnreadHostList(t *testing.T) {
 	c := qt.New(t)
 	plan := planner.New(planner.Scope{Pool: poolOf(server("a")), Retired: []tables.BackendServer{server("b")}}, nil, start)
--- /dev/null
+++ b/internal/proof/points/trial_test.go
@@ -0,0 +1,98 @@
+package points_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/standin/fleet"
+	"azurehitch/internal/telemetry/metrics"
+)
+
+// TestProveTrialMoves lets a paying caller need the memory on which trials stream: it
+// is served at once, and the trials' streams go on at another server, each token once.
+func TestProveTrialMoves(t *testing.T) {
+	const streams, tokens = 5, 1000
+	options := pathOptions()
+	options.TokenInterval = 4 * time.Millisecond
+	options.Edit = func(_ *tables.RouteTable, pools *tables.PoolTable) {
+		for i := range pools.Pools[0].BackendServers {
+			// Room for one model on each server.
+			pools.Pools[0].BackendServers[i].AcceleratorMemory = 42 * azurehitch.Gibibyte
+		}
+	}
+	withFleet(t, options, func(ctx context.Context, f *fleet.Fleet) {
+		trial := chat(streamBody(tokens))
+		trial.Key = fleet.TrialKey
+		var group sync.WaitGroup
+		answers := make([]fleet.Answer, streams)
+		for i := range answers {
+			group.Go(func() {
+				// An answer that did not come has status 0.
+				answers[i], _ = f.Do(ctx, i%len(f.Daemons), trial)
+			})
+		}
+		left := startedOn(t, f)
+		left.Engine.SetCached(azurehitch.Artifact{Model: "follow-up", Version: "1"}, azurehitch.CacheTierDisk)
+		// Holders read the caches each two seconds.
+		time.Sleep(2500 * time.Millisecond)
+		began := time.Now()
+		wake(ctx, t, f, "follow-up")
+		took := time.Since(began)
+		group.Wait()
+		assertMoved(t, f, answers, tokens)
+		if took > time.Second {
+			t.Errorf("a paying caller waited %v for memory that trials used", took)
+		}
+	})
+}
+
+// startedOn returns the engine on which the trials stream.
+func startedOn(t *testing.T, f *fleet.Fleet) *fleet.Backend {
+	t.Helper()
+	var on *fleet.Backend
+	fleet.Eventually(10*time.Second, func() bool {
+		for _, b := range f.Engines {
+			for _, p := range b.Engine.State().Placements {
+				if p.Active > 0 {
+					on = b
+				}
+			}
+		}
+		return on != nil
+	})
+	if on == nil {
+		t.Fatal("no stream began")
+	}
+	return on
+}
+
+func assertMoved(t *testing.T, f *fleet.Fleet, answers []fleet.Answer, tokens int) {
+	t.Helper()
+	for _, answer := range answers {
+		if answer.Status != http.StatusOK || !answer.Whole {
+			t.Errorf("a trial's stream: status %d, whole %t: %s", answer.Status, answer.Whole, answer.Body[max(0, len(answer.Body)-300):])
+			continue
+		}
+		assertTokensOnce(t, string(answer.Body), tokens)
+		id := answer.Header.Get("X-Request-Id")
+		runs := 0
+		for _, b := range f.Engines {
+			runs += b.Engine.Journal().Runs[id]
+		}
+		if runs != 1 {
+			t.Errorf("a trial's request was begun %d times", runs)
+		}
+	}
+	var moved int64
+	for _, d := range f.Daemons {
+		moved += d.Metrics().Get(metrics.StreamsMoved)
+	}
+	if moved != int64(len(answers)) {
+		t.Errorf("%d of %d streams moved", moved, len(answers))
+	}
+}
--- a/internal/proof/poolworld/faults.go
+++ b/internal/proof/poolworld/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/placement/enginepool"
 	"azurehitch/internal/placement/planner"
 	"azurehitch/internal/standin/engine"
 
@@ -118,6 +119,7 @@
 type quiet struct{}
 
 func (quiet) LogRead(error)                                             {}
+func (quiet) EstimateEnded(string, enginepool.EstimateEnd)              {}
 func (quiet) LogAppended(error)                                         {}
 func (quiet) LoadFinished(string, bool, planner.Outcome, time.Duration) {}
 func (quiet) UnloadFinished(string, planner.Outcome)                    {}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -85,6 +85,7 @@
 	journal     Journal
 	slots       *slotQueue
 	generations map[string]*Generation
+	runs        map[*Run]bool
 	reports     map[azurehitch.Artifact]loadReport
 }
 
@@ -108,6 +109,7 @@
 		cached:      map[azurehitch.Artifact]azurehitch.CacheTier{},
 		slots:       newSlotQueue(options.Slots),
 		generations: map[string]*Generation{},
+		runs:        map[*Run]bool{},
 		reports:     map[azurehitch.Artifact]loadReport{},
 	}
 	for _, artifact := range options.DiskCached {
@@ -215,6 +217,7 @@
 	case azurehitch.OrderLoad:
 		return e.load(ctx, incarnation, order)
 	case azurehitch.OrderUnload:
+		e.cancelBelow(order.Artifact, order.CancelBelow)
 		return e.unload(ctx, order.Artifact)
 	case azurehitch.OrderFence:
 		return nil
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -31,6 +31,9 @@
 // Error implements error.
 func (e *ErrNotLoaded) Error() string { return e.Artifact.String() + " is not loaded" }
 
+// ErrCancelled is a request that was cancelled to make room.
+var ErrCancelled = errors.New("request was cancelled")
+
 // ErrLeaving is a request to a server that leaves. It was not run.
 var ErrLeaving = errors.New("server is leaving")
 
@@ -49,18 +52,23 @@
 	request   Request
 	placement *placement
 	state     *Generation
+	// life ends when the request is cancelled.
+	life   context.Context
+	cancel context.CancelFunc
 }
 
 // Begin admits a request: it waits for a slot and books the request on its
 // placement. Each run must be ended.
 func (e *Engine) Begin(ctx context.Context, request Request) (*Run, error) {
-	p, err := e.book(request)
+	r, err := e.book(request)
 	if err != nil {
 		return nil, err
 	}
-	if err := e.slots.acquire(ctx, request.Priority); err != nil {
-		e.unbook(p)
-		return nil, err
+	stop := context.AfterFunc(ctx, r.cancel)
+	defer stop()
+	if err := e.slots.acquire(r.life, request.Priority); err != nil {
+		e.unbook(r)
+		return nil, ErrCancelled
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -71,10 +79,11 @@
 		e.generations[request.ID] = state
 		e.journal.Runs[request.ID]++
 	}
-	return &Run{engine: e, request: request, placement: p, state: state}, nil
+	r.state = state
+	return r, nil
 }
 
-func (e *Engine) book(request Request) (*placement, error) {
+func (e *Engine) book(request Request) (*Run, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
@@ -85,19 +94,35 @@
 		return nil, &ErrNotLoaded{Artifact: request.Artifact}
 	}
 	p.Active++
-	return p, nil
+	r := &Run{engine: e, request: request, placement: p}
+	r.life, r.cancel = context.WithCancel(context.Background())
+	e.runs[r] = true
+	return r, nil
 }
 
-func (e *Engine) unbook(p *placement) {
+func (e *Engine) unbook(r *Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p.Active--
+	r.cancel()
+	r.placement.Active--
+	delete(e.runs, r)
+}
+
+// cancelBelow cancels the requests of an artifact that have a lower priority.
+func (e *Engine) cancelBelow(artifact azurehitch.Artifact, priority int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for r := range e.runs {
+		if r.request.Artifact == artifact && r.request.Priority < priority {
+			r.cancel()
+		}
+	}
 }
 
 // End gives the slot back.
 func (r *Run) End() {
 	r.engine.slots.release()
-	r.engine.unbook(r.placement)
+	r.engine.unbook(r)
 }
 
 // Tokens is the number of tokens of the whole answer.
@@ -109,6 +134,9 @@
 	if err := r.engine.clock.Sleep(ctx, r.engine.options.TokenInterval); err != nil {
 		return "", err
 	}
+	if r.life.Err() != nil {
+		return "", ErrCancelled
+	}
 	r.engine.mu.Lock()
 	r.state.Position = max(r.state.Position, position+1)
 	r.engine.mu.Unlock()
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -200,6 +200,10 @@
 	}
 	defer run.End()
 	text, err := run.Text(ctx)
+	if errors.Is(err, ErrCancelled) {
+		writeNotRun(ctx, err)
+		return
+	}
 	if err != nil {
 		jsonhttp.WriteError(ctx, fasthttp.StatusInternalServerError, "Failed", err.Error())
 		return
@@ -238,6 +242,8 @@
 	switch {
 	case errors.As(err, &notLoaded):
 		status, reason = fasthttp.StatusConflict, "NotLoaded"
+	case errors.Is(err, ErrCancelled):
+		status, reason = fasthttp.StatusServiceUnavailable, "Cancelled"
 	case errors.Is(err, ErrLeaving):
 		status, reason = fasthttp.StatusServiceUnavailable, "Leaving"
 	}
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -30,6 +30,7 @@
 	RequestsAbandoned    Name = "RequestsAbandoned"
 	RequestsRetried      Name = "RequestsRetried"
 	StreamsResumed       Name = "StreamsResumed"
+	StreamsMoved         Name = "StreamsMoved"
 	StreamsCut           Name = "StreamsCut"
 	LogReads             Name = "LogReads"
 	LogReadErrors        Name = "LogReadErrors"
@@ -55,6 +56,7 @@
 	ConfigurationChanges Name = "ConfigurationChanges"
 	LoadSlotsGranted     Name = "LoadSlotsGranted"
 	LoadSlotsAlone       Name = "LoadSlotsAlone"
+	EstimatesEnded       Name = "EstimatesEnded"
 )
 
 // The gauges.
@@ -109,6 +111,15 @@
 	return value.Value()
 }
 
+// GetLabeled returns the part of a counter with a label; 0 if it was never set.
+func (m *Metrics) GetLabeled(name Name, label string) int64 {
+	value, ok := m.labeled.Get(string(name) + "." + label).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return value.Value()
+}
+
 // Handler serves the variables as JSON.
 func (m *Metrics) Handler() fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
