What a holder has learnt of its pools survives it

Ruled out: a message to the next holder (lost with a holder that dies; the next one is not known), a stream for each pool.

Conclusion: waking ahead no longer depends on how long a holder stays.

--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -87,6 +87,9 @@
 	if sabotage.Active(sabotage.SkipRelease) {
 		return
 	}
+	if err := d.pools.SaveUsage(ctx); err != nil {
+		d.Logs.Layer(logging.LayerPlacement).Warn().Err(err).Msg("what was learnt of pools was not recorded")
+	}
 	if err := d.leases.Release(ctx); err != nil {
 		d.Logs.Layer(logging.LayerLease).Warn().Err(err).Msg("pools were not all released")
 	}
--- a/internal/daemon/serve/start_test.go
+++ b/internal/daemon/serve/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"azurehitch/internal/daemon/settings"
 	"azurehitch/internal/standin/fault"
 	"azurehitch/internal/standin/fleet"
+	"azurehitch/internal/telemetry/metrics"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -30,6 +32,24 @@
 	})
 }
 
+// TestHandoverOfUsage stops a holder: what it has learnt is on the log, and the next
+// holder has it.
+func TestHandoverOfUsage(t *testing.T) {
+	withFleet(t, defaultOptions(), func(ctx context.Context, c *qt.C, f *fleet.Fleet) {
+		answer, err := f.Chat(ctx, 0, fleet.PaidKey, `{"model":"care-note"}`)
+		c.Assert(err, qt.IsNil)
+		assertStatus(c, answer, http.StatusOK)
+		holder := slices.IndexFunc(f.Daemons, func(d *fleet.Daemon) bool { return d.Metrics().Get(metrics.PoolsHeld) > 0 })
+		stopped := f.Daemons[holder]
+		f.Retire(stopped)
+		c.Assert(stopped.Stop(), qt.IsNil)
+		learnt := func() bool {
+			return slices.ContainsFunc(f.Daemons, func(d *fleet.Daemon) bool { return d.Metrics().Get(metrics.UsagesLearnt) > 0 })
+		}
+		c.Assert(fleet.Eventually(testTimeout/3, learnt), qt.IsTrue)
+	})
+}
+
 func TestExpiredRecords(t *testing.T) {
 	options := defaultOptions()
 	options.LogRetention = 30
--- a/internal/oplog/control/conversions.go
+++ b/internal/oplog/control/conversions.go
@@ -33,6 +33,8 @@
 		message.Kind = &recordpb.Record_Resolution{Resolution: &recordpb.Resolution{Pool: r.Resolution.Pool, Intent: r.Resolution.Intent}}
 	case r.Emptied != nil:
 		message.Kind = &recordpb.Record_Emptied{Emptied: emptiedToProto(*r.Emptied)}
+	case r.Usage != nil:
+		message.Kind = &recordpb.Record_Usage{Usage: usageToProto(*r.Usage)}
 	case r.Snapshot != nil:
 		message.Kind = &recordpb.Record_Snapshot{Snapshot: snapshotToProto(*r.Snapshot)}
 	default:
@@ -68,6 +70,9 @@
 	case *recordpb.Record_Emptied:
 		emptied := emptiedFromProto(kind.Emptied)
 		r.Emptied = &emptied
+	case *recordpb.Record_Usage:
+		usage := usageFromProto(kind.Usage)
+		r.Usage = &usage
 	case *recordpb.Record_Snapshot:
 		snapshot := snapshotFromProto(kind.Snapshot)
 		r.Snapshot = &snapshot
@@ -134,6 +139,14 @@
 	return servers
 }
 
+func usageToProto(u PoolUsage) *recordpb.PoolUsage {
+	return &recordpb.PoolUsage{Pool: u.Pool, Token: u.Token, Learned: u.Learned}
+}
+
+func usageFromProto(m *recordpb.PoolUsage) PoolUsage {
+	return PoolUsage{Pool: m.GetPool(), Token: m.GetToken(), Learned: m.GetLearned()}
+}
+
 func emptiedToProto(e configlog.Emptied) *recordpb.Emptied {
 	return &recordpb.Emptied{Pool: e.Pool, Server: e.Server, Token: e.Token, Since: e.Since}
 }
@@ -171,6 +184,9 @@
 			Pool: l.Pool, Holder: holderToProto(l.Holder), Token: l.Token, Last: l.Last, DurationMs: l.Duration.Milliseconds(),
 		})
 	}
+	for _, u := range s.Usages {
+		message.Usages = append(message.Usages, usageToProto(u))
+	}
 	for _, i := range s.Intents {
 		message.Intents = append(message.Intents, &recordpb.OpenIntent{Offset: i.Offset, Intent: intentToProto(i)})
 	}
@@ -191,6 +207,9 @@
 			Duration: milliseconds(l.GetDurationMs()),
 		})
 	}
+	for _, u := range s.GetUsages() {
+		snapshot.Usages = append(snapshot.Usages, usageFromProto(u))
+	}
 	for _, open := range s.GetIntents() {
 		intent := intentFromProto(open.GetIntent())
 		intent.Offset = open.GetOffset()
--- a/internal/oplog/control/record.go
+++ b/internal/oplog/control/record.go
@@ -34,6 +34,7 @@
 	Intent      *leaselog.Intent
 	Resolution  *leaselog.Resolution
 	Emptied     *configlog.Emptied
+	Usage       *PoolUsage
 	Snapshot    *Snapshot
 }
 
@@ -44,10 +45,18 @@
 	return r
 }
 
+// PoolUsage is what the holder of a pool has learnt of its use, for a later holder.
+type PoolUsage struct {
+	Pool    string
+	Token   int64
+	Learned []byte
+}
+
 // Snapshot is the state after the records up to FoldedTo.
 type Snapshot struct {
 	FoldedTo      int64
 	Configuration configlog.State
 	Leases        []leaselog.Lease
 	Intents       []leaselog.Intent
+	Usages        []PoolUsage
 }
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"azurehitch"
@@ -29,9 +31,18 @@
 		Configuration: s.state,
 		Leases:        s.leases.Fold().Leases(),
 		Intents:       s.leases.Fold().Intents(),
+		Usages:        s.sortedUsages(),
 	}
 }
 
+func (s *Store) sortedUsages() []PoolUsage {
+	var usages []PoolUsage
+	for _, pool := range slices.Sorted(maps.Keys(s.usages)) {
+		usages = append(usages, s.usages[pool])
+	}
+	return usages
+}
+
 // Restore replaces the state by a snapshot, if that is newer. All leases count as
 // read now, so that this daemon claims none of them before a whole lease time.
 func (s *Store) Restore(snapshot Snapshot) bool {
@@ -42,6 +53,10 @@
 	}
 	s.foldedTo = snapshot.FoldedTo
 	s.setConfiguration(snapshot.Configuration)
+	s.usages = map[string]PoolUsage{}
+	for _, u := range snapshot.Usages {
+		s.usages[u.Pool] = u
+	}
 	s.leases = leaselog.NewManager(s.self, leaselog.Restore(snapshot.Leases, snapshot.Intents), s.clock.Now())
 	s.notify()
 	return true
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -49,6 +49,8 @@
 	leases          *leaselog.Manager
 	changed         chan struct{}
 	expectations    *follow.Expectations[Verdict]
+	// usages are what the holders have learnt, by pool.
+	usages map[string]PoolUsage
 	// orphans are open intents of this daemon whose order was never sent.
 	orphans        []leaselog.Resolution
 	lastSnapshot   int64
@@ -67,6 +69,7 @@
 		changed:        make(chan struct{}),
 		expectations:   follow.NewExpectations[Verdict](),
 		read:           configlog.State.Configuration,
+		usages:         map[string]PoolUsage{},
 		lastSnapshotAt: now,
 	}
 }
@@ -225,6 +228,13 @@
 	}
 }
 
+// PoolUsage returns what the last holder of a pool has learnt of its use.
+func (s *Store) PoolUsage(pool string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usages[pool].Learned
+}
+
 // Token returns the fencing token with which this daemon holds a pool, and
 // whether the lease is valid now. The token is 0 if it doesn't hold the pool.
 func (s *Store) Token(pool string) (token int64, valid bool) {
@@ -306,6 +316,8 @@
 		s.leases.Fold().Resolve(*r.Resolution)
 	case r.Emptied != nil:
 		return superseded(s.empty(r.Writer, *r.Emptied))
+	case r.Usage != nil:
+		return superseded(s.use(r.Writer, *r.Usage))
 	case r.Snapshot != nil:
 		s.lastSnapshot, s.lastSnapshotAt = offset, readAt
 	}
@@ -331,6 +343,15 @@
 	return nil
 }
 
+// use keeps what the holder of a pool has learnt.
+func (s *Store) use(writer leaselog.Holder, usage PoolUsage) bool {
+	if lease := s.leases.Fold().Lease(usage.Pool); lease.Holder != writer || lease.Token != usage.Token {
+		return false
+	}
+	s.usages[usage.Pool] = usage
+	return true
+}
+
 // empty drops a retired server, if the holder of its pool found it empty.
 func (s *Store) empty(writer leaselog.Holder, emptied configlog.Emptied) bool {
 	if lease := s.leases.Fold().Lease(emptied.Pool); lease.Holder != writer || lease.Token != emptied.Token {
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -54,6 +54,8 @@
 	PoolHeld(pool string, token int64, held bool)
 	// EstimateEnded counts how estimates of waits turned out.
 	EstimateEnded(pool string, end EstimateEnd)
+	// UsageLearnt counts the pools whose use was learnt from an earlier holder.
+	UsageLearnt(pool string)
 }
 
 // Dependencies are what the runners need.
@@ -96,6 +98,10 @@
 	scope control.PoolScope
 	polls map[string]*poll
 	times loadTimes
+	// savedUsage is what was recorded last of what the plan has learnt, and savedAt when
+	// that was last looked at.
+	savedUsage []byte
+	savedAt    time.Time
 	// refused are the refusals by estimates that are followed up.
 	refused []refusedWait
 	// appendFailedAt is when an intent could last not be recorded.
@@ -108,7 +114,7 @@
 
 func newPool(d Dependencies, name string, token int64) *pool {
 	scope := d.Store.PoolScope(name)
-	return &pool{
+	p := &pool{
 		Dependencies: d,
 		name:         name,
 		token:        token,
@@ -117,7 +123,10 @@
 		polls:        map[string]*poll{},
 		changed:      make(chan struct{}),
 		wake:         make(chan struct{}, 1),
+		savedAt:      d.Clock.Now(),
 	}
+	p.learnFrom(d.Store.PoolUsage(name))
+	return p
 }
 
 // run carries out the plan until the context ends or the pool has another holder.
@@ -171,6 +180,14 @@
 			return nil
 		})
 	}
+	if now.Sub(p.savedAt) >= usageInterval {
+		p.savedAt = now
+		p.group.Go(func() error {
+			// What could not be recorded is due again with the next interval.
+			_ = p.saveUsage(ctx)
+			return nil
+		})
+	}
 	for _, server := range p.plan.TakeEmptied(now) {
 		p.noteEmptied(ctx, server)
 	}
--- a/internal/placement/keepalive/keepalive.go
+++ b/internal/placement/keepalive/keepalive.go
@@ -55,6 +55,24 @@
 	return h
 }
 
+// Bins returns the weights of the bins and their total, to be kept elsewhere.
+func (h History) Bins() (bins []float32, total float64) {
+	for _, weight := range h.bins {
+		bins = append(bins, float32(weight))
+	}
+	return bins, h.total
+}
+
+// RestoreHistory returns the history of weights that Bins returned.
+func RestoreHistory(bins []float32, total float64) History {
+	var h History
+	for i, weight := range bins[:min(len(bins), binCount)] {
+		h.bins[i] = float64(weight)
+	}
+	h.total = total
+	return h
+}
+
 func binOf(gap time.Duration) int {
 	if gap <= firstBound {
 		return 0
--- a/internal/placement/keepalive/profile.go
+++ b/internal/placement/keepalive/profile.go
@@ -32,6 +32,38 @@
 	lastSlot int
 }
 
+// Starts is the content of a profile, to be kept elsewhere. Slots without a start are
+// left out.
+type Starts struct {
+	Slots   []int32
+	Weights []float32
+	Days    float64
+	LastDay int64
+}
+
+// Starts returns the content of the profile.
+func (p Profile) Starts() Starts {
+	starts := Starts{Days: p.days, LastDay: p.lastDay}
+	for slot, weight := range p.starts {
+		if weight > 0 {
+			starts.Slots = append(starts.Slots, int32(slot))
+			starts.Weights = append(starts.Weights, weight)
+		}
+	}
+	return starts
+}
+
+// RestoreProfile returns the profile with a content.
+func RestoreProfile(starts Starts) Profile {
+	p := Profile{days: starts.Days, lastDay: starts.LastDay, lastSlot: -1}
+	for i, slot := range starts.Slots[:min(len(starts.Slots), len(starts.Weights))] {
+		if slot >= 0 && int(slot) < slotsPerDay {
+			p.starts[slot] = starts.Weights[i]
+		}
+	}
+	return p
+}
+
 func dayOf(at time.Time) int64 { return at.Unix() / int64(24*time.Hour/time.Second) }
 
 func slotOf(at time.Time) int {
--- a/internal/placement/planner/observe.go
+++ b/internal/placement/planner/observe.go
@@ -97,7 +97,7 @@
 	b, ok := s.bookings[placement.Artifact]
 	if !ok {
 		b = &booking{lastUsed: p.usedAt(placement.Artifact, now), changedAt: startedAt}
-		if _, known := p.lastUsed[placement.Artifact]; !known {
+		if !p.isKnown(placement.Artifact) {
 			// A former holder loaded it, perhaps for a paying caller.
 			p.paidAt[placement.Artifact] = now
 		}
@@ -119,6 +119,13 @@
 	b.State = placement.State
 }
 
+// isKnown reports whether this holder, or one before it, knows of a use.
+func (p *Plan) isKnown(artifact azurehitch.Artifact) bool {
+	_, used := p.lastUsed[artifact]
+	_, paid := p.paidAt[artifact]
+	return used || paid
+}
+
 func (p *Plan) usedAt(artifact azurehitch.Artifact, now time.Time) time.Time {
 	if at, ok := p.lastUsed[artifact]; ok {
 		return at
