TrialMoves no longer depends on when a holder reads the caches

TrialMoves is the only new one with a window of time in it: it gave a holder 2.5 s to read caches that it reads each 2 s, and a paying caller 1 s.

Ruled out: points, serve and processes with the race detector on two processors, twice each beside make prove: no failure.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -67,6 +67,8 @@
 	LoadTime      time.Duration
 	TokenInterval time.Duration
 	LeaseDuration time.Duration
+	// Prepare changes the engines before the daemons start.
+	Prepare func(engines []*Backend)
 	// Edit changes the tables before they are published.
 	Edit func(*tables.RouteTable, *tables.PoolTable)
 	// Settings changes the settings of each daemon.
@@ -121,6 +123,9 @@
 		f.Stop()
 		return nil, err
 	}
+	if options.Prepare != nil {
+		options.Prepare(f.Engines)
+	}
 	for i := range options.Daemons {
 		if err := f.StartDaemon(fmt.Sprintf("daemon-%d", i+1)); err != nil {
 			f.Stop()
