The fake of the scheduler wakes the pool that it grants to

The fake that grants all slots left the pool to its next tick of 250 ms, twice, where the test gives 500 ms; the real client wakes the pool at once.

Ruled out: a longer wait in the test (it would hide a slow grant).

Change: the fake wakes the pool, as loadslots.Client does. The test stays as it was.

Conclusion: mended at its cause.

--- a/internal/proof/poolworld/slots.go
+++ b/internal/proof/poolworld/slots.go
@@ -9,19 +9,29 @@
 
 // freeSlots grants all loads: a world has one pool, whose holder is alone.
 type freeSlots struct {
+	// wake tells a pool that something was granted to it, as the scheduler's client does.
+	wake    func(pool string)
 	mu      sync.Mutex
 	granted map[azurehitch.Artifact]bool
 }
 
-func newFreeSlots() *freeSlots { return &freeSlots{granted: map[azurehitch.Artifact]bool{}} }
+func newFreeSlots(wake func(pool string)) *freeSlots {
+	return &freeSlots{wake: wake, granted: map[azurehitch.Artifact]bool{}}
+}
 
 // Want implements enginepool.Slots.
-func (s *freeSlots) Want(_ string, wants []loadslots.Want) {
+func (s *freeSlots) Want(pool string, wants []loadslots.Want) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.granted = map[azurehitch.Artifact]bool{}
+	granted := map[azurehitch.Artifact]bool{}
+	isNew := false
 	for _, want := range wants {
-		s.granted[want.Artifact] = true
+		granted[want.Artifact] = true
+		isNew = isNew || !s.granted[want.Artifact]
+	}
+	s.granted = granted
+	if isNew {
+		s.wake(pool)
 	}
 }
 
--- a/internal/proof/poolworld/world.go
+++ b/internal/proof/poolworld/world.go
@@ -178,7 +178,7 @@
 		Store: d.Store, Recorder: d.Writer, Clock: clock, Counters: quiet{},
 		Engines: engine.Dialer{Caller: name, Engines: w.Engines, Hooks: w.hooks(ctx)},
 		Hosts:   w.Hosts,
-		Slots:   newFreeSlots(),
+		Slots:   newFreeSlots(func(pool string) { d.Set.Wake(pool) }),
 	})
 	d.Leases = leaserunner.Runner{
 		Store: d.Store, Writer: d.Writer, Clock: clock, Counters: quiet{},
