Publications hold the entries that they change

Cause: by docs/CAPACITY.md whole tables in each publication are the first thing that breaks at the size in two years: 0.22 publications a second of 2.6 MB are 760 KB/s for each daemon, and the limit for all control is 10 KB/s.

Ruled out: differences of text, a stream for each pool (docs/design/configuration.md).

Change: the daemon that publishes finds the difference by entry against exactly the base; the fold keeps entries as raw JSON by name and applies changes without reading them, so that verdict and state stay the same in each release.

--- a/cmd/azurehitch-bench/cmds/commands.go
+++ b/cmd/azurehitch-bench/cmds/commands.go
@@ -19,7 +19,7 @@
 		Name:     "azurehitch-bench",
 		Usage:    "measure azurehitch",
 		Writer:   stdout,
-		Commands: []*cli.Command{newPathCommand(), newTablesCommand(), newScaleCommand(), newPolicyCommand()},
+		Commands: []*cli.Command{newPathCommand(), newTablesCommand(), newPublicationCommand(), newScaleCommand(), newPolicyCommand()},
 	}
 	if err := root.Run(context.Background(), args); err != nil {
 		fmt.Fprintln(stderr, "azurehitch-bench:", err)
--- a/cmd/azurehitch-bench/cmds/policy.go
+++ b/cmd/azurehitch-bench/cmds/policy.go
@@ -46,7 +46,7 @@
 		}
 	}
 	if path := cmd.String("json"); path != "" {
-		return writeTable(path, comparisons)
+		return writeJSON(path, comparisons)
 	}
 	return nil
 }
--- a/cmd/azurehitch-bench/cmds/scale.go
+++ b/cmd/azurehitch-bench/cmds/scale.go
@@ -9,43 +9,72 @@
 	"strings"
 	"time"
 
+	"azurehitch"
 	"azurehitch/internal/bench/scale"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
-const tablePermissions = 0o600
+const filePermissions = 0o600
+
+// sizeFlags are the flags for the size of the tables.
+func sizeFlags(size *scale.Size) []cli.Flag {
+	return []cli.Flag{
+		&cli.IntFlag{Name: "pools", Value: 1, Destination: &size.Pools, Usage: "number of pools"},
+		&cli.IntFlag{Name: "servers", Value: 4, Destination: &size.ServersPerPool, Usage: "backend servers of each pool"},
+		&cli.IntFlag{Name: "models", Value: 10, Destination: &size.Models, Usage: "models of all pools"},
+		&cli.IntFlag{Name: "adapters", Value: 10, Destination: &size.Adapters, Usage: "adapters of all pools"},
+	}
+}
+
+func newPublicationCommand() *cli.Command {
+	var size scale.Size
+	return &cli.Command{
+		Name:  "publication",
+		Usage: "measure what publications cost at a size of the tables",
+		Flags: sizeFlags(&size),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			cost, err := scale.MeasurePublication(size, azurehitch.SystemClock{})
+			if err != nil {
+				return err
+			}
+			out := cmd.Root().Writer
+			figure(out, "TablesBytes", float64(cost.Tables), "B")
+			figure(out, "FirstPublicationBytes", float64(cost.First), "B")
+			figure(out, "PublicationBytes", float64(cost.One), "B")
+			figure(out, "SnapshotBytes", float64(cost.Snapshot), "B")
+			figure(out, "PublicationFold", cost.Fold.Seconds()*1000, "ms")
+			return nil
+		},
+	}
+}
 
 func newTablesCommand() *cli.Command {
 	var size scale.Size
 	return &cli.Command{
 		Name:  "tables",
 		Usage: "write tables of a size",
-		Flags: []cli.Flag{
-			&cli.IntFlag{Name: "pools", Value: 1, Destination: &size.Pools, Usage: "number of pools"},
-			&cli.IntFlag{Name: "servers", Value: 4, Destination: &size.ServersPerPool, Usage: "backend servers of each pool"},
-			&cli.IntFlag{Name: "models", Value: 10, Destination: &size.Models, Usage: "models of all pools"},
-			&cli.IntFlag{Name: "adapters", Value: 10, Destination: &size.Adapters, Usage: "adapters of all pools"},
+		Flags: append(sizeFlags(&size),
 			&cli.StringFlag{Name: "engines", Required: true, Usage: "comma-separated `ADDRESSES`"},
 			&cli.StringFlag{Name: "into", Required: true, Usage: "`FOLDER` for routes.json and pools.json"},
-		},
+		),
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			routes, pools := scale.Tables(size, strings.Split(cmd.String("engines"), ","))
-			if err := writeTable(filepath.Join(cmd.String("into"), "routes.json"), routes); err != nil {
+			if err := writeJSON(filepath.Join(cmd.String("into"), "routes.json"), routes); err != nil {
 				return err
 			}
-			return writeTable(filepath.Join(cmd.String("into"), "pools.json"), pools)
+			return writeJSON(filepath.Join(cmd.String("into"), "pools.json"), pools)
 		},
 	}
 }
 
-func writeTable(path string, table any) error {
-	text, err := json.Marshal(table)
+func writeJSON(path string, value any) error {
+	text, err := json.Marshal(value)
 	if err != nil {
-		return errors.Wrap(err, "encode table")
+		return errors.Wrap(err, "encode")
 	}
-	return errors.Wrap(os.WriteFile(path, text, tablePermissions), "write table")
+	return errors.Wrap(os.WriteFile(path, text, filePermissions), "write")
 }
 
 func newScaleCommand() *cli.Command {
--- a/internal/admin/operator/conversions.go
+++ b/internal/admin/operator/conversions.go
@@ -11,7 +11,7 @@
 )
 
 func tablesFromState(s configlog.State) Tables {
-	return Tables{Version: s.Version, Author: s.Publication.Author, Routes: s.Publication.Routes, Pools: s.Publication.Pools}
+	return Tables{Version: s.Version, Author: s.Author, Routes: s.RouteTable(), Pools: s.PoolTable()}
 }
 
 func mistakesFrom(err *tables.ErrTables) []Mistake {
--- a/internal/admin/operator/handler.go
+++ b/internal/admin/operator/handler.go
@@ -144,10 +144,10 @@
 		return configlog.Publication{}, err
 	}
 	if isLeftOut(p.Routes) {
-		p.Routes = base.Publication.Routes
+		p.Routes = base.RouteTable()
 	}
 	if isLeftOut(p.Pools) {
-		p.Pools = base.Publication.Pools
+		p.Pools = base.PoolTable()
 	}
 	if _, err := tables.Parse(p.Routes, p.Pools); err != nil {
 		return configlog.Publication{}, err
--- a/internal/configuration/configlog/configlog_test.go
+++ b/internal/configuration/configlog/configlog_test.go
@@ -1,6 +1,8 @@
 package configlog_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"azurehitch/internal/configuration/configlog"
@@ -12,21 +14,26 @@
 	"pgregory.net/rapid"
 )
 
+// pools returns the change of a pool named llm.
+func pools(text string) []configlog.Change {
+	return []configlog.Change{{Table: configlog.TablePools, Entry: configlog.Entry{Name: "llm", JSON: []byte(text)}}}
+}
+
 func TestApply(t *testing.T) {
 	c := qt.New(t)
 	var state configlog.State
-	state, err := state.Apply(3, configlog.NewPublication(0, []byte("r"), []byte("p"), "ana"))
+	state, err := state.Apply(3, configlog.NewPublication(0, pools(`{"Name":"llm"}`), "ana"))
 	c.Assert(err, qt.IsNil)
 	c.Run("the loser learns who won", func(c *qt.C) {
-		after, err := state.Apply(4, configlog.NewPublication(0, nil, nil, "ben"))
+		after, err := state.Apply(4, configlog.NewPublication(0, nil, "ben"))
 		var conflict *configlog.ErrConflict
 		c.Assert(errors.As(err, &conflict), qt.IsTrue)
 		c.Assert(*conflict, qt.Equals, configlog.ErrConflict{Base: 0, Current: 3, Author: "ana"})
 		c.Assert(after, qt.DeepEquals, state)
 	})
 	c.Run("a damaged publication changes nothing", func(c *qt.C) {
-		damaged := configlog.NewPublication(3, []byte("r"), []byte("p"), "ben")
-		damaged.Pools = []byte("q")
+		damaged := configlog.NewPublication(3, pools(`{"Name":"llm"}`), "ben")
+		damaged.Changes = pools(`{"Name":"other"}`)
 		_, err := state.Apply(5, damaged)
 		var refused *configlog.ErrDamaged
 		c.Assert(errors.As(err, &refused), qt.IsTrue)
@@ -40,7 +47,7 @@
 		var state configlog.State
 		for offset := int64(1); offset <= 40; offset++ {
 			base := rapid.Int64Range(0, offset-1).Draw(t, "base")
-			next, err := state.Apply(offset, configlog.NewPublication(base, nil, nil, "ana"))
+			next, err := state.Apply(offset, configlog.NewPublication(base, nil, "ana"))
 			if err == nil && (base != state.Version || next.Version != offset) {
 				t.Fatalf("publication from %d accepted over %d", base, state.Version)
 			}
@@ -107,3 +114,46 @@
 		c.Assert(edited(c, emptied, 5, moved).Retired, qt.HasLen, 0)
 	})
 }
+
+// TestEntries edits tables by drawn entries: the changes lead from the old tables to the
+// new ones, and hold nothing that stayed as it was.
+func TestEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := drawEntries(t, "before"), drawEntries(t, "after")
+		changes := before.ChangesTo(after)
+		got := before.With(changes)
+		if fmt.Sprint(sorted(got.Callers), sorted(got.Routes), sorted(got.Pools)) != fmt.Sprint(sorted(after.Callers), sorted(after.Routes), sorted(after.Pools)) {
+			t.Fatalf("the changes lead to %v and not to %v", got, after)
+		}
+		if again := got.ChangesTo(after); len(again) > 0 {
+			t.Fatalf("%v is left to change", again)
+		}
+		parsed, err := configlog.ParseEntries(got.RouteTable(), got.PoolTable())
+		if err != nil || len(got.ChangesTo(parsed))+len(parsed.ChangesTo(got)) > 0 {
+			t.Fatalf("read back: %v, %v and not %v", err, parsed, got)
+		}
+	})
+}
+
+func sorted(entries []configlog.Entry) []string {
+	var texts []string
+	for _, entry := range entries {
+		texts = append(texts, string(entry.JSON))
+	}
+	slices.Sort(texts)
+	return texts
+}
+
+func drawEntries(t *rapid.T, label string) configlog.Entries {
+	list := func(name string) []configlog.Entry {
+		var entries []configlog.Entry
+		for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 6), 0, 6, rapid.ID[int]).Draw(t, label+name) {
+			limit := rapid.IntRange(0, 2).Draw(t, "limit")
+			entries = append(entries, configlog.Entry{
+				Name: fmt.Sprint(i), JSON: fmt.Appendf(nil, `{"Name":"%d","Limit":%d}`, i, limit),
+			})
+		}
+		return entries
+	}
+	return configlog.Entries{Callers: list("callers"), Routes: list("routes"), Pools: list("pools")}
+}
--- /dev/null
+++ b/internal/configuration/configlog/entries.go
@@ -0,0 +1,186 @@
+package configlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"azurehitch/internal/configuration/tables"
+
+	"github.com/pkg/errors"
+)
+
+// Table names a list of entries in the two tables that operators publish.
+type Table string
+
+// The lists. Callers and Routes are the table of routes.
+const (
+	TableCallers Table = "Callers"
+	TableRoutes  Table = "Routes"
+	TablePools   Table = "Pools"
+)
+
+// Entry is one entry of a list, as the operator wrote it but for blanks.
+type Entry struct {
+	Name string
+	JSON []byte
+}
+
+// Change replaces or adds an entry, or takes it out if JSON is empty.
+type Change struct {
+	Table Table
+	Entry
+}
+
+// Entries are the entries of both tables in their order. It is a value and is never
+// changed.
+type Entries struct {
+	Callers []Entry
+	Routes  []Entry
+	Pools   []Entry
+}
+
+// ParseEntries reads the entries of two tables.
+func ParseEntries(routes, pools []byte) (Entries, error) {
+	var routeTable struct{ Callers, Routes []json.RawMessage }
+	var poolTable struct{ Pools []json.RawMessage }
+	if err := json.Unmarshal(routes, &routeTable); err != nil {
+		return Entries{}, errors.Wrap(err, "routes")
+	}
+	if err := json.Unmarshal(pools, &poolTable); err != nil {
+		return Entries{}, errors.Wrap(err, "pools")
+	}
+	var e Entries
+	for _, list := range []struct {
+		from []json.RawMessage
+		into *[]Entry
+	}{{routeTable.Callers, &e.Callers}, {routeTable.Routes, &e.Routes}, {poolTable.Pools, &e.Pools}} {
+		for _, text := range list.from {
+			entry, err := parseEntry(text)
+			if err != nil {
+				return Entries{}, err
+			}
+			*list.into = append(*list.into, entry)
+		}
+	}
+	return e, nil
+}
+
+func parseEntry(text []byte) (Entry, error) {
+	var named struct{ Name string }
+	if err := json.Unmarshal(text, &named); err != nil {
+		return Entry{}, errors.Wrap(err, "entry")
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, text); err != nil {
+		return Entry{}, errors.Wrap(err, "entry")
+	}
+	return Entry{Name: named.Name, JSON: compact.Bytes()}, nil
+}
+
+// list returns a list by its name; nil if this release doesn't know it.
+func (e *Entries) list(table Table) *[]Entry {
+	switch table {
+	case TableCallers:
+		return &e.Callers
+	case TableRoutes:
+		return &e.Routes
+	case TablePools:
+		return &e.Pools
+	}
+	return nil
+}
+
+// With returns the entries after some changes. Changed entries keep their place, new
+// ones come last.
+func (e Entries) With(changes []Change) Entries {
+	e.Callers, e.Routes, e.Pools = slices.Clone(e.Callers), slices.Clone(e.Routes), slices.Clone(e.Pools)
+	places := map[Table]map[string]int{}
+	for _, change := range changes {
+		list := e.list(change.Table)
+		if list == nil {
+			continue
+		}
+		if places[change.Table] == nil {
+			places[change.Table] = placesOf(*list)
+		}
+		if i, known := places[change.Table][change.Name]; known {
+			(*list)[i] = change.Entry
+			continue
+		}
+		places[change.Table][change.Name] = len(*list)
+		*list = append(*list, change.Entry)
+	}
+	for _, table := range []Table{TableCallers, TableRoutes, TablePools} {
+		list := e.list(table)
+		*list = slices.DeleteFunc(*list, func(entry Entry) bool { return len(entry.JSON) == 0 })
+	}
+	return e
+}
+
+func placesOf(list []Entry) map[string]int {
+	places := map[string]int{}
+	for i, entry := range list {
+		places[entry.Name] = i
+	}
+	return places
+}
+
+// ChangesTo returns what makes other entries of these.
+func (e Entries) ChangesTo(after Entries) []Change {
+	var changes []Change
+	for _, table := range []Table{TableCallers, TableRoutes, TablePools} {
+		before, next := *e.list(table), *after.list(table)
+		places, kept := placesOf(before), placesOf(next)
+		for _, entry := range next {
+			if i, known := places[entry.Name]; !known || !bytes.Equal(before[i].JSON, entry.JSON) {
+				changes = append(changes, Change{Table: table, Entry: entry})
+			}
+		}
+		for _, entry := range before {
+			if _, stays := kept[entry.Name]; !stays {
+				changes = append(changes, Change{Table: table, Entry: Entry{Name: entry.Name}})
+			}
+		}
+	}
+	return changes
+}
+
+// RouteTable returns the table of routes as JSON.
+func (e Entries) RouteTable() []byte {
+	return render(listOf{TableCallers, e.Callers}, listOf{TableRoutes, e.Routes})
+}
+
+// PoolTable returns the table of pools as JSON.
+func (e Entries) PoolTable() []byte { return render(listOf{TablePools, e.Pools}) }
+
+type listOf struct {
+	name    Table
+	entries []Entry
+}
+
+func render(lists ...listOf) []byte {
+	var text bytes.Buffer
+	for i, list := range lists {
+		if i == 0 {
+			text.WriteByte('{')
+		} else {
+			text.WriteByte(',')
+		}
+		text.WriteString(`"` + string(list.name) + `":[`)
+		for j, entry := range list.entries {
+			if j > 0 {
+				text.WriteByte(',')
+			}
+			text.Write(entry.JSON)
+		}
+		text.WriteByte(']')
+	}
+	text.WriteByte('}')
+	return text.Bytes()
+}
+
+// parse reads the tables.
+func (e Entries) parse() (tables.Configuration, error) {
+	return tables.ParseLenient(e.RouteTable(), e.PoolTable())
+}
--- a/internal/configuration/configlog/fold.go
+++ b/internal/configuration/configlog/fold.go
@@ -3,9 +3,11 @@
 //
 // # Usage
 //
+//	publication, err := state.Edit(routes, pools, author)
 //	state, verdict := state.Apply(offset, publication)
 //
-// A publication names the version that it was edited from. The fold accepts it
+// A publication names the version that it was edited from, and holds the entries of the
+// tables that it changes. The fold accepts it
 // only while that version is in force, so that of two racing operators one wins
 // and the other learns who did. The tables are checked before the append, by the
 // publishing daemon, against exactly the version that is named; the fold itself
@@ -25,10 +27,9 @@
 // Publication is a record that changes the configuration.
 type Publication struct {
 	// Base is the version that it was edited from; 0 is the empty configuration.
-	Base   int64
-	Routes []byte
-	Pools  []byte
-	Author string
+	Base    int64
+	Changes []Change
+	Author  string
 	// Retired are the servers that it takes out of their pools, and Restored those
 	// that it puts back.
 	Retired  []Retired
@@ -37,8 +38,8 @@
 }
 
 // NewPublication returns a publication with its digest.
-func NewPublication(base int64, routes, pools []byte, author string) Publication {
-	p := Publication{Base: base, Routes: routes, Pools: pools, Author: author}
+func NewPublication(base int64, changes []Change, author string) Publication {
+	p := Publication{Base: base, Changes: changes, Author: author}
 	p.Digest = p.digest()
 	return p
 }
@@ -52,10 +53,12 @@
 
 func (p Publication) digest() uint64 {
 	hash := xxhash.New()
-	fmt.Fprintf(hash, "%d %q %d %d ", p.Base, p.Author, len(p.Routes), len(p.Pools))
-	// Writes to a hash do not fail.
-	_, _ = hash.Write(p.Routes)
-	_, _ = hash.Write(p.Pools)
+	fmt.Fprintf(hash, "%d %q %d ", p.Base, p.Author, len(p.Changes))
+	for _, c := range p.Changes {
+		fmt.Fprintf(hash, "%q %q %d ", c.Table, c.Name, len(c.JSON))
+		// Writes to a hash do not fail.
+		_, _ = hash.Write(c.JSON)
+	}
 	for _, r := range p.Retired {
 		fmt.Fprintf(hash, "%+v", r.WithSince(0))
 	}
@@ -88,8 +91,10 @@
 // State is the configuration in force. It is a value and is never changed.
 type State struct {
 	// Version is the offset of the publication in force; 0 is none.
-	Version     int64
-	Publication Publication
+	Version int64
+	// Author published that version.
+	Author string
+	Entries
 	// Retired are the servers that were taken out of their pools and may still hold
 	// what was loaded there.
 	Retired []Retired
@@ -102,9 +107,9 @@
 		return s, &ErrDamaged{Offset: offset}
 	}
 	if p.Base != s.Version && !sabotage.Active(sabotage.SkipBaseCheck) {
-		return s, &ErrConflict{Base: p.Base, Current: s.Version, Author: s.Publication.Author}
+		return s, &ErrConflict{Base: p.Base, Current: s.Version, Author: s.Author}
 	}
-	return State{Version: offset, Publication: p, Retired: s.retiredAfter(offset, p)}, nil
+	return State{Version: offset, Author: p.Author, Entries: s.With(p.Changes), Retired: s.retiredAfter(offset, p)}, nil
 }
 
 // Configuration returns the parsed tables.
@@ -112,6 +117,6 @@
 	if s.Version == 0 {
 		return tables.Configuration{}, nil
 	}
-	configuration, err := tables.ParseLenient(s.Publication.Routes, s.Publication.Pools)
+	configuration, err := s.parse()
 	return configuration.WithVersion(s.Version), err
 }
--- a/internal/configuration/configlog/retired.go
+++ b/internal/configuration/configlog/retired.go
@@ -67,14 +67,18 @@
 	if err != nil {
 		return Publication{}, &ErrUnreadable{Version: s.Version, Cause: err}
 	}
-	after, err := tables.ParseLenient(routes, pools)
+	entries, err := ParseEntries(routes, pools)
+	if err != nil {
+		return Publication{}, errors.Wrap(err, "new tables")
+	}
+	after, err := entries.parse()
 	if err != nil {
 		return Publication{}, errors.Wrap(err, "new tables")
 	}
 	if err := s.checkAddresses(before, after); err != nil {
 		return Publication{}, err
 	}
-	p := Publication{Base: s.Version, Routes: routes, Pools: pools, Author: author}
+	p := Publication{Base: s.Version, Changes: s.ChangesTo(entries), Author: author}
 	for _, r := range modelServers(before) {
 		if _, stays := find(after, r.Key()); !stays {
 			p.Retired = append(p.Retired, r)
--- /dev/null
+++ b/internal/oplog/control/control_test.go
@@ -0,0 +1,49 @@
+package control_test
+
+import (
+	"testing"
+
+	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/control"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// assertRoundTrip encodes a record and reads it back.
+func assertRoundTrip(c *qt.C, r control.Record) {
+	c.Helper()
+	payload, err := control.Encode(r)
+	c.Assert(err, qt.IsNil)
+	got, err := control.Decode(payload)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, r)
+}
+
+func TestRecords(t *testing.T) {
+	c := qt.New(t)
+	key := configlog.RetiredKey{Pool: "llm", Server: "b"}
+	retired := []configlog.Retired{{Pool: "llm", Server: tables.BackendServer{Name: "b", Address: "127.0.0.1:2", FencingToken: tables.TokenKept}, Since: 7}}
+	publication, err := configlog.State{}.Edit([]byte(`{"Callers":[{"Name":"salon"}]}`), []byte(`{"Pools":[{"Name":"llm","Kind":"Models"}]}`), "ana")
+	c.Assert(err, qt.IsNil)
+	state, verdict := configlog.State{}.Apply(7, publication)
+	c.Assert(verdict, qt.IsNil)
+	state.Retired = retired
+	for about, record := range map[string]control.Record{
+		"publication":    {Publication: &publication},
+		"claim":          {Claim: &leaselog.Claim{Pool: "llm", Seen: 3}},
+		"renewal":        {Renewal: true},
+		"release":        {Release: &leaselog.Release{Pool: "llm", Token: 4}},
+		"intent":         {Intent: &leaselog.Intent{Pool: "llm", Token: 4, Server: "a", Memory: 9}},
+		"resolution":     {Resolution: &leaselog.Resolution{Pool: "llm", Intent: 8}},
+		"emptied":        {Emptied: &configlog.Emptied{RetiredKey: key, Token: 4, Since: 7}},
+		"usage":          {Usage: &control.PoolUsage{Pool: "llm", Token: 4, Learned: []byte("x")}},
+		"snapshot":       {Snapshot: &control.Snapshot{FoldedTo: 9, Configuration: state, Usages: []control.PoolUsage{{Pool: "llm", Token: 4, Learned: []byte("x")}}}},
+		"empty snapshot": {Snapshot: &control.Snapshot{FoldedTo: 9}},
+	} {
+		c.Run(about, func(c *qt.C) {
+			assertRoundTrip(c, record.WithWriter(leaselog.Holder{Daemon: "a", Incarnation: "1"}, 5))
+		})
+	}
+}
--- a/internal/oplog/control/conversions.go
+++ b/internal/oplog/control/conversions.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
 	"time"
 
 	"azurehitch"
@@ -13,6 +16,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// maxSnapshotTables bounds the tables of a snapshot, in bytes.
+const maxSnapshotTables = 3 * tables.MaxTableBytes
+
 // Encode returns the payload of a record.
 func Encode(r Record) ([]byte, error) {
 	message := &recordpb.Record{Holder: holderToProto(r.Writer), Sequence: r.Sequence}
@@ -36,7 +42,11 @@
 	case r.Usage != nil:
 		message.Kind = &recordpb.Record_Usage{Usage: usageToProto(*r.Usage)}
 	case r.Snapshot != nil:
-		message.Kind = &recordpb.Record_Snapshot{Snapshot: snapshotToProto(*r.Snapshot)}
+		snapshot, err := snapshotToProto(*r.Snapshot)
+		if err != nil {
+			return nil, err
+		}
+		message.Kind = &recordpb.Record_Snapshot{Snapshot: snapshot}
 	default:
 		return nil, errors.New("record without content")
 	}
@@ -74,7 +84,10 @@
 		usage := usageFromProto(kind.Usage)
 		r.Usage = &usage
 	case *recordpb.Record_Snapshot:
-		snapshot := snapshotFromProto(kind.Snapshot)
+		snapshot, err := snapshotFromProto(kind.Snapshot)
+		if err != nil {
+			return Record{}, err
+		}
 		r.Snapshot = &snapshot
 	}
 	return r, nil
@@ -95,7 +108,7 @@
 
 func publicationToProto(p configlog.Publication) *recordpb.Publication {
 	message := &recordpb.Publication{
-		Base: p.Base, Routes: p.Routes, Pools: p.Pools, Author: p.Author, Digest: p.Digest, Retired: retiredToProto(p.Retired),
+		Base: p.Base, Changes: changesToProto(p.Changes), Author: p.Author, Digest: p.Digest, Retired: retiredToProto(p.Retired),
 	}
 	for _, key := range p.Restored {
 		message.Restored = append(message.Restored, &recordpb.RestoredServer{Pool: key.Pool, Server: key.Server})
@@ -105,7 +118,7 @@
 
 func publicationFromProto(p *recordpb.Publication) configlog.Publication {
 	publication := configlog.Publication{
-		Base: p.GetBase(), Routes: p.GetRoutes(), Pools: p.GetPools(), Author: p.GetAuthor(), Digest: p.GetDigest(),
+		Base: p.GetBase(), Changes: changesFromProto(p.GetChanges()), Author: p.GetAuthor(), Digest: p.GetDigest(),
 		Retired: retiredFromProto(p.GetRetired()),
 	}
 	for _, key := range p.GetRestored() {
@@ -114,6 +127,58 @@
 	return publication
 }
 
+func changesToProto(changes []configlog.Change) []*recordpb.TableEntry {
+	var messages []*recordpb.TableEntry
+	for _, c := range changes {
+		messages = append(messages, &recordpb.TableEntry{Table: string(c.Table), Name: c.Name, Json: c.JSON})
+	}
+	return messages
+}
+
+func changesFromProto(messages []*recordpb.TableEntry) []configlog.Change {
+	var changes []configlog.Change
+	for _, m := range messages {
+		changes = append(changes, configlog.Change{
+			Table: configlog.Table(m.GetTable()), Entry: configlog.Entry{Name: m.GetName(), JSON: m.GetJson()},
+		})
+	}
+	return changes
+}
+
+// compressEntries encodes all entries of the tables, which repeat each other much.
+func compressEntries(entries configlog.Entries) ([]byte, error) {
+	all := configlog.Entries{}.ChangesTo(entries)
+	encoded, err := proto.Marshal(&recordpb.TableEntries{Entries: changesToProto(all)})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode tables")
+	}
+	var compressed bytes.Buffer
+	w := gzip.NewWriter(&compressed)
+	if _, err := w.Write(encoded); err != nil {
+		return nil, errors.Wrap(err, "compress tables")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress tables")
+	}
+	return compressed.Bytes(), nil
+}
+
+func decompressEntries(compressed []byte) (configlog.Entries, error) {
+	r, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return configlog.Entries{}, errors.Wrap(err, "decompress tables")
+	}
+	encoded, err := io.ReadAll(io.LimitReader(r, maxSnapshotTables+1))
+	if err != nil || len(encoded) > maxSnapshotTables {
+		return configlog.Entries{}, errors.Errorf("decompress tables: %d bytes, %v", len(encoded), err)
+	}
+	var message recordpb.TableEntries
+	if err := proto.Unmarshal(encoded, &message); err != nil {
+		return configlog.Entries{}, errors.Wrap(err, "decode tables")
+	}
+	return configlog.Entries{}.With(changesFromProto(message.GetEntries())), nil
+}
+
 func retiredToProto(servers []configlog.Retired) []*recordpb.RetiredServer {
 	var messages []*recordpb.RetiredServer
 	for _, r := range servers {
@@ -172,11 +237,16 @@
 	}
 }
 
-func snapshotToProto(s Snapshot) *recordpb.Snapshot {
+func snapshotToProto(s Snapshot) (*recordpb.Snapshot, error) {
+	compressed, err := compressEntries(s.Configuration.Entries)
+	if err != nil {
+		return nil, err
+	}
 	message := &recordpb.Snapshot{
 		FoldedTo:             s.FoldedTo,
 		ConfigurationVersion: s.Configuration.Version,
-		Configuration:        publicationToProto(s.Configuration.Publication),
+		ConfigurationAuthor:  s.Configuration.Author,
+		ConfigurationGzip:    compressed,
 		Retired:              retiredToProto(s.Configuration.Retired),
 	}
 	for _, l := range s.Leases {
@@ -190,14 +260,18 @@
 	for _, i := range s.Intents {
 		message.Intents = append(message.Intents, &recordpb.OpenIntent{Offset: i.Offset, Intent: intentToProto(i)})
 	}
-	return message
+	return message, nil
 }
 
-func snapshotFromProto(s *recordpb.Snapshot) Snapshot {
+func snapshotFromProto(s *recordpb.Snapshot) (Snapshot, error) {
+	entries, err := decompressEntries(s.GetConfigurationGzip())
+	if err != nil {
+		return Snapshot{}, err
+	}
 	snapshot := Snapshot{
 		FoldedTo: s.GetFoldedTo(),
 		Configuration: configlog.State{
-			Version: s.GetConfigurationVersion(), Publication: publicationFromProto(s.GetConfiguration()),
+			Version: s.GetConfigurationVersion(), Author: s.GetConfigurationAuthor(), Entries: entries,
 			Retired: retiredFromProto(s.GetRetired()),
 		},
 	}
@@ -215,5 +289,5 @@
 		intent.Offset = open.GetOffset()
 		snapshot.Intents = append(snapshot.Intents, intent)
 	}
-	return snapshot
+	return snapshot, nil
 }
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -139,7 +139,7 @@
 			return state, nil
 		}
 		if state.Version > version {
-			return state, &configlog.ErrConflict{Base: version, Current: state.Version, Author: state.Publication.Author}
+			return state, &configlog.ErrConflict{Base: version, Current: state.Version, Author: state.Author}
 		}
 		select {
 		case <-changed:
