--- a/internal/daemon/serve/observer.go
+++ b/internal/daemon/serve/observer.go
@@ -124,8 +124,8 @@
 	o.logs.Layer(logging.LayerLease).Info().Str("Pool", pool).Int64("Token", token).Msg(message)
 }
 
-// UsageLearnt implements enginepool.Counters.
-func (o *observer) UsageLearnt(string) { o.metrics.Add(metrics.UsagesLearnt, 1) }
+// HistoryLearnt implements enginepool.Counters.
+func (o *observer) HistoryLearnt(string) { o.metrics.Add(metrics.HistoriesLearnt, 1) }
 
 // EstimateEnded implements enginepool.Counters.
 func (o *observer) EstimateEnded(_ string, end enginepool.EstimateEnd) {
--- a/internal/daemon/serve/path_test.go
+++ b/internal/daemon/serve/path_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -13,6 +11,7 @@
 	"time"
 
 	"azurehitch/internal/daemon/settings"
+	"azurehitch/internal/standin/engine"
 	"azurehitch/internal/standin/fleet"
 
 	qt "github.com/frankban/quicktest"
@@ -27,12 +26,8 @@
 func withFleet(t *testing.T, options fleet.Options, run func(ctx context.Context, c *qt.C, f *fleet.Fleet)) {
 	t.Helper()
 	c := qt.New(t)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	f, err := fleet.Start(options)
+	err := fleet.With(options, testTimeout, func(ctx context.Context, f *fleet.Fleet) { run(ctx, c, f) })
 	c.Assert(err, qt.IsNil)
-	defer f.Stop()
-	run(ctx, c, f)
 }
 
 func assertStatus(c *qt.C, answer fleet.Answer, status int) {
@@ -54,11 +49,6 @@
 	c.Assert(body.Error.Type, qt.Not(qt.Equals), "")
 }
 
-func digestOf(body []byte) string {
-	digest := sha256.Sum256(body)
-	return hex.EncodeToString(digest[:])
-}
-
 func TestPath(t *testing.T) {
 	withFleet(t, defaultOptions(), func(ctx context.Context, c *qt.C, f *fleet.Fleet) {
 		c.Run("a sleeping model wakes up at each daemon", func(c *qt.C) {
@@ -80,7 +70,7 @@
 			answer, err := f.Do(ctx, 2, fleet.Request{Method: http.MethodPost, Path: "/v1/completions", Key: fleet.PaidKey, Body: body})
 			c.Assert(err, qt.IsNil)
 			assertStatus(c, answer, http.StatusOK)
-			c.Assert(string(answer.Body), qt.Contains, digestOf(body))
+			c.Assert(string(answer.Body), qt.Contains, engine.Digest(body))
 		})
 		c.Run("a stream of 10,000 events arrives byte for byte", func(c *qt.C) {
 			assertWholeStream(ctx, c, f, 10_000)
@@ -114,7 +104,7 @@
 	for i := range tokens {
 		token := fmt.Sprintf(" t%d", i)
 		if i == 0 {
-			token = digestOf([]byte(body))
+			token = engine.Digest([]byte(body))
 		}
 		fmt.Fprintf(&want, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", i, id, token)
 	}
--- a/internal/daemon/serve/run.go
+++ b/internal/daemon/serve/run.go
@@ -87,7 +87,7 @@
 	if sabotage.Active(sabotage.SkipRelease) {
 		return
 	}
-	if err := d.pools.SaveUsage(ctx); err != nil {
+	if err := d.pools.SaveHistories(ctx); err != nil {
 		d.Logs.Layer(logging.LayerPlacement).Warn().Err(err).Msg("what was learnt of pools was not recorded")
 	}
 	if err := d.leases.Release(ctx); err != nil {
--- a/internal/daemon/serve/start_test.go
+++ b/internal/daemon/serve/start_test.go
@@ -32,9 +32,9 @@
 	})
 }
 
-// TestHandoverOfUsage stops a holder: what it has learnt is on the log, and the next
+// TestHandoverOfHistory stops a holder: what it has learnt is on the log, and the next
 // holder has it.
-func TestHandoverOfUsage(t *testing.T) {
+func TestHandoverOfHistory(t *testing.T) {
 	withFleet(t, defaultOptions(), func(ctx context.Context, c *qt.C, f *fleet.Fleet) {
 		answer, err := f.Chat(ctx, 0, fleet.PaidKey, `{"model":"care-note"}`)
 		c.Assert(err, qt.IsNil)
@@ -44,7 +44,7 @@
 		f.Retire(stopped)
 		c.Assert(stopped.Stop(), qt.IsNil)
 		learnt := func() bool {
-			return slices.ContainsFunc(f.Daemons, func(d *fleet.Daemon) bool { return d.Metrics().Get(metrics.UsagesLearnt) > 0 })
+			return slices.ContainsFunc(f.Daemons, func(d *fleet.Daemon) bool { return d.Metrics().Get(metrics.HistoriesLearnt) > 0 })
 		}
 		c.Assert(fleet.Eventually(testTimeout/3, learnt), qt.IsTrue)
 	})
--- a/internal/oplog/control/control_test.go
+++ b/internal/oplog/control/control_test.go
@@ -38,8 +38,8 @@
 		"intent":         {Intent: &leaselog.Intent{Pool: "llm", Token: 4, Server: "a", Memory: 9}},
 		"resolution":     {Resolution: &leaselog.Resolution{Pool: "llm", Intent: 8}},
 		"emptied":        {Emptied: &configlog.Emptied{RetiredKey: key, Token: 4, Since: 7}},
-		"usage":          {Usage: &control.PoolUsage{Pool: "llm", Token: 4, Learned: []byte("x")}},
-		"snapshot":       {Snapshot: &control.Snapshot{FoldedTo: 9, Configuration: state, Usages: []control.PoolUsage{{Pool: "llm", Token: 4, Learned: []byte("x")}}}},
+		"history":        {History: &control.PoolHistory{Pool: "llm", Token: 4, Learned: []byte("x")}},
+		"snapshot":       {Snapshot: &control.Snapshot{FoldedTo: 9, Configuration: state, Histories: []control.PoolHistory{{Pool: "llm", Token: 4, Learned: []byte("x")}}}},
 		"empty snapshot": {Snapshot: &control.Snapshot{FoldedTo: 9}},
 	} {
 		c.Run(about, func(c *qt.C) {
--- a/internal/oplog/control/conversions.go
+++ b/internal/oplog/control/conversions.go
@@ -39,8 +39,8 @@
 		message.Kind = &recordpb.Record_Resolution{Resolution: &recordpb.Resolution{Pool: r.Resolution.Pool, Intent: r.Resolution.Intent}}
 	case r.Emptied != nil:
 		message.Kind = &recordpb.Record_Emptied{Emptied: emptiedToProto(*r.Emptied)}
-	case r.Usage != nil:
-		message.Kind = &recordpb.Record_Usage{Usage: usageToProto(*r.Usage)}
+	case r.History != nil:
+		message.Kind = &recordpb.Record_History{History: historyToProto(*r.History)}
 	case r.Snapshot != nil:
 		snapshot, err := snapshotToProto(*r.Snapshot)
 		if err != nil {
@@ -80,9 +80,9 @@
 	case *recordpb.Record_Emptied:
 		emptied := emptiedFromProto(kind.Emptied)
 		r.Emptied = &emptied
-	case *recordpb.Record_Usage:
-		usage := usageFromProto(kind.Usage)
-		r.Usage = &usage
+	case *recordpb.Record_History:
+		history := historyFromProto(kind.History)
+		r.History = &history
 	case *recordpb.Record_Snapshot:
 		snapshot, err := snapshotFromProto(kind.Snapshot)
 		if err != nil {
@@ -204,12 +204,12 @@
 	return servers
 }
 
-func usageToProto(u PoolUsage) *recordpb.PoolUsage {
-	return &recordpb.PoolUsage{Pool: u.Pool, Token: u.Token, Learned: u.Learned}
+func historyToProto(u PoolHistory) *recordpb.PoolHistory {
+	return &recordpb.PoolHistory{Pool: u.Pool, Token: u.Token, Learned: u.Learned}
 }
 
-func usageFromProto(m *recordpb.PoolUsage) PoolUsage {
-	return PoolUsage{Pool: m.GetPool(), Token: m.GetToken(), Learned: m.GetLearned()}
+func historyFromProto(m *recordpb.PoolHistory) PoolHistory {
+	return PoolHistory{Pool: m.GetPool(), Token: m.GetToken(), Learned: m.GetLearned()}
 }
 
 func emptiedToProto(e configlog.Emptied) *recordpb.Emptied {
@@ -254,8 +254,8 @@
 			Pool: l.Pool, Holder: holderToProto(l.Holder), Token: l.Token, Last: l.Last, DurationMs: l.Duration.Milliseconds(),
 		})
 	}
-	for _, u := range s.Usages {
-		message.Usages = append(message.Usages, usageToProto(u))
+	for _, u := range s.Histories {
+		message.Histories = append(message.Histories, historyToProto(u))
 	}
 	for _, i := range s.Intents {
 		message.Intents = append(message.Intents, &recordpb.OpenIntent{Offset: i.Offset, Intent: intentToProto(i)})
@@ -281,8 +281,8 @@
 			Duration: milliseconds(l.GetDurationMs()),
 		})
 	}
-	for _, u := range s.GetUsages() {
-		snapshot.Usages = append(snapshot.Usages, usageFromProto(u))
+	for _, u := range s.GetHistories() {
+		snapshot.Histories = append(snapshot.Histories, historyFromProto(u))
 	}
 	for _, open := range s.GetIntents() {
 		intent := intentFromProto(open.GetIntent())
--- a/internal/oplog/control/record.go
+++ b/internal/oplog/control/record.go
@@ -34,7 +34,7 @@
 	Intent      *leaselog.Intent
 	Resolution  *leaselog.Resolution
 	Emptied     *configlog.Emptied
-	Usage       *PoolUsage
+	History     *PoolHistory
 	Snapshot    *Snapshot
 }
 
@@ -45,8 +45,8 @@
 	return r
 }
 
-// PoolUsage is what the holder of a pool has learnt of its use, for a later holder.
-type PoolUsage struct {
+// PoolHistory is what the holder of a pool has learnt of its use, for a later holder.
+type PoolHistory struct {
 	Pool    string
 	Token   int64
 	Learned []byte
@@ -58,5 +58,5 @@
 	Configuration configlog.State
 	Leases        []leaselog.Lease
 	Intents       []leaselog.Intent
-	Usages        []PoolUsage
+	Histories     []PoolHistory
 }
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -31,16 +31,16 @@
 		Configuration: s.state,
 		Leases:        s.leases.Fold().Leases(),
 		Intents:       s.leases.Fold().Intents(),
-		Usages:        s.sortedUsages(),
+		Histories:     s.sortedHistories(),
 	}
 }
 
-func (s *Store) sortedUsages() []PoolUsage {
-	var usages []PoolUsage
-	for _, pool := range slices.Sorted(maps.Keys(s.usages)) {
-		usages = append(usages, s.usages[pool])
+func (s *Store) sortedHistories() []PoolHistory {
+	var histories []PoolHistory
+	for _, pool := range slices.Sorted(maps.Keys(s.histories)) {
+		histories = append(histories, s.histories[pool])
 	}
-	return usages
+	return histories
 }
 
 // Restore replaces the state by a snapshot, if that is newer. All leases count as
@@ -53,9 +53,9 @@
 	}
 	s.foldedTo = snapshot.FoldedTo
 	s.setConfiguration(snapshot.Configuration)
-	s.usages = map[string]PoolUsage{}
-	for _, u := range snapshot.Usages {
-		s.usages[u.Pool] = u
+	s.histories = map[string]PoolHistory{}
+	for _, u := range snapshot.Histories {
+		s.histories[u.Pool] = u
 	}
 	s.leases = leaselog.NewManager(s.self, leaselog.Restore(snapshot.Leases, snapshot.Intents), s.clock.Now())
 	s.notify()
--- a/internal/placement/enginepool/usage.go
+++ b/internal/placement/enginepool/history.go
@@ -16,37 +16,37 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// usageInterval is how often a holder records what it has learnt.
-const usageInterval = 15 * time.Minute
+// historyInterval is how often a holder records what it has learnt.
+const historyInterval = 15 * time.Minute
 
-// SaveUsage records what this daemon has learnt of the pools that it holds, before it
+// SaveHistories records what this daemon has learnt of the pools that it holds, before it
 // gives them away.
-func (s *Set) SaveUsage(ctx context.Context) error {
+func (s *Set) SaveHistories(ctx context.Context) error {
 	s.mu.Lock()
 	var group errgroup.Group
 	for _, p := range s.pools {
-		group.Go(func() error { return p.saveUsage(ctx) })
+		group.Go(func() error { return p.saveHistory(ctx) })
 	}
 	s.mu.Unlock()
 	return group.Wait()
 }
 
-// saveUsage records what was learnt, if that has changed.
-func (p *pool) saveUsage(ctx context.Context) error {
+// saveHistory records what was learnt, if that has changed.
+func (p *pool) saveHistory(ctx context.Context) error {
 	p.mu.Lock()
 	learned, err := encodeLearned(p.plan.Learned())
-	unchanged := bytes.Equal(learned, p.savedUsage)
+	unchanged := bytes.Equal(learned, p.savedHistory)
 	p.mu.Unlock()
 	if err != nil || unchanged {
 		return err
 	}
-	verdict, err := p.Recorder.Append(ctx, control.Record{Usage: &control.PoolUsage{Pool: p.name, Token: p.token, Learned: learned}})
+	verdict, err := p.Recorder.Append(ctx, control.Record{History: &control.PoolHistory{Pool: p.name, Token: p.token, Learned: learned}})
 	if err != nil || verdict.Err != nil {
-		return errors.Wrapf(err, "record the usage of pool %s", p.name)
+		return errors.Wrapf(err, "record the history of pool %s", p.name)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.savedUsage = learned
+	p.savedHistory = learned
 	return nil
 }
 
@@ -57,8 +57,8 @@
 		return
 	}
 	p.plan.Learn(learned)
-	p.savedUsage = encoded
-	p.Counters.UsageLearnt(p.name)
+	p.savedHistory = encoded
+	p.Counters.HistoryLearnt(p.name)
 }
 
 func encodeLearned(l planner.Learned) ([]byte, error) {
--- a/internal/placement/enginepool/pool.go
+++ b/internal/placement/enginepool/pool.go
@@ -54,8 +54,8 @@
 	PoolHeld(pool string, token int64, held bool)
 	// EstimateEnded counts how estimates of waits turned out.
 	EstimateEnded(pool string, end EstimateEnd)
-	// UsageLearnt counts the pools whose use was learnt from an earlier holder.
-	UsageLearnt(pool string)
+	// HistoryLearnt counts the pools whose use was learnt from an earlier holder.
+	HistoryLearnt(pool string)
 }
 
 // Dependencies are what the runners need.
@@ -98,10 +98,10 @@
 	scope control.PoolScope
 	polls map[string]*poll
 	times loadTimes
-	// savedUsage is what was recorded last of what the plan has learnt, and savedAt when
+	// savedHistory is what was recorded last of what the plan has learnt, and savedAt when
 	// that was last looked at.
-	savedUsage []byte
-	savedAt    time.Time
+	savedHistory []byte
+	savedAt      time.Time
 	// refused are the refusals by estimates that are followed up.
 	refused []refusedWait
 	// appendFailedAt is when an intent could last not be recorded.
@@ -125,7 +125,7 @@
 		wake:         make(chan struct{}, 1),
 		savedAt:      d.Clock.Now(),
 	}
-	p.learnFrom(d.Store.PoolUsage(name))
+	p.learnFrom(d.Store.PoolHistory(name))
 	return p
 }
 
@@ -180,11 +180,11 @@
 			return nil
 		})
 	}
-	if now.Sub(p.savedAt) >= usageInterval {
+	if now.Sub(p.savedAt) >= historyInterval {
 		p.savedAt = now
 		p.group.Go(func() error {
 			// What could not be recorded is due again with the next interval.
-			_ = p.saveUsage(ctx)
+			_ = p.saveHistory(ctx)
 			return nil
 		})
 	}
--- a/internal/proof/points/requests_test.go
+++ b/internal/proof/points/requests_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +10,7 @@
 	"testing"
 	"time"
 
+	"azurehitch/internal/standin/engine"
 	"azurehitch/internal/standin/fault"
 	"azurehitch/internal/standin/fleet"
 )
@@ -26,14 +25,9 @@
 
 func withFleet(t *testing.T, options fleet.Options, run func(ctx context.Context, f *fleet.Fleet)) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), pathTimeout)
-	defer cancel()
-	f, err := fleet.Start(options)
-	if err != nil {
+	if err := fleet.With(options, pathTimeout, run); err != nil {
 		t.Fatal(err)
 	}
-	defer f.Stop()
-	run(ctx, f)
 }
 
 // sendAll sends requests at once, each to the next daemon, and returns the answers.
@@ -54,11 +48,6 @@
 	return fleet.Request{Method: http.MethodPost, Path: "/v1/chat/completions", Key: fleet.PaidKey, Body: []byte(body)}
 }
 
-func digestOf(body string) string {
-	digest := sha256.Sum256([]byte(body))
-	return hex.EncodeToString(digest[:])
-}
-
 // TestProveOwnWholeAnswer sends requests at once whose answers come late and out
 // of order, and some of which break off: each caller gets the whole answer to its own request.
 func TestProveOwnWholeAnswer(t *testing.T) {
@@ -82,7 +71,7 @@
 		answers := sendAll(ctx, f, count, func(i int) fleet.Request { return chat(body(i)) })
 		for i, answer := range answers {
 			ends := strings.HasSuffix(string(answer.Body), "data: [DONE]\n\n") || json.Valid(answer.Body)
-			if answer.Status != http.StatusOK || !answer.Whole || !ends || !strings.Contains(string(answer.Body), digestOf(body(i))) {
+			if answer.Status != http.StatusOK || !answer.Whole || !ends || !strings.Contains(string(answer.Body), engine.Digest([]byte(body(i)))) {
 				t.Errorf("request %d got status %d, whole %t: %.200s", i, answer.Status, answer.Whole, answer.Body)
 			}
 		}
--- a/internal/proof/poolworld/faults.go
+++ b/internal/proof/poolworld/faults.go
@@ -119,7 +119,7 @@
 type quiet struct{}
 
 func (quiet) LogRead(error)                                             {}
-func (quiet) UsageLearnt(string)                                        {}
+func (quiet) HistoryLearnt(string)                                      {}
 func (quiet) EstimateEnded(string, enginepool.EstimateEnd)              {}
 func (quiet) LogAppended(error)                                         {}
 func (quiet) LoadFinished(string, bool, planner.Outcome, time.Duration) {}
--- a/internal/proof/poolworld/world.go
+++ b/internal/proof/poolworld/world.go
@@ -14,20 +14,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/configuration/configlog"
 	"azurehitch/internal/configuration/tables"
-	"azurehitch/internal/lease/leaselog"
-	"azurehitch/internal/lease/leaserunner"
 	"azurehitch/internal/oplog/control"
-	"azurehitch/internal/oplog/follow"
 	"azurehitch/internal/placement/enginepool"
 	"azurehitch/internal/placement/planner"
 	"azurehitch/internal/standin/engine"
@@ -108,18 +101,6 @@
 	EnginesCut []string
 }
 
-// Daemon is the part of a daemon that holds pools.
-type Daemon struct {
-	Store  *control.Store
-	Writer *control.Writer
-	Set    *enginepool.Set
-	Leases leaserunner.Runner
-	// life ends with the daemon.
-	life   context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-}
-
 // New starts a world without a configuration.
 func New(options Options) *World {
 	w := &World{
@@ -159,84 +140,6 @@
 	w.hosts[name] = azurehitch.HostStateLive
 }
 
-// StartDaemon starts a daemon, again under a new incarnation.
-func (w *World) StartDaemon(name string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.starts[name]++
-	clock := azurehitch.SystemClock{}
-	self := leaselog.Holder{Daemon: name, Incarnation: fmt.Sprint(w.starts[name])}
-	ctx, cancel := context.WithCancel(context.Background())
-	store := control.NewStore(self, clock)
-	if w.IsOldRelease(name) {
-		store = store.WithReader(readAsOldRelease)
-	}
-	d := &Daemon{Store: store, life: ctx, cancel: cancel, done: make(chan struct{})}
-	log := &faultyLog{world: w, daemon: name, ctx: ctx}
-	d.Writer = control.NewWriter(log, Stream, d.Store, quiet{})
-	d.Set = enginepool.NewSet(enginepool.Dependencies{
-		Store: d.Store, Recorder: d.Writer, Clock: clock, Counters: quiet{},
-		Engines: engine.Dialer{Caller: name, Engines: w.Engines, Hooks: w.hooks(ctx)},
-		Hosts:   w.Hosts,
-		Slots:   newFreeSlots(func(pool string) { d.Set.Wake(pool) }),
-	})
-	d.Leases = leaserunner.Runner{
-		Store: d.Store, Writer: d.Writer, Clock: clock, Counters: quiet{},
-		Environment: func() leaselog.Environment { return w.environment(d.Store) },
-	}
-	w.daemons[name] = d
-	w.run(ctx, d, log, name)
-}
-
-// IsOldRelease reports whether a daemon is of the older release.
-func (w *World) IsOldRelease(daemon string) bool {
-	return slices.Index(w.Names(), daemon) >= w.Options.Daemons-w.Options.OldReleases
-}
-
-// NovelPrefix begins the names of models that older releases can't read.
-const NovelPrefix = "novel-"
-
-func readAsOldRelease(s configlog.State) (tables.Configuration, error) {
-	configuration, err := s.Configuration()
-	for _, pool := range configuration.Pools.Pools {
-		for _, model := range pool.Models {
-			if strings.HasPrefix(model.Name, NovelPrefix) {
-				return tables.Configuration{}, errors.Errorf("model %q is not for this release", model.Name)
-			}
-		}
-	}
-	return configuration, err
-}
-
-func (w *World) run(ctx context.Context, d *Daemon, log azurehitch.Log, name string) {
-	clock := azurehitch.SystemClock{}
-	follower := follow.NewFollower(log, Stream, d.Store, clock, quiet{})
-	snapshots := control.Snapshotter{
-		Store: d.Store, Writer: d.Writer, Clock: clock, Records: w.snapshotRecords(), Interval: snapshotInterval,
-		Rank: func() int { return slices.Index(w.Names(), name) }, Appended: func() {},
-	}
-	w.group.Go(func() error {
-		defer close(d.done)
-		group, ctx := errgroup.WithContext(ctx)
-		for _, loop := range []func(context.Context) error{follower.Run, d.Set.Run, d.Leases.Run, snapshots.Run} {
-			group.Go(func() error { return loop(ctx) })
-		}
-		return group.Wait()
-	})
-}
-
-func (w *World) snapshotRecords() int64 {
-	const never = 1 << 40
-	if w.Options.SnapshotRecords == 0 {
-		return never
-	}
-	return w.Options.SnapshotRecords
-}
-
-func (w *World) environment(store *control.Store) leaselog.Environment {
-	return leaselog.Environment{Pools: store.LeasedPools(), Daemons: w.Names()}
-}
-
 // Names returns the names of all daemons.
 func (w *World) Names() []string {
 	names := make([]string, 0, w.Options.Daemons)
@@ -257,39 +160,6 @@
 	return listed
 }
 
-// Daemon returns a running daemon; nil if it was killed.
-func (w *World) Daemon(name string) *Daemon {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.daemons[name]
-}
-
-// acquire asks a daemon, whose death breaks the connection.
-func (d *Daemon) acquire(ctx context.Context, request enginepool.Request) (enginepool.Grant, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(d.life, cancel)
-	defer stop()
-	grant, err := d.Set.Acquire(ctx, request)
-	if d.life.Err() != nil {
-		return enginepool.Grant{}, &enginepool.ErrNotHeld{Pool: request.Pool}
-	}
-	return grant, err
-}
-
-// Kill ends a daemon without any farewell.
-func (w *World) Kill(name string) {
-	w.mu.Lock()
-	d := w.daemons[name]
-	delete(w.daemons, name)
-	delete(w.faults, name)
-	w.mu.Unlock()
-	if d != nil {
-		d.cancel()
-		<-d.done
-	}
-}
-
 // SetFault replaces what is wrong around a daemon.
 func (w *World) SetFault(daemon string, fault Fault) {
 	w.mu.Lock()
@@ -328,58 +198,6 @@
 	return ""
 }
 
-// Publish publishes tables with one pool through a daemon.
-func (w *World) Publish(ctx context.Context, daemon string, pool tables.Pool) (control.Verdict, error) {
-	d := w.Daemon(daemon)
-	if d == nil {
-		return control.Verdict{}, errGone
-	}
-	return w.PublishFrom(ctx, daemon, d.Store.Published().Version, pool, daemon)
-}
-
-// PublishFrom publishes tables that were edited from a version.
-func (w *World) PublishFrom(ctx context.Context, daemon string, base int64, pool tables.Pool, author string) (control.Verdict, error) {
-	pools, err := json.Marshal(tables.PoolTable{Pools: []tables.Pool{pool}})
-	if err != nil {
-		return control.Verdict{}, err
-	}
-	d := w.Daemon(daemon)
-	if d == nil {
-		return control.Verdict{}, errGone
-	}
-	publication, err := d.Store.Published().Edit([]byte(`{}`), pools, author)
-	if err != nil {
-		return control.Verdict{}, err
-	}
-	publication = publication.WithBase(base)
-	return d.Writer.Append(ctx, control.Record{Publication: &publication})
-}
-
-// Pool returns a table of a pool over all engines.
-func (w *World) Pool(lease time.Duration, models ...tables.Model) tables.Pool {
-	pool := tables.Pool{
-		Name: PoolName, Kind: tables.PoolKindModels, Models: models, ConcurrentRequests: 100, QueueLimit: 100,
-		IdleTimeout: azurehitch.Duration(time.Hour), LeaseDuration: azurehitch.Duration(lease),
-	}
-	for i := range w.Options.Engines {
-		pool.BackendServers = append(pool.BackendServers, tables.BackendServer{
-			Name: EngineName(i), Address: EngineName(i), AcceleratorMemory: w.Options.Memory,
-			FencingToken: w.tokenCheck(i),
-		})
-	}
-	return pool
-}
-
-func (w *World) tokenCheck(i int) tables.TokenCheck {
-	switch checking := w.Options.Engines - w.Options.IgnoreToken; {
-	case i >= checking:
-		return tables.TokenIgnored
-	case w.Options.KeepToken:
-		return tables.TokenKept
-	}
-	return tables.TokenChecked
-}
-
 // Acquire asks daemons for an artifact until one grants it, one refuses it, or
 // the context ends.
 func (w *World) Acquire(ctx context.Context, asking string, artifact azurehitch.Artifact) (enginepool.Grant, error) {
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -74,8 +74,7 @@
 	defer e.mu.Unlock()
 	state, known := e.generations[request.ID]
 	if !known || request.From == 0 {
-		digest := sha256.Sum256(request.Body)
-		state = &Generation{ID: request.ID, Digest: hex.EncodeToString(digest[:]), Tokens: request.Tokens}
+		state = &Generation{ID: request.ID, Digest: Digest(request.Body), Tokens: request.Tokens}
 		e.generations[request.ID] = state
 		e.journal.Runs[request.ID]++
 	}
@@ -125,6 +124,12 @@
 	r.engine.unbook(r)
 }
 
+// Digest returns the first token of the answer to a body.
+func Digest(body []byte) string {
+	digest := sha256.Sum256(body)
+	return hex.EncodeToString(digest[:])
+}
+
 // Tokens is the number of tokens of the whole answer.
 func (r *Run) Tokens() int { return r.state.Tokens }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -115,6 +115,19 @@
 	err    error
 }
 
+// With starts a fleet, runs a function within a time, and stops the fleet.
+func With(options Options, limit time.Duration, run func(ctx context.Context, f *Fleet)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	f, err := Start(options)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	run(ctx, f)
+	return nil
+}
+
 // Start starts a fleet, publishes its tables and waits until they are in force.
 func Start(options Options) (*Fleet, error) {
 	f := &Fleet{Options: options, group: &errgroup.Group{}}
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -57,7 +57,7 @@
 	LoadSlotsGranted     Name = "LoadSlotsGranted"
 	LoadSlotsAlone       Name = "LoadSlotsAlone"
 	EstimatesEnded       Name = "EstimatesEnded"
-	UsagesLearnt         Name = "UsagesLearnt"
+	HistoriesLearnt      Name = "HistoriesLearnt"
 )
 
 // The gauges.
