A paying caller takes the replica of another version from trials

Cause: with no replica left to add, a need for another version waited until the one in use was idle for 2 s; a trial in constant use kept paying callers out until their deadlines.

Ruled out: treating all other versions alike (those that paying callers use stay).

Change: the least valuable replica of another version goes, as on a full server; the requests of trials on it are cancelled and resumed. With one size, make bench prints ControlCpuShare and its kin without the size.

Figures: TestOtherVersion: no action before for a paying caller, one preempting unload after; none for a trial.

--- a/_scripts/scale.sh
+++ b/_scripts/scale.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures what control costs each daemon at several sizes. Arguments are triples
-# DAEMONS:POOLS:MODELS:ADAPTERS; without any, the sizes of docs/CAPACITY.md.
+# DAEMONS:POOLS:MODELS:ADAPTERS; without any, the sizes of docs/CAPACITY.md. With one
+# size, the names of the figures are without it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source _scripts/processes.sh
@@ -32,7 +33,9 @@
   bin/azurehitch config publish --admin "127.0.0.1:${admins[0]}" --routes "$work/routes.json" --pools "$work/pools.json" --base 0 >/dev/null
   for i in "${admins[@]}"; do await "configuration at port $i" curl -fsS "http://127.0.0.1:$i/healthz"; done
   sleep "${SETTLE:-45}"
-  bin/azurehitch-bench scale --suffix ".D$1.P$2.M$3.A$4" \
+  local suffix=".D$1.P$2.M$3.A$4"
+  if ((${#sizes[@]} == 1)); then suffix=""; fi
+  bin/azurehitch-bench scale --suffix "$suffix" \
     --admins "$(printf '127.0.0.1:%s,' "${admins[@]}" | sed 's/,$//')" \
     --processes "$(IFS=,; echo "${pids[*]:from:count}")"
   for ((i = ${#pids[@]} - 1; i >= first; i--)); do
--- a/internal/placement/planner/evict.go
+++ b/internal/placement/planner/evict.go
@@ -182,22 +182,28 @@
 	return loaded && !b.ordered && !b.uncertain && len(b.intents) == 0
 }
 
-// evictOtherVersion makes room under the replica limit by unloading an idle
-// replica of another version, or one on a server that takes no requests.
+// evictOtherVersion makes room under the replica limit by unloading the least valuable
+// replica of another version.
 func (p *Plan) evictOtherVersion(n need, now time.Time, budget Budget) (Action, bool) {
+	var on *server
+	var best victim
 	for _, name := range p.names {
 		s := p.servers[name]
-		for _, other := range sortedArtifacts(s.bookings) {
-			b := s.bookings[other]
-			if other.Model != n.artifact.Model || other.Version == n.artifact.Version || !p.mayOrder(s, budget) {
-				continue
-			}
-			if value, ok := p.valueOf(s, b, n, now); ok && value != valueTrialBusy {
-				return p.evict(s, b), true
+		if !p.mayOrder(s, budget) {
+			continue
+		}
+		for _, b := range s.replicas(n.artifact.Model) {
+			value, ok := p.valueOf(s, b, n, now)
+			v := victim{booking: b, value: value}
+			if ok && b.Artifact.Version != n.artifact.Version && (on == nil || v.compare(best) < 0) {
+				on, best = s, v
 			}
 		}
 	}
-	return Action{}, false
+	if on == nil {
+		return Action{}, false
+	}
+	return p.evictVictim(on, best), true
 }
 
 // drainLeaving unloads from servers that leave or are no longer in the table,
--- a/internal/placement/planner/planner_test.go
+++ b/internal/placement/planner/planner_test.go
@@ -147,6 +147,33 @@
 	})
 }
 
+// TestOtherVersion lets a caller want another version of a model that trials use, with
+// one replica allowed.
+func TestOtherVersion(t *testing.T) {
+	next := azurehitch.Artifact{Model: "note", Version: "2"}
+	for _, test := range []struct {
+		tier    tables.Tier
+		actions int
+	}{{tables.TierTrial, 0}, {tables.TierPaid, 1}} {
+		pool := poolOf(server("a"), server("b"))
+		pool.Models[0].Versions = append(pool.Models[0].Versions, tables.ModelVersion{Version: "2", Memory: modelMemory})
+		withPlan(t, planner.Scope{Pool: pool}, func(c *qt.C, plan *planner.Plan) {
+			plan.Want("daemon-1", note, planner.Demand{Tier: tables.TierTrial, InProgress: 1}, start)
+			placement := ready(note)
+			placement.Active = 1
+			observe(plan, "a", placement)
+			plan.Want("daemon-1", next, planner.Demand{Tier: test.tier, Waiting: 1}, start)
+			actions := decide(plan, start)
+			c.Assert(actions, qt.HasLen, test.actions)
+			if test.actions > 0 {
+				c.Assert(actions[0].Kind, qt.Equals, planner.ActionUnload)
+				c.Assert(actions[0].Artifact, qt.Equals, note)
+				c.Assert(actions[0].Preempt, qt.IsTrue)
+			}
+		})
+	}
+}
+
 func TestPromisedMemory(t *testing.T) {
 	withLentServer(t, 0, func(c *qt.C, plan *planner.Plan) {
 		plan.Want("daemon-1", note, planner.Demand{Tier: tables.TierPaid, InProgress: 1}, start)
