Further replicas go to another failure domain

Cause: a load went where most memory was free among equally near servers, so that all replicas of a model could stand in one failure domain.

Ruled out: the failure domain before the distance of the checkpoint (a load of 20 s instead of 5 for a replica that is needed now).

Change: among equally near servers, the failure domain with the fewest replicas of the model goes first.

Figures: TestFailureDomains fails without it (server a for c).

Conclusion: a failure domain lost takes one of two replicas.

--- a/internal/placement/planner/decide.go
+++ b/internal/placement/planner/decide.go
@@ -229,7 +229,7 @@
 // room anywhere, it evicts what was idle longest. What is lent to trials counts as
 // room for a paying caller. A load from the weight store waits for a slot.
 func (p *Plan) placeOnBest(candidates []*server, n need, now time.Time, budget Budget) (Action, bool) {
-	slices.SortStableFunc(candidates, byDistance(n.artifact))
+	slices.SortStableFunc(candidates, p.byPreference(n.artifact))
 	paid := n.class.IsPaid()
 	if !paid && p.lendable(now) < n.memory {
 		return p.evictFor(candidates, n, now)
@@ -248,13 +248,27 @@
 	return p.evictFor(candidates, n, now)
 }
 
-// byDistance orders servers by how near a checkpoint lies, and by free memory.
-func byDistance(artifact azurehitch.Artifact) func(a, b *server) int {
+// byPreference orders servers by how near a checkpoint lies, by how few replicas of the
+// model their failure domain has, and by free memory.
+func (p *Plan) byPreference(artifact azurehitch.Artifact) func(a, b *server) int {
+	replicas := p.replicasByDomain(artifact.Model)
 	return func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.distance(artifact), b.distance(artifact)), cmp.Compare(b.free(), a.free()))
+		return cmp.Or(
+			cmp.Compare(a.distance(artifact), b.distance(artifact)),
+			cmp.Compare(replicas[a.FailureDomain], replicas[b.FailureDomain]),
+			cmp.Compare(b.free(), a.free()),
+		)
 	}
 }
 
+func (p *Plan) replicasByDomain(model string) map[string]int {
+	count := map[string]int{}
+	for _, s := range p.servers {
+		count[s.FailureDomain] += len(s.replicas(model))
+	}
+	return count
+}
+
 // loadOn begins a load, or wants a slot for it.
 func (p *Plan) loadOn(s *server, n need, now time.Time, budget Budget) (Action, bool) {
 	remote := s.distance(n.artifact) == distanceRemote
--- a/internal/placement/planner/planner_test.go
+++ b/internal/placement/planner/planner_test.go
@@ -85,6 +85,23 @@
 	})
 }
 
+// TestFailureDomains adds a replica: it goes to the other failure domain, although more
+// memory is free in the first.
+func TestFailureDomains(t *testing.T) {
+	near, first, far := server("a"), server("b"), server("c")
+	near.FailureDomain, first.FailureDomain, far.FailureDomain = "reduit", "reduit", "curepipe"
+	far.AcceleratorMemory = modelMemory
+	pool := poolOf(near, first, far)
+	pool.Models[0].MaxReplicas = 2
+	withPlan(t, planner.Scope{Pool: pool}, func(c *qt.C, plan *planner.Plan) {
+		observe(plan, "b", ready(note))
+		plan.Want("daemon-1", note, planner.Demand{InProgress: 100}, start)
+		actions := decide(plan, start)
+		c.Assert(actions, qt.HasLen, 1)
+		c.Assert(actions[0].Server, qt.Equals, "c")
+	})
+}
+
 func TestRetiredServer(t *testing.T) {
 	scope := planner.Scope{Pool: poolOf(server("a")), Retired: []tables.BackendServer{server("b")}}
 	withPlan(t, scope, func(c *qt.C, plan *planner.Plan) {
--- a/internal/placement/planner/wake.go
+++ b/internal/placement/planner/wake.go
@@ -78,7 +78,7 @@
 		return Action{}, false
 	}
 	candidates := p.candidates(budget, func(s *server) bool { return s.free() >= n.memory })
-	slices.SortStableFunc(candidates, byDistance(n.artifact))
+	slices.SortStableFunc(candidates, p.byPreference(n.artifact))
 	if len(candidates) == 0 {
 		return Action{}, false
 	}
