--- a/cmd/azurehitch/cmds/commands.go
+++ b/cmd/azurehitch/cmds/commands.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"azurehitch/internal/admin/operator"
+	"azurehitch/internal/daemon/gateway"
 	"azurehitch/internal/daemon/settings"
 
 	"github.com/pkg/errors"
@@ -54,12 +55,13 @@
 
 func exitCode(err error) int {
 	var setting *settings.ErrSetting
+	var field *gateway.ErrSetting
 	var usage *errUsage
 	var failure *operator.ErrFailure
 	switch {
 	case err == nil:
 		return ExitSuccess
-	case errors.As(err, &setting), errors.As(err, &usage):
+	case errors.As(err, &setting), errors.As(err, &field), errors.As(err, &usage):
 		return ExitUsage
 	case errors.As(err, &failure) && failure.Code == operator.FailureInvalidTables:
 		return ExitRefused
@@ -83,7 +85,7 @@
 		// Errors are printed and turned into exit codes by Run.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			newServeCommand(), newConfigCommand(), newDaemonsCommand(), newPoolsCommand(), newDrainCommand(),
+			newServeCommand(), newGatewayCommand(), newConfigCommand(), newDaemonsCommand(), newPoolsCommand(), newDrainCommand(),
 		},
 	}
 	typeUsageErrors(command)
--- a/cmd/azurehitch/cmds/serve.go
+++ b/cmd/azurehitch/cmds/serve.go
@@ -10,9 +10,9 @@
 	"azurehitch/internal/daemon/serve"
 	"azurehitch/internal/daemon/settings"
 	"azurehitch/internal/forward/httpengine"
-	"azurehitch/internal/platform/httphosts"
-	"azurehitch/internal/platform/httplog"
-	"azurehitch/internal/platform/httpweights"
+	"azurehitch/internal/reference/httphosts"
+	"azurehitch/internal/reference/httplog"
+	"azurehitch/internal/reference/httpweights"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/tracing"
 
--- /dev/null
+++ b/internal/daemon/gateway/daemon.go
@@ -0,0 +1,251 @@
+// Package gateway assembles the daemon that passes requests through by host and path, and
+// runs it.
+//
+// # Usage
+//
+//	daemon, err := gateway.New(settings, platform)
+//	err = daemon.Run(ctx)
+//
+// The end of the context is a planned stop: the daemon gives its leases to others, tells
+// the balancer that it is not ready, ends the requests in progress and returns.
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/routing"
+	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/forward/passthrough"
+	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/retrybudget"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/lease/leaserunner"
+	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/members"
+	"azurehitch/internal/oplog/control"
+	"azurehitch/internal/oplog/follow"
+	"azurehitch/internal/oplog/keyed"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/placement/swapholder"
+	"azurehitch/internal/placement/swappeer"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/connpool"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	controlStream    = "control"
+	memberStream     = "members"
+	incarnationBytes = 6
+	// memoryPart is the part of its memory that the runtime keeps to.
+	memoryPart = 0.6
+	// snapshotRecords is after how many records a snapshot of the leases is due.
+	snapshotRecords = 2000
+	// snapshotsPerRetention is how many snapshots of the leases the log keeps.
+	snapshotsPerRetention = 3
+)
+
+// The pace at which the streams of the platform are read.
+var (
+	routingPace = keyed.Pace{Wait: 2 * time.Second}
+	fleetPace   = keyed.Pace{Wait: time.Second, Interval: 450 * time.Millisecond}
+)
+
+// Platform is the outside systems.
+type Platform struct {
+	Log         azurehitch.Log
+	Keyed       azurehitch.KeyedLog
+	Routing     azurehitch.RoutingDecoder
+	Fleet       azurehitch.FleetDecoder
+	Engines     azurehitch.EngineControl
+	Protocol    azurehitch.ExchangeProtocol
+	Connections *connpool.Pool
+	Clock       azurehitch.Clock
+	Logs        *logging.Logs
+	Metrics     *metrics.Metrics
+}
+
+// Daemon is one daemon.
+type Daemon struct {
+	Platform
+	settings Settings
+	self     leaselog.Holder
+	observer *observer
+
+	store     *control.Store
+	writer    *control.Writer
+	follower  *follow.Follower
+	leases    leaserunner.Runner
+	snapshots control.Snapshotter
+	routing   *routing.Fold
+	fleet     *fleet.Fold
+	members   *members.Directory
+	held      *swapholder.Set
+	peers     *mux.Client
+	swaps     *swappeer.Client
+	callers   *passthrough.Server
+
+	listeners listeners
+	stopping  atomic.Bool
+}
+
+// listeners are where a daemon is reached.
+type listeners struct {
+	callers net.Listener
+	ready   net.Listener
+	peers   net.Listener
+	metrics net.Listener
+}
+
+// New opens the listeners of a daemon and assembles it.
+func New(s Settings, platform Platform) (*Daemon, error) {
+	d := &Daemon{
+		Platform: platform,
+		settings: s,
+		self:     leaselog.Holder{Daemon: s.Name, Incarnation: newIncarnation()},
+	}
+	d.observer = newObserver(platform.Metrics, platform.Logs)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
+	}
+	d.assembleState()
+	d.assemblePlacement()
+	d.assembleForwarding()
+	return d, d.listen()
+}
+
+func newIncarnation() string {
+	var random [incarnationBytes]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func (d *Daemon) assembleState() {
+	d.store = control.NewStore(d.self, d.Clock).WithoutTables()
+	d.writer = control.NewWriter(d.Log, controlStream, d.store, d.observer)
+	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.Clock, d.observer)
+	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
+	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
+	self := members.Member{Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers}
+	d.members = members.New(d.Keyed, memberStream, self, d.Clock, d.observer)
+	d.leases = leaserunner.Runner{
+		Store: d.store, Writer: d.writer, Clock: d.Clock, Environment: d.environment, Counters: d.observer,
+	}
+	d.snapshots = control.Snapshotter{
+		Store: d.store, Writer: d.writer, Clock: d.Clock, Records: snapshotRecords,
+		Interval: d.settings.LogRetention / snapshotsPerRetention,
+		Rank:     d.rank,
+		Appended: func() { d.Metrics.Add(metrics.SnapshotsAppended, 1) },
+	}
+}
+
+func (d *Daemon) assemblePlacement() {
+	d.peers = mux.NewClient(d.settings.Name)
+	d.held = swapholder.NewSet(swapholder.Dependencies{
+		Self: d.settings.Name, Token: d.store.Token, LeaseChanged: d.store.Changed, Routing: d.routing.Table,
+		Fleet: d.fleet.View, Engines: d.Engines, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
+	})
+	d.swaps = swappeer.NewClient(swappeer.Dependencies{
+		Self:     d.settings.Name,
+		Holder:   func(service string) leaselog.Holder { return d.store.Lease(service).Holder },
+		Address:  d.members.Address,
+		Services: d.engineServices,
+		Held:     d.held, Peers: d.peers, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics,
+	})
+}
+
+func (d *Daemon) assembleForwarding() {
+	s := d.settings
+	breakers := breaker.NewBreakers(d.Clock)
+	limits := retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
+	d.callers = passthrough.NewServer(passthrough.Dependencies{
+		Routing:  d.routing.Index,
+		Protocol: d.Protocol,
+		Placer: place.New(place.Dependencies{
+			Self: s.Name, FailureDomain: s.FailureDomain, Fleet: d.fleet.View, Swaps: d.swaps, Breakers: breakers, Clock: d.Clock,
+		}),
+		Connections:     d.Connections,
+		ConnectionShare: d.connectionShare,
+		Breakers:        breakers,
+		Budget:          retrybudget.New(d.Clock, limits, d.daemons),
+		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
+	}, passthrough.Settings{
+		MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes,
+		ReadTimeout: s.ReadTimeout, IdleTimeout: s.IdleTimeout, MaxConnections: s.MaxConnections,
+	})
+}
+
+// daemons is the number of known daemons.
+func (d *Daemon) daemons() int { return len(d.members.Names()) }
+
+func (d *Daemon) rank() int {
+	for i, name := range d.members.Names() {
+		if name == d.settings.Name {
+			return i
+		}
+	}
+	return 0
+}
+
+// connectionShare is the part of a server's connections that this daemon may use: twice its
+// even share, because callers spread unevenly.
+func (d *Daemon) connectionShare(service azurehitch.BackendService) int {
+	if service.MaxConnections == 0 {
+		return 0
+	}
+	const unevenness, least = 2, 8
+	return max(unevenness*service.MaxConnections/max(d.daemons(), 1), least)
+}
+
+func (d *Daemon) engineServices() []string {
+	var names []string
+	for name, service := range d.routing.Table().Services {
+		if service.Engine != nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (d *Daemon) environment() leaselog.Environment {
+	environment := leaselog.Environment{Daemons: d.members.Names(), Draining: d.stopping.Load()}
+	for _, name := range d.engineServices() {
+		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: name, Duration: d.settings.LeaseDuration})
+	}
+	return environment
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		name    string
+		address string
+		into    *net.Listener
+	}{
+		{"callers", d.settings.Callers, &d.listeners.callers},
+		{"readiness", d.settings.Ready, &d.listeners.ready},
+		{"peers", d.settings.Peers, &d.listeners.peers},
+		{"metrics", d.settings.Metrics, &d.listeners.metrics},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s on %s", l.name, l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// isReady reports whether the daemon serves callers: it knows the routes and has read the
+// list of servers, and it does not stop.
+func (d *Daemon) isReady() bool {
+	return d.routing.Table().Version > 0 && !d.fleet.View().ReadAt.IsZero() && !d.stopping.Load()
+}
--- /dev/null
+++ b/internal/daemon/gateway/run.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"azurehitch/internal/oplog/keyed"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/placement/swappeer"
+	"azurehitch/internal/telemetry/logging"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	releaseTimeout = time.Second
+	// acceptTime is how long a stopping daemon takes new connections, until the balancer
+	// has noticed that it is not ready.
+	acceptTime = 3500 * time.Millisecond
+	// exitMargin is kept of the time of a planned stop.
+	exitMargin = 500 * time.Millisecond
+)
+
+// Run runs the daemon until the context ends, and then through its planned stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	for _, loop := range []func(context.Context) error{
+		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.held.Run, d.swaps.Run,
+		d.Connections.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers,
+	} {
+		group.Go(func() error { return loop(running) })
+	}
+	group.Go(func() error { return d.callers.Serve(d.listeners.callers) })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			return d.stop(running)
+		case <-running.Done():
+			return d.listeners.callers.Close()
+		}
+	})
+	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", d.settings.Callers).Str("Peers", d.settings.Peers).
+		Str("Metrics", d.settings.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
+		Str("Incarnation", d.self.Incarnation).Msg("daemon started")
+	err := group.Wait()
+	d.peers.Close()
+	d.Logs.Layer(logging.LayerDaemon).Info().Err(err).Msg("daemon stopped")
+	d.Logs.Close()
+	return err
+}
+
+// stop is the planned stop: leases first, so that others take over while the balancer
+// notices and the requests in progress end.
+func (d *Daemon) stop(ctx context.Context) error {
+	began := d.Clock.Now()
+	d.stopping.Store(true)
+	d.callers.Announce()
+	d.Logs.Layer(logging.LayerDaemon).Info().Int("InProgress", d.callers.Active()).Msg("planned stop begins")
+	d.release(ctx)
+	if err := d.Clock.Sleep(ctx, acceptTime-d.Clock.Now().Sub(began)); err != nil {
+		return nil
+	}
+	left := d.settings.StopTimeout - exitMargin - d.Clock.Now().Sub(began)
+	limited, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	if err := d.callers.Stop(limited); err != nil {
+		d.Logs.Layer(logging.LayerDaemon).Warn().Int("InProgress", d.callers.Active()).Err(err).
+			Msg("planned stop ends with requests in progress")
+	}
+	return nil
+}
+
+func (d *Daemon) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := d.leases.Release(ctx); err != nil {
+		d.Logs.Layer(logging.LayerLease).Warn().Err(err).Msg("leases were not released: others wait until they expire")
+	}
+}
+
+// runFollowers follows the routing table and the list of servers.
+func (d *Daemon) runFollowers(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stream, _ := d.Platform.Routing.Stream()
+	table := keyed.NewFollower(d.Keyed, stream, d.routing, d.Clock, d.observer, routingPace)
+	servers := keyed.NewFollower(d.Keyed, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer, fleetPace)
+	group.Go(func() error { return table.Run(ctx) })
+	group.Go(func() error { return servers.Run(ctx) })
+	return group.Wait()
+}
+
+func (d *Daemon) runPeers(ctx context.Context) error {
+	server := &swappeer.Server{Held: d.held, Clock: d.Clock}
+	return mux.NewServer(d.listeners.peers, server.Handle).Run(ctx)
+}
+
+// runReady answers the balancer.
+func (d *Daemon) runReady(ctx context.Context) error {
+	return serveHTTP(ctx, d.listeners.ready, func(request *fasthttp.RequestCtx) {
+		if !d.isReady() {
+			request.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (d *Daemon) runMetrics(ctx context.Context) error {
+	return serveHTTP(ctx, d.listeners.metrics, d.Metrics.TextHandler())
+}
+
+func serveHTTP(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
+	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, IdleTimeout: time.Minute, ReadTimeout: time.Minute}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/daemon/gateway/settings.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/placement/swap"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Name          string
+	FailureDomain string
+	// Callers, Ready, Peers and Metrics are the addresses on which the daemon listens: for
+	// callers, for the balancer's readiness checks, for other daemons and for metrics.
+	Callers string
+	Ready   string
+	Peers   string
+	Metrics string
+	// Store is the address of the platform's store.
+	Store string
+	// Memory is what the process may use.
+	Memory azurehitch.ByteSize
+	// MaxConnections bounds the connections of callers.
+	MaxConnections int
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	ReadTimeout    time.Duration
+	IdleTimeout    time.Duration
+	// FencingEnforced tells that model engines refuse orders with an old token.
+	FencingEnforced bool
+	// LeaseDuration is how long the holder of a service stays in office without a renewal.
+	LeaseDuration time.Duration
+	// HolderGap is the span within which two holders must not give orders by turns.
+	HolderGap time.Duration
+	// LogRetention is how long the log keeps records.
+	LogRetention time.Duration
+	// LoadWindow is the span over which loads from the weight store are counted.
+	LoadWindow time.Duration
+	// StopTimeout is how long a planned stop may take.
+	StopTimeout time.Duration
+	// Heartbeat is how often backend servers describe themselves.
+	Heartbeat time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the requests that all daemons together
+	// send again.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	LogLevel    string
+	Swap        swap.Settings
+}
+
+// DefaultSettings returns the settings but for the names and addresses.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxConnections: 4096,
+		MaxBodyBytes:   8 << 20,
+		MaxHeaderBytes: 32 << 10,
+		ReadTimeout:    10 * time.Second,
+		IdleTimeout:    90 * time.Second,
+		LeaseDuration:  4500 * time.Millisecond,
+		HolderGap:      3 * time.Second,
+		LogRetention:   20 * time.Second,
+		LoadWindow:     5 * time.Second,
+		StopTimeout:    8 * time.Second,
+		Heartbeat:      1200 * time.Millisecond,
+		RetryRatio:     0.1,
+		RetrySlack:     10,
+		RetryWindow:    10 * time.Second,
+		LogLevel:       "info",
+		Swap:           swap.DefaultSettings(),
+	}
+}
+
+// ErrSetting is a setting that is missing or not allowed.
+type ErrSetting struct {
+	// Field is the name of the field in the settings file.
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *ErrSetting) Error() string { return fmt.Sprintf("setting %s: %s", e.Field, e.Reason) }
--- a/internal/forward/backend/transport.go
+++ b/internal/forward/backend/transport.go
@@ -1,3 +1,12 @@
+// Package backend sends requests to backend servers.
+//
+// # Usage
+//
+//	transport := backend.NewTransport(clock, observer)
+//	exchange, err := transport.Send(call)
+//	defer exchange.Close()
+//
+// An *ErrAttempt tells whether the server may have run the request.
 package backend
 
 import (
@@ -9,6 +18,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/transport/jsonhttp"
 	"azurehitch/internal/transport/pinnedhttp"
 
@@ -100,7 +110,7 @@
 // Transport sends attempts.
 type Transport struct {
 	client   *fasthttp.Client
-	breakers *breakers
+	breakers *breaker.Breakers
 	observer Observer
 }
 
@@ -117,30 +127,30 @@
 			RetryIfErr:                jsonhttp.NeverRetry,
 			NoDefaultUserAgentHeader:  true,
 		},
-		breakers: newBreakers(clock),
+		breakers: breaker.NewBreakers(clock),
 		observer: observer,
 	}
 }
 
 // IsOpen reports whether the breaker of a server is open.
 func (t *Transport) IsOpen(server tables.BackendServer) bool {
-	return t.breakers.isOpen(server.Address)
+	return t.breakers.IsOpen(server.Address)
 }
 
 // Send makes one attempt. The error is an *ErrAttempt.
 func (t *Transport) Send(ctx context.Context, call Call) (*Exchange, error) {
 	address := call.Server.Address
-	if !t.breakers.allow(address) {
+	if !t.breakers.Allow(address) {
 		return nil, call.failed(azurehitch.RunStateNotRun, errors.New("circuit breaker is open"))
 	}
 	exchange, err := t.send(ctx, call)
 	if err != nil {
-		if t.breakers.failed(address) {
+		if t.breakers.Failed(address) {
 			t.observer.BreakerOpened(call.Server.Name)
 		}
 		return nil, err
 	}
-	t.breakers.succeeded(address)
+	t.breakers.Succeeded(address)
 	return call.checkRefusal(exchange)
 }
 
--- a/internal/forward/backend/breaker.go
+++ b/internal/forward/breaker/breaker.go
@@ -1,14 +1,11 @@
-// Package backend sends requests to backend servers: connections, circuit
-// breakers and retry budgets.
+// Package breaker keeps requests from backend servers that fail.
 //
 // # Usage
 //
-//	transport := backend.NewTransport(clock, observer)
-//	exchange, err := transport.Send(call)
-//	defer exchange.Close()
-//
-// An *ErrAttempt tells whether the server may have run the request.
-package backend
+//	breakers := breaker.NewBreakers(clock)
+//	if breakers.Allow(address) { ... }
+//	breakers.Failed(address)
+package breaker
 
 import (
 	"sync"
@@ -23,10 +20,10 @@
 	longestOpenTime = 8 * time.Second
 )
 
-// breakers keeps a circuit breaker for each backend server. After a number of
+// Breakers keeps a circuit breaker for each backend server. After a number of
 // failures in a row, a server gets no requests for a time that doubles; then one
 // request tries it.
-type breakers struct {
+type Breakers struct {
 	clock azurehitch.Clock
 	mu    sync.Mutex
 	state map[string]*breaker
@@ -39,12 +36,13 @@
 	probing   bool
 }
 
-func newBreakers(clock azurehitch.Clock) *breakers {
-	return &breakers{clock: clock, state: map[string]*breaker{}}
+// NewBreakers returns closed breakers.
+func NewBreakers(clock azurehitch.Clock) *Breakers {
+	return &Breakers{clock: clock, state: map[string]*breaker{}}
 }
 
-// allow reports whether a request may go to the server now.
-func (b *breakers) allow(address string) bool {
+// Allow reports whether a request may go to the server now.
+func (b *Breakers) Allow(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.state[address]
@@ -58,23 +56,23 @@
 	return true
 }
 
-// isOpen reports whether the server gets no requests now. It changes nothing.
-func (b *breakers) isOpen(address string) bool {
+// IsOpen reports whether the server gets no requests now. It changes nothing.
+func (b *Breakers) IsOpen(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.state[address]
 	return ok && s.failures >= failuresToOpen && (s.probing || b.clock.Now().Before(s.openUntil))
 }
 
-// succeeded closes the breaker.
-func (b *breakers) succeeded(address string) {
+// Succeeded closes the breaker.
+func (b *Breakers) Succeeded(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.state, address)
 }
 
-// failed counts a failure and reports whether the breaker opened by it.
-func (b *breakers) failed(address string) bool {
+// Failed counts a failure and reports whether the breaker opened by it.
+func (b *Breakers) Failed(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.state[address]
--- a/internal/forward/caller/completion.go
+++ b/internal/forward/caller/completion.go
@@ -9,6 +9,7 @@
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/forward/refusal"
 	"azurehitch/internal/forward/router"
 	"azurehitch/internal/placement/directory"
 	"azurehitch/internal/proof/sabotage"
@@ -199,7 +200,7 @@
 func (c *completion) engineRequest(req *fasthttp.Request, resumeFrom int) {
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(string(c.http.Path()))
-	req.Header.SetContentType(contentTypeJSON)
+	req.Header.SetContentType(refusal.ContentType)
 	req.Header.SetUserAgent(c.server.Self.Daemon)
 	req.Header.Set(HeaderRequestID, c.id)
 	req.Header.Set(headerEngineModel, c.target.Artifact.Model)
@@ -302,7 +303,7 @@
 		r.refuse(errors.Wrap(err, "encode models"))
 		return
 	}
-	r.http.SetContentType(contentTypeJSON)
+	r.http.SetContentType(refusal.ContentType)
 	r.http.SetBody(body)
 	r.end(metrics.RequestsAnswered)
 }
--- a/internal/forward/caller/refusal.go
+++ b/internal/forward/caller/refusal.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"strconv"
 	"time"
 
 	"azurehitch"
 	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/forward/refusal"
 	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/transport/lingerconn"
 
@@ -20,71 +20,18 @@
 	drainRetry      = time.Second
 	failureRetry    = time.Second
 	overloadedRetry = time.Second
-	contentTypeJSON = "application/json"
 )
 
-// errorBody is an error in the shape that model clients know, with the run state.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string              `json:"message"`
-	Type    string              `json:"type"`
-	Code    string              `json:"code"`
-	Param   *string             `json:"param"`
-	Run     azurehitch.RunState `json:"run"`
-}
-
-var statuses = map[azurehitch.RefusalCode]int{
-	azurehitch.CodeInvalidRequest:     fasthttp.StatusBadRequest,
-	azurehitch.CodeInvalidCredentials: fasthttp.StatusUnauthorized,
-	azurehitch.CodeRouteNotFound:      fasthttp.StatusNotFound,
-	azurehitch.CodeRateLimited:        fasthttp.StatusTooManyRequests,
-	azurehitch.CodeOverloaded:         fasthttp.StatusTooManyRequests,
-	azurehitch.CodeDeadlineTooShort:   fasthttp.StatusServiceUnavailable,
-	azurehitch.CodeDeadlineExceeded:   fasthttp.StatusGatewayTimeout,
-	azurehitch.CodeNoCapacity:         fasthttp.StatusServiceUnavailable,
-	azurehitch.CodeBackendFailed:      fasthttp.StatusBadGateway,
-	azurehitch.CodeDuplicateRequest:   fasthttp.StatusConflict,
-	azurehitch.CodeLogUnavailable:     fasthttp.StatusServiceUnavailable,
-	azurehitch.CodeNotConfigured:      fasthttp.StatusServiceUnavailable,
-	azurehitch.CodeDraining:           fasthttp.StatusServiceUnavailable,
-}
-
-func typeOf(status int) string {
-	switch {
-	case status == fasthttp.StatusUnauthorized:
-		return "authentication_error"
-	case status == fasthttp.StatusTooManyRequests:
-		return "rate_limit_error"
-	case status < fasthttp.StatusInternalServerError:
-		return "invalid_request_error"
-	}
-	return "server_error"
-}
-
-func encodeRefusal(refused *azurehitch.ErrRefused) []byte {
-	status := statuses[refused.Code]
-	body, err := json.Marshal(errorBody{Error: errorDetail{
-		Message: refused.Reason, Type: typeOf(status), Code: string(refused.Code), Run: refused.Run,
-	}})
-	if err != nil {
-		return []byte(`{"error":{"message":"internal","type":"server_error"}}`)
-	}
-	return body
-}
-
 func writeRefusal(ctx *fasthttp.RequestCtx, refused *azurehitch.ErrRefused) {
 	ctx.Response.ResetBody()
-	ctx.SetStatusCode(statuses[refused.Code])
-	ctx.SetContentType(contentTypeJSON)
+	ctx.SetStatusCode(refusal.Status(refused.Code))
+	ctx.SetContentType(refusal.ContentType)
 	ctx.Response.Header.Set(HeaderRunState, string(refused.Run))
 	if refused.RetryAfter > 0 {
 		seconds := int(math.Ceil(refused.RetryAfter.Seconds()))
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
 	}
-	ctx.SetBody(encodeRefusal(refused))
+	ctx.SetBody(refusal.Encode(refused))
 }
 
 // asRefusal makes a refusal of any error that ended a request.
--- a/internal/forward/caller/relay.go
+++ b/internal/forward/caller/relay.go
@@ -11,6 +11,7 @@
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/forward/backend"
+	"azurehitch/internal/forward/refusal"
 	"azurehitch/internal/proof/sabotage"
 	"azurehitch/internal/telemetry/metrics"
 
@@ -126,7 +127,7 @@
 	}
 	r.failed = true
 	refused := r.completion.attemptRefusal(&backend.ErrAttempt{Server: r.server.Name, Run: azurehitch.RunStateRun, Cause: cause})
-	fmt.Fprintf(&r.pending, "event: error\ndata: %s\n\n", encodeRefusal(refused))
+	fmt.Fprintf(&r.pending, "event: error\ndata: %s\n\n", refusal.Encode(refused))
 }
 
 func (r *relay) resume() bool {
--- a/internal/forward/caller/service.go
+++ b/internal/forward/caller/service.go
@@ -77,7 +77,7 @@
 	}
 	claim, won, err := c.server.Claimer.Claim(c.ctx, key, body)
 	if err != nil {
-		outcome := refusal(azurehitch.Refuse(azurehitch.CodeLogUnavailable, "the key can't be claimed now").WithRetryAfter(failureRetry))
+		outcome := refusedOutcome(azurehitch.Refuse(azurehitch.CodeLogUnavailable, "the key can't be claimed now").WithRetryAfter(failureRetry))
 		run.Finish(outcome)
 		c.server.withdraw(run, key)
 		return outcome
@@ -100,7 +100,7 @@
 	return outcome.Refusal != nil && outcome.Refusal.Run == azurehitch.RunStateNotRun
 }
 
-func refusal(refused *azurehitch.ErrRefused) outcomes.Outcome {
+func refusedOutcome(refused *azurehitch.ErrRefused) outcomes.Outcome {
 	return outcomes.Outcome{Refusal: refused}
 }
 
@@ -159,11 +159,11 @@
 }
 
 func keyReused() outcomes.Outcome {
-	return refusal(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "%s was used for another request", HeaderIdempotencyKey))
+	return refusedOutcome(azurehitch.Refuse(azurehitch.CodeInvalidRequest, "%s was used for another request", HeaderIdempotencyKey))
 }
 
 func unknownDuplicate() outcomes.Outcome {
-	return refusal(&azurehitch.ErrRefused{
+	return refusedOutcome(&azurehitch.ErrRefused{
 		Code: azurehitch.CodeDuplicateRequest, Run: azurehitch.RunStateUnknown,
 		Reason: "another request with this key was run, and its outcome is not known",
 	})
@@ -178,7 +178,7 @@
 			return outcome
 		}
 		if !c.mayRetry(err, attempt) {
-			return refusal(c.asRefusal(err))
+			return refusedOutcome(c.asRefusal(err))
 		}
 		c.server.Metrics.Add(metrics.RequestsRetried, 1)
 	}
--- /dev/null
+++ b/internal/forward/passthrough/attempt.go
@@ -0,0 +1,205 @@
+package passthrough
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/place"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/connpool"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// eventStream is the content type of streams.
+const eventStream = "text/event-stream"
+
+// result is how an attempt ended.
+type result struct {
+	// answered is true when the caller has an answer.
+	answered bool
+	// run says whether the server may have run the request.
+	run azurehitch.RunState
+	// sameServer is true when the server can take the request a little later.
+	sameServer bool
+	cause      error
+}
+
+// trail is the attempts of a request, for its log line.
+type trail struct{ text strings.Builder }
+
+func (t *trail) add(choice place.Choice, outcome string) {
+	if t.text.Len() > 0 {
+		t.text.WriteString("; ")
+	}
+	t.text.WriteString(choice.Server.ID + " (" + choice.Basis)
+	if choice.Tier != "" {
+		t.text.WriteString(", from " + string(choice.Tier))
+	}
+	t.text.WriteString(", age " + strconv.FormatInt(choice.Age.Milliseconds(), 10) + " ms): " + outcome)
+}
+
+// String returns the attempts in their order.
+func (t *trail) String() string { return t.text.String() }
+
+// attempt sends the request to a server and passes the answer on.
+func (r *request) attempt(choice place.Choice) result {
+	exchange, answer, res := r.exchange(choice, "")
+	if exchange == nil {
+		choice.End()
+		r.trail.add(choice, res.cause.Error())
+		return res
+	}
+	if exchange.Header.StatusCode() == fasthttp.StatusOK && r.isEventStream(exchange) {
+		return r.relay(choice, exchange)
+	}
+	defer choice.End()
+	defer exchange.Close()
+	body, err := exchange.ReadWhole()
+	if err != nil {
+		r.failed(choice)
+		r.trail.add(choice, err.Error())
+		return result{run: azurehitch.RunStateUnknown, cause: err}
+	}
+	exchange.SetKeepAlive(answer.KeepAlive)
+	r.server.Breakers.Succeeded(choice.Server.Address)
+	status := exchange.Header.StatusCode()
+	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
+	r.http.Response.SetBody(body)
+	r.trail.add(choice, strconv.Itoa(status))
+	r.server.Metrics.Add(metrics.RequestsAnswered, 1)
+	r.end(status, "answered")
+	return result{answered: true}
+}
+
+func (r *request) isEventStream(exchange *connpool.Exchange) bool {
+	return r.route.Kind == azurehitch.RequestKindStream &&
+		strings.HasPrefix(string(exchange.Header.ContentType()), eventStream)
+}
+
+// exchange sends the request once and checks the head of the answer. Without an exchange,
+// the result says why.
+func (r *request) exchange(choice place.Choice, lastEvent string) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
+	request := attemptRequest(&r.http.Request)
+	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
+		Server: choice.Server, TimeLeft: r.deadline.Sub(r.server.Clock.Now()),
+		Urgency: r.urgency(), LastEvent: lastEvent,
+	})
+	began := r.server.Clock.Now()
+	r.sends++
+	exchange, err := r.server.Connections.Do(r.ctx, choice.Server.Address, request, connpool.Options{
+		Fresh: !r.route.MayRepeat(), MaxInUse: r.server.ConnectionShare(r.service),
+	})
+	if err != nil {
+		return nil, azurehitch.ServerAnswer{}, r.exchangeFailed(choice, err)
+	}
+	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(began))
+	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
+	if res := r.checkAnswer(choice, exchange, answer); res.cause != nil {
+		exchange.Close()
+		return nil, answer, res
+	}
+	return exchange, answer, result{}
+}
+
+// urgency is the rank of the request at a model engine; negative at others.
+func (r *request) urgency() int {
+	if r.service.Engine == nil {
+		return -1
+	}
+	return min(max(r.route.Priority, 0), maxUrgency)
+}
+
+// maxUrgency is the rank of the least urgent requests.
+const maxUrgency = 9
+
+func (r *request) exchangeFailed(choice place.Choice, err error) result {
+	var failed *connpool.ErrExchange
+	run := azurehitch.RunStateUnknown
+	if errors.As(err, &failed) && !failed.Sent {
+		run = azurehitch.RunStateNotRun
+	}
+	if r.ctx.Err() == nil {
+		r.failed(choice)
+	}
+	return result{run: run, cause: err}
+}
+
+// failed notes that a server brought no answer.
+func (r *request) failed(choice place.Choice) {
+	r.tried = append(r.tried, choice.Server.ID)
+	if r.server.Breakers.Failed(choice.Server.Address) {
+		r.server.Metrics.Add(metrics.BreakersOpened, 1)
+	}
+}
+
+// checkAnswer returns a cause when the answer is not one for the caller.
+func (r *request) checkAnswer(choice place.Choice, exchange *connpool.Exchange, answer azurehitch.ServerAnswer) result {
+	status := exchange.Header.StatusCode()
+	switch {
+	case status == fasthttp.StatusMisdirectedRequest || answer.NotRun:
+		r.tried = append(r.tried, choice.Server.ID)
+		return result{run: azurehitch.RunStateNotRun, cause: errors.Errorf("refused with %d", status)}
+	case answer.ID != r.ID:
+		r.failed(choice)
+		return result{run: azurehitch.RunStateUnknown, cause: errors.Errorf("answer to %q", answer.ID)}
+	case answer.Encoded:
+		r.failed(choice)
+		return result{run: azurehitch.RunStateUnknown, cause: errors.New("the body is not as the server made it")}
+	case status < fasthttp.StatusMultipleChoices && !answer.Signed:
+		r.failed(choice)
+		return result{run: azurehitch.RunStateUnknown, cause: errors.New("the answer is not signed")}
+	}
+	return result{}
+}
+
+// mayRetry reports whether the request is sent once more.
+func (r *request) mayRetry(res result) bool {
+	if r.ctx.Err() != nil {
+		return false
+	}
+	if res.run != azurehitch.RunStateNotRun {
+		r.unknown++
+		if !r.route.MayRepeat() || r.unknown >= r.route.MaxAttempts {
+			return false
+		}
+	}
+	if r.sends >= r.route.MaxAttempts+maxUnrunSends {
+		return false
+	}
+	return r.server.Budget.Spend(r.service.Name)
+}
+
+// maxUnrunSends is how often a request is sent beyond the attempts of its route when
+// servers refuse to run it.
+const maxUnrunSends = 2
+
+// finalRefusal is the end of a request whose last attempt brought no answer.
+func (r *request) finalRefusal(res result) error {
+	if res.run == azurehitch.RunStateNotRun && r.unknown == 0 {
+		return azurehitch.Refuse(azurehitch.CodeNoCapacity, "%v", res.cause).WithRetryAfter(failureRetry)
+	}
+	return r.unknownRefusal(res.cause.Error())
+}
+
+// unknownRefusal is the end of a request that may have been run.
+func (r *request) unknownRefusal(reason string) error {
+	code := azurehitch.CodeBackendFailed
+	if errors.Is(context.Cause(r.ctx), context.DeadlineExceeded) {
+		code = azurehitch.CodeDeadlineExceeded
+	}
+	return &azurehitch.ErrRefused{Code: code, Run: azurehitch.RunStateUnknown, Reason: reason}
+}
+
+// until returns the earlier of a span from now and the deadline.
+func (r *request) until(span time.Duration) time.Time {
+	end := r.server.Clock.Now().Add(span)
+	if end.After(r.deadline) {
+		return r.deadline
+	}
+	return end
+}
--- /dev/null
+++ b/internal/forward/passthrough/head.go
@@ -0,0 +1,114 @@
+package passthrough
+
+import (
+	"strings"
+
+	"azurehitch/internal/transport/connpool"
+
+	"github.com/valyala/fasthttp"
+)
+
+// requestHeader is the head of a caller's request.
+type requestHeader struct{ header *fasthttp.RequestHeader }
+
+// Get implements azurehitch.Header.
+func (h requestHeader) Get(name string) string { return string(h.header.Peek(name)) }
+
+// Set implements azurehitch.Header.
+func (h requestHeader) Set(name, value string) { h.header.Set(name, value) }
+
+// Delete implements azurehitch.Header.
+func (h requestHeader) Delete(name string) { h.header.Del(name) }
+
+// responseHeader is the head of an answer.
+type responseHeader struct{ header *fasthttp.ResponseHeader }
+
+// Get implements azurehitch.Header.
+func (h responseHeader) Get(name string) string { return string(h.header.Peek(name)) }
+
+// Set implements azurehitch.Header.
+func (h responseHeader) Set(name, value string) { h.header.Set(name, value) }
+
+// Delete implements azurehitch.Header.
+func (h responseHeader) Delete(name string) { h.header.Del(name) }
+
+// attemptHeader is the fields of an attempt.
+type attemptHeader struct{ request *connpool.Request }
+
+// Get implements azurehitch.Header.
+func (h attemptHeader) Get(name string) string {
+	for _, f := range h.request.Fields {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Set implements azurehitch.Header.
+func (h attemptHeader) Set(name, value string) {
+	h.Delete(name)
+	h.request.Add(name, value)
+}
+
+// Delete implements azurehitch.Header.
+func (h attemptHeader) Delete(name string) {
+	kept := h.request.Fields[:0]
+	for _, f := range h.request.Fields {
+		if !strings.EqualFold(f.Name, name) {
+			kept = append(kept, f)
+		}
+	}
+	h.request.Fields = kept
+}
+
+// isHopByHop reports whether a field concerns one connection only.
+func isHopByHop(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
+		"te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "host":
+		return true
+	}
+	return false
+}
+
+// nominated returns the fields that a Connection field names as concerning one connection.
+func nominated(connection string) map[string]bool {
+	names := map[string]bool{}
+	for _, name := range strings.Split(connection, ",") {
+		if name = strings.ToLower(strings.TrimSpace(name)); name != "" {
+			names[name] = true
+		}
+	}
+	return names
+}
+
+// attemptRequest copies a caller's request: method, path, query and body as they are, and
+// the fields but for those that concern one connection.
+func attemptRequest(from *fasthttp.Request) connpool.Request {
+	request := connpool.Request{
+		Method: string(from.Header.Method()),
+		URI:    string(from.Header.RequestURI()),
+		Host:   string(from.Header.Host()),
+		Body:   from.Body(),
+	}
+	dropped := nominated(string(from.Header.Peek(fasthttp.HeaderConnection)))
+	for name, value := range from.Header.All() {
+		if field := string(name); !isHopByHop(field) && !dropped[strings.ToLower(field)] {
+			request.Add(field, string(value))
+		}
+	}
+	return request
+}
+
+// copyAnswerHead copies the head of a server's answer.
+func copyAnswerHead(to, from *fasthttp.ResponseHeader) {
+	to.SetStatusCode(from.StatusCode())
+	to.SetNoDefaultContentType(true)
+	dropped := nominated(string(from.Peek(fasthttp.HeaderConnection)))
+	for name, value := range from.All() {
+		if field := string(name); !isHopByHop(field) && !dropped[strings.ToLower(field)] {
+			to.AddBytesKV(name, value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/passthrough/relay.go
@@ -0,0 +1,208 @@
+package passthrough
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/place"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/connpool"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	relayBufferBytes = 8 << 10
+	maxEventBytes    = 1 << 20
+	// silence is how long a resumable stream may bring no event before it goes on at
+	// another server.
+	silence = 1200 * time.Millisecond
+)
+
+// errStreamCut makes the HTTP server close the connection without the end of the body, so
+// that a stream that was cut does not look complete.
+var errStreamCut = errors.New("the stream was cut")
+
+// idField begins the line of an event that holds its id.
+var idField = []byte("id:")
+
+// relay passes the events of a stream on, each whole. When its server breaks off, a
+// resumable stream goes on at another server behind the last event that was passed on.
+type relay struct {
+	request  *request
+	choice   place.Choice
+	exchange *connpool.Exchange
+	reader   *bufio.Reader
+	pending  bytes.Buffer
+	// lastEvent is the id of the last event that was passed on.
+	lastEvent string
+	events    int
+	done      bool
+	failure   error
+}
+
+// relay answers with a stream, once its first event has come. An error before that is a
+// failed attempt.
+func (r *request) relay(choice place.Choice, exchange *connpool.Exchange) result {
+	stream := &relay{request: r}
+	stream.attach(choice, exchange)
+	if err := stream.readEvent(); err != nil && !stream.done {
+		exchange.Close()
+		choice.End()
+		r.trail.add(choice, err.Error())
+		if r.ctx.Err() == nil {
+			r.failed(choice)
+		}
+		return result{run: azurehitch.RunStateUnknown, cause: err}
+	}
+	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.server.Clock.Now().Sub(r.began))
+	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
+	r.http.Response.SetBodyStream(stream, -1)
+	return result{answered: true}
+}
+
+func (s *relay) attach(choice place.Choice, exchange *connpool.Exchange) {
+	s.choice, s.exchange = choice, exchange
+	s.reader = bufio.NewReaderSize(exchange, relayBufferBytes)
+}
+
+// Read implements io.Reader. It returns as many whole events as have arrived.
+func (s *relay) Read(p []byte) (int, error) {
+	for s.pending.Len() == 0 {
+		switch {
+		case s.done:
+			return 0, io.EOF
+		case s.failure != nil:
+			return 0, errStreamCut
+		}
+		if err := s.readEvent(); err != nil && !s.done {
+			s.resume(err)
+		}
+	}
+	return s.pending.Read(p)
+}
+
+// readEvent moves whole events to the pending bytes: the next one, and those behind it that
+// have arrived.
+func (s *relay) readEvent() error {
+	if s.request.route.MayRepeat() {
+		s.exchange.SetReadDeadline(s.request.ctx, s.request.until(silence))
+	}
+	event, err := s.nextEvent()
+	if err != nil {
+		if err == io.EOF && len(event) == 0 {
+			s.done = true
+		}
+		return err
+	}
+	s.pass(event)
+	for s.hasWholeEvent() {
+		event, err := s.nextEvent()
+		if err != nil {
+			return err
+		}
+		s.pass(event)
+	}
+	return nil
+}
+
+// nextEvent returns the next event with the empty line that ends it. At the end of the
+// body, the bytes of an event that is not whole come with the error.
+func (s *relay) nextEvent() ([]byte, error) {
+	var event []byte
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return event, err
+		case len(event) > maxEventBytes:
+			return nil, errors.Errorf("event is larger than %d bytes", maxEventBytes)
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return event, nil
+		}
+	}
+}
+
+func (s *relay) hasWholeEvent() bool {
+	buffered, err := s.reader.Peek(s.reader.Buffered())
+	return err == nil && s.pending.Len() < relayBufferBytes &&
+		(bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
+}
+
+func (s *relay) pass(event []byte) {
+	for line := range bytes.Lines(event) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			s.lastEvent = string(bytes.TrimSpace(id))
+		}
+	}
+	s.events++
+	s.pending.Write(event)
+}
+
+// resume goes on at another server, or fails the stream.
+func (s *relay) resume(cause error) {
+	r := s.request
+	r.trail.add(s.choice, "cut after "+strconv.Itoa(s.events)+" events: "+cause.Error())
+	s.detach()
+	if r.ctx.Err() == nil {
+		r.failed(s.choice)
+	}
+	res := result{run: azurehitch.RunStateUnknown, cause: cause}
+	for s.lastEvent != "" && r.mayRetry(res) {
+		choice, err := r.server.Placer.Place(r.ctx, r.placeRequest())
+		if err != nil {
+			s.failure = err
+			return
+		}
+		var exchange *connpool.Exchange
+		exchange, _, res = r.exchange(choice, s.lastEvent)
+		if exchange != nil && r.isEventStream(exchange) {
+			s.attach(choice, exchange)
+			r.server.Metrics.Add(metrics.StreamsResumed, 1)
+			return
+		}
+		if exchange != nil {
+			res = result{run: azurehitch.RunStateUnknown, cause: errors.Errorf("status %d", exchange.Header.StatusCode())}
+			exchange.Close()
+		}
+		choice.End()
+		r.trail.add(choice, res.cause.Error())
+	}
+	s.failure = cause
+}
+
+// detach ends the use of a server.
+func (s *relay) detach() {
+	s.exchange.Close()
+	s.choice.End()
+}
+
+// Close ends the request, also when the caller has gone.
+func (s *relay) Close() error {
+	s.detach()
+	r := s.request
+	switch {
+	case s.done && s.pending.Len() == 0:
+		r.server.Breakers.Succeeded(s.choice.Server.Address)
+		r.trail.add(s.choice, strconv.Itoa(s.events)+" events")
+		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
+		r.end(s.status(), "answered")
+	case s.failure != nil:
+		r.server.Metrics.Add(metrics.StreamsCut, 1)
+		r.end(s.status(), "stream cut: "+s.failure.Error())
+	default:
+		r.trail.add(s.choice, strconv.Itoa(s.events)+" events")
+		r.server.Metrics.Add(metrics.RequestsAbandoned, 1)
+		r.end(s.status(), "the caller has gone")
+	}
+	return nil
+}
+
+func (s *relay) status() int { return s.request.http.Response.StatusCode() }
--- /dev/null
+++ b/internal/forward/place/placer.go
@@ -0,0 +1,210 @@
+// Package place chooses the backend server of a request that is passed through.
+//
+// # Usage
+//
+//	placer := place.New(dependencies)
+//	choice, err := placer.Place(ctx, request)
+//	defer choice.End()
+//
+// Servers of a plain service are chosen by what this daemon knows. For a model engine, the
+// holder of the service is asked, unless the model has replicas that stay.
+package place
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/placement/swap"
+	"azurehitch/internal/placement/swappeer"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// foreignPenalty is the part of a server's slots by which servers of the own failure
+	// domain may be fuller than others.
+	foreignPenalty = 0.35
+	// emptyRetry tells when to come back to a service without servers.
+	emptyRetry = 500 * time.Millisecond
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	azurehitch.CallerRequest
+	Service azurehitch.BackendService
+	// Tried are the servers that failed the request.
+	Tried []string
+	// Objective is until when an answer is on time, and Deadline until when it is of use.
+	Objective time.Time
+	Deadline  time.Time
+	Urgency   int
+}
+
+// Choice is a server for one attempt.
+type Choice struct {
+	Server azurehitch.ServerIdentity
+	// Tier is where the checkpoint lay when the request waited for a load.
+	Tier azurehitch.CacheTier
+	// Basis says in a few words what decided, and Age how old that knowledge is.
+	Basis string
+	Age   time.Duration
+	// End ends the use of the server.
+	End func()
+}
+
+// Dependencies are what a placer needs.
+type Dependencies struct {
+	Self          string
+	FailureDomain string
+	Fleet         func() *fleet.View
+	Swaps         *swappeer.Client
+	Breakers      *breaker.Breakers
+	Clock         azurehitch.Clock
+}
+
+// Placer chooses servers.
+type Placer struct {
+	Dependencies
+	mu         sync.Mutex
+	inProgress map[string]int
+}
+
+// New returns a placer.
+func New(dependencies Dependencies) *Placer {
+	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}}
+}
+
+// Place returns a server for the next attempt of a request. The error is an
+// *azurehitch.ErrRefused, or that of the context.
+func (p *Placer) Place(ctx context.Context, r Request) (Choice, error) {
+	if r.Service.Engine == nil || r.Model == "" {
+		return p.placeCall(r)
+	}
+	return p.placeModel(ctx, r)
+}
+
+// candidates returns the servers that neither leave nor fail, without those that were
+// tried if others are left.
+func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
+	servers := slices.DeleteFunc(slices.Clone(p.Fleet().Service(r.Service.Name)), func(s azurehitch.FleetServer) bool {
+		return s.Leaving || p.Breakers.IsOpen(s.Address)
+	})
+	fresh := slices.DeleteFunc(slices.Clone(servers), func(s azurehitch.FleetServer) bool {
+		return slices.Contains(r.Tried, s.ID)
+	})
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return servers
+}
+
+// placeCall chooses the emptiest server, and prefers the own failure domain.
+func (p *Placer) placeCall(r Request) (Choice, error) {
+	servers := p.candidates(r)
+	if len(servers) == 0 {
+		return Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no backend server of %s takes requests", r.Service.Name).
+			WithRetryAfter(emptyRetry)
+	}
+	best := p.best(servers, r, func(azurehitch.FleetServer) int { return 0 })
+	return p.choice(best.ServerIdentity, "own counts", func() {}), nil
+}
+
+// best returns the server with the least part of its slots taken. The count of others adds
+// to the requests of this daemon.
+func (p *Placer) best(servers []azurehitch.FleetServer, r Request, others func(azurehitch.FleetServer) int) azurehitch.FleetServer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cost := func(s azurehitch.FleetServer) float64 {
+		taken := float64(p.inProgress[s.ID]+others(s)) / float64(max(s.Slots, 1))
+		if s.FailureDomain != p.FailureDomain {
+			taken += foreignPenalty
+		}
+		return taken
+	}
+	return slices.MinFunc(servers, func(a, b azurehitch.FleetServer) int {
+		if costA, costB := cost(a), cost(b); costA != costB {
+			if costA < costB {
+				return -1
+			}
+			return 1
+		}
+		if weight(a.ID, r.ID) > weight(b.ID, r.ID) {
+			return -1
+		}
+		return 1
+	})
+}
+
+// weight spreads requests over equal servers.
+func weight(server, request string) uint64 { return xxhash.Sum64String(server + "\x00" + request) }
+
+func (p *Placer) choice(server azurehitch.ServerIdentity, basis string, end func()) Choice {
+	p.count(server.ID, 1)
+	return Choice{
+		Server: server, Basis: basis, Age: p.Clock.Now().Sub(p.Fleet().ReadAt),
+		End: sync.OnceFunc(func() {
+			p.count(server.ID, -1)
+			end()
+		}),
+	}
+}
+
+func (p *Placer) count(server string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inProgress[server] += n
+	if p.inProgress[server] == 0 {
+		delete(p.inProgress, server)
+	}
+}
+
+// placeModel uses a replica that stays, or asks the holder of the service.
+func (p *Placer) placeModel(ctx context.Context, r Request) (Choice, error) {
+	if choice, ok := p.placeOnKept(r); ok {
+		return choice, nil
+	}
+	grant, err := p.Swaps.Find(ctx, r.Service.Name, swap.Need{
+		ID: r.ID, Daemon: p.Self, FailureDomain: p.FailureDomain, Model: r.Model, Adapter: r.Adapter,
+		Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Avoid: r.Tried,
+	})
+	var refused *azurehitch.ErrRefused
+	switch {
+	case errors.As(err, &refused):
+		return Choice{}, err
+	case err != nil:
+		return Choice{}, errors.Wrap(err, "wait for a model")
+	}
+	replica := swap.Replica{Server: grant.Server.ID, Model: r.Model}
+	choice := p.choice(grant.Server, "granted by the holder", p.Swaps.Begin(r.Service.Name, replica))
+	choice.Tier = grant.Tier
+	return choice, nil
+}
+
+// placeOnKept chooses among the replicas that stay. Adapters come and go, so a request for
+// one asks the holder.
+func (p *Placer) placeOnKept(r Request) (Choice, bool) {
+	if r.Adapter != "" {
+		return Choice{}, false
+	}
+	counts := map[string]int{}
+	for _, k := range p.Swaps.Kept(r.Service.Name, r.Model) {
+		counts[k.Server] = k.Requests
+	}
+	servers := slices.DeleteFunc(p.candidates(r), func(s azurehitch.FleetServer) bool {
+		_, kept := counts[s.ID]
+		return !kept || slices.Contains(r.Tried, s.ID)
+	})
+	if len(servers) == 0 {
+		return Choice{}, false
+	}
+	best := p.best(servers, r, func(s azurehitch.FleetServer) int { return max(counts[s.ID]-p.inProgress[s.ID], 0) })
+	p.Swaps.Arrived(r.Service.Name, r.Model)
+	replica := swap.Replica{Server: best.ID, Model: r.Model}
+	return p.choice(best.ServerIdentity, "replica that stays", p.Swaps.Begin(r.Service.Name, replica)), true
+}
--- /dev/null
+++ b/internal/forward/refusal/refusal.go
@@ -0,0 +1,74 @@
+// Package refusal encodes the errors that callers get.
+//
+// # Usage
+//
+//	status := refusal.Status(refused.Code)
+//	body := refusal.Encode(refused)
+package refusal
+
+import (
+	"encoding/json"
+
+	"azurehitch"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ContentType is that of an encoded refusal.
+const ContentType = "application/json"
+
+// errorBody is an error in the shape that model clients know, with the run state.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string              `json:"message"`
+	Type    string              `json:"type"`
+	Code    string              `json:"code"`
+	Param   *string             `json:"param"`
+	Run     azurehitch.RunState `json:"run"`
+}
+
+var statuses = map[azurehitch.RefusalCode]int{
+	azurehitch.CodeInvalidRequest:     fasthttp.StatusBadRequest,
+	azurehitch.CodeInvalidCredentials: fasthttp.StatusUnauthorized,
+	azurehitch.CodeRouteNotFound:      fasthttp.StatusNotFound,
+	azurehitch.CodeRateLimited:        fasthttp.StatusTooManyRequests,
+	azurehitch.CodeOverloaded:         fasthttp.StatusTooManyRequests,
+	azurehitch.CodeDeadlineTooShort:   fasthttp.StatusServiceUnavailable,
+	azurehitch.CodeDeadlineExceeded:   fasthttp.StatusGatewayTimeout,
+	azurehitch.CodeNoCapacity:         fasthttp.StatusServiceUnavailable,
+	azurehitch.CodeBackendFailed:      fasthttp.StatusBadGateway,
+	azurehitch.CodeDuplicateRequest:   fasthttp.StatusConflict,
+	azurehitch.CodeLogUnavailable:     fasthttp.StatusServiceUnavailable,
+	azurehitch.CodeNotConfigured:      fasthttp.StatusServiceUnavailable,
+	azurehitch.CodeDraining:           fasthttp.StatusServiceUnavailable,
+}
+
+// Status returns the HTTP status of a code.
+func Status(code azurehitch.RefusalCode) int { return statuses[code] }
+
+func typeOf(status int) string {
+	switch {
+	case status == fasthttp.StatusUnauthorized:
+		return "authentication_error"
+	case status == fasthttp.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < fasthttp.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// Encode returns the body of a refusal.
+func Encode(refused *azurehitch.ErrRefused) []byte {
+	status := Status(refused.Code)
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Message: refused.Reason, Type: typeOf(status), Code: string(refused.Code), Run: refused.Run,
+	}})
+	if err != nil {
+		return []byte(`{"error":{"message":"internal","type":"server_error"}}`)
+	}
+	return body
+}
--- /dev/null
+++ b/internal/forward/router/paths.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"azurehitch"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PathIndex finds the route of a host and a path. It is never changed.
+type PathIndex struct {
+	Table azurehitch.RoutingTable
+	// hosts are the routes by host, the longest prefixes first.
+	hosts map[string][]azurehitch.PathRoute
+}
+
+// NewPathIndex returns the index of a table.
+func NewPathIndex(table azurehitch.RoutingTable) *PathIndex {
+	x := &PathIndex{Table: table, hosts: map[string][]azurehitch.PathRoute{}}
+	for _, r := range table.Routes {
+		host := strings.ToLower(r.Host)
+		x.hosts[host] = append(x.hosts[host], r)
+	}
+	for _, routes := range x.hosts {
+		slices.SortStableFunc(routes, func(a, b azurehitch.PathRoute) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return x
+}
+
+// Route returns the route of a host, with or without a port, whose prefix is the longest
+// that begins the path.
+func (x *PathIndex) Route(host, path string) (azurehitch.PathRoute, bool) {
+	host = strings.ToLower(host)
+	routes, ok := x.hosts[host]
+	if !ok {
+		name, _, _ := strings.Cut(host, ":")
+		routes = x.hosts[name]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return azurehitch.PathRoute{}, false
+}
+
+// Service returns the service that a request goes to: the same one for each attempt.
+func Service(route azurehitch.PathRoute, requestID string) string {
+	total := 0
+	for _, t := range route.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		return route.Targets[0].Service
+	}
+	point := int(xxhash.Sum64String(requestID) % uint64(total))
+	for _, t := range route.Targets {
+		if point -= max(t.Weight, 0); point < 0 {
+			return t.Service
+		}
+	}
+	return route.Targets[0].Service
+}
--- /dev/null
+++ b/internal/membership/members/members.go
@@ -0,0 +1,122 @@
+// Package members lets the daemons find each other through a keyed stream.
+//
+// # Usage
+//
+//	directory := members.New(log, "members", self, clock, observer)
+//	group.Go(func() error { return directory.Run(ctx) })
+//	address, ok := directory.Address("daemon-2")
+//
+// Each daemon writes where other daemons reach it, once for each start. An entry doesn't
+// say that its daemon lives.
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/oplog/keyed"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	readWait    = 10 * time.Second
+	putInterval = 500 * time.Millisecond
+)
+
+// Member is a daemon.
+type Member struct {
+	Name        string
+	Incarnation string
+	// Address is where other daemons reach it.
+	Address string
+}
+
+// Directory is the known daemons. It implements keyed.Fold.
+type Directory struct {
+	log      azurehitch.KeyedLog
+	stream   string
+	self     Member
+	clock    azurehitch.Clock
+	observer keyed.Observer
+
+	mu      sync.Mutex
+	members map[string]Member
+}
+
+// New returns a directory that knows its own daemon only.
+func New(log azurehitch.KeyedLog, stream string, self Member, clock azurehitch.Clock, observer keyed.Observer) *Directory {
+	return &Directory{
+		log: log, stream: stream, self: self, clock: clock, observer: observer,
+		members: map[string]Member{self.Name: self},
+	}
+}
+
+// Run writes the entry of this daemon and follows the others, until the context ends.
+func (d *Directory) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.announce(ctx) })
+	follower := keyed.NewFollower(d.log, d.stream, d, d.clock, d.observer, keyed.Pace{Wait: readWait})
+	group.Go(func() error { return follower.Run(ctx) })
+	return group.Wait()
+}
+
+func (d *Directory) announce(ctx context.Context) error {
+	value, err := json.Marshal(d.self)
+	if err != nil {
+		return err
+	}
+	record := azurehitch.KeyedRecord{Key: d.self.Name, Value: value}
+	for {
+		err := d.log.Put(ctx, d.stream, record)
+		d.observer.StreamRead(d.stream, err)
+		if err == nil || ctx.Err() != nil {
+			return nil
+		}
+		if err := d.clock.Sleep(ctx, putInterval); err != nil {
+			return nil
+		}
+	}
+}
+
+// Address returns where other daemons reach a daemon.
+func (d *Directory) Address(name string) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.members[name]
+	return m.Address, ok
+}
+
+// Names returns the known daemons in order.
+func (d *Directory) Names() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.members))
+}
+
+// Replace implements keyed.Fold.
+func (d *Directory) Replace(records []azurehitch.KeyedRecord, readAt time.Time) {
+	d.Apply(records, readAt)
+}
+
+// Apply implements keyed.Fold.
+func (d *Directory) Apply(records []azurehitch.KeyedRecord, _ time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range records {
+		var m Member
+		// An entry that can't be read names no daemon.
+		if err := json.Unmarshal(r.Value, &m); err != nil || m.Name != r.Key || m.Name == d.self.Name {
+			continue
+		}
+		d.members[m.Name] = m
+	}
+}
+
+// Failed implements keyed.Fold. The members stay known.
+func (d *Directory) Failed(time.Time) {}
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -94,5 +94,9 @@
 			return nil
 		}
 	}
+	if s.leasesOnly && len(batch.Records) == 0 {
+		s.Restore(Snapshot{FoldedTo: batch.First - 1})
+		return nil
+	}
 	return &ErrSnapshotMissing{FoldedTo: s.FoldedTo(), First: batch.First}
 }
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -51,6 +51,8 @@
 	lastSnapshotAt time.Time
 	readAt         time.Time
 	damaged        int
+	// leasesOnly is true when the stream holds no tables.
+	leasesOnly bool
 }
 
 // NewStore returns the state before the first record.
@@ -78,6 +80,13 @@
 	return s
 }
 
+// WithoutTables makes a store without records one of a stream that holds leases only, and
+// returns it. When the log keeps no record of such a stream, no lease lives.
+func (s *Store) WithoutTables() *Store {
+	s.leasesOnly = true
+	return s
+}
+
 // Self returns the identity of this daemon.
 func (s *Store) Self() leaselog.Holder { return s.self }
 
--- /dev/null
+++ b/internal/placement/swap/demand.go
@@ -0,0 +1,162 @@
+package swap
+
+import (
+	"math"
+	"time"
+
+	"azurehitch"
+)
+
+// rateWindow is the time constant of the moving average of arrivals.
+const rateWindow = 3 * time.Second
+
+// rate is a moving average of arrivals a second.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+// add counts arrivals.
+func (r *rate) add(n int, now time.Time) {
+	r.value = r.now(now) + float64(n)/rateWindow.Seconds()
+	r.at = now
+}
+
+// now returns the average, decayed to a time.
+func (r *rate) now(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
+}
+
+// Need is a request that needs a model.
+type Need struct {
+	// ID names the request.
+	ID     string
+	Daemon string
+	// FailureDomain is that of the daemon.
+	FailureDomain string
+	Model         string
+	Adapter       string
+	// Objective is until when an answer is on time, and Deadline until when it is of use.
+	Objective time.Time
+	Deadline  time.Time
+	// Urgency is the rank of its route; 0 is the most urgent.
+	Urgency int
+	// Avoid are the servers that failed the request.
+	Avoid []string
+}
+
+// Replica names a model on a server.
+type Replica struct {
+	Server string
+	Model  string
+}
+
+// Demand is what a daemon reports of its requests.
+type Demand struct {
+	// InProgress is the number of requests at each replica.
+	InProgress map[Replica]int
+	// Arrived is the number of requests for each model, since the last report, that the
+	// daemon placed by itself.
+	Arrived map[string]int
+	// LastGrant is the number of the last grant that InProgress covers.
+	LastGrant int64
+}
+
+// daemon is the last report of a daemon, and the grants that it doesn't cover.
+type daemon struct {
+	demand Demand
+	at     time.Time
+	grants []issuedGrant
+}
+
+type issuedGrant struct {
+	number  int64
+	replica Replica
+	at      time.Time
+}
+
+// Report takes in the demand of a daemon.
+func (p *Plan) Report(name string, demand Demand, now time.Time) {
+	d := p.daemon(name)
+	d.demand = demand
+	d.at = now
+	kept := d.grants[:0]
+	for _, g := range d.grants {
+		if g.number > demand.LastGrant && now.Sub(g.at) < grantTTL {
+			kept = append(kept, g)
+		}
+	}
+	d.grants = kept
+	for name, n := range demand.Arrived {
+		m := p.model(name)
+		m.asks += n
+		m.lastAsked = now
+		m.rate.add(n, now)
+	}
+	for r, n := range demand.InProgress {
+		if n > 0 {
+			p.touch(r, now)
+		}
+	}
+}
+
+func (p *Plan) daemon(name string) *daemon {
+	d, ok := p.daemons[name]
+	if !ok {
+		d = &daemon{}
+		p.daemons[name] = d
+	}
+	return d
+}
+
+func (p *Plan) touch(r Replica, now time.Time) {
+	s, ok := p.servers[r.Server]
+	if !ok {
+		return
+	}
+	if loaded, ok := s.replicas[r.Model]; ok {
+		loaded.lastUsed = now
+	}
+}
+
+// inProgress returns the number of requests at each replica.
+func (p *Plan) inProgress(now time.Time) map[Replica]int {
+	sum := map[Replica]int{}
+	for _, d := range p.daemons {
+		if now.Sub(d.at) < demandTTL {
+			for r, n := range d.demand.InProgress {
+				sum[r] += n
+			}
+		}
+		for _, g := range d.grants {
+			if now.Sub(g.at) < grantTTL {
+				sum[g.replica]++
+			}
+		}
+	}
+	return sum
+}
+
+// load returns the number of requests at a server.
+func load(inProgress map[Replica]int, server string) int {
+	sum := 0
+	for r, n := range inProgress {
+		if r.Server == server {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// Grant tells where a request may go.
+type Grant struct {
+	Server azurehitch.ServerIdentity
+	// Number identifies the grant in reports of demand.
+	Number int64
+	// Tier is where the checkpoint lay when the request waited for a load; empty if the
+	// model was loaded.
+	Tier azurehitch.CacheTier
+}
--- /dev/null
+++ b/internal/placement/swap/kept.go
@@ -0,0 +1,72 @@
+package swap
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Kept is a replica of a busy model, which daemons use without asking.
+type Kept struct {
+	Replica
+	// Requests is the number of requests at its server from all daemons.
+	Requests int
+}
+
+// Table is the kept replicas, for the daemons.
+type Table struct {
+	Version  int64
+	Replicas []Kept
+}
+
+// Table returns the kept replicas as of the last decision.
+func (p *Plan) Table() Table { return Table{Version: p.changed, Replicas: p.kept} }
+
+// isKept reports whether a replica is not to be unloaded.
+func (p *Plan) isKept(server, name string) bool {
+	return slices.ContainsFunc(p.kept, func(k Kept) bool { return k.Server == server && k.Model == name })
+}
+
+// keep chooses the replicas of busy models that stay.
+func (p *Plan) keep(now time.Time, inProgress map[Replica]int) {
+	var kept []Kept
+	for _, name := range slices.Sorted(maps.Keys(p.models)) {
+		if !p.isBusy(name, now) {
+			continue
+		}
+		for _, s := range p.keepOf(name, now, inProgress) {
+			kept = append(kept, Kept{Replica: Replica{Server: s.ID, Model: name}, Requests: load(inProgress, s.ID)})
+		}
+	}
+	same := slices.EqualFunc(kept, p.kept, func(a, b Kept) bool { return a.Replica == b.Replica })
+	p.kept = kept
+	if !same {
+		p.changed++
+	}
+}
+
+// keepOf returns the replicas of a busy model that stay: one in each failure domain, and as
+// many as the demand fills. Those that are in use or were kept before come first.
+func (p *Plan) keepOf(name string, now time.Time, inProgress map[Replica]int) []*server {
+	replicas := p.replicas(name)
+	slices.SortStableFunc(replicas, func(a, b *server) int {
+		return cmp.Or(
+			-compareBool(p.isKept(a.ID, name), p.isKept(b.ID, name)),
+			cmp.Compare(inProgress[Replica{Server: b.ID, Model: name}], inProgress[Replica{Server: a.ID, Model: name}]),
+		)
+	})
+	needed := p.replicasNeeded(name, now, inProgress)
+	var stay, rest []*server
+	domains := map[string]bool{}
+	for _, s := range replicas {
+		if domains[s.domain] {
+			rest = append(rest, s)
+			continue
+		}
+		domains[s.domain] = true
+		stay = append(stay, s)
+	}
+	missing := min(max(needed-len(stay), 0), len(rest))
+	return append(stay, rest[:missing]...)
+}
--- /dev/null
+++ b/internal/placement/swap/plan.go
@@ -0,0 +1,191 @@
+// Package swap decides which model engine loads and unloads what when many models share
+// few servers, and which requests wait for a load.
+//
+// # Usage
+//
+//	plan := swap.New(limits, swap.DefaultSettings(), token)
+//	plan.SetServers(servers, now)
+//	plan.Observe(id, report, now)
+//	verdict := plan.Ask(need, now)
+//	for _, order := range plan.Decide(now) { ... }
+//	plan.Finish(order, swap.OutcomeDone, now)
+//
+// A Plan is the state of the daemon that holds the lease of a service. It does no I/O:
+// events and the time come in, orders and verdicts go out. Each order is booked before it
+// is returned, so that no two orders together exceed the memory of a server.
+//
+// # What is scarce
+//
+// A load from the weight store takes seconds, and few run at full speed over all servers.
+// It leaves a copy near the server, from which the model loads in well under a second. So
+// a load from the weight store is an investment: it is spent on the models that are asked
+// for most, and while nobody waits for one, on models that have no copy yet. A server
+// carries out one order at a time, so a load from the weight store also holds up the quick
+// swaps of its server.
+package swap
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"azurehitch"
+)
+
+// Settings are the bounds and weights of the decisions.
+type Settings struct {
+	// RemoteLoads is the number of loads from the weight store that run at once.
+	RemoteLoads int
+	// SwapTime is what a swap takes beside the load itself.
+	SwapTime time.Duration
+	// QueueTime is the longest estimated wait for a load with which a request waits.
+	QueueTime time.Duration
+	// BusyRate is the number of requests a second from which a model keeps replicas.
+	BusyRate float64
+	// ReplicaLoad is the part of a server's slots up to which a replica is filled before
+	// a further one is loaded.
+	ReplicaLoad float64
+	// AnswerMargin is kept of a deadline for the answer itself.
+	AnswerMargin time.Duration
+}
+
+// DefaultSettings returns the settings of a service with nothing special.
+func DefaultSettings() Settings {
+	return Settings{
+		RemoteLoads:  4,
+		SwapTime:     300 * time.Millisecond,
+		QueueTime:    14 * time.Second,
+		BusyRate:     0.8,
+		ReplicaLoad:  0.4,
+		AnswerMargin: 2 * time.Second,
+	}
+}
+
+const (
+	// waiterTTL is how long a waiter counts that its daemon doesn't renew.
+	waiterTTL = 2500 * time.Millisecond
+	// demandTTL is how long the report of a daemon counts.
+	demandTTL = 4 * time.Second
+	// grantTTL is how long a grant counts that no report covers.
+	grantTTL = 3 * time.Second
+	// grantsPerToken is more than the grants under one token.
+	grantsPerToken = 1 << 30
+	// failurePause is how long a server gets no orders after one that failed.
+	failurePause = 500 * time.Millisecond
+	// idleBeforeUnload is how long a replica is idle before it makes room ahead of need.
+	idleBeforeUnload = 400 * time.Millisecond
+)
+
+// Plan is the state of the holder. It is not safe for concurrent use.
+type Plan struct {
+	settings Settings
+	limits   azurehitch.EngineLimits
+	servers  map[string]*server
+	// list is the servers by name.
+	list    []*server
+	models  map[string]*model
+	waiters map[string]*waiter
+	daemons map[string]*daemon
+	// lastGrant is the number of the last grant.
+	lastGrant int64
+	// changed counts the changes of the kept replicas.
+	changed int64
+	kept    []Kept
+}
+
+// model is what is known of the use of a model.
+type model struct {
+	// asks is the number of requests that came for it since this daemon holds the lease.
+	asks int
+	// unmet is the number of them that found it loaded nowhere.
+	unmet     int
+	lastAsked time.Time
+	rate      rate
+}
+
+// New returns the plan of a new holder, which has reached no server yet. Its grants are
+// numbered from its token on, so that they are above those of former holders.
+func New(limits azurehitch.EngineLimits, settings Settings, token int64) *Plan {
+	return &Plan{
+		settings:  settings,
+		lastGrant: token * grantsPerToken,
+		limits:    limits,
+		servers:   map[string]*server{},
+		models:    map[string]*model{},
+		waiters:   map[string]*waiter{},
+		daemons:   map[string]*daemon{},
+	}
+}
+
+// SetLimits replaces the limits, as when the configuration changes.
+func (p *Plan) SetLimits(limits azurehitch.EngineLimits) { p.limits = limits }
+
+// SetServers replaces the list of servers. What is known of a server is kept while its
+// incarnation stays.
+func (p *Plan) SetServers(listed []azurehitch.FleetServer) {
+	seen := map[string]bool{}
+	for _, l := range listed {
+		seen[l.ID] = true
+		s, ok := p.servers[l.ID]
+		if !ok || s.Incarnation != l.Incarnation || s.Address != l.Address {
+			s = newServer()
+			p.servers[l.ID] = s
+		}
+		s.list(l)
+	}
+	for id := range p.servers {
+		if !seen[id] {
+			delete(p.servers, id)
+		}
+	}
+	p.list = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Unknown returns the servers that were not reached yet, in order.
+func (p *Plan) Unknown() []azurehitch.ServerIdentity {
+	var unknown []azurehitch.ServerIdentity
+	for _, s := range p.list {
+		if !s.known && !s.leaving {
+			unknown = append(unknown, s.ServerIdentity)
+		}
+	}
+	return unknown
+}
+
+// Observe takes in the report of a server that no order of this holder is under way at.
+func (p *Plan) Observe(id azurehitch.ServerIdentity, report azurehitch.ServerReport, now time.Time) {
+	s, ok := p.servers[id.ID]
+	if !ok || s.ServerIdentity != id || s.order != nil {
+		return
+	}
+	s.observe(report, now)
+}
+
+// Unreachable notes that a server gave no report.
+func (p *Plan) Unreachable(id azurehitch.ServerIdentity, now time.Time) {
+	if s, ok := p.servers[id.ID]; ok && s.ServerIdentity == id {
+		s.known = false
+		s.failedAt = now
+	}
+}
+
+func (p *Plan) model(name string) *model {
+	m, ok := p.models[name]
+	if !ok {
+		m = &model{}
+		p.models[name] = m
+	}
+	return m
+}
+
+// replicas returns the servers on which a model takes new requests, by name.
+func (p *Plan) replicas(name string) []*server {
+	var found []*server
+	for _, s := range p.list {
+		if r, ok := s.replicas[name]; ok && r.state == stateReady && s.takesRequests() {
+			found = append(found, s)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/placement/swap/server.go
@@ -0,0 +1,170 @@
+package swap
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"azurehitch"
+)
+
+// replicaState is the state of a model on a server.
+type replicaState string
+
+const (
+	stateLoading   replicaState = "Loading"
+	stateReady     replicaState = "Ready"
+	stateUnloading replicaState = "Unloading"
+)
+
+// replica is a model on a server.
+type replica struct {
+	state    replicaState
+	lastUsed time.Time
+	adapters map[string]*adapter
+}
+
+// adapter is an adapter of a replica.
+type adapter struct {
+	state    replicaState
+	lastUsed time.Time
+}
+
+// server is a server as the holder counts it.
+type server struct {
+	azurehitch.ServerIdentity
+	domain  string
+	slots   int
+	leaving bool
+	// known is true when the server was reached, so that its orders can be counted.
+	known bool
+	// orders is the number of orders that it has accepted.
+	orders int64
+	// busy is true while an order of another holder may be carried out.
+	busy bool
+	// order is the order for a model that is under way, and freeAt when it should end.
+	order  *Order
+	freeAt time.Time
+	// adapterOrders is the number of orders for adapters that are under way.
+	adapterOrders int
+	replicas      map[string]*replica
+	tiers         map[string]azurehitch.CacheTier
+	// remoteAt is when the last load from the weight store began.
+	remoteAt time.Time
+	failedAt time.Time
+}
+
+func newServer() *server {
+	return &server{replicas: map[string]*replica{}, tiers: map[string]azurehitch.CacheTier{}}
+}
+
+// list takes in the description in the platform's list.
+func (s *server) list(l azurehitch.FleetServer) {
+	s.ServerIdentity = l.ServerIdentity
+	s.domain = l.FailureDomain
+	s.slots = l.Slots
+	s.leaving = l.Leaving
+	if !s.known && s.order == nil {
+		s.setLoaded(l.Loaded)
+	}
+	s.setCached(l.Cached)
+}
+
+func (s *server) observe(report azurehitch.ServerReport, now time.Time) {
+	s.known = true
+	s.orders = report.Orders
+	s.busy = report.Busy
+	s.setLoaded(report.Loaded)
+	s.setCached(report.Cached)
+	if s.busy {
+		s.freeAt = now
+	}
+}
+
+// setLoaded replaces what the server holds.
+func (s *server) setLoaded(loaded []azurehitch.LoadedModel) {
+	replicas := map[string]*replica{}
+	for _, l := range loaded {
+		r := &replica{state: stateReady, adapters: map[string]*adapter{}}
+		if before, ok := s.replicas[l.Name]; ok {
+			r.lastUsed = before.lastUsed
+		}
+		for _, name := range l.Adapters {
+			r.adapters[name] = &adapter{state: stateReady}
+		}
+		replicas[l.Name] = r
+	}
+	s.replicas = replicas
+}
+
+// setCached replaces the tiers of the checkpoints. What is loaded has a copy.
+func (s *server) setCached(cached azurehitch.CachedModels) {
+	if len(cached.InMemory)+len(cached.OnDisk) == 0 {
+		return
+	}
+	tiers := map[string]azurehitch.CacheTier{}
+	for _, name := range cached.OnDisk {
+		tiers[name] = azurehitch.CacheTierDisk
+	}
+	for _, name := range cached.InMemory {
+		tiers[name] = azurehitch.CacheTierMemory
+	}
+	for name, r := range s.replicas {
+		if _, ok := tiers[name]; !ok && r.state != stateLoading {
+			tiers[name] = azurehitch.CacheTierDisk
+		}
+	}
+	s.tiers = tiers
+}
+
+// tier returns where the checkpoint of a model lies as seen from the server.
+func (s *server) tier(name string) azurehitch.CacheTier {
+	if tier, ok := s.tiers[name]; ok {
+		return tier
+	}
+	return azurehitch.CacheTierRemote
+}
+
+// hasCopy reports whether a load doesn't come from the weight store.
+func (s *server) hasCopy(name string) bool { return s.tier(name) != azurehitch.CacheTierRemote }
+
+// takesRequests reports whether new requests may go to the server.
+func (s *server) takesRequests() bool { return !s.leaving }
+
+// takesOrders reports whether an order for a model may be given now.
+func (s *server) takesOrders(now time.Time) bool {
+	return s.known && !s.leaving && !s.busy && s.order == nil && now.Sub(s.failedAt) >= failurePause
+}
+
+// memoryInUse is the accelerator memory that counts as taken.
+func (s *server) memoryInUse(limits azurehitch.EngineLimits) azurehitch.ByteSize {
+	var sum azurehitch.ByteSize
+	for name, r := range s.replicas {
+		m := limits.Models[name]
+		sum += m.Memory + azurehitch.ByteSize(len(r.adapters))*m.AdapterMemory
+	}
+	return sum
+}
+
+// free is the accelerator memory that a further model may take. Room for the adapters
+// that the server may still get is not part of it.
+func (s *server) free(limits azurehitch.EngineLimits) azurehitch.ByteSize {
+	var reserve azurehitch.ByteSize
+	for name, r := range s.replicas {
+		size := limits.Models[name].AdapterMemory
+		reserve = max(reserve, size*azurehitch.ByteSize(limits.AdapterSlots-len(r.adapters)))
+	}
+	return limits.Memory - s.memoryInUse(limits) - reserve
+}
+
+// adapterCount is the number of adapters that take a place.
+func (s *server) adapterCount() int {
+	count := 0
+	for _, r := range s.replicas {
+		count += len(r.adapters)
+	}
+	return count
+}
+
+// replicaNames returns the models on the server in order.
+func (s *server) replicaNames() []string { return slices.Sorted(maps.Keys(s.replicas)) }
--- /dev/null
+++ b/internal/placement/swapholder/holder.go
@@ -0,0 +1,228 @@
+// Package swapholder runs the plan of a service against its model engines while this
+// daemon holds the lease of the service.
+//
+// # Usage
+//
+//	set := swapholder.NewSet(dependencies)
+//	group.Go(func() error { return set.Run(ctx) })
+//	verdict, err := set.Ask(ctx, "llm", need)
+//
+// A new holder reads the report of each engine before it gives it orders, so that it
+// counts what former holders have ordered.
+package swapholder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/placement/swap"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// tickInterval is how often a plan looks at what is due by time alone. Requests and
+	// finished orders wake it at once.
+	tickInterval = 100 * time.Millisecond
+	// reportInterval is the least time between two reports of a server that is not known.
+	reportInterval = 400 * time.Millisecond
+	reportTimeout  = 600 * time.Millisecond
+	// askTimeout is how long a question waits at the holder before its daemon asks again.
+	askTimeout = 700 * time.Millisecond
+)
+
+// Dependencies are what holders need.
+type Dependencies struct {
+	Self string
+	// Token returns the fencing token under which this daemon holds a service, and
+	// whether the lease is valid. The token is 0 if it doesn't hold it.
+	Token func(service string) (token int64, valid bool)
+	// LeaseChanged returns a channel that is closed when a lease changes.
+	LeaseChanged func() <-chan struct{}
+	Routing      func() azurehitch.RoutingTable
+	Fleet        func() *fleet.View
+	Engines      azurehitch.EngineControl
+	Clock        azurehitch.Clock
+	Logs         *logging.Logs
+	Metrics      *metrics.Metrics
+	Settings     swap.Settings
+}
+
+// holder is one service while this daemon holds it.
+type holder struct {
+	Dependencies
+	service string
+	token   int64
+	group   *errgroup.Group
+
+	mu   sync.Mutex
+	plan *swap.Plan
+	// reportedAt is when the report of a server that is not known was last asked for.
+	reportedAt map[string]time.Time
+	// stale is true when a server has seen a higher token.
+	stale   bool
+	changed chan struct{}
+	wake    chan struct{}
+}
+
+func newHolder(d Dependencies, service string, token int64) *holder {
+	h := &holder{
+		Dependencies: d,
+		service:      service,
+		token:        token,
+		plan:         swap.New(azurehitch.EngineLimits{}, d.Settings, token),
+		reportedAt:   map[string]time.Time{},
+		changed:      make(chan struct{}),
+		wake:         make(chan struct{}, 1),
+	}
+	h.refresh()
+	return h
+}
+
+// run carries out the plan until the context ends or another daemon holds the service.
+func (h *holder) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	h.group = group
+	group.Go(func() error {
+		for h.isHeld() && ctx.Err() == nil {
+			h.step(ctx)
+			if err := h.pause(ctx); err != nil {
+				return nil
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func (h *holder) isHeld() bool {
+	token, _ := h.Token(h.service)
+	return token == h.token
+}
+
+// mayOrder reports whether orders may be given now.
+func (h *holder) mayOrder() bool {
+	token, valid := h.Token(h.service)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return token == h.token && valid && !h.stale
+}
+
+func (h *holder) pause(ctx context.Context) error {
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	select {
+	case <-h.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
+// refresh takes in the configuration and the list of servers.
+func (h *holder) refresh() {
+	if engine := h.Routing().Services[h.service].Engine; engine != nil {
+		h.plan.SetLimits(*engine)
+	}
+	h.plan.SetServers(h.Fleet().Service(h.service))
+}
+
+func (h *holder) step(ctx context.Context) {
+	mayOrder := h.mayOrder()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	h.refresh()
+	for _, server := range h.plan.Unknown() {
+		if now.Sub(h.reportedAt[server.ID]) < reportInterval {
+			continue
+		}
+		h.reportedAt[server.ID] = now
+		h.group.Go(func() error {
+			h.observe(ctx, server)
+			return nil
+		})
+	}
+	if !mayOrder {
+		return
+	}
+	for _, order := range h.plan.Decide(now) {
+		h.group.Go(func() error {
+			h.execute(ctx, order)
+			return nil
+		})
+	}
+}
+
+// observe reads the report of a server that is not known.
+func (h *holder) observe(ctx context.Context, server azurehitch.ServerIdentity) {
+	report, err := h.report(ctx, server)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.plan.Unreachable(server, h.Clock.Now())
+		h.Logs.Layer(logging.LayerPlacement).Warn().Str("Service", h.service).Str("Server", server.ID).Err(err).
+			Msg("no report")
+		return
+	}
+	h.plan.Observe(server, report, h.Clock.Now())
+	h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", server.ID).
+		Int64("Orders", report.Orders).Bool("Busy", report.Busy).Int("Models", len(report.Loaded)).
+		Int("OnDisk", len(report.Cached.OnDisk)).Msg("server is known")
+	h.notify()
+}
+
+func (h *holder) report(ctx context.Context, server azurehitch.ServerIdentity) (azurehitch.ServerReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	h.Metrics.Add(metrics.EngineReports, 1)
+	return h.Engines.Report(ctx, server)
+}
+
+// notify lets the questions look again, and the plan decide.
+func (h *holder) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+	h.wakeUp()
+}
+
+func (h *holder) wakeUp() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ask waits some time for a verdict other than to wait.
+func (h *holder) ask(ctx context.Context, need swap.Need) swap.Verdict {
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	for {
+		verdict, changed := h.tryAsk(need)
+		if verdict.Kind != swap.VerdictWaiting {
+			return verdict
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return verdict
+		case <-ctx.Done():
+			return verdict
+		}
+	}
+}
+
+func (h *holder) tryAsk(need swap.Need) (swap.Verdict, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	verdict := h.plan.Ask(need, h.Clock.Now())
+	if verdict.Kind == swap.VerdictWaiting {
+		h.wakeUp()
+	}
+	return verdict, h.changed
+}
--- /dev/null
+++ b/internal/placement/swapholder/order.go
@@ -0,0 +1,211 @@
+package swapholder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/placement/swap"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+)
+
+const (
+	// answerTimeout is how long the answer to an order is waited for. An order without an
+	// answer is sent again: the count of accepted orders keeps it from being carried out
+	// twice.
+	answerTimeout = 400 * time.Millisecond
+	// reportLag is how old the values of a report may be.
+	reportLag = 250 * time.Millisecond
+	// orderPause is the pause before an order is sent again.
+	orderPause = 100 * time.Millisecond
+	// completionPause is how often the report of a server is read towards the end of an
+	// order.
+	completionPause = 80 * time.Millisecond
+	// unloadTime is about what an unload takes when nothing runs.
+	unloadTime = 30 * time.Millisecond
+	// maxSends bounds how often an order is sent.
+	maxSends = 8
+	// maxOvertime is how long an order may take beyond twice the expected time.
+	maxOvertime = 10 * time.Second
+)
+
+// execution is an order that is being carried out.
+type execution struct {
+	holder *holder
+	order  swap.Order
+	// unanswered is true when the order was sent without an answer, so that it may have
+	// been accepted.
+	unanswered bool
+	sends      int
+	// accepted is the count of orders at the server once it has accepted this one.
+	accepted int64
+	answer   azurehitch.OrderAnswer
+}
+
+func (h *holder) execute(ctx context.Context, order swap.Order) {
+	began := h.Clock.Now()
+	e := &execution{holder: h, order: order}
+	outcome := e.run(ctx)
+	took := h.Clock.Now().Sub(began)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.plan.Finish(order, outcome, h.Clock.Now())
+	h.notify()
+	h.Metrics.AddLabeled(metrics.SwapOrders, string(order.Kind)+"."+string(order.Tier)+"."+string(outcome), 1)
+	h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", order.Server.ID).
+		Str("Kind", string(order.Kind)).Str("Model", order.Model).Str("Adapter", order.Adapter).
+		Str("Tier", string(order.Tier)).Str("Reason", order.Reason).Int64("Token", h.token).
+		Int64("AfterOrders", order.AfterOrders).Int("Sends", e.sends).Str("Answer", string(e.answer)).
+		Str("Outcome", string(outcome)).Dur("Took", took).Msg("order ended")
+}
+
+// run sends the order until its fate is known, and waits until it is carried out.
+func (e *execution) run(ctx context.Context) swap.Outcome {
+	for e.sends < maxSends && ctx.Err() == nil {
+		orders, ok := e.orders()
+		if !ok || !e.holder.mayOrder() {
+			return e.giveUp()
+		}
+		e.send(ctx, orders)
+		switch e.answer {
+		case azurehitch.OrderAccepted, azurehitch.OrderHolds:
+			return e.complete(ctx, orders)
+		case azurehitch.OrderStale:
+			e.holder.stepDown(e.order)
+			return swap.OutcomeRefused
+		case azurehitch.OrderInvalid:
+			return e.giveUp()
+		case azurehitch.OrderMisdirected:
+			return swap.OutcomeUnknown
+		}
+		if e.wasAccepted(ctx, orders) {
+			return e.await(ctx)
+		}
+	}
+	return swap.OutcomeUnknown
+}
+
+// giveUp is the outcome when the order is not sent again.
+func (e *execution) giveUp() swap.Outcome {
+	if e.unanswered {
+		return swap.OutcomeUnknown
+	}
+	return swap.OutcomeRefused
+}
+
+func (e *execution) orders() (int64, bool) {
+	e.holder.mu.Lock()
+	defer e.holder.mu.Unlock()
+	return e.holder.plan.Orders(e.order.Server)
+}
+
+func (e *execution) send(ctx context.Context, orders int64) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	e.sends++
+	e.holder.Metrics.Add(metrics.OrdersSent, 1)
+	answer, err := e.holder.Engines.Order(ctx, e.order.Server, azurehitch.SwapOrder{
+		Kind: e.order.Kind, Model: e.order.Model, Adapter: e.order.Adapter,
+		AfterOrders: orders, Holder: e.holder.Self, Token: e.holder.token,
+	})
+	e.answer = answer
+	if answer != azurehitch.OrderUnanswered {
+		return
+	}
+	e.unanswered = true
+	e.holder.Logs.Layer(logging.LayerPlacement).Warn().Str("Server", e.order.Server.ID).Str("Model", e.order.Model).
+		Int("Sends", e.sends).Err(err).Msg("order got no answer")
+}
+
+// complete counts an accepted order and waits for its end.
+func (e *execution) complete(ctx context.Context, orders int64) swap.Outcome {
+	if e.answer == azurehitch.OrderHolds && e.order.Adapter == "" {
+		return swap.OutcomeDone
+	}
+	e.count(orders + 1)
+	if e.order.Adapter == "" {
+		return e.await(ctx)
+	}
+	if e.answer == azurehitch.OrderAccepted {
+		// The context's end shows in the next order.
+		_ = e.holder.Clock.Sleep(ctx, e.order.Expected)
+	}
+	return swap.OutcomeDone
+}
+
+func (e *execution) count(orders int64) {
+	e.holder.mu.Lock()
+	defer e.holder.mu.Unlock()
+	e.accepted = orders
+	e.holder.plan.SetOrders(e.order.Server, orders)
+}
+
+// wasAccepted reads the report after an order that was refused by the count, or got no
+// answer. It corrects the count.
+func (e *execution) wasAccepted(ctx context.Context, orders int64) bool {
+	pause := orderPause
+	if e.answer == azurehitch.OrderConflict {
+		pause = reportLag
+	}
+	if err := e.holder.Clock.Sleep(ctx, pause); err != nil {
+		return false
+	}
+	report, err := e.holder.report(ctx, e.order.Server)
+	if err != nil || report.Orders <= orders {
+		return false
+	}
+	e.count(report.Orders)
+	return e.unanswered && e.isCarriedOut(report, true)
+}
+
+// isCarriedOut reports whether a report shows the effect of the order, or that it is
+// under way.
+func (e *execution) isCarriedOut(report azurehitch.ServerReport, underWay bool) bool {
+	holds := slices.ContainsFunc(report.Loaded, func(m azurehitch.LoadedModel) bool {
+		return m.Name == e.order.Model && (e.order.Adapter == "" || slices.Contains(m.Adapters, e.order.Adapter))
+	})
+	return holds == (e.order.Kind == azurehitch.OrderLoad) || underWay && report.Busy
+}
+
+// await reads reports until one shows that the order is carried out.
+func (e *execution) await(ctx context.Context) swap.Outcome {
+	clock := e.holder.Clock
+	expected := e.order.Expected
+	if e.order.Kind == azurehitch.OrderUnload {
+		expected = unloadTime
+	}
+	began := clock.Now()
+	pause := expected
+	for clock.Sleep(ctx, pause) == nil {
+		pause = completionPause
+		report, err := e.holder.report(ctx, e.order.Server)
+		late := clock.Now().Sub(began) - expected
+		switch {
+		case err == nil && report.Orders >= e.accepted && !report.Busy:
+			if e.isCarriedOut(report, false) {
+				return swap.OutcomeDone
+			}
+			if late > 2*reportLag {
+				return swap.OutcomeUnknown
+			}
+		case late > expected+maxOvertime:
+			return swap.OutcomeUnknown
+		}
+		pause = max(completionPause, late/4)
+	}
+	return swap.OutcomeUnknown
+}
+
+// stepDown stops orders under a token that a server has refused.
+func (h *holder) stepDown(order swap.Order) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stale {
+		return
+	}
+	h.stale = true
+	h.Logs.Layer(logging.LayerLease).Warn().Str("Service", h.service).Int64("Token", h.token).
+		Str("Server", order.Server.ID).Msg("a server has seen a higher token: no more orders under this one")
+}
--- /dev/null
+++ b/internal/placement/swappeer/client.go
@@ -0,0 +1,205 @@
+// Package swappeer asks the daemon that holds the lease of a service where a model is
+// ready, and answers as that daemon, over the connections between daemons.
+//
+// # Usage
+//
+//	client := swappeer.NewClient(dependencies)
+//	group.Go(func() error { return client.Run(ctx) })
+//	grant, err := client.Find(ctx, "llm", need)
+//
+// Each daemon reports its requests to the holder, and gets the replicas that stay. Those
+// it uses without asking.
+package swappeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/swap"
+	"azurehitch/internal/placement/swapholder"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// askTimeout bounds a question: the holder answers within its own, shorter time.
+	askTimeout = 1200 * time.Millisecond
+	// askAgain is the pause before a holder is looked up again.
+	askAgain = 60 * time.Millisecond
+	// reportInterval is how often changed demand is reported, and idleReportInterval how
+	// often any is.
+	reportInterval     = 250 * time.Millisecond
+	idleReportInterval = time.Second
+	reportTimeout      = 600 * time.Millisecond
+	// tableTTL is how long the replicas of a report are used.
+	tableTTL = 4 * time.Second
+)
+
+// errNoHolder says that no daemon is known to hold a service.
+var errNoHolder = errors.New("no daemon is known to hold the service")
+
+// Dependencies are what the client needs.
+type Dependencies struct {
+	Self string
+	// Holder returns who holds a service as far as is known.
+	Holder func(service string) leaselog.Holder
+	// Address returns where other daemons reach a daemon.
+	Address func(daemon string) (string, bool)
+	// Services returns the services with model engines.
+	Services func() []string
+	Held     *swapholder.Set
+	Peers    *mux.Client
+	Clock    azurehitch.Clock
+	Logs     *logging.Logs
+	Metrics  *metrics.Metrics
+}
+
+// Client asks holders.
+type Client struct {
+	Dependencies
+	mu       sync.Mutex
+	services map[string]*usage
+}
+
+// NewClient returns a client.
+func NewClient(dependencies Dependencies) *Client {
+	return &Client{Dependencies: dependencies, services: map[string]*usage{}}
+}
+
+// Find returns where a request may go, and waits for that if need be. The error is an
+// *azurehitch.ErrRefused, or that of the context.
+func (c *Client) Find(ctx context.Context, service string, need swap.Need) (swap.Grant, error) {
+	for {
+		verdict, err := c.ask(ctx, service, need)
+		if ctx.Err() != nil {
+			c.withdraw(service, need.ID)
+			return swap.Grant{}, ctx.Err()
+		}
+		if err != nil {
+			c.Metrics.Add(metrics.PeerErrors, 1)
+			if err := c.Clock.Sleep(ctx, askAgain); err != nil {
+				return swap.Grant{}, errors.Wrap(err, "no holder answers")
+			}
+			continue
+		}
+		switch verdict.Kind {
+		case swap.VerdictGranted:
+			c.granted(service, verdict.Grant)
+			return verdict.Grant, nil
+		case swap.VerdictRefused:
+			return swap.Grant{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "%s: %s, about %v",
+				need.Model, verdict.Reason, verdict.Estimate.Round(time.Millisecond)).WithRetryAfter(verdict.Estimate)
+		}
+	}
+}
+
+// ask asks the holder once.
+func (c *Client) ask(ctx context.Context, service string, need swap.Need) (swap.Verdict, error) {
+	holder := c.Holder(service)
+	if holder.Daemon == c.Self {
+		return c.Held.Ask(ctx, service, need)
+	}
+	response, err := c.call(ctx, holder.Daemon, askTimeout, &peerpb.Request{
+		Kind: &peerpb.Request_SwapAsk{SwapAsk: needToProto(service, need, c.Clock.Now())},
+	})
+	if err != nil {
+		return swap.Verdict{}, err
+	}
+	answer, ok := response.Kind.(*peerpb.Response_SwapAsk)
+	if !ok {
+		return swap.Verdict{}, errNoHolder
+	}
+	return verdictFromProto(answer.SwapAsk), nil
+}
+
+func (c *Client) call(ctx context.Context, daemon string, timeout time.Duration, request *peerpb.Request) (*peerpb.Response, error) {
+	address, ok := c.Address(daemon)
+	if !ok {
+		return nil, errNoHolder
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.Metrics.Add(metrics.PeerCalls, 1)
+	return c.Peers.Call(ctx, address, request)
+}
+
+// Run reports the demand of this daemon until the context ends.
+func (c *Client) Run(ctx context.Context) error {
+	for c.Clock.Sleep(ctx, reportInterval) == nil {
+		for _, service := range c.Services() {
+			c.report(ctx, service)
+		}
+	}
+	return nil
+}
+
+func (c *Client) report(ctx context.Context, service string) {
+	demand, withdrawn, due := c.usage(service).takeDemand(c.Clock.Now())
+	if !due {
+		return
+	}
+	kept, err := c.sendReport(ctx, service, demand, withdrawn)
+	if err != nil {
+		c.Metrics.Add(metrics.PeerErrors, 1)
+		c.usage(service).returnDemand(demand)
+		return
+	}
+	c.usage(service).setKept(kept, c.Clock.Now())
+}
+
+func (c *Client) sendReport(ctx context.Context, service string, demand swap.Demand, withdrawn []string) ([]swap.Kept, error) {
+	holder := c.Holder(service)
+	if holder.Daemon == c.Self {
+		table, err := c.Held.Report(service, c.Self, demand, withdrawn)
+		return table.Replicas, err
+	}
+	response, err := c.call(ctx, holder.Daemon, reportTimeout, &peerpb.Request{
+		Kind: &peerpb.Request_SwapReport{SwapReport: demandToProto(service, demand, withdrawn)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	answer, ok := response.Kind.(*peerpb.Response_SwapReport)
+	if !ok {
+		return nil, errNoHolder
+	}
+	return keptFromProto(answer.SwapReport.Kept), nil
+}
+
+func (c *Client) usage(service string) *usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u, ok := c.services[service]
+	if !ok {
+		u = newUsage()
+		c.services[service] = u
+	}
+	return u
+}
+
+// Kept returns the replicas of a model that stay, as of the last report; none if that is
+// too long ago. The requests at their servers include what this daemon has sent since.
+func (c *Client) Kept(service, model string) []swap.Kept {
+	return c.usage(service).keptOf(model, c.Clock.Now())
+}
+
+// Arrived counts a request that this daemon places by itself.
+func (c *Client) Arrived(service, model string) { c.usage(service).arrived(model) }
+
+// Begin counts a request at a replica. The returned function ends it.
+func (c *Client) Begin(service string, replica swap.Replica) (end func()) {
+	u := c.usage(service)
+	u.change(replica, 1)
+	return func() { u.change(replica, -1) }
+}
+
+func (c *Client) granted(service string, grant swap.Grant) { c.usage(service).granted(grant.Number) }
+
+func (c *Client) withdraw(service, id string) { c.usage(service).withdraw(id) }
--- /dev/null
+++ b/internal/placement/swappeer/conversions.go
@@ -0,0 +1,85 @@
+package swappeer
+
+import (
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/swap"
+)
+
+// needToProto sends times as what is left of them: clocks differ between hosts.
+func needToProto(service string, need swap.Need, now time.Time) *peerpb.SwapAskRequest {
+	return &peerpb.SwapAskRequest{
+		Service: service, Id: need.ID, FailureDomain: need.FailureDomain, Model: need.Model, Adapter: need.Adapter,
+		ObjectiveMs: need.Objective.Sub(now).Milliseconds(), DeadlineMs: need.Deadline.Sub(now).Milliseconds(),
+		Urgency: int32(need.Urgency), Avoid: need.Avoid,
+	}
+}
+
+func needFromProto(daemon string, r *peerpb.SwapAskRequest, now time.Time) swap.Need {
+	return swap.Need{
+		ID: r.Id, Daemon: daemon, FailureDomain: r.FailureDomain, Model: r.Model, Adapter: r.Adapter,
+		Objective: now.Add(time.Duration(r.ObjectiveMs) * time.Millisecond),
+		Deadline:  now.Add(time.Duration(r.DeadlineMs) * time.Millisecond),
+		Urgency:   int(r.Urgency), Avoid: r.Avoid,
+	}
+}
+
+func verdictToProto(v swap.Verdict) *peerpb.SwapAskResponse {
+	return &peerpb.SwapAskResponse{
+		Kind: string(v.Kind), Server: v.Grant.Server.ID, Address: v.Grant.Server.Address,
+		Incarnation: v.Grant.Server.Incarnation, Grant: v.Grant.Number, Tier: string(v.Grant.Tier),
+		EstimateMs: v.Estimate.Milliseconds(), Reason: v.Reason,
+	}
+}
+
+func verdictFromProto(r *peerpb.SwapAskResponse) swap.Verdict {
+	return swap.Verdict{
+		Kind: swap.VerdictKind(r.Kind),
+		Grant: swap.Grant{
+			Server: azurehitch.ServerIdentity{ID: r.Server, Address: r.Address, Incarnation: r.Incarnation},
+			Number: r.Grant, Tier: azurehitch.CacheTier(r.Tier),
+		},
+		Estimate: time.Duration(r.EstimateMs) * time.Millisecond,
+		Reason:   r.Reason,
+	}
+}
+
+func demandToProto(service string, demand swap.Demand, withdrawn []string) *peerpb.SwapReportRequest {
+	request := &peerpb.SwapReportRequest{Service: service, LastGrant: demand.LastGrant, Withdrawn: withdrawn}
+	for r, n := range demand.InProgress {
+		request.InProgress = append(request.InProgress, &peerpb.SwapCount{Server: r.Server, Model: r.Model, Count: int32(n)})
+	}
+	for model, n := range demand.Arrived {
+		request.Arrived = append(request.Arrived, &peerpb.SwapCount{Model: model, Count: int32(n)})
+	}
+	return request
+}
+
+func demandFromProto(r *peerpb.SwapReportRequest) swap.Demand {
+	demand := swap.Demand{InProgress: map[swap.Replica]int{}, Arrived: map[string]int{}, LastGrant: r.LastGrant}
+	for _, c := range r.InProgress {
+		demand.InProgress[swap.Replica{Server: c.Server, Model: c.Model}] = int(c.Count)
+	}
+	for _, c := range r.Arrived {
+		demand.Arrived[c.Model] = int(c.Count)
+	}
+	return demand
+}
+
+func keptToProto(kept []swap.Kept) []*peerpb.SwapCount {
+	var counts []*peerpb.SwapCount
+	for _, k := range kept {
+		counts = append(counts, &peerpb.SwapCount{Server: k.Server, Model: k.Model, Count: int32(k.Requests)})
+	}
+	return counts
+}
+
+func keptFromProto(counts []*peerpb.SwapCount) []swap.Kept {
+	var kept []swap.Kept
+	for _, c := range counts {
+		kept = append(kept, swap.Kept{Replica: swap.Replica{Server: c.Server, Model: c.Model}, Requests: int(c.Count)})
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/placement/swappeer/server.go
@@ -0,0 +1,36 @@
+package swappeer
+
+import (
+	"context"
+
+	"azurehitch"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/swapholder"
+)
+
+// Server answers the daemons that ask this one as a holder.
+type Server struct {
+	Held  *swapholder.Set
+	Clock azurehitch.Clock
+}
+
+// Handle implements mux.Handler.
+func (s *Server) Handle(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	switch kind := request.Kind.(type) {
+	case *peerpb.Request_SwapAsk:
+		need := needFromProto(request.Daemon, kind.SwapAsk, s.Clock.Now())
+		verdict, err := s.Held.Ask(ctx, kind.SwapAsk.Service, need)
+		if err == nil {
+			return &peerpb.Response{Kind: &peerpb.Response_SwapAsk{SwapAsk: verdictToProto(verdict)}}
+		}
+	case *peerpb.Request_SwapReport:
+		report := kind.SwapReport
+		table, err := s.Held.Report(report.Service, request.Daemon, demandFromProto(report), report.Withdrawn)
+		if err == nil {
+			return &peerpb.Response{Kind: &peerpb.Response_SwapReport{
+				SwapReport: &peerpb.SwapReportResponse{Kept: keptToProto(table.Replicas)},
+			}}
+		}
+	}
+	return &peerpb.Response{Kind: &peerpb.Response_NotHeld{NotHeld: &peerpb.NotHeld{}}}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -25,7 +25,7 @@
 	"azurehitch/internal/daemon/serve"
 	"azurehitch/internal/daemon/settings"
 	"azurehitch/internal/forward/httpengine"
-	"azurehitch/internal/platform/httplog"
+	"azurehitch/internal/reference/httplog"
 	"azurehitch/internal/standin/engine"
 	"azurehitch/internal/standin/fault"
 	"azurehitch/internal/standin/hosts"
--- a/internal/telemetry/logging/logging.go
+++ b/internal/telemetry/logging/logging.go
@@ -45,30 +45,64 @@
 	Debug []Layer
 	// Daemon is named in each line.
 	Daemon string
+	// NonBlocking drops lines instead of holding up who logs them.
+	NonBlocking bool
 }
 
-// Logs makes loggers.
-type Logs struct{ options Options }
+// Logs is the loggers of a daemon.
+type Logs struct {
+	loggers map[Layer]*log.Logger
+	async   *asyncWriter
+}
 
 // New returns the logs of a daemon.
-func New(options Options) *Logs { return &Logs{options: options} }
-
-// Discard returns logs that go nowhere.
-func Discard() *Logs { return New(Options{Output: io.Discard, Level: "error"}) }
+func New(options Options) *Logs {
+	l := &Logs{loggers: map[Layer]*log.Logger{}}
+	var writer log.Writer = &log.IOWriter{Writer: options.Output}
+	if options.NonBlocking {
+		l.async = newAsyncWriter(options.Output)
+		writer = l.async
+	}
+	for _, layer := range Layers() {
+		l.loggers[layer] = newLogger(options, layer, writer)
+	}
+	return l
+}
 
-// Layer returns the logger of a layer.
-func (l *Logs) Layer(layer Layer) *log.Logger {
-	level := log.ParseLevel(l.options.Level)
-	if slices.Contains(l.options.Debug, layer) {
+func newLogger(options Options, layer Layer, writer log.Writer) *log.Logger {
+	level := log.ParseLevel(options.Level)
+	if slices.Contains(options.Debug, layer) {
 		level = log.DebugLevel
 	}
 	return &log.Logger{
 		Level:   level,
-		Writer:  &log.IOWriter{Writer: l.options.Output},
-		Context: log.NewContext(nil).Str("Daemon", l.options.Daemon).Str("Layer", string(layer)).Value(),
+		Writer:  writer,
+		Context: log.NewContext(nil).Str("Daemon", options.Daemon).Str("Layer", string(layer)).Value(),
 	}
 }
 
+// Dropped returns the number of lines that were dropped.
+func (l *Logs) Dropped() int64 {
+	if l.async == nil {
+		return 0
+	}
+	return l.async.dropped.Load()
+}
+
+// Close writes the lines that wait. Nothing may be logged after it.
+func (l *Logs) Close() {
+	if l.async != nil {
+		// Lines that can't be written have nowhere else to go.
+		_ = l.async.Close()
+	}
+}
+
+// Discard returns logs that go nowhere.
+func Discard() *Logs { return New(Options{Output: io.Discard, Level: "error"}) }
+
+// Layer returns the logger of a layer.
+func (l *Logs) Layer(layer Layer) *log.Logger { return l.loggers[layer] }
+
 // ParseLayers reads a comma-separated list of layers.
 func ParseLayers(text string) ([]Layer, error) {
 	var layers []Layer
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -58,6 +58,13 @@
 	LoadSlotsAlone       Name = "LoadSlotsAlone"
 	EstimatesEnded       Name = "EstimatesEnded"
 	HistoriesLearnt      Name = "HistoriesLearnt"
+	EngineReports        Name = "EngineReports"
+	OrdersSent           Name = "OrdersSent"
+	SwapOrders           Name = "SwapOrders"
+	RequestsInvalid      Name = "RequestsInvalid"
+	StoreReads           Name = "StoreReads"
+	StoreReadErrors      Name = "StoreReadErrors"
+	LogLinesDropped      Name = "LogLinesDropped"
 )
 
 // The gauges.
@@ -76,15 +83,25 @@
 	ClaimGaps               Name = "ClaimGaps"
 )
 
+// The times, which are kept as histograms.
+const (
+	RequestTime Name = "RequestTime"
+	// FirstByteTime is from the sending of an attempt to the head of its answer.
+	FirstByteTime Name = "FirstByteTime"
+	// FirstEventTime is from the arrival of a request to the first event of its stream.
+	FirstEventTime Name = "FirstEventTime"
+)
+
 // Metrics is the variables of one daemon.
 type Metrics struct {
 	values  *expvar.Map
 	labeled *expvar.Map
+	times   *histograms
 }
 
 // New returns variables at zero.
 func New() *Metrics {
-	return &Metrics{values: new(expvar.Map).Init(), labeled: new(expvar.Map).Init()}
+	return &Metrics{values: new(expvar.Map).Init(), labeled: new(expvar.Map).Init(), times: newHistograms()}
 }
 
 // Add adds to a counter or gauge.
--- /dev/null
+++ b/internal/transport/connpool/pool.go
@@ -0,0 +1,226 @@
+// Package connpool exchanges requests with backend servers over connections that the
+// whole daemon shares.
+//
+// # Usage
+//
+//	pool := connpool.New(clock)
+//	exchange, err := pool.Do(ctx, "10.0.0.7:8080", request, connpool.Options{})
+//	defer exchange.Close()
+//	body, err := exchange.ReadWhole()
+//
+// A request is sent once. An *ErrExchange tells whether a byte of it may have reached
+// the server. A connection is used again only after a whole answer with nothing behind
+// it, and for less time than the server keeps it. A connection that the server may be
+// closing just then is a risk for a request that must not run twice: such a request
+// asks for a fresh one.
+package connpool
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"azurehitch"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout = 700 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the
+	// connection counts as broken.
+	unackedTimeout = 2 * time.Second
+	// defaultIdleTime is how long an idle connection is kept when the server doesn't
+	// say how long it keeps it.
+	defaultIdleTime = 2 * time.Second
+	// longestIdleTime bounds it.
+	longestIdleTime = 10 * time.Second
+	// idleMargin is taken off the time for which the server keeps a connection.
+	idleMargin = 700 * time.Millisecond
+	// sweepInterval is how often expired connections are closed.
+	sweepInterval = time.Second
+)
+
+// ErrExchange is an exchange without a whole answer.
+type ErrExchange struct {
+	Address string
+	// Sent is false only when no byte of the request can have reached the server.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrExchange) Error() string {
+	return fmt.Sprintf("exchange with %s (sent: %t): %v", e.Address, e.Sent, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrExchange) Unwrap() error { return e.Cause }
+
+// errTooManyConnections says that the cap of a server's connections is reached.
+var errTooManyConnections = errors.New("too many connections in use")
+
+// Options choose a connection.
+type Options struct {
+	// Fresh asks for a connection that was never used.
+	Fresh bool
+	// MaxInUse bounds the connections to the server that are in use; 0 doesn't.
+	MaxInUse int
+}
+
+// Pool is the connections of one daemon to backend servers.
+type Pool struct {
+	clock azurehitch.Clock
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+// host is the connections to one address.
+type host struct {
+	inUse int
+	idle  []*conn
+}
+
+// New returns a pool without connections.
+func New(clock azurehitch.Clock) *Pool {
+	return &Pool{clock: clock, hosts: map[string]*host{}}
+}
+
+// Run closes expired connections until the context ends, and then all idle ones.
+func (p *Pool) Run(ctx context.Context) error {
+	for p.clock.Sleep(ctx, sweepInterval) == nil {
+		p.sweep(p.clock.Now())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		closeAll(h.idle)
+		delete(p.hosts, address)
+	}
+	return nil
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+				continue
+			}
+			c.close()
+		}
+		h.idle = kept
+		if h.inUse == 0 && len(h.idle) == 0 {
+			delete(p.hosts, address)
+		}
+	}
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		c.close()
+	}
+}
+
+// Forget closes the idle connections to an address, as when its server is gone.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.hosts[address]; ok {
+		closeAll(h.idle)
+		h.idle = nil
+	}
+}
+
+// InUse returns the number of connections to an address that carry a request.
+func (p *Pool) InUse(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.hosts[address]; ok {
+		return h.inUse
+	}
+	return 0
+}
+
+// acquire returns a connection, from the idle ones if that is allowed.
+func (p *Pool) acquire(ctx context.Context, address string, options Options) (*conn, error) {
+	idle, err := p.reserve(address, options)
+	if err != nil || idle != nil {
+		return idle, err
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		p.release(address)
+		return nil, err
+	}
+	return c, nil
+}
+
+// reserve counts a connection as in use. It returns an idle one, or nil when one has to
+// be dialed.
+func (p *Pool) reserve(address string, options Options) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[address]
+	if !ok {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	if options.MaxInUse > 0 && h.inUse >= options.MaxInUse {
+		return nil, errTooManyConnections
+	}
+	h.inUse++
+	if options.Fresh {
+		return nil, nil
+	}
+	now := p.clock.Now()
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if now.Before(c.expires) && c.isSilent() {
+			return c, nil
+		}
+		c.close()
+	}
+	return nil, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
+	tcp, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	return newConn(tcp), nil
+}
+
+func (p *Pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.hosts[address]; ok {
+		h.inUse--
+	}
+}
+
+// giveBack keeps a connection for another request.
+func (p *Pool) giveBack(address string, c *conn, keepAlive time.Duration) {
+	idleTime := defaultIdleTime
+	if keepAlive > 0 {
+		idleTime = min(keepAlive-idleMargin, longestIdleTime)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[address]
+	if !ok || idleTime <= 0 {
+		c.close()
+		return
+	}
+	c.expires = p.clock.Now().Add(idleTime)
+	h.idle = append(h.idle, c)
+}
