A holder drops its decision for a server whose count of orders has changed; stops end in time

A new holder read a report taken while an order of the former one was carried out: the model being loaded is in no report. And an order refused by the count was sent again under the new count, although what it was decided on had changed. Ruled out: late orders, which the count refuses.

--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -16,6 +16,8 @@
 
 const (
 	releaseTimeout = time.Second
+	// loopsTimeout is how long a stopped daemon waits for its loops.
+	loopsTimeout = 300 * time.Millisecond
 	// acceptTime is how long a stopping daemon takes new connections, until the balancer
 	// has noticed that it is not ready.
 	acceptTime = 3500 * time.Millisecond
@@ -47,13 +49,32 @@
 	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", d.settings.Callers).Str("Peers", d.settings.Peers).
 		Str("Metrics", d.settings.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
 		Str("Incarnation", d.self.Incarnation).Msg("daemon started")
-	err := group.Wait()
+	err := d.wait(group, running)
 	d.peers.Close()
 	d.Logs.Layer(logging.LayerDaemon).Info().Err(err).Msg("daemon stopped")
 	d.Logs.Close()
 	return err
 }
 
+// wait waits for the loops, and not long for those that are in a call when the daemon stops.
+func (d *Daemon) wait(group *errgroup.Group, running context.Context) error {
+	ended := make(chan error, 1)
+	var waiter errgroup.Group
+	waiter.Go(func() error {
+		ended <- group.Wait()
+		return nil
+	})
+	<-running.Done()
+	timer := time.NewTimer(loopsTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-timer.C:
+		return nil
+	}
+}
+
 // stop is the planned stop: leases first, so that others take over while the balancer
 // notices and the requests in progress end.
 func (d *Daemon) stop(ctx context.Context) error {
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -5,7 +5,7 @@
 //
 //	plan := swap.New(limits, swap.DefaultSettings(), token)
 //	plan.SetServers(servers, now)
-//	plan.Observe(id, report, now)
+//	plan.Observe(id, report)
 //	verdict := plan.Ask(need, now)
 //	for _, order := range plan.Decide(now) { ... }
 //	plan.Finish(order, swap.OutcomeDone, now)
@@ -154,12 +154,12 @@
 }
 
 // Observe takes in the report of a server that no order of this holder is under way at.
-func (p *Plan) Observe(id azurehitch.ServerIdentity, report azurehitch.ServerReport, now time.Time) {
+func (p *Plan) Observe(id azurehitch.ServerIdentity, report azurehitch.ServerReport) {
 	s, ok := p.servers[id.ID]
 	if !ok || s.ServerIdentity != id || s.order != nil {
 		return
 	}
-	s.observe(report, now)
+	s.observe(report)
 }
 
 // Unreachable notes that a server gave no report.
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -36,12 +36,11 @@
 	domain  string
 	slots   int
 	leaving bool
-	// known is true when the server was reached, so that its orders can be counted.
+	// known is true when the server was reached and carries out no order that this holder
+	// doesn't know.
 	known bool
 	// orders is the number of orders that it has accepted.
 	orders int64
-	// busy is true while an order of another holder may be carried out.
-	busy bool
 	// order is the order for a model that is under way, and freeAt when it should end.
 	order  *Order
 	freeAt time.Time
@@ -70,15 +69,13 @@
 	s.setCached(l.Cached)
 }
 
-func (s *server) observe(report azurehitch.ServerReport, now time.Time) {
-	s.known = true
+// observe takes in a report. While an order is carried out that this holder doesn't know,
+// the report doesn't show what is being loaded: the server stays unknown.
+func (s *server) observe(report azurehitch.ServerReport) {
+	s.known = !report.Busy
 	s.orders = report.Orders
-	s.busy = report.Busy
 	s.setLoaded(report.Loaded)
 	s.setCached(report.Cached)
-	if s.busy {
-		s.freeAt = now
-	}
 }
 
 // setLoaded replaces what the server holds.
@@ -133,7 +130,7 @@
 
 // takesOrders reports whether an order for a model may be given now.
 func (s *server) takesOrders(now time.Time) bool {
-	return s.known && !s.leaving && !s.busy && s.order == nil && now.Sub(s.failedAt) >= failurePause
+	return s.known && !s.leaving && s.order == nil && now.Sub(s.failedAt) >= failurePause
 }
 
 // memoryInUse is the accelerator memory that counts as taken.
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -170,10 +170,10 @@
 			Msg("no report")
 		return
 	}
-	h.plan.Observe(server, report, h.Clock.Now())
+	h.plan.Observe(server, report)
 	h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", server.ID).
 		Int64("Orders", report.Orders).Bool("Busy", report.Busy).Int("Models", len(report.Loaded)).
-		Int("OnDisk", len(report.Cached.OnDisk)).Msg("server is known")
+		Int("OnDisk", len(report.Cached.OnDisk)).Msg("server reported")
 	h.notify()
 }
 
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -80,8 +80,8 @@
 		case azurehitch.OrderMisdirected:
 			return swap.OutcomeUnknown
 		}
-		if e.wasAccepted(ctx, orders) {
-			return e.await(ctx)
+		if outcome, settled := e.settle(ctx, orders); settled {
+			return outcome
 		}
 	}
 	return swap.OutcomeUnknown
@@ -142,22 +142,32 @@
 	e.holder.plan.SetOrders(e.order.Server, orders)
 }
 
-// wasAccepted reads the report after an order that was refused by the count, or got no
-// answer. It corrects the count.
-func (e *execution) wasAccepted(ctx context.Context, orders int64) bool {
+// settle finds out what became of an order that was refused by the count, or got no answer.
+// It is not settled when the order may be sent again: the server has accepted none since the
+// decision but those of this holder.
+func (e *execution) settle(ctx context.Context, orders int64) (outcome swap.Outcome, settled bool) {
+	if current, ok := e.orders(); ok && current != orders {
+		return "", false
+	}
 	pause := orderPause
 	if e.answer == azurehitch.OrderConflict {
 		pause = reportLag
 	}
 	if err := e.holder.Clock.Sleep(ctx, pause); err != nil {
-		return false
+		return swap.OutcomeUnknown, true
 	}
 	report, err := e.holder.report(ctx, e.order.Server)
 	if err != nil || report.Orders <= orders {
-		return false
+		return "", false
+	}
+	if current, ok := e.orders(); ok && current != orders {
+		return "", false
+	}
+	if !e.unanswered || !e.isCarriedOut(report, true) {
+		return swap.OutcomeUnknown, true
 	}
 	e.count(report.Orders)
-	return e.unanswered && e.isCarriedOut(report, true)
+	return e.await(ctx), true
 }
 
 // isCarriedOut reports whether a report shows the effect of the order, or that it is
