Adapters are counted right; servers of lapsed entries are avoided; settings reload

Orders of one server are sent one after the other now, and a report is left out while any is under way.

--- a/cmd/azurehitch/cmds/gateway.go
+++ b/cmd/azurehitch/cmds/gateway.go
@@ -1,17 +1,28 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"azurehitch"
 	"azurehitch/internal/daemon/gateway"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/platform"
 
+	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 )
 
+// settingsInterval is how often the settings file is compared: it may change without a
+// signal.
+const settingsInterval = time.Second
+
 func newGatewayCommand() *cli.Command {
 	path := platform.SettingsPath()
 	level := "info"
@@ -29,7 +40,14 @@
 }
 
 func runGateway(ctx context.Context, path, level string, output io.Writer) error {
-	s, err := platform.ReadSettings(path)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	s, err := platform.ParseSettings(content)
 	if err != nil {
 		return err
 	}
@@ -38,5 +56,58 @@
 	if err != nil {
 		return err
 	}
-	return daemon.Run(ctx)
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	watch := settingsWatch{path: path, content: content, daemon: daemon, logger: logs.Layer(logging.LayerDaemon)}
+	var group errgroup.Group
+	group.Go(func() error {
+		watch.run(running, hangups)
+		return nil
+	})
+	err = daemon.Run(ctx)
+	stop()
+	// The watch returns no error.
+	_ = group.Wait()
+	logs.Close()
+	return err
+}
+
+// settingsWatch reloads the settings file when it has changed.
+type settingsWatch struct {
+	path    string
+	content []byte
+	daemon  *gateway.Daemon
+	logger  *log.Logger
+}
+
+func (w *settingsWatch) run(ctx context.Context, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hangups:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		w.reload()
+	}
+}
+
+func (w *settingsWatch) reload() {
+	content, err := os.ReadFile(w.path)
+	if err != nil {
+		w.logger.Error().Err(err).Msg("settings can't be read: the last ones stay in force")
+		return
+	}
+	if bytes.Equal(content, w.content) {
+		return
+	}
+	w.content = content
+	s, err := platform.ParseSettings(content)
+	if err != nil {
+		w.logger.Error().Err(err).Msg("settings are not allowed: the last ones stay in force")
+		return
+	}
+	w.daemon.Reload(s)
 }
--- a/fleet.go
+++ b/fleet.go
@@ -13,6 +13,8 @@
 	FailureDomain string
 	Slots         int
 	Leaving       bool
+	// Missing is true while the server may be gone and others of its service are not.
+	Missing bool
 	// RemainingTime is how long a leaving server goes on; 0 is unknown.
 	RemainingTime time.Duration
 	// Orders is the number of orders that the server has accepted.
@@ -49,7 +51,7 @@
 	Incarnation int64
 	// Orders is the number of orders that the server has accepted.
 	Orders int64
-	// Busy is true while an order for a model is carried out.
+	// Busy is true while an order is carried out.
 	Busy   bool
 	Active int
 	Queued int
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -92,9 +92,12 @@
 	peers     *mux.Client
 	swaps     *swappeer.Client
 	callers   *passthrough.Server
+	budget    *retrybudget.Budget
 
 	listeners listeners
 	stopping  atomic.Bool
+	// stopTimeout is how long a planned stop may take, by the last settings.
+	stopTimeout atomic.Int64
 }
 
 // listeners are where a daemon is reached.
@@ -112,6 +115,7 @@
 		settings: s,
 		self:     leaselog.Holder{Daemon: s.Name, Incarnation: newIncarnation()},
 	}
+	d.stopTimeout.Store(int64(s.StopTimeout))
 	d.observer = newObserver(platform.Metrics, platform.Logs)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
@@ -166,7 +170,7 @@
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
 	breakers := breaker.NewBreakers(d.Clock)
-	limits := retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
+	d.budget = retrybudget.New(d.Clock, s.retryLimits(), d.daemons)
 	d.callers = passthrough.NewServer(passthrough.Dependencies{
 		Routing:  d.routing.Index,
 		Protocol: d.Protocol,
@@ -176,7 +180,7 @@
 		Connections:     d.Connections,
 		ConnectionShare: d.connectionShare,
 		Breakers:        breakers,
-		Budget:          retrybudget.New(d.Clock, limits, d.daemons),
+		Budget:          d.budget,
 		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
 	}, passthrough.Settings{
 		MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes,
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -52,7 +52,6 @@
 	err := d.wait(group, running)
 	d.peers.Close()
 	d.Logs.Layer(logging.LayerDaemon).Info().Err(err).Msg("daemon stopped")
-	d.Logs.Close()
 	return err
 }
 
@@ -86,7 +85,7 @@
 	if err := d.Clock.Sleep(ctx, acceptTime-d.Clock.Now().Sub(began)); err != nil {
 		return nil
 	}
-	left := d.settings.StopTimeout - exitMargin - d.Clock.Now().Sub(began)
+	left := time.Duration(d.stopTimeout.Load()) - exitMargin - d.Clock.Now().Sub(began)
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	if err := d.callers.Stop(limited); err != nil {
@@ -104,6 +103,15 @@
 	}
 }
 
+// Reload takes in changed settings: the time of a planned stop and the bounds of retries.
+// Addresses and the name change with the next start.
+func (d *Daemon) Reload(s Settings) {
+	d.stopTimeout.Store(int64(s.StopTimeout))
+	d.budget.SetLimits(s.retryLimits())
+	d.Logs.Layer(logging.LayerDaemon).Info().Dur("StopTimeout", s.StopTimeout).Float64("RetryRatio", s.RetryRatio).
+		Float64("RetrySlack", s.RetrySlack).Bool("NeedsRestart", s.needsRestart(d.settings)).Msg("settings reloaded")
+}
+
 // runFollowers follows the routing table and the list of servers.
 func (d *Daemon) runFollowers(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/retrybudget"
 	"azurehitch/internal/placement/swap"
 )
 
@@ -73,6 +74,16 @@
 	}
 }
 
+func (s Settings) retryLimits() retrybudget.Limits {
+	return retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
+}
+
+// needsRestart reports whether settings differ in what a running daemon can't change.
+func (s Settings) needsRestart(running Settings) bool {
+	return s.Name != running.Name || s.FailureDomain != running.FailureDomain || s.Callers != running.Callers ||
+		s.Ready != running.Ready || s.Peers != running.Peers || s.Store != running.Store
+}
+
 // ErrSetting is a setting that is missing or not allowed.
 type ErrSetting struct {
 	// Field is the name of the field in the settings file.
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -93,7 +93,7 @@
 // tried if others are left.
 func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
 	servers := slices.DeleteFunc(slices.Clone(p.Fleet().Service(r.Service.Name)), func(s azurehitch.FleetServer) bool {
-		return s.Leaving || p.Breakers.IsOpen(s.Address)
+		return s.Leaving || s.Missing || p.Breakers.IsOpen(s.Address)
 	})
 	fresh := slices.DeleteFunc(slices.Clone(servers), func(s azurehitch.FleetServer) bool {
 		return slices.Contains(r.Tried, s.ID)
--- a/internal/forward/retrybudget/budget.go
+++ b/internal/forward/retrybudget/budget.go
@@ -57,6 +57,14 @@
 	return &Budget{clock: clock, limits: limits, daemons: daemons, began: clock.Now(), services: map[string]*counts{}}
 }
 
+// SetLimits replaces the bound of all daemons. The window stays as it is.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limits.Window = b.limits.Window
+	b.limits = limits
+}
+
 // Earn counts a request.
 func (b *Budget) Earn(service string) {
 	b.mu.Lock()
--- a/internal/membership/fleet/fold.go
+++ b/internal/membership/fleet/fold.go
@@ -60,7 +60,7 @@
 		decode: decode, observer: observer,
 		servers: map[string]azurehitch.FleetServer{}, missing: map[string]time.Time{},
 	}
-	f.view.Store(newView(nil, 0, time.Time{}))
+	f.view.Store(newView(nil, nil, 0, time.Time{}))
 	return f
 }
 
@@ -142,6 +142,7 @@
 	}
 	if _, waits := f.missing[id]; !waits {
 		f.missing[id] = readAt.Add(returnTime)
+		f.version++
 		f.observer.ServerChanged(s, ChangeMissing)
 	}
 }
@@ -166,5 +167,5 @@
 		f.view.Store(&same)
 		return
 	}
-	f.view.Store(newView(f.servers, f.version, readAt))
+	f.view.Store(newView(f.servers, f.missing, f.version, readAt))
 }
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -31,12 +31,21 @@
 	servers  map[string]azurehitch.FleetServer
 }
 
-func newView(servers map[string]azurehitch.FleetServer, version int64, readAt time.Time) *View {
+func newView(servers map[string]azurehitch.FleetServer, missing map[string]time.Time, version int64, readAt time.Time) *View {
 	view := &View{
 		ReadAt: readAt, Version: version,
 		services: map[string][]azurehitch.FleetServer{}, servers: maps.Clone(servers),
 	}
-	for _, s := range servers {
+	listed := map[string]bool{}
+	for id, s := range servers {
+		if _, gone := missing[id]; !gone && !s.Leaving {
+			listed[s.Service] = true
+		}
+	}
+	for id, s := range servers {
+		_, gone := missing[id]
+		s.Missing = gone && listed[s.Service]
+		view.servers[id] = s
 		view.services[s.Service] = append(view.services[s.Service], s)
 	}
 	for _, list := range view.services {
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -119,7 +119,8 @@
 	}
 	a, ok := r.adapters[order.Adapter]
 	if !ok {
-		return
+		a = &adapter{}
+		r.adapters[order.Adapter] = a
 	}
 	switch isLoad := order.Kind == azurehitch.OrderLoad; {
 	case isLoad && outcome == OutcomeDone:
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -153,10 +153,11 @@
 	return unknown
 }
 
-// Observe takes in the report of a server that no order of this holder is under way at.
+// Observe takes in the report of a server. While orders of this holder are under way there,
+// the report may be older than what they have done, and is left out.
 func (p *Plan) Observe(id azurehitch.ServerIdentity, report azurehitch.ServerReport) {
 	s, ok := p.servers[id.ID]
-	if !ok || s.ServerIdentity != id || s.order != nil {
+	if !ok || s.ServerIdentity != id || s.order != nil || s.adapterOrders > 0 {
 		return
 	}
 	s.observe(report)
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -36,6 +36,7 @@
 	domain  string
 	slots   int
 	leaving bool
+	missing bool
 	// known is true when the server was reached and carries out no order that this holder
 	// doesn't know.
 	known bool
@@ -63,6 +64,7 @@
 	s.domain = l.FailureDomain
 	s.slots = l.Slots
 	s.leaving = l.Leaving
+	s.missing = l.Missing
 	if !s.known && s.order == nil {
 		s.setLoaded(l.Loaded)
 	}
@@ -126,11 +128,11 @@
 func (s *server) hasCopy(name string) bool { return s.tier(name) != azurehitch.CacheTierRemote }
 
 // takesRequests reports whether new requests may go to the server.
-func (s *server) takesRequests() bool { return !s.leaving }
+func (s *server) takesRequests() bool { return !s.leaving && !s.missing }
 
 // takesOrders reports whether an order for a model may be given now.
 func (s *server) takesOrders(now time.Time) bool {
-	return s.known && !s.leaving && s.order == nil && now.Sub(s.failedAt) >= failurePause
+	return s.known && !s.leaving && !s.missing && s.order == nil && now.Sub(s.failedAt) >= failurePause
 }
 
 // memoryInUse is the accelerator memory that counts as taken.
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -68,6 +68,8 @@
 	stale   bool
 	changed chan struct{}
 	wake    chan struct{}
+	// turns let one order at a time be sent to a server.
+	turns map[string]*sync.Mutex
 }
 
 func newHolder(d Dependencies, service string, token int64) *holder {
@@ -79,6 +81,7 @@
 		reportedAt:   map[string]time.Time{},
 		changed:      make(chan struct{}),
 		wake:         make(chan struct{}, 1),
+		turns:        map[string]*sync.Mutex{},
 	}
 	h.refresh()
 	return h
@@ -124,6 +127,18 @@
 	return ctx.Err()
 }
 
+// turn returns the mutex under which orders are sent to a server.
+func (h *holder) turn(server string) *sync.Mutex {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	turn, ok := h.turns[server]
+	if !ok {
+		turn = &sync.Mutex{}
+		h.turns[server] = turn
+	}
+	return turn
+}
+
 // refresh takes in the configuration and the list of servers.
 func (h *holder) refresh() {
 	if engine := h.Routing().Services[h.service].Engine; engine != nil {
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -27,6 +27,10 @@
 	unloadTime = 30 * time.Millisecond
 	// maxSends bounds how often an order is sent.
 	maxSends = 8
+	// maxUnreached bounds how often an order is tried at a server that can't be reached.
+	maxUnreached = 3
+	// reportsMissing is how long a server may give no report when an order should end.
+	reportsMissing = 1500 * time.Millisecond
 	// maxOvertime is how long an order may take beyond twice the expected time.
 	maxOvertime = 10 * time.Second
 )
@@ -39,6 +43,8 @@
 	// been accepted.
 	unanswered bool
 	sends      int
+	// unreached is how often the server could not be reached, or had no room.
+	unreached int
 	// accepted is the count of orders at the server once it has accepted this one.
 	accepted int64
 	answer   azurehitch.OrderAnswer
@@ -64,14 +70,13 @@
 // run sends the order until its fate is known, and waits until it is carried out.
 func (e *execution) run(ctx context.Context) swap.Outcome {
 	for e.sends < maxSends && ctx.Err() == nil {
-		orders, ok := e.orders()
-		if !ok || !e.holder.mayOrder() {
+		orders, ok := e.sendCounted(ctx)
+		if !ok {
 			return e.giveUp()
 		}
-		e.send(ctx, orders)
 		switch e.answer {
 		case azurehitch.OrderAccepted, azurehitch.OrderHolds:
-			return e.complete(ctx, orders)
+			return e.complete(ctx)
 		case azurehitch.OrderStale:
 			e.holder.stepDown(e.order)
 			return swap.OutcomeRefused
@@ -79,6 +84,11 @@
 			return e.giveUp()
 		case azurehitch.OrderMisdirected:
 			return swap.OutcomeUnknown
+		case azurehitch.OrderNotRun:
+			e.unreached++
+			if e.unreached >= maxUnreached {
+				return e.giveUp()
+			}
 		}
 		if outcome, settled := e.settle(ctx, orders); settled {
 			return outcome
@@ -87,6 +97,31 @@
 	return swap.OutcomeUnknown
 }
 
+// sendCounted sends the order and counts it if it was accepted. One order is sent to a
+// server at a time, because each names the count of those before it. It returns the count
+// at which the order was sent, and false when it may not be sent any more.
+func (e *execution) sendCounted(ctx context.Context) (orders int64, ok bool) {
+	turn := e.holder.turn(e.order.Server.ID)
+	turn.Lock()
+	defer turn.Unlock()
+	orders, ok = e.orders()
+	if !ok || !e.holder.mayOrder() {
+		return 0, false
+	}
+	e.send(ctx, orders)
+	if e.advancesCount() {
+		e.count(orders + 1)
+	}
+	return orders, true
+}
+
+// advancesCount reports whether the server counts the order that it answered. An order that
+// already holds is not counted, but for the unload of an adapter, which is done at once.
+func (e *execution) advancesCount() bool {
+	isAdapterUnload := e.order.Adapter != "" && e.order.Kind == azurehitch.OrderUnload
+	return e.answer == azurehitch.OrderAccepted || e.answer == azurehitch.OrderHolds && isAdapterUnload
+}
+
 // giveUp is the outcome when the order is not sent again.
 func (e *execution) giveUp() swap.Outcome {
 	if e.unanswered {
@@ -119,19 +154,16 @@
 		Int("Sends", e.sends).Err(err).Msg("order got no answer")
 }
 
-// complete counts an accepted order and waits for its end.
-func (e *execution) complete(ctx context.Context, orders int64) swap.Outcome {
-	if e.answer == azurehitch.OrderHolds && e.order.Adapter == "" {
+// complete waits for the end of an order that the server has taken.
+func (e *execution) complete(ctx context.Context) swap.Outcome {
+	switch {
+	case e.answer == azurehitch.OrderHolds:
 		return swap.OutcomeDone
-	}
-	e.count(orders + 1)
-	if e.order.Adapter == "" {
+	case e.order.Adapter == "" || e.order.Kind == azurehitch.OrderUnload:
 		return e.await(ctx)
 	}
-	if e.answer == azurehitch.OrderAccepted {
-		// The context's end shows in the next order.
-		_ = e.holder.Clock.Sleep(ctx, e.order.Expected)
-	}
+	// The context's end shows in the next order.
+	_ = e.holder.Clock.Sleep(ctx, e.order.Expected)
 	return swap.OutcomeDone
 }
 
@@ -157,13 +189,13 @@
 		return swap.OutcomeUnknown, true
 	}
 	report, err := e.holder.report(ctx, e.order.Server)
-	if err != nil || report.Orders <= orders {
+	if err != nil || report.Orders == orders {
 		return "", false
 	}
 	if current, ok := e.orders(); ok && current != orders {
 		return "", false
 	}
-	if !e.unanswered || !e.isCarriedOut(report, true) {
+	if report.Orders < orders || !e.unanswered || !e.isCarriedOut(report, true) {
 		return swap.OutcomeUnknown, true
 	}
 	e.count(report.Orders)
@@ -200,7 +232,7 @@
 			if late > 2*reportLag {
 				return swap.OutcomeUnknown
 			}
-		case late > expected+maxOvertime:
+		case err != nil && late > reportsMissing, late > expected+maxOvertime:
 			return swap.OutcomeUnknown
 		}
 		pause = max(completionPause, late/4)
