--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -20,9 +20,9 @@
 	loopsTimeout = 300 * time.Millisecond
 	// acceptTime is how long a stopping daemon takes new connections, until the balancer
 	// has noticed that it is not ready.
-	acceptTime = 3500 * time.Millisecond
+	acceptTime = 2700 * time.Millisecond
 	// exitMargin is kept of the time of a planned stop.
-	exitMargin = 500 * time.Millisecond
+	exitMargin = 250 * time.Millisecond
 )
 
 // Run runs the daemon until the context ends, and then through its planned stop.
@@ -85,6 +85,7 @@
 	if err := d.Clock.Sleep(ctx, acceptTime-d.Clock.Now().Sub(began)); err != nil {
 		return nil
 	}
+	d.callers.Refuse()
 	left := time.Duration(d.stopTimeout.Load()) - exitMargin - d.Clock.Now().Sub(began)
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -59,7 +59,8 @@
 		}
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
-	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.server.Clock.Now().Sub(r.began))
+	r.firstEvent = r.server.Clock.Now().Sub(r.began)
+	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.firstEvent)
 	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
 	r.http.Response.SetBodyStream(stream, -1)
 	return result{answered: true}
@@ -156,7 +157,7 @@
 	}
 	res := result{run: azurehitch.RunStateUnknown, cause: cause}
 	for s.lastEvent != "" && r.mayRetry(res) {
-		choice, err := r.server.Placer.Place(r.ctx, r.placeRequest())
+		choice, err := r.place()
 		if err != nil {
 			s.failure = err
 			return
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -20,6 +20,8 @@
 const (
 	// unconfiguredRetry tells when to come back to a daemon that knows no configuration.
 	unconfiguredRetry = 300 * time.Millisecond
+	// drainingRetry tells when to come back, to another daemon.
+	drainingRetry = 50 * time.Millisecond
 	// failureRetry tells when to come back after failures that no estimate covers.
 	failureRetry = 300 * time.Millisecond
 )
@@ -45,6 +47,10 @@
 	sends   int
 	unknown int
 	trail   trail
+	// placed is how long the request has waited for servers, and firstEvent when the first
+	// event of its stream came.
+	placed     time.Duration
+	firstEvent time.Duration
 }
 
 // errCallerGone is why a request ends whose caller has closed the connection.
@@ -73,6 +79,9 @@
 
 // match finds the route and the service.
 func (r *request) match(index *router.PathIndex) error {
+	if r.server.isRefusing() {
+		return azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetry)
+	}
 	if r.version == 0 {
 		return azurehitch.Refuse(azurehitch.CodeNotConfigured, "no configuration is known").WithRetryAfter(unconfiguredRetry)
 	}
@@ -120,7 +129,7 @@
 // run sends the request until it has an answer or may not be sent again.
 func (r *request) run() {
 	for {
-		choice, err := r.server.Placer.Place(r.ctx, r.placeRequest())
+		choice, err := r.place()
 		if err != nil {
 			r.refuse(r.placeRefusal(err))
 			return
@@ -137,6 +146,14 @@
 	}
 }
 
+// place chooses the server of the next attempt.
+func (r *request) place() (place.Choice, error) {
+	began := r.server.Clock.Now()
+	choice, err := r.server.Placer.Place(r.ctx, r.placeRequest())
+	r.placed += r.server.Clock.Now().Sub(began)
+	return choice, err
+}
+
 // placeRefusal makes a refusal of what kept a request from a server.
 func (r *request) placeRefusal(err error) error {
 	var refused *azurehitch.ErrRefused
@@ -179,7 +196,7 @@
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
 	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).Str("Route", r.route.Name).
 		Int64("Configuration", r.version).Str("Model", r.Model).Str("Adapter", r.Adapter).Int("Status", status).
-		Str("Reason", reason).Dur("Took", took).Dur("Left", r.deadline.Sub(r.began)-took).
+		Str("Reason", reason).Dur("Placed", r.placed).Dur("FirstEvent", r.firstEvent).Dur("Took", took).Dur("Left", r.deadline.Sub(r.began)-took).
 		Str("Attempts", r.trail.String()).Msg("request ended")
 }
 
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -75,8 +75,11 @@
 	Dependencies
 	http *fasthttp.Server
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// stopping is true when answers end their connections, refusing when no request is
+	// taken any more.
 	stopping bool
+	refusing bool
 	active   int
 }
 
@@ -120,6 +123,13 @@
 	s.stopping = true
 }
 
+// Refuse refuses new requests from now on: they might not end before the daemon does.
+func (s *Server) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+}
+
 // Stop closes the listener and the idle connections, and waits for the requests in
 // progress until the context ends.
 func (s *Server) Stop(ctx context.Context) error {
@@ -148,6 +158,13 @@
 	s.Metrics.Add(metrics.RequestsInProgress, -1)
 }
 
+// isRefusing reports whether no request is taken any more.
+func (s *Server) isRefusing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusing
+}
+
 // isStopping reports whether answers end their connections.
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -13,7 +13,10 @@
 	adapterLoadTime = 12 * time.Millisecond
 	// adaptersInTransit is the number of adapters that are loaded to a server at once.
 	adaptersInTransit = 3
-	// adapterMinimumStay is how long an adapter stays after its last use.
+	// adapterStay is how long the last request for an adapter usually runs: the unload of
+	// an adapter in use waits for its end. Where no adapter was idle for as long, one that
+	// was idle for adapterMinimumStay makes room.
+	adapterStay        = 2500 * time.Millisecond
 	adapterMinimumStay = time.Second
 )
 
@@ -55,7 +58,9 @@
 // first, or the unload that makes a place for it.
 func (p *Plan) loadAdapter(need Need, now time.Time) (Order, bool) {
 	candidates := slices.DeleteFunc(p.replicas(need.Model), func(s *server) bool {
-		return !s.known || s.adapterOrders >= adaptersInTransit || slices.Contains(need.Avoid, s.ID)
+		// An adapter that is being unloaded still takes its place.
+		_, placed := s.replicas[need.Model].adapters[need.Adapter]
+		return placed || !s.known || s.adapterOrders >= adaptersInTransit || slices.Contains(need.Avoid, s.ID)
 	})
 	slices.SortFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
@@ -64,16 +69,21 @@
 			cmp.Compare(rendezvous(b.ID, need.Adapter), rendezvous(a.ID, need.Adapter)),
 		)
 	})
-	for _, s := range candidates {
-		if order, ok := p.placeAdapter(s, need, now); ok {
-			return order, true
+	for _, stay := range []time.Duration{adapterStay, adapterMinimumStay} {
+		for _, s := range candidates {
+			if order, ok := p.placeAdapter(s, need, stay, now); ok {
+				return order, true
+			}
 		}
 	}
 	return Order{}, false
 }
 
-func (p *Plan) placeAdapter(s *server, need Need, now time.Time) (Order, bool) {
-	order := Order{Server: s.ServerIdentity, Kind: azurehitch.OrderLoad, Model: need.Model, Adapter: need.Adapter, AfterOrders: s.orders}
+func (p *Plan) placeAdapter(s *server, need Need, stay time.Duration, now time.Time) (Order, bool) {
+	order := Order{
+		Server: s.ServerIdentity, Kind: azurehitch.OrderLoad, Model: need.Model, Adapter: need.Adapter,
+		AfterOrders: s.orders, listing: s.listing,
+	}
 	size := p.limits.Models[need.Model].AdapterMemory
 	if s.adapterCount() < p.limits.AdapterSlots && p.limits.Memory-s.memoryInUse(p.limits) >= size {
 		s.replicas[need.Model].adapters[need.Adapter] = &adapter{state: stateLoading, lastUsed: now}
@@ -81,7 +91,7 @@
 		order.Expected, order.Reason = adapterLoadTime, "requests wait for the adapter"
 		return order, true
 	}
-	owner, name := s.idleAdapter(now)
+	owner, name := s.idleAdapter(stay, now)
 	if name == "" {
 		return Order{}, false
 	}
@@ -91,12 +101,12 @@
 	return order, true
 }
 
-// idleAdapter returns the adapter that was not used for longest.
-func (s *server) idleAdapter(now time.Time) (owner, name string) {
+// idleAdapter returns the adapter that was not used for longest, and for some time at least.
+func (s *server) idleAdapter(stay time.Duration, now time.Time) (owner, name string) {
 	var oldest time.Time
 	for _, m := range s.replicaNames() {
 		for a, state := range s.replicas[m].adapters {
-			if state.state != stateReady || now.Sub(state.lastUsed) < adapterMinimumStay {
+			if state.state != stateReady || now.Sub(state.lastUsed) < stay {
 				continue
 			}
 			if name == "" || state.lastUsed.Before(oldest) || state.lastUsed.Equal(oldest) && a < name {
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -23,6 +23,8 @@
 	Expected time.Duration
 	// Reason says in a few words what decided.
 	Reason string
+	// listing is the stay of the server on the list that the order was decided in.
+	listing int64
 }
 
 // Outcome is how an order ended.
@@ -302,6 +304,7 @@
 func (p *Plan) book(s *server, order Order, now time.Time) Order {
 	order.Server = s.ServerIdentity
 	order.AfterOrders = s.orders
+	order.listing = s.listing
 	s.order = &order
 	s.freeAt = now.Add(order.Expected)
 	return order
--- a/internal/placement/swap/finish.go
+++ b/internal/placement/swap/finish.go
@@ -9,8 +9,8 @@
 // Finish takes in how an order ended. With OutcomeUnknown, the server counts as unknown
 // until it is observed again.
 func (p *Plan) Finish(order Order, outcome Outcome, now time.Time) {
-	s, ok := p.servers[order.Server.ID]
-	if !ok || s.ServerIdentity != order.Server {
+	s, ok := p.serverOf(order)
+	if !ok {
 		return
 	}
 	if order.Adapter != "" {
@@ -51,26 +51,26 @@
 	}
 }
 
-// Accepted counts an order that a server has accepted.
-func (p *Plan) Accepted(order Order) {
-	if s, ok := p.servers[order.Server.ID]; ok && s.ServerIdentity == order.Server {
-		s.orders++
-	}
+// serverOf returns the server of an order, and false if it has left the list since: what came
+// back under its id was booked anew.
+func (p *Plan) serverOf(order Order) (*server, bool) {
+	s, ok := p.servers[order.Server.ID]
+	return s, ok && s.ServerIdentity == order.Server && s.listing == order.listing
 }
 
-// Orders returns the number of orders that a server has accepted, and false if the server
-// is not known any more.
-func (p *Plan) Orders(id azurehitch.ServerIdentity) (int64, bool) {
-	s, ok := p.servers[id.ID]
-	if !ok || s.ServerIdentity != id {
+// Orders returns the number of orders that the server of an order has accepted, and false if
+// the order must not be sent any more.
+func (p *Plan) Orders(order Order) (int64, bool) {
+	s, ok := p.serverOf(order)
+	if !ok {
 		return 0, false
 	}
 	return s.orders, true
 }
 
-// SetOrders corrects the number of orders that a server has accepted, from a report.
-func (p *Plan) SetOrders(id azurehitch.ServerIdentity, orders int64) {
-	if s, ok := p.servers[id.ID]; ok && s.ServerIdentity == id {
+// SetOrders sets the number of orders that the server of an order has accepted.
+func (p *Plan) SetOrders(order Order, orders int64) {
+	if s, ok := p.serverOf(order); ok {
 		s.orders = orders
 	}
 }
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -87,6 +87,8 @@
 	models  map[string]*model
 	waiters map[string]*waiter
 	daemons map[string]*daemon
+	// listings counts the stays of servers on the list.
+	listings int64
 	// lastGrant is the number of the last grant.
 	lastGrant int64
 	// changed counts the changes of the kept replicas.
@@ -129,7 +131,8 @@
 		seen[l.ID] = true
 		s, ok := p.servers[l.ID]
 		if !ok || s.Incarnation != l.Incarnation || s.Address != l.Address {
-			s = newServer()
+			p.listings++
+			s = newServer(p.listings)
 			p.servers[l.ID] = s
 		}
 		s.list(l)
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -33,6 +33,8 @@
 // server is a server as the holder counts it.
 type server struct {
 	azurehitch.ServerIdentity
+	// listing is the number of this stay on the list.
+	listing int64
 	domain  string
 	slots   int
 	leaving bool
@@ -54,8 +56,8 @@
 	failedAt time.Time
 }
 
-func newServer() *server {
-	return &server{replicas: map[string]*replica{}, tiers: map[string]azurehitch.CacheTier{}}
+func newServer(listing int64) *server {
+	return &server{listing: listing, replicas: map[string]*replica{}, tiers: map[string]azurehitch.CacheTier{}}
 }
 
 // list takes in the description in the platform's list.
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -133,7 +133,7 @@
 func (e *execution) orders() (int64, bool) {
 	e.holder.mu.Lock()
 	defer e.holder.mu.Unlock()
-	return e.holder.plan.Orders(e.order.Server)
+	return e.holder.plan.Orders(e.order)
 }
 
 func (e *execution) send(ctx context.Context, orders int64) {
@@ -171,7 +171,7 @@
 	e.holder.mu.Lock()
 	defer e.holder.mu.Unlock()
 	e.accepted = orders
-	e.holder.plan.SetOrders(e.order.Server, orders)
+	e.holder.plan.SetOrders(e.order, orders)
 }
 
 // settle finds out what became of an order that was refused by the count, or got no answer.
