Waits are bounded by what callers wait; swaps take no longer than their loads

Change: requests of streams are placed within the patience of their callers; loads from near copies end by their time, a refusal is repeated once after 80 ms; no order for an adapter beside one for a model; a daemon claims at once what an earlier process of its own held; without a holder, servers are taken from the list; a further replica of a busy model comes from the weight store only when those it has are crowded.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -24,9 +24,10 @@
 	answered bool
 	// run says whether the server may have run the request.
 	run azurehitch.RunState
-	// sameServer is true when the server can take the request a little later.
-	sameServer bool
-	cause      error
+	// stillLoading is true when the server was told to load the model for this request and
+	// refused it: it can take it a little later.
+	stillLoading bool
+	cause        error
 }
 
 // trail is the attempts of a request, for its log line.
@@ -142,8 +143,11 @@
 	status := exchange.Header.StatusCode()
 	switch {
 	case status == fasthttp.StatusMisdirectedRequest || answer.NotRun:
-		r.tried = append(r.tried, choice.Server.ID)
-		return result{run: azurehitch.RunStateNotRun, cause: errors.Errorf("refused with %d", status)}
+		res := result{run: azurehitch.RunStateNotRun, cause: errors.Errorf("refused with %d", status)}
+		if res.stillLoading = choice.Tier != "" && r.sends <= 1; !res.stillLoading {
+			r.tried = append(r.tried, choice.Server.ID)
+		}
+		return res
 	case answer.ID != r.ID:
 		r.failed(choice)
 		return result{run: azurehitch.RunStateUnknown, cause: errors.Errorf("answer to %q", answer.ID)}
@@ -171,9 +175,15 @@
 	if r.sends >= r.route.MaxAttempts+maxUnrunSends {
 		return false
 	}
-	return r.server.Budget.Spend(r.service.Name)
+	if !r.server.Budget.Spend(r.service.Name) {
+		return false
+	}
+	return !res.stillLoading || r.server.Clock.Sleep(r.ctx, loadingPause) == nil
 }
 
+// loadingPause is how long a request waits for a load that was expected to be done.
+const loadingPause = 80 * time.Millisecond
+
 // maxUnrunSends is how often a request is sent beyond the attempts of its route when
 // servers refuse to run it.
 const maxUnrunSends = 2
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -20,6 +20,11 @@
 const (
 	// unconfiguredRetry tells when to come back to a daemon that knows no configuration.
 	unconfiguredRetry = 300 * time.Millisecond
+	// Callers of a stream leave after the longest of these without an event: a time, a number
+	// of objectives and a number of longest pauses.
+	shortestPatience   = 2 * time.Second
+	patienceObjectives = 4
+	patiencePauses     = 8
 	// drainingRetry tells when to come back, to another daemon.
 	drainingRetry = 50 * time.Millisecond
 	// failureRetry tells when to come back after failures that no estimate covers.
@@ -122,10 +127,23 @@
 func (r *request) placeRequest() place.Request {
 	return place.Request{
 		CallerRequest: r.CallerRequest, Service: r.service, Tried: r.tried,
-		Objective: r.began.Add(r.route.Objective), Deadline: r.deadline, Urgency: r.route.Priority,
+		Objective: r.began.Add(r.route.Objective), Deadline: r.placeDeadline(), Urgency: r.route.Priority,
 	}
 }
 
+// placeDeadline is until when a server is of use: callers of streams leave before the
+// deadline when no event comes.
+func (r *request) placeDeadline() time.Time {
+	if r.route.Kind != azurehitch.RequestKindStream {
+		return r.deadline
+	}
+	patience := max(shortestPatience, patienceObjectives*r.route.Objective, patiencePauses*r.route.MaxPause)
+	if left := r.began.Add(patience); left.Before(r.deadline) {
+		return left
+	}
+	return r.deadline
+}
+
 // run sends the request until it has an answer or may not be sent again.
 func (r *request) run() {
 	for {
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -29,7 +29,7 @@
 const (
 	// foreignPenalty is the part of a server's slots by which servers of the own failure
 	// domain may be fuller than others.
-	foreignPenalty = 0.35
+	foreignPenalty = 0.1
 	// emptyRetry tells when to come back to a service without servers.
 	emptyRetry = 500 * time.Millisecond
 )
@@ -169,21 +169,48 @@
 	if choice, ok := p.placeOnKept(r); ok {
 		return choice, nil
 	}
-	grant, err := p.Swaps.Find(ctx, r.Service.Name, swap.Need{
+	for {
+		grant, err := p.Swaps.Find(ctx, r.Service.Name, p.need(r))
+		if err == nil {
+			replica := swap.Replica{Server: grant.Server.ID, Model: r.Model}
+			choice := p.choice(grant.Server, "granted by the holder", p.Swaps.Begin(r.Service.Name, replica))
+			choice.Tier = grant.Tier
+			return choice, nil
+		}
+		if !errors.Is(err, swappeer.ErrNoHolder) {
+			return Choice{}, errors.Wrap(err, "wait for a model")
+		}
+		if choice, ok := p.placeOnListed(r); ok {
+			return choice, nil
+		}
+	}
+}
+
+func (p *Placer) need(r Request) swap.Need {
+	return swap.Need{
 		ID: r.ID, Daemon: p.Self, FailureDomain: p.FailureDomain, Model: r.Model, Adapter: r.Adapter,
 		Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Avoid: r.Tried,
+	}
+}
+
+// placeOnListed chooses among the servers that hold the model by the platform's list, while
+// no holder of the service answers: nobody loads or unloads then.
+func (p *Placer) placeOnListed(r Request) (Choice, bool) {
+	servers := slices.DeleteFunc(p.candidates(r), func(s azurehitch.FleetServer) bool {
+		return slices.Contains(r.Tried, s.ID) || !holds(s, r.Model, r.Adapter)
 	})
-	var refused *azurehitch.ErrRefused
-	switch {
-	case errors.As(err, &refused):
-		return Choice{}, err
-	case err != nil:
-		return Choice{}, errors.Wrap(err, "wait for a model")
+	if len(servers) == 0 {
+		return Choice{}, false
 	}
-	replica := swap.Replica{Server: grant.Server.ID, Model: r.Model}
-	choice := p.choice(grant.Server, "granted by the holder", p.Swaps.Begin(r.Service.Name, replica))
-	choice.Tier = grant.Tier
-	return choice, nil
+	best := p.best(servers, r, func(azurehitch.FleetServer) int { return 0 })
+	replica := swap.Replica{Server: best.ID, Model: r.Model}
+	return p.choice(best.ServerIdentity, "listed, no holder answers", p.Swaps.Begin(r.Service.Name, replica)), true
+}
+
+func holds(s azurehitch.FleetServer, model, adapter string) bool {
+	return slices.ContainsFunc(s.Loaded, func(m azurehitch.LoadedModel) bool {
+		return m.Name == model && (adapter == "" || slices.Contains(m.Adapters, adapter))
+	})
 }
 
 // placeOnKept chooses among the replicas that stay. Adapters come and go, so a request for
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -229,6 +229,10 @@
 	if sent, waiting := m.lastClaim[pool.Name]; waiting && now.Sub(sent) < claimRetry {
 		return nil
 	}
+	if lease.Holder.Daemon == m.self.Daemon && !lease.IsFree() {
+		// An earlier process of this daemon held it. It has ended: this one has its addresses.
+		return &Claim{Pool: pool.Name, Seen: lease.Last, Duration: pool.Duration}
+	}
 	claimableAt := m.claimableAt(lease, pool, now)
 	if now.Before(claimableAt) || now.Before(claimableAt.Add(m.preference(pool.Name, environment))) {
 		return nil
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -60,7 +60,7 @@
 	candidates := slices.DeleteFunc(p.replicas(need.Model), func(s *server) bool {
 		// An adapter that is being unloaded still takes its place.
 		_, placed := s.replicas[need.Model].adapters[need.Adapter]
-		return placed || !s.known || s.adapterOrders >= adaptersInTransit || slices.Contains(need.Avoid, s.ID)
+		return placed || !s.takesAdapters(now) || s.adapterOrders >= adaptersInTransit || slices.Contains(need.Avoid, s.ID)
 	})
 	slices.SortFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -56,7 +56,8 @@
 	w.Need = need
 	p.waiters[need.ID] = w
 	estimate, reason := p.estimate(need, now)
-	if estimate > p.settings.QueueTime || now.Add(estimate+p.settings.AnswerMargin).After(need.Deadline) {
+	margin := time.Duration(p.settings.AnswerPart * float64(need.Deadline.Sub(w.since)))
+	if estimate > p.settings.QueueTime || now.Add(estimate+margin).After(need.Deadline) {
 		delete(p.waiters, need.ID)
 		return Verdict{Kind: VerdictRefused, Estimate: estimate, Reason: reason}
 	}
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -171,7 +171,7 @@
 	if s := p.bestHome(name, now, inProgress); s != nil {
 		return p.loadOrMakeRoom(s, name, "requests wait, a copy is near", now, inProgress)
 	}
-	if p.hasHome(name) && !p.isBusy(name, now) || *remote <= 0 {
+	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name, inProgress) {
 		return Order{}, false
 	}
 	s := p.bestForRemote(name, now, inProgress)
@@ -185,6 +185,17 @@
 	return order, ok
 }
 
+// isCrowded reports whether the replicas of a model have so many requests that a further one
+// is worth a load from the weight store.
+func (p *Plan) isCrowded(name string, inProgress map[Replica]int) bool {
+	replicas := p.replicas(name)
+	requests := 0
+	for _, s := range replicas {
+		requests += load(inProgress, s.ID)
+	}
+	return len(replicas) > 0 && float64(requests) > p.settings.RemoteReplicaLoad*float64(p.slots()*len(replicas))
+}
+
 // bestHome returns the server with a copy from which the model is ready soonest.
 func (p *Plan) bestHome(name string, now time.Time, inProgress map[Replica]int) *server {
 	limits := p.limits.Models[name]
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -46,19 +46,23 @@
 	// ReplicaLoad is the part of a server's slots up to which a replica is filled before
 	// a further one is loaded.
 	ReplicaLoad float64
-	// AnswerMargin is kept of a deadline for the answer itself.
-	AnswerMargin time.Duration
+	// AnswerPart is the part of the time of a request that is kept for the answer itself.
+	AnswerPart float64
+	// RemoteReplicaLoad is the part of the slots of its replicas that a model fills before a
+	// further replica comes from the weight store.
+	RemoteReplicaLoad float64
 }
 
 // DefaultSettings returns the settings of a service with nothing special.
 func DefaultSettings() Settings {
 	return Settings{
-		RemoteLoads:  4,
-		SwapTime:     300 * time.Millisecond,
-		QueueTime:    14 * time.Second,
-		BusyRate:     0.8,
-		ReplicaLoad:  0.4,
-		AnswerMargin: 2 * time.Second,
+		RemoteLoads:       4,
+		SwapTime:          300 * time.Millisecond,
+		QueueTime:         14 * time.Second,
+		BusyRate:          0.8,
+		ReplicaLoad:       0.15,
+		AnswerPart:        0.12,
+		RemoteReplicaLoad: 0.6,
 	}
 }
 
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -132,8 +132,15 @@
 // takesRequests reports whether new requests may go to the server.
 func (s *server) takesRequests() bool { return !s.leaving && !s.missing }
 
-// takesOrders reports whether an order for a model may be given now.
+// takesOrders reports whether an order for a model may be given now. A server refuses any
+// order while one is carried out.
 func (s *server) takesOrders(now time.Time) bool {
+	return s.takesAdapters(now) && s.adapterOrders == 0
+}
+
+// takesAdapters reports whether an order for an adapter may be given now. Several may be on
+// their way at once.
+func (s *server) takesAdapters(now time.Time) bool {
 	return s.known && !s.leaving && !s.missing && s.order == nil && now.Sub(s.failedAt) >= failurePause
 }
 
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -23,6 +23,8 @@
 	// completionPause is how often the report of a server is read towards the end of an
 	// order.
 	completionPause = 80 * time.Millisecond
+	// completionMargin is added to the expected time of an order whose end isn't looked for.
+	completionMargin = 12 * time.Millisecond
 	// unloadTime is about what an unload takes when nothing runs.
 	unloadTime = 30 * time.Millisecond
 	// maxSends bounds how often an order is sent.
@@ -159,11 +161,13 @@
 	switch {
 	case e.answer == azurehitch.OrderHolds:
 		return swap.OutcomeDone
-	case e.order.Adapter == "" || e.order.Kind == azurehitch.OrderUnload:
+	case e.order.Tier == azurehitch.CacheTierRemote, e.order.Adapter != "" && e.order.Kind == azurehitch.OrderUnload:
 		return e.await(ctx)
 	}
-	// The context's end shows in the next order.
-	_ = e.holder.Clock.Sleep(ctx, e.order.Expected)
+	// Loads from near copies take what they should, and an unload of what nobody uses takes
+	// no time. Reports are older than that: a server that is not done yet refuses the next
+	// order, and the request. The context's end shows in the next order.
+	_ = e.holder.Clock.Sleep(ctx, e.order.Expected+completionMargin)
 	return swap.OutcomeDone
 }
 
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -33,6 +33,9 @@
 	askTimeout = 1200 * time.Millisecond
 	// askAgain is the pause before a holder is looked up again.
 	askAgain = 60 * time.Millisecond
+	// holderPatience is how long a question goes without an answer before the request is
+	// placed without the holder.
+	holderPatience = 250 * time.Millisecond
 	// reportInterval is how often changed demand is reported, and idleReportInterval how
 	// often any is.
 	reportInterval     = 250 * time.Millisecond
@@ -42,8 +45,8 @@
 	tableTTL = 4 * time.Second
 )
 
-// errNoHolder says that no daemon is known to hold a service.
-var errNoHolder = errors.New("no daemon is known to hold the service")
+// ErrNoHolder says that no daemon answers as the holder of a service.
+var ErrNoHolder = errors.New("no daemon answers as the holder of the service")
 
 // Dependencies are what the client needs.
 type Dependencies struct {
@@ -74,8 +77,10 @@
 }
 
 // Find returns where a request may go, and waits for that if need be. The error is an
-// *azurehitch.ErrRefused, or that of the context.
+// *azurehitch.ErrRefused, that of the context, or ErrNoHolder when no holder has answered for
+// some time.
 func (c *Client) Find(ctx context.Context, service string, need swap.Need) (swap.Grant, error) {
+	answeredAt := c.Clock.Now()
 	for {
 		verdict, err := c.ask(ctx, service, need)
 		if ctx.Err() != nil {
@@ -84,11 +89,15 @@
 		}
 		if err != nil {
 			c.Metrics.Add(metrics.PeerErrors, 1)
+			if c.Clock.Now().Sub(answeredAt) >= holderPatience {
+				return swap.Grant{}, ErrNoHolder
+			}
 			if err := c.Clock.Sleep(ctx, askAgain); err != nil {
 				return swap.Grant{}, errors.Wrap(err, "no holder answers")
 			}
 			continue
 		}
+		answeredAt = c.Clock.Now()
 		switch verdict.Kind {
 		case swap.VerdictGranted:
 			c.granted(service, verdict.Grant)
@@ -114,7 +123,7 @@
 	}
 	answer, ok := response.Kind.(*peerpb.Response_SwapAsk)
 	if !ok {
-		return swap.Verdict{}, errNoHolder
+		return swap.Verdict{}, ErrNoHolder
 	}
 	return verdictFromProto(answer.SwapAsk), nil
 }
@@ -122,7 +131,7 @@
 func (c *Client) call(ctx context.Context, daemon string, timeout time.Duration, request *peerpb.Request) (*peerpb.Response, error) {
 	address, ok := c.Address(daemon)
 	if !ok {
-		return nil, errNoHolder
+		return nil, ErrNoHolder
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -168,7 +177,7 @@
 	}
 	answer, ok := response.Kind.(*peerpb.Response_SwapReport)
 	if !ok {
-		return nil, errNoHolder
+		return nil, ErrNoHolder
 	}
 	return keptFromProto(answer.SwapReport.Kept), nil
 }
