Several replicas of a model on the rise are loaded at once; full servers queue at the holder

Replicas were loaded one after the other, and servers got more requests than they have slots. Change: the missing replicas of a model are loaded at once from near copies; a request waits at the holder while the slots of its replicas are taken, the most urgent first, and is refused at once when the wait is longer than its caller stays; an order refused because of the one before it is sent again after 40 ms.

--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -30,6 +30,9 @@
 	// foreignPenalty is the part of a server's slots by which servers of the own failure
 	// domain may be fuller than others.
 	foreignPenalty = 0.1
+	// fullPart is the part of a server's slots up to which requests are placed without asking
+	// the holder.
+	fullPart = 0.9
 	// emptyRetry tells when to come back to a service without servers.
 	emptyRetry = 500 * time.Millisecond
 )
@@ -213,7 +216,7 @@
 	})
 }
 
-// placeOnKept chooses among the replicas that stay. Adapters come and go, so a request for
+// placeOnKept chooses among the replicas that stay and have free slots. Adapters come and go, so a request for
 // one asks the holder.
 func (p *Placer) placeOnKept(r Request) (Choice, bool) {
 	if r.Adapter != "" {
@@ -224,8 +227,8 @@
 		counts[k.Server] = k.Requests
 	}
 	servers := slices.DeleteFunc(p.candidates(r), func(s azurehitch.FleetServer) bool {
-		_, kept := counts[s.ID]
-		return !kept || slices.Contains(r.Tried, s.ID)
+		requests, kept := counts[s.ID]
+		return !kept || slices.Contains(r.Tried, s.ID) || float64(requests) >= fullPart*float64(s.Slots)
 	})
 	if len(servers) == 0 {
 		return Choice{}, false
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -21,10 +21,10 @@
 )
 
 // loadAdapters returns the orders for adapters that requests wait for.
-func (p *Plan) loadAdapters(now time.Time) []Order {
+func (p *Plan) loadAdapters(now time.Time, inProgress map[Replica]int) []Order {
 	var orders []Order
 	for _, w := range p.sortedWaiters() {
-		if w.Adapter == "" || p.adapterUnderWay(w.Need) || p.choose(w.Need, now) != nil {
+		if w.Adapter == "" || p.adapterUnderWay(w.Need) || p.choose(w.Need, inProgress) != nil {
 			continue
 		}
 		if order, ok := p.loadAdapter(w.Need, now); ok {
@@ -39,9 +39,7 @@
 	for _, w := range p.waiters {
 		waiters = append(waiters, w)
 	}
-	slices.SortFunc(waiters, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(waiters, compareWaiters)
 	return waiters
 }
 
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -48,14 +48,15 @@
 		p.countAsk(need, now)
 		w = &waiter{Need: need, since: now}
 	}
-	if s := p.choose(need, now); s != nil {
+	inProgress := p.inProgress(now)
+	if s := p.choose(need, inProgress); s != nil && p.isNext(w, inProgress) {
 		delete(p.waiters, need.ID)
 		return Verdict{Kind: VerdictGranted, Grant: p.grant(need, s, w.tier, now), Reason: "replica is ready"}
 	}
 	w.renewed = now
 	w.Need = need
 	p.waiters[need.ID] = w
-	estimate, reason := p.estimate(need, now)
+	estimate, reason := p.estimate(w, inProgress, now)
 	margin := time.Duration(p.settings.AnswerPart * float64(need.Deadline.Sub(w.since)))
 	if estimate > p.settings.QueueTime || now.Add(estimate+margin).After(need.Deadline) {
 		delete(p.waiters, need.ID)
@@ -91,10 +92,11 @@
 	return Grant{Server: s.ServerIdentity, Number: p.lastGrant, Tier: tier}
 }
 
-// choose returns the best server on which the model, and the adapter, take requests.
-func (p *Plan) choose(need Need, now time.Time) *server {
+// choose returns the best server on which the model, and the adapter, take requests, and
+// whose slots are not all taken.
+func (p *Plan) choose(need Need, inProgress map[Replica]int) *server {
 	candidates := slices.DeleteFunc(p.replicas(need.Model), func(s *server) bool {
-		if slices.Contains(need.Avoid, s.ID) {
+		if slices.Contains(need.Avoid, s.ID) || load(inProgress, s.ID) >= s.slots {
 			return true
 		}
 		return need.Adapter != "" && !s.replicas[need.Model].hasAdapter(need.Adapter)
@@ -102,7 +104,6 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	inProgress := p.inProgress(now)
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
 			compareBool(p.isFull(a, inProgress), p.isFull(b, inProgress)),
@@ -112,11 +113,42 @@
 	})
 }
 
-// isFull reports whether a server has its part of requests.
+// isFull reports whether a server has as many requests as it serves without delay.
 func (p *Plan) isFull(s *server, inProgress map[Replica]int) bool {
 	return float64(load(inProgress, s.ID)) >= p.settings.ReplicaLoad*2*float64(s.slots)
 }
 
+// isNext reports whether the free slots at the replicas of a model suffice for those of its
+// waiters that go first, and this one.
+func (p *Plan) isNext(w *waiter, inProgress map[Replica]int) bool {
+	return p.ahead(w) < p.freeSlots(w.Model, inProgress)
+}
+
+// ahead is the number of waiters for the same model that go first: those of more urgent
+// routes, then those that wait longer.
+func (p *Plan) ahead(w *waiter) int {
+	ahead := 0
+	for _, other := range p.waiters {
+		if other.Model == w.Model && other.ID != w.ID && compareWaiters(other, w) < 0 {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+func compareWaiters(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID))
+}
+
+// freeSlots is the number of further requests that the replicas of a model take at once.
+func (p *Plan) freeSlots(name string, inProgress map[Replica]int) int {
+	free := 0
+	for _, s := range p.replicas(name) {
+		free += max(s.slots-load(inProgress, s.ID), 0)
+	}
+	return free
+}
+
 func (r *replica) hasAdapter(name string) bool {
 	a, ok := r.adapters[name]
 	return ok && a.state == stateReady
@@ -134,12 +166,17 @@
 }
 
 // estimate returns how long a request for a model will wait, and why.
-func (p *Plan) estimate(need Need, now time.Time) (time.Duration, string) {
+func (p *Plan) estimate(w *waiter, inProgress map[Replica]int, now time.Time) (time.Duration, string) {
+	need := w.Need
 	limits, known := p.limits.Models[need.Model]
 	if !known {
 		return p.settings.QueueTime * 2, "the model is not configured"
 	}
-	if len(p.replicas(need.Model)) > 0 {
+	if replicas := len(p.replicas(need.Model)); replicas > 0 {
+		if behind := p.ahead(w) - p.freeSlots(need.Model, inProgress); behind >= 0 {
+			rate := float64(replicas*p.slots()) / p.settings.RunTime.Seconds()
+			return time.Duration(float64(behind+1) / rate * float64(time.Second)), "the servers are full"
+		}
 		return p.settings.SwapTime, "the adapter is loaded"
 	}
 	for _, s := range p.list {
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -47,11 +47,15 @@
 	var orders []Order
 	remote := p.settings.RemoteLoads - len(p.remoteEnds(now))
 	for _, name := range p.needed(now, inProgress) {
-		if order, ok := p.serve(name, now, inProgress, &remote); ok {
+		for range p.missing(name, now, inProgress) {
+			order, ok := p.serve(name, now, inProgress, &remote)
+			if !ok {
+				break
+			}
 			orders = append(orders, order)
 		}
 	}
-	orders = append(orders, p.loadAdapters(now)...)
+	orders = append(orders, p.loadAdapters(now, inProgress)...)
 	orders = append(orders, p.invest(now, inProgress, remote)...)
 	orders = append(orders, p.makeRoom(now, inProgress)...)
 	return orders
@@ -108,28 +112,24 @@
 func (p *Plan) needed(now time.Time, inProgress map[Replica]int) []string {
 	needed := p.wanted(now)
 	for _, name := range slices.Sorted(maps.Keys(p.models)) {
-		if p.isBusy(name, now) && len(p.replicas(name)) < p.replicasNeeded(name, now, inProgress) && !slices.Contains(needed, name) {
+		if p.isBusy(name, now) && !slices.Contains(needed, name) {
 			needed = append(needed, name)
 		}
 	}
 	return needed
 }
 
+// missing is the number of replicas to be loaded of a model beside those that are ready or
+// being loaded. One that requests wait for needs one at least.
+func (p *Plan) missing(name string, now time.Time, inProgress map[Replica]int) int {
+	needed := max(p.replicasNeeded(name, now, inProgress), 1)
+	return max(needed-len(p.replicas(name))-p.loading(name), 0)
+}
+
 // replicasNeeded is the number of replicas that the demand for a model fills.
 func (p *Plan) replicasNeeded(name string, now time.Time, inProgress map[Replica]int) int {
-	requests := 0
-	for r, n := range inProgress {
-		if r.Model == name {
-			requests += n
-		}
-	}
-	for _, w := range p.waiters {
-		if w.Model == name {
-			requests++
-		}
-	}
 	perReplica := p.settings.ReplicaLoad * float64(p.slots())
-	needed := int(math.Ceil(float64(requests) / max(perReplica, 1)))
+	needed := int(math.Ceil(p.requests(name, inProgress) / max(perReplica, 1)))
 	if p.isBusy(name, now) {
 		// A second replica carries on when the server of the first is lost.
 		needed = max(needed, 2)
@@ -154,20 +154,21 @@
 	return false
 }
 
-func (p *Plan) isLoading(name string) bool {
+func (p *Plan) isLoading(name string) bool { return p.loading(name) > 0 }
+
+// loading is the number of servers that load a model.
+func (p *Plan) loading(name string) int {
+	count := 0
 	for _, s := range p.servers {
 		if r, ok := s.replicas[name]; ok && r.state == stateLoading && !s.leaving {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // serve returns the next order towards a replica of a model, if one is due.
 func (p *Plan) serve(name string, now time.Time, inProgress map[Replica]int, remote *int) (Order, bool) {
-	if p.isLoading(name) {
-		return Order{}, false
-	}
 	if s := p.bestHome(name, now, inProgress); s != nil {
 		return p.loadOrMakeRoom(s, name, "requests wait, a copy is near", now, inProgress)
 	}
@@ -185,15 +186,27 @@
 	return order, ok
 }
 
-// isCrowded reports whether the replicas of a model have so many requests that a further one
-// is worth a load from the weight store.
+// isCrowded reports whether the replicas of a model, with those that are being loaded, have
+// so many requests that a further one is worth a load from the weight store.
 func (p *Plan) isCrowded(name string, inProgress map[Replica]int) bool {
-	replicas := p.replicas(name)
-	requests := 0
-	for _, s := range replicas {
-		requests += load(inProgress, s.ID)
+	replicas := len(p.replicas(name)) + p.loading(name)
+	return replicas > 0 && p.requests(name, inProgress) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
+}
+
+// requests is the number of requests for a model that are in progress or wait.
+func (p *Plan) requests(name string, inProgress map[Replica]int) float64 {
+	count := 0
+	for r, n := range inProgress {
+		if r.Model == name {
+			count += n
+		}
+	}
+	for _, w := range p.waiters {
+		if w.Model == name {
+			count++
+		}
 	}
-	return len(replicas) > 0 && float64(requests) > p.settings.RemoteReplicaLoad*float64(p.slots()*len(replicas))
+	return float64(count)
 }
 
 // bestHome returns the server with a copy from which the model is ready soonest.
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -46,6 +46,8 @@
 	// ReplicaLoad is the part of a server's slots up to which a replica is filled before
 	// a further one is loaded.
 	ReplicaLoad float64
+	// RunTime is about how long a request runs on a server whose slots are all taken.
+	RunTime time.Duration
 	// AnswerPart is the part of the time of a request that is kept for the answer itself.
 	AnswerPart float64
 	// RemoteReplicaLoad is the part of the slots of its replicas that a model fills before a
@@ -61,6 +63,7 @@
 		QueueTime:         14 * time.Second,
 		BusyRate:          0.8,
 		ReplicaLoad:       0.15,
+		RunTime:           2500 * time.Millisecond,
 		AnswerPart:        0.12,
 		RemoteReplicaLoad: 0.6,
 	}
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -201,9 +201,14 @@
 
 // notify lets the questions look again, and the plan decide.
 func (h *holder) notify() {
+	h.notifyAsks()
+	h.wakeUp()
+}
+
+// notifyAsks lets the questions look again.
+func (h *holder) notifyAsks() {
 	close(h.changed)
 	h.changed = make(chan struct{})
-	h.wakeUp()
 }
 
 func (h *holder) wakeUp() {
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -20,6 +20,11 @@
 	reportLag = 250 * time.Millisecond
 	// orderPause is the pause before an order is sent again.
 	orderPause = 100 * time.Millisecond
+	// conflictPause is the pause before an order is sent again that was refused because of
+	// another: mostly the one before it, which needs a little longer than expected. After
+	// maxQuickConflicts, the report is read.
+	conflictPause     = 40 * time.Millisecond
+	maxQuickConflicts = 4
 	// completionPause is how often the report of a server is read towards the end of an
 	// order.
 	completionPause = 80 * time.Millisecond
@@ -28,7 +33,7 @@
 	// unloadTime is about what an unload takes when nothing runs.
 	unloadTime = 30 * time.Millisecond
 	// maxSends bounds how often an order is sent.
-	maxSends = 8
+	maxSends = 12
 	// maxUnreached bounds how often an order is tried at a server that can't be reached.
 	maxUnreached = 3
 	// reportsMissing is how long a server may give no report when an order should end.
@@ -45,6 +50,9 @@
 	// been accepted.
 	unanswered bool
 	sends      int
+	// conflicts is how often the server refused the order by the count, or because it carries
+	// out another.
+	conflicts int
 	// unreached is how often the server could not be reached, or had no room.
 	unreached int
 	// accepted is the count of orders at the server once it has accepted this one.
@@ -187,6 +195,10 @@
 	}
 	pause := orderPause
 	if e.answer == azurehitch.OrderConflict {
+		e.conflicts++
+		if e.conflicts <= maxQuickConflicts {
+			return "", e.holder.Clock.Sleep(ctx, conflictPause) != nil
+		}
 		pause = reportLag
 	}
 	if err := e.holder.Clock.Sleep(ctx, pause); err != nil {
