--- /dev/null
+++ b/internal/placement/swap/plan_test.go
@@ -0,0 +1,274 @@
+package swap_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/placement/swap"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestSwap(t *testing.T) {
+	t.Run("a loaded model is granted at once", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0"}, names("m", 0, 4))
+		verdict := w.ask(w.need("r", "m0"))
+		w.assertKind(verdict, swap.VerdictGranted)
+		w.Assert(verdict.Grant.Server.ID, qt.Equals, "s0")
+	})
+	t.Run("a copy on disk is loaded into free room", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0"}, names("m", 0, 4))
+		w.assertKind(w.ask(w.need("r", "m3")), swap.VerdictWaiting)
+		orders := w.decide()
+		w.assertOrder(orders[0], azurehitch.OrderLoad, "s0", "m3")
+		w.Assert(orders[0].Tier, qt.Equals, azurehitch.CacheTierDisk)
+		w.carryOut(orders)
+		verdict := w.ask(w.need("r", "m3"))
+		w.assertKind(verdict, swap.VerdictGranted)
+		w.Assert(verdict.Grant.Tier, qt.Equals, azurehitch.CacheTierDisk)
+	})
+	t.Run("an idle model makes room, one in use doesn't", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0", "m1"}, names("m", 0, 4))
+		w.assertKind(w.ask(w.need("user", "m0")), swap.VerdictGranted)
+		w.ask(w.need("r", "m3"))
+		orders := w.decide()
+		w.assertOrder(orders[0], azurehitch.OrderUnload, "s0", "m1")
+		w.carryOut(orders)
+		w.assertOrder(w.decide()[0], azurehitch.OrderLoad, "s0", "m3")
+	})
+	t.Run("one order at a time is given to a server", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", nil, names("m", 0, 4))
+		w.ask(w.need("a", "m0"))
+		w.ask(w.need("b", "m1"))
+		w.Assert(w.decide(), qt.HasLen, 1)
+		w.Assert(w.decide(), qt.HasLen, 0)
+	})
+	t.Run("a server that leaves gets neither requests nor orders", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0"}, names("m", 0, 4))
+		w.servers[0].Leaving = true
+		w.plan.SetServers(w.servers)
+		w.ask(w.need("r", "m0"))
+		w.Assert(w.decide(), qt.HasLen, 0)
+	})
+}
+
+// TestStoreLoads answers the load of a fleet in which some models have no copy near any
+// server, with the weight store at its limit.
+func TestStoreLoads(t *testing.T) {
+	t.Run("no more than the limit at once", func(t *testing.T) {
+		w := newWorld(t, 30)
+		for i := range 8 {
+			w.add(fmt.Sprintf("s%d", i), nil, []string{fmt.Sprintf("m%d", i)})
+		}
+		w.Assert(w.decide(), qt.HasLen, swap.DefaultSettings().RemoteLoads)
+		w.Assert(w.decide(), qt.HasLen, 0)
+	})
+	t.Run("what is asked for most goes first", func(t *testing.T) {
+		w := newWorld(t, 30)
+		w.add("s0", nil, nil)
+		w.ask(w.need("a", "m7"))
+		w.ask(w.need("b", "m9"))
+		w.ask(w.need("c", "m9"))
+		w.Assert(w.decide()[0].Model, qt.Equals, "m9")
+	})
+	t.Run("a model whose home is busy is not loaded from the store", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0"}, names("m", 0, 4))
+		w.ask(w.need("a", "m1"))
+		first := w.decide()
+		w.assertOrder(first[0], azurehitch.OrderLoad, "s0", "m1")
+		w.add("s1", nil, []string{"m0"})
+		w.ask(w.need("b", "m2"))
+		w.Assert(w.decide(), qt.HasLen, 0)
+		w.carryOut(first)
+		w.assertOrder(w.decide()[0], azurehitch.OrderUnload, "s0", "m0")
+	})
+	t.Run("who can't be served in time is refused at once, with when to come back", func(t *testing.T) {
+		w := newWorld(t, 60)
+		w.add("s0", nil, nil)
+		refused := 0
+		for i := range 60 {
+			verdict := w.ask(w.need(fmt.Sprintf("r%d", i), fmt.Sprintf("m%d", i)))
+			if verdict.Kind == swap.VerdictRefused {
+				refused++
+				w.Assert(verdict.Estimate > 0, qt.IsTrue)
+			}
+		}
+		w.Assert(refused > 40, qt.IsTrue, qt.Commentf("%d refused", refused))
+		w.Assert(refused < 60, qt.IsTrue)
+	})
+}
+
+// TestUnknownServers answers holders that take over, and answers that got lost.
+func TestUnknownServers(t *testing.T) {
+	t.Run("no order before the first report", func(t *testing.T) {
+		w := newWorld(t, 4)
+		s := w.add("s0", nil, names("m", 0, 4))
+		w.plan = swap.New(w.limits, swap.DefaultSettings(), 2)
+		w.plan.SetServers(w.servers)
+		w.ask(w.need("r", "m0"))
+		w.Assert(w.decide(), qt.HasLen, 0)
+		w.Assert(w.plan.Unknown(), qt.DeepEquals, []azurehitch.ServerIdentity{s.ServerIdentity})
+		w.report(s, 3)
+		w.Assert(w.decide()[0].AfterOrders, qt.Equals, int64(3))
+	})
+	t.Run("no order while a former holder's is carried out", func(t *testing.T) {
+		w := newWorld(t, 4)
+		s := w.add("s0", nil, names("m", 0, 4))
+		w.plan.Observe(s.ServerIdentity, azurehitch.ServerReport{Orders: 3, Busy: true, Cached: s.Cached})
+		w.ask(w.need("r", "m0"))
+		w.Assert(w.decide(), qt.HasLen, 0)
+		w.Assert(w.plan.Unknown(), qt.HasLen, 1)
+	})
+	t.Run("an order without an outcome makes its server unknown", func(t *testing.T) {
+		w := newWorld(t, 4)
+		s := w.add("s0", nil, names("m", 0, 4))
+		w.ask(w.need("r", "m0"))
+		orders := w.decide()
+		w.plan.Finish(orders[0], swap.OutcomeUnknown, w.now)
+		w.pass(time.Second)
+		w.Assert(w.decide(), qt.HasLen, 0)
+		w.report(s, 1)
+		w.Assert(w.decide(), qt.HasLen, 1)
+	})
+	t.Run("an order of an earlier stay on the list must not be sent", func(t *testing.T) {
+		w := newWorld(t, 4)
+		s := w.add("s0", nil, names("m", 0, 4))
+		w.ask(w.need("r", "m0"))
+		order := w.decide()[0]
+		w.plan.SetServers(nil)
+		w.plan.SetServers(w.servers)
+		w.report(s, 0)
+		_, ok := w.plan.Orders(order)
+		w.Assert(ok, qt.IsFalse)
+		w.plan.Finish(order, swap.OutcomeDone, w.now)
+		w.assertKind(w.ask(w.need("r", "m0")), swap.VerdictWaiting)
+	})
+	t.Run("a restarted server holds nothing", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0"}, nil)
+		w.servers[0].Incarnation++
+		w.servers[0].Loaded = nil
+		w.plan.SetServers(w.servers)
+		w.assertKind(w.ask(w.need("r", "m0")), swap.VerdictWaiting)
+	})
+}
+
+func TestAdapters(t *testing.T) {
+	place := func(w *world, adapters ...string) {
+		for _, name := range adapters {
+			w.ask(w.adapterNeed("r-"+name, "m0", name))
+			w.carryOut(w.decide())
+			w.assertKind(w.ask(w.adapterNeed("r-"+name, "m0", name)), swap.VerdictGranted)
+		}
+	}
+	t.Run("one that was idle for longest makes a place", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.add("s0", []string{"m0"}, nil)
+		place(w, "a1", "a2")
+		w.pass(3 * time.Second)
+		w.ask(w.adapterNeed("r-a3", "m0", "a3"))
+		orders := w.decide()
+		w.Assert(orders[0].Kind, qt.Equals, azurehitch.OrderUnload)
+		w.Assert(orders[0].Adapter, qt.Equals, "a1")
+	})
+	t.Run("the places count until the unload has ended", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.add("s0", []string{"m0"}, nil)
+		place(w, "a1", "a2")
+		w.pass(3 * time.Second)
+		w.ask(w.adapterNeed("r-a3", "m0", "a3"))
+		unload := w.decide()
+		// The other place becomes free, and the adapter is asked for again while its own
+		// unload waits for its runs.
+		w.ask(w.adapterNeed("r-a4", "m0", "a4"))
+		w.carryOut(w.decide())
+		w.ask(w.adapterNeed("again-a1", "m0", "a1"))
+		for _, order := range w.decide() {
+			w.Assert(order.Adapter, qt.Not(qt.Equals), "a1")
+			w.Assert(order.Kind, qt.Equals, azurehitch.OrderLoad)
+		}
+		w.Assert(w.decide(), qt.HasLen, 0, qt.Commentf("both places are taken"))
+		w.carryOut(unload)
+	})
+	t.Run("a report is left out while orders are under way", func(t *testing.T) {
+		w := newWorld(t, 1)
+		s := w.add("s0", []string{"m0"}, nil)
+		w.ask(w.adapterNeed("r-a1", "m0", "a1"))
+		w.Assert(w.decide(), qt.HasLen, 1)
+		w.report(s, 0)
+		w.ask(w.adapterNeed("r-a2", "m0", "a2"))
+		w.ask(w.adapterNeed("r-a3", "m0", "a3"))
+		w.Assert(w.decide(), qt.HasLen, 1, qt.Commentf("one place is taken"))
+	})
+	t.Run("none beside an order for a model", func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.add("s0", []string{"m0"}, names("m", 0, 3))
+		w.ask(w.need("r", "m1"))
+		w.Assert(w.decide(), qt.HasLen, 1)
+		w.ask(w.adapterNeed("r-a1", "m0", "a1"))
+		w.Assert(w.decide(), qt.HasLen, 0)
+	})
+}
+
+// TestRise answers a model that most requests move to within seconds.
+func TestRise(t *testing.T) {
+	rise := func(t *testing.T) *world {
+		w := newWorld(t, 6)
+		for i := range 6 {
+			w.add(fmt.Sprintf("s%d", i), []string{fmt.Sprintf("m%d", i)}, []string{"m0"})
+		}
+		return w
+	}
+	t.Run("the missing replicas are loaded at once", func(t *testing.T) {
+		w := rise(t)
+		w.plan.Report("daemon-1", swap.Demand{
+			InProgress: map[swap.Replica]int{{Server: "s0", Model: "m0"}: 12},
+			Arrived:    map[string]int{"m0": 30},
+		}, w.now)
+		loads := 0
+		for _, order := range w.decide() {
+			if order.Kind == azurehitch.OrderLoad && order.Model == "m0" {
+				loads++
+			}
+		}
+		w.Assert(loads >= 3, qt.IsTrue, qt.Commentf("%d loads", loads))
+	})
+	t.Run("full servers queue, the most urgent first", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.add("s0", []string{"m0"}, nil)
+		for i := range slots {
+			w.assertKind(w.ask(w.need(fmt.Sprintf("r%d", i), "m0")), swap.VerdictGranted)
+		}
+		late := w.need("late", "m0")
+		urgent := w.need("urgent", "m0")
+		urgent.Urgency = 0
+		w.assertKind(w.ask(late), swap.VerdictWaiting)
+		w.assertKind(w.ask(urgent), swap.VerdictWaiting)
+		w.plan.Report("daemon-1", swap.Demand{
+			InProgress: map[swap.Replica]int{{Server: "s0", Model: "m0"}: slots - 1}, LastGrant: 1 << 40,
+		}, w.now)
+		w.assertKind(w.ask(late), swap.VerdictWaiting)
+		w.assertKind(w.ask(urgent), swap.VerdictGranted)
+	})
+	t.Run("callers that would leave first are refused at once", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.add("s0", []string{"m0"}, nil)
+		refused := 0
+		for i := range 6 * slots {
+			need := w.need(fmt.Sprintf("r%d", i), "m0")
+			need.Deadline = w.now.Add(2 * time.Second)
+			if w.ask(need).Kind == swap.VerdictRefused {
+				refused++
+			}
+		}
+		w.Assert(refused > 3*slots, qt.IsTrue, qt.Commentf("%d refused", refused))
+	})
+}
