--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -49,14 +49,14 @@
 	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", d.settings.Callers).Str("Peers", d.settings.Peers).
 		Str("Metrics", d.settings.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
 		Str("Incarnation", d.self.Incarnation).Msg("daemon started")
-	err := d.wait(group, running)
+	err := d.wait(running, group)
 	d.peers.Close()
 	d.Logs.Layer(logging.LayerDaemon).Info().Err(err).Msg("daemon stopped")
 	return err
 }
 
 // wait waits for the loops, and not long for those that are in a call when the daemon stops.
-func (d *Daemon) wait(group *errgroup.Group, running context.Context) error {
+func (d *Daemon) wait(running context.Context, group *errgroup.Group) error {
 	ended := make(chan error, 1)
 	var waiter errgroup.Group
 	waiter.Go(func() error {
--- /dev/null
+++ b/internal/forward/retrybudget/budget_test.go
@@ -0,0 +1,86 @@
+package retrybudget_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"azurehitch/internal/forward/retrybudget"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// handClock is a clock that is moved by hand.
+type handClock struct{ now time.Time }
+
+// Now implements azurehitch.Clock.
+func (c *handClock) Now() time.Time { return c.now }
+
+// Sleep implements azurehitch.Clock.
+func (c *handClock) Sleep(_ context.Context, d time.Duration) error {
+	c.now = c.now.Add(d)
+	return nil
+}
+
+var limits = retrybudget.Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+
+// TestSum checks the bound over all daemons in each window, while requests come as they
+// like and daemons start anew.
+func TestSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 5
+		clock := &handClock{now: time.Unix(1000, 0)}
+		budgets := make([]*retrybudget.Budget, daemons)
+		for i := range budgets {
+			budgets[i] = retrybudget.New(clock, limits, func() int { return daemons })
+		}
+		var requests, repeats []time.Time
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			budgets[i].Earn("llm")
+			requests = append(requests, clock.now)
+			for range rapid.IntRange(0, 3).Draw(t, "tries") {
+				if budgets[i].Spend("llm") {
+					repeats = append(repeats, clock.now)
+				}
+			}
+		}
+		for _, end := range repeats {
+			allowed := limits.Ratio*float64(within(requests, end)) + limits.Slack
+			if n := float64(within(repeats, end)); n > allowed {
+				t.Fatalf("%v repeats in the window before %v, %v are allowed", n, end, allowed)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, end time.Time) int {
+	count := 0
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) < limits.Window {
+			count++
+		}
+	}
+	return count
+}
+
+func TestSpend(t *testing.T) {
+	c := qt.New(t)
+	clock := &handClock{now: time.Unix(1000, 0)}
+	budget := retrybudget.New(clock, limits, func() int { return 1 })
+	spend := func() int {
+		n := 0
+		for budget.Spend("llm") {
+			n++
+		}
+		return n
+	}
+	first := spend()
+	c.Assert(first > 0, qt.IsTrue)
+	c.Assert(float64(first) <= limits.Slack/2, qt.IsTrue, qt.Commentf("an earlier process may have used a part: %d", first))
+	c.Assert(spend(), qt.Equals, 0)
+	clock.now = clock.now.Add(2 * limits.Window)
+	c.Assert(spend() > first, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/forward/router/paths_test.go
@@ -0,0 +1,51 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+
+	"azurehitch"
+	"azurehitch/internal/forward/router"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestPathIndex(t *testing.T) {
+	index := router.NewPathIndex(azurehitch.RoutingTable{Version: 1, Routes: []azurehitch.PathRoute{
+		{Name: "short", Host: "a.example", PathPrefix: "/notes/"},
+		{Name: "long", Host: "a.example", PathPrefix: "/notes/daily/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/"},
+	}})
+	for _, test := range []struct{ host, path, route string }{
+		{"a.example", "/notes/x", "short"},
+		{"a.example", "/notes/daily/x", "long"},
+		{"a.example", "/notes/dailyx", "short"},
+		{"A.Example:8080", "/notes/x", "short"},
+		{"a.example", "/notes", ""},
+		{"b.example", "/anything", "other"},
+		{"c.example", "/notes/x", ""},
+	} {
+		t.Run(test.host+test.path, func(t *testing.T) {
+			route, ok := index.Route(test.host, test.path)
+			c := qt.New(t)
+			c.Assert(ok, qt.Equals, test.route != "")
+			c.Assert(route.Name, qt.Equals, test.route)
+		})
+	}
+}
+
+func TestSplit(t *testing.T) {
+	c := qt.New(t)
+	route := azurehitch.PathRoute{Targets: []azurehitch.RouteTarget{{Service: "new", Weight: 10}, {Service: "old", Weight: 90}}}
+	const requests = 2000
+	first := 0
+	for i := range requests {
+		id := fmt.Sprintf("request-%d", i)
+		service := router.Service(route, id)
+		c.Assert(router.Service(route, id), qt.Equals, service)
+		if service == "new" {
+			first++
+		}
+	}
+	c.Assert(first > requests/20 && first < requests/5, qt.IsTrue, qt.Commentf("%d of %d", first, requests))
+}
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -46,7 +46,7 @@
 	p.keep(now, inProgress)
 	var orders []Order
 	remote := p.settings.RemoteLoads - len(p.remoteEnds(now))
-	for _, name := range p.needed(now, inProgress) {
+	for _, name := range p.needed(now) {
 		for range p.missing(name, now, inProgress) {
 			order, ok := p.serve(name, now, inProgress, &remote)
 			if !ok {
@@ -109,7 +109,7 @@
 }
 
 // needed returns the models that a replica should be loaded of, the most urgent first.
-func (p *Plan) needed(now time.Time, inProgress map[Replica]int) []string {
+func (p *Plan) needed(now time.Time) []string {
 	needed := p.wanted(now)
 	for _, name := range slices.Sorted(maps.Keys(p.models)) {
 		if p.isBusy(name, now) && !slices.Contains(needed, name) {
@@ -220,7 +220,7 @@
 		}
 		took := limits.LoadTime(s.tier(name))
 		if s.free(p.limits) < limits.Memory {
-			if p.victim(s, limits.Memory, now, inProgress) == "" {
+			if p.victim(s, limits.Memory, inProgress) == "" {
 				continue
 			}
 			took += p.settings.SwapTime
@@ -241,7 +241,7 @@
 		if _, loaded := s.replicas[name]; loaded || !s.takesOrders(now) {
 			continue
 		}
-		if s.free(p.limits) >= memory || p.victim(s, memory, now, inProgress) != "" {
+		if s.free(p.limits) >= memory || p.victim(s, memory, inProgress) != "" {
 			candidates = append(candidates, s)
 		}
 	}
@@ -263,7 +263,7 @@
 	if s.free(p.limits) >= limits.Memory {
 		return p.bookLoad(s, name, reason, now), true
 	}
-	victim := p.victim(s, limits.Memory, now, inProgress)
+	victim := p.victim(s, limits.Memory, inProgress)
 	if victim == "" {
 		return Order{}, false
 	}
@@ -272,11 +272,11 @@
 
 // victim returns the replica that makes room: an idle one that is not kept, least
 // recently used. It returns none if the room would not suffice.
-func (p *Plan) victim(s *server, memory azurehitch.ByteSize, now time.Time, inProgress map[Replica]int) string {
+func (p *Plan) victim(s *server, memory azurehitch.ByteSize, inProgress map[Replica]int) string {
 	best := ""
 	free := s.free(p.limits)
 	for _, name := range s.replicaNames() {
-		if !p.isIdle(s, name, now, inProgress) {
+		if !p.isIdle(s, name, inProgress) {
 			continue
 		}
 		free += p.limits.Models[name].Memory
@@ -291,7 +291,7 @@
 }
 
 // isIdle reports whether a replica may be unloaded: nobody uses it or waits for it.
-func (p *Plan) isIdle(s *server, name string, now time.Time, inProgress map[Replica]int) bool {
+func (p *Plan) isIdle(s *server, name string, inProgress map[Replica]int) bool {
 	r := s.replicas[name]
 	if r.state != stateReady || inProgress[Replica{Server: s.ID, Model: name}] > 0 || p.isKept(s.ID, name) {
 		return false
@@ -379,7 +379,7 @@
 		if !s.takesOrders(now) || s.free(p.limits) >= largest {
 			continue
 		}
-		name := p.victim(s, largest, now, inProgress)
+		name := p.victim(s, largest, inProgress)
 		if name == "" || now.Sub(s.replicas[name].lastUsed) < idleBeforeUnload {
 			continue
 		}
--- a/internal/placement/swap/world_test.go
+++ b/internal/placement/swap/world_test.go
@@ -95,20 +95,6 @@
 	}
 }
 
-// settle decides and carries out until nothing is due.
-func (w *world) settle() []swap.Order {
-	var all []swap.Order
-	for range 50 {
-		orders := w.decide()
-		if len(orders) == 0 {
-			break
-		}
-		all = append(all, orders...)
-		w.carryOut(orders)
-	}
-	return all
-}
-
 func (w *world) assertKind(v swap.Verdict, kind swap.VerdictKind) {
 	w.Helper()
 	w.Assert(v.Kind, qt.Equals, kind, qt.Commentf("%s, about %v", v.Reason, v.Estimate))
--- /dev/null
+++ b/internal/transport/connpool/pool_test.go
@@ -0,0 +1,199 @@
+package connpool_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/transport/connpool"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// script is what a fake server does with a connection after each request: it sends the
+// text, and closes the connection after the last one.
+type script []string
+
+// serve runs a fake server. Each connection plays the next script, the last one again.
+func serve(t *testing.T, scripts ...script) (address string, accepted func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	const maxConns = 100
+	conns := make(chan net.Conn, maxConns)
+	var group errgroup.Group
+	t.Cleanup(func() {
+		listener.Close()
+		for len(conns) > 0 {
+			(<-conns).Close()
+		}
+		_ = group.Wait()
+	})
+	group.Go(func() error {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			conns <- conn
+			group.Go(func() error { return play(conn, scripts[min(i, len(scripts)-1)]) })
+		}
+	})
+	return listener.Addr().String(), func() int { return len(conns) }
+}
+
+func play(conn net.Conn, s script) error {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, answer := range s {
+		for {
+			line, err := reader.ReadString('\n')
+			if err != nil {
+				return nil
+			}
+			if line == "\r\n" {
+				break
+			}
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func get(t *testing.T, pool *connpool.Pool, address string, options connpool.Options) ([]byte, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	exchange, err := pool.Do(ctx, address, connpool.Request{Method: "GET", URI: "/x", Host: "h"}, options)
+	if err != nil {
+		return nil, err
+	}
+	defer exchange.Close()
+	return exchange.ReadWhole()
+}
+
+func TestReuse(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answer  string
+		options connpool.Options
+		conns   int
+	}{
+		{"after a whole answer", whole, connpool.Options{}, 1},
+		{"not when a fresh one is asked for", whole, connpool.Options{Fresh: true}, 2},
+		{"not with bytes behind the answer", whole + "HTTP/1.1 200 OK\r\n", connpool.Options{}, 2},
+		{"not when the server closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", connpool.Options{}, 2},
+		{"after chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", connpool.Options{}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, accepted := serve(t, script{test.answer, test.answer, test.answer})
+			pool := connpool.New(azurehitch.SystemClock{})
+			for range 2 {
+				body, err := get(t, pool, address, test.options)
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(body), qt.Equals, "ok")
+			}
+			c.Assert(accepted(), qt.Equals, test.conns)
+		})
+	}
+}
+
+func TestCutAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"in the head":           "HTTP/1.1 200 OK\r\nContent-Le",
+		"in a sized body":       "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok",
+		"between chunks":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"behind the last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+		"no answer":             "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, _ := serve(t, script{answer})
+			_, err := get(t, connpool.New(azurehitch.SystemClock{}), address, connpool.Options{})
+			var failed *connpool.ErrExchange
+			c.Assert(errors.As(err, &failed), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(failed.Sent, qt.IsTrue)
+		})
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	assertNotSent := func(c *qt.C, err error) {
+		c.Helper()
+		var failed *connpool.ErrExchange
+		c.Assert(errors.As(err, &failed), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(failed.Sent, qt.IsFalse)
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c := qt.New(t)
+		c.Assert(err, qt.IsNil)
+		c.Assert(listener.Close(), qt.IsNil)
+		_, err = get(t, connpool.New(azurehitch.SystemClock{}), listener.Addr().String(), connpool.Options{})
+		assertNotSent(c, err)
+	})
+	t.Run("the cap is reached", func(t *testing.T) {
+		c := qt.New(t)
+		address, _ := serve(t, script{whole})
+		pool := connpool.New(azurehitch.SystemClock{})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		held, err := pool.Do(ctx, address, connpool.Request{Method: "GET", URI: "/", Host: "h"}, connpool.Options{MaxInUse: 1})
+		c.Assert(err, qt.IsNil)
+		_, err = get(t, pool, address, connpool.Options{MaxInUse: 1})
+		assertNotSent(c, err)
+		held.Close()
+		_, err = get(t, pool, address, connpool.Options{MaxInUse: 1, Fresh: true})
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+// TestIdleClose answers servers that close idle connections: the next request goes over a
+// new one.
+func TestIdleClose(t *testing.T) {
+	c := qt.New(t)
+	address, accepted := serve(t, script{whole})
+	pool := connpool.New(azurehitch.SystemClock{})
+	for range 2 {
+		_, err := get(t, pool, address, connpool.Options{})
+		c.Assert(err, qt.IsNil)
+		// The fake server has closed the connection when a new one to it is refused or
+		// accepted: a round trip orders the two.
+		probe, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		_, _ = io.WriteString(probe, "GET / HTTP/1.1\r\n\r\n")
+		_, _ = io.ReadAll(probe)
+		c.Assert(probe.Close(), qt.IsNil)
+	}
+	c.Assert(accepted(), qt.Equals, 4)
+}
+
+// TestLongBody answers servers that answer before they have read a body: its rest is sent,
+// and nothing else goes over the connection.
+func TestLongBody(t *testing.T) {
+	c := qt.New(t)
+	address, accepted := serve(t, script{"HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n"})
+	pool := connpool.New(azurehitch.SystemClock{})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	body := []byte(strings.Repeat("x", 8<<20))
+	exchange, err := pool.Do(ctx, address, connpool.Request{Method: "POST", URI: "/", Host: "h", Body: body}, connpool.Options{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(exchange.Header.StatusCode(), qt.Equals, 413)
+	exchange.Close()
+	_, err = get(t, pool, address, connpool.Options{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(accepted(), qt.Equals, 2)
+}
