Two choices by the request's id instead of the emptiest server

Change: the emptier of two servers that the request's id chooses. Besides, the list of servers is read every 0.85 s (cloud calls were the second price).

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -56,7 +56,7 @@
 // The pace at which the streams of the platform are read.
 var (
 	routingPace = keyed.Pace{Wait: 2 * time.Second}
-	fleetPace   = keyed.Pace{Wait: time.Second, Interval: 450 * time.Millisecond}
+	fleetPace   = keyed.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
 )
 
 // Platform is the outside systems.
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -41,8 +41,10 @@
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 	events    int
-	done      bool
-	failure   error
+	// passedAt is when the last event was passed on.
+	passedAt time.Time
+	done     bool
+	failure  error
 }
 
 // relay answers with a stream, once its first event has come. An error before that is a
@@ -138,6 +140,11 @@
 }
 
 func (s *relay) pass(event []byte) {
+	now := s.request.server.Clock.Now()
+	if s.events > 0 {
+		s.request.longestPause = max(s.request.longestPause, now.Sub(s.passedAt))
+	}
+	s.passedAt = now
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			s.lastEvent = string(bytes.TrimSpace(id))
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -52,10 +52,11 @@
 	sends   int
 	unknown int
 	trail   trail
-	// placed is how long the request has waited for servers, and firstEvent when the first
-	// event of its stream came.
-	placed     time.Duration
-	firstEvent time.Duration
+	// placed is how long the request has waited for servers, firstEvent when the first event
+	// of its stream came, and longestPause the longest time between two events.
+	placed       time.Duration
+	firstEvent   time.Duration
+	longestPause time.Duration
 }
 
 // errCallerGone is why a request ends whose caller has closed the connection.
@@ -214,7 +215,8 @@
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
 	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).Str("Route", r.route.Name).
 		Int64("Configuration", r.version).Str("Model", r.Model).Str("Adapter", r.Adapter).Int("Status", status).
-		Str("Reason", reason).Dur("Placed", r.placed).Dur("FirstEvent", r.firstEvent).Dur("Took", took).Dur("Left", r.deadline.Sub(r.began)-took).
+		Str("Reason", reason).Dur("Placed", r.placed).Dur("FirstEvent", r.firstEvent).
+		Dur("LongestPause", r.longestPause).Dur("Took", took).Dur("Left", r.deadline.Sub(r.began)-took).
 		Str("Attempts", r.trail.String()).Msg("request ended")
 }
 
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -11,6 +11,7 @@
 package place
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -118,8 +119,9 @@
 	return p.choice(best.ServerIdentity, "own counts", func() {}), nil
 }
 
-// best returns the server with the least part of its slots taken. The count of others adds
-// to the requests of this daemon.
+// best returns the emptier of two servers that the request's id chooses: the counts of others
+// are some time old, and daemons that all take the emptiest server would fill it together.
+// The count of others adds to the requests of this daemon.
 func (p *Placer) best(servers []azurehitch.FleetServer, r Request, others func(azurehitch.FleetServer) int) azurehitch.FleetServer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,18 +132,13 @@
 		}
 		return taken
 	}
-	return slices.MinFunc(servers, func(a, b azurehitch.FleetServer) int {
-		if costA, costB := cost(a), cost(b); costA != costB {
-			if costA < costB {
-				return -1
-			}
-			return 1
-		}
-		if weight(a.ID, r.ID) > weight(b.ID, r.ID) {
-			return -1
-		}
-		return 1
+	slices.SortFunc(servers, func(a, b azurehitch.FleetServer) int {
+		return cmp.Compare(weight(b.ID, r.ID), weight(a.ID, r.ID))
 	})
+	if len(servers) > 1 && cost(servers[1]) < cost(servers[0]) {
+		return servers[1]
+	}
+	return servers[0]
 }
 
 // weight spreads requests over equal servers.
