--- /dev/null
+++ b/internal/forward/passthrough/passthrough_test.go
@@ -0,0 +1,186 @@
+package passthrough_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"azurehitch"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	whole       = "HTTP/1.1 200 OK\r\nX-Id: %ID%\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+	notRun      = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	misdirected = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+	cut         = "HTTP/1.1 200 OK\r\nX-Id: %ID%\r\nX-Signature: s\r\nContent-Length: 20\r\n\r\nok"
+	otherID     = "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nno"
+	unsigned    = "HTTP/1.1 200 OK\r\nX-Id: %ID%\r\nContent-Length: 2\r\n\r\nno"
+	encoded     = "HTTP/1.1 200 OK\r\nX-Id: %ID%\r\nX-Signature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"
+	failed      = "HTTP/1.1 500 Oops\r\nX-Id: %ID%\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nbad"
+	silent      = ""
+
+	streamHead = "HTTP/1.1 200 OK\r\nX-Id: %ID%\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	events     = "1d\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\r\n"
+	lastEvents = "1\r\n\n\r\nf\r\nid: 3\ndata: c\n\n\r\n"
+	resumed    = "f\r\nid: 3\ndata: c\n\n\r\n"
+	streamEnd  = "0\r\n\r\n"
+)
+
+var (
+	idempotent    = azurehitch.PathRoute{Kind: azurehitch.RequestKindIdempotent, MaxAttempts: 2}
+	nonIdempotent = azurehitch.PathRoute{Kind: azurehitch.RequestKindNonIdempotent, MaxAttempts: 1}
+	stream        = azurehitch.PathRoute{Kind: azurehitch.RequestKindStream, MaxAttempts: 1}
+	resumable     = azurehitch.PathRoute{Kind: azurehitch.RequestKindStream, MaxAttempts: 2, Resumable: true}
+)
+
+// TestRepeats holds each kind of request against each end of its first attempt. The second
+// server always answers.
+func TestRepeats(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		route  azurehitch.PathRoute
+		first  string
+		status int
+		sent   int
+	}{
+		{"idempotent, whole", idempotent, whole, 200, 0},
+		{"idempotent, not run", idempotent, notRun, 200, 1},
+		{"idempotent, cut", idempotent, cut, 200, 1},
+		{"idempotent, no answer", idempotent, silent, 200, 1},
+		{"idempotent, answer to another request", idempotent, otherID, 200, 1},
+		{"idempotent, unsigned", idempotent, unsigned, 200, 1},
+		{"idempotent, encoded", idempotent, encoded, 200, 1},
+		{"idempotent, a failure of the server's own", idempotent, failed, 500, 0},
+		{"non-idempotent, not run", nonIdempotent, notRun, 200, 1},
+		{"non-idempotent, misdirected", nonIdempotent, misdirected, 200, 1},
+		{"non-idempotent, cut", nonIdempotent, cut, 502, 0},
+		{"non-idempotent, no answer", nonIdempotent, silent, 502, 0},
+		{"non-idempotent, unsigned", nonIdempotent, unsigned, 502, 0},
+		{"stream, no answer", stream, silent, 502, 0},
+		{"resumable stream, no answer", resumable, silent, 200, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := newBackend(t, test.first, 0), newBackend(t, whole, 0)
+			withGateway(t, test.route, []*backend{first, second}, func(g *gateway) {
+				got := g.send("POST", "/x/y?q=1", "body")
+				g.Assert(got.status, qt.Equals, test.status)
+				g.Assert(second.requests(), qt.HasLen, test.sent)
+			})
+		})
+	}
+}
+
+// TestRefusals holds the promise that a request was not run against what servers saw.
+func TestRefusals(t *testing.T) {
+	t.Run("all servers refuse: not run, with when to come back", func(t *testing.T) {
+		backends := []*backend{newBackend(t, notRun, 0), newBackend(t, notRun, 0)}
+		withGateway(t, nonIdempotent, backends, func(g *gateway) {
+			got := g.send("POST", "/x/y", "")
+			g.Assert(got.status, qt.Equals, 503)
+			g.Assert(got.header.Get("Retry-After"), qt.Equals, "1")
+		})
+	})
+	t.Run("one may have run it: no promise", func(t *testing.T) {
+		backends := []*backend{newBackend(t, silent, 0), newBackend(t, notRun, 0)}
+		withGateway(t, idempotent, backends, func(g *gateway) {
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 502)
+		})
+	})
+	t.Run("no answer by the deadline", func(t *testing.T) {
+		route := nonIdempotent
+		route.Timeout = 200 * time.Millisecond
+		withGateway(t, route, []*backend{newBackend(t, silent, time.Second)}, func(g *gateway) {
+			began := time.Now()
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 504)
+			g.Assert(time.Since(began) < 600*time.Millisecond, qt.IsTrue)
+		})
+	})
+	t.Run("no route", func(t *testing.T) {
+		withGateway(t, idempotent, nil, func(g *gateway) {
+			g.Assert(g.send("GET", "/z/", "").status, qt.Equals, 404)
+		})
+	})
+	t.Run("a daemon that stops", func(t *testing.T) {
+		b := newBackend(t, whole, 0)
+		withGateway(t, idempotent, []*backend{b}, func(g *gateway) {
+			g.server.Announce()
+			g.Assert(g.send("GET", "/x/y", "").status, qt.Equals, 200)
+			g.server.Refuse()
+			g.Assert(g.send("GET", "/x/y", "").status, qt.Equals, 503)
+			g.Assert(b.requests(), qt.HasLen, 1)
+		})
+	})
+}
+
+func TestUnchanged(t *testing.T) {
+	b := newBackend(t, "HTTP/1.1 299 Odd\r\nX-Id: %ID%\r\nX-Signature: s\r\nX-More: m\r\nContent-Length: 2\r\n\r\nok", 0)
+	withGateway(t, nonIdempotent, []*backend{b}, func(g *gateway) {
+		got := g.send("POST", "/x/a%2Fb/../c?q=%20&&", "the body")
+		g.Assert(got.status, qt.Equals, 299)
+		g.Assert(got.body, qt.Equals, "ok")
+		g.Assert(got.header.Get("X-Signature"), qt.Equals, "s")
+		g.Assert(got.header.Get("X-More"), qt.Equals, "m")
+		g.Assert(b.requests(), qt.DeepEquals, []string{"POST /x/a%2Fb/../c?q=%20&& s0   the body"})
+	})
+}
+
+func TestStreams(t *testing.T) {
+	const all = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	t.Run("whole", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, streamHead+events+lastEvents+streamEnd, 0)}, func(g *gateway) {
+			got := g.send("POST", "/x/y", "")
+			g.Assert(got.body, qt.Equals, all)
+			g.Assert(got.cut, qt.IsFalse)
+		})
+	})
+	t.Run("cut: only whole events, and it looks cut", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, streamHead+events, 0)}, func(g *gateway) {
+			got := g.send("POST", "/x/y", "")
+			g.Assert(got.body, qt.Equals, "id: 1\ndata: a\n\n")
+			g.Assert(got.cut, qt.IsTrue)
+		})
+	})
+	t.Run("resumed behind the last event that was passed on", func(t *testing.T) {
+		first := newBackend(t, streamHead+events, 0)
+		second := newBackend(t, streamHead+"f\r\nid: 2\ndata: b\n\n\r\n"+resumed+streamEnd, 0)
+		withGateway(t, resumable, []*backend{first, second}, func(g *gateway) {
+			got := g.send("POST", "/x/y", "")
+			g.Assert(got.body, qt.Equals, all)
+			g.Assert(got.cut, qt.IsFalse)
+			g.Assert(second.requests(), qt.DeepEquals, []string{"POST /x/y s1 1  "})
+		})
+	})
+	t.Run("resumed once only, then cut", func(t *testing.T) {
+		backends := []*backend{newBackend(t, streamHead+events, 0), newBackend(t, streamHead, 0), newBackend(t, streamHead+resumed+streamEnd, 0)}
+		withGateway(t, resumable, backends, func(g *gateway) {
+			g.Assert(g.send("POST", "/x/y", "").cut, qt.IsTrue)
+			g.Assert(backends[2].requests(), qt.HasLen, 0)
+		})
+	})
+}
+
+// TestCallerGone answers callers that leave: their server's work is ended.
+func TestCallerGone(t *testing.T) {
+	for name, text := range map[string]string{"before the answer": silent, "in the stream": streamHead + events} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, text, 2*time.Second)
+			withGateway(t, stream, []*backend{b}, func(g *gateway) {
+				conn, err := net.Dial("tcp", g.address)
+				g.Assert(err, qt.IsNil)
+				_, err = io.WriteString(conn, "POST /x/y HTTP/1.1\r\nHost: a.example\r\nX-Id: id-1\r\nContent-Length: 0\r\n\r\n")
+				g.Assert(err, qt.IsNil)
+				for len(b.requests()) == 0 {
+					g.Assert(azurehitch.SystemClock{}.Sleep(context.Background(), time.Millisecond), qt.IsNil)
+				}
+				g.Assert(conn.Close(), qt.IsNil)
+				began := time.Now()
+				<-b.closed
+				g.Assert(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/forward/passthrough/world_test.go
@@ -0,0 +1,219 @@
+package passthrough_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/forward/passthrough"
+	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/router"
+	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/connpool"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+)
+
+// protocol is a protocol with headers of its own.
+type protocol struct{}
+
+// ReadRequest implements azurehitch.ExchangeProtocol.
+func (protocol) ReadRequest(h azurehitch.Header) azurehitch.CallerRequest {
+	ms, _ := strconv.Atoi(h.Get("X-Left"))
+	return azurehitch.CallerRequest{ID: h.Get("X-Id"), TimeLeft: time.Duration(ms) * time.Millisecond}
+}
+
+// WriteAttempt implements azurehitch.ExchangeProtocol.
+func (protocol) WriteAttempt(h azurehitch.Header, attempt azurehitch.Attempt) {
+	h.Delete("X-Ours")
+	h.Set("X-Server", attempt.Server.ID)
+	if attempt.LastEvent != "" {
+		h.Set("X-Last", attempt.LastEvent)
+	}
+}
+
+// ReadAnswer implements azurehitch.ExchangeProtocol.
+func (protocol) ReadAnswer(h azurehitch.Header) azurehitch.ServerAnswer {
+	return azurehitch.ServerAnswer{
+		ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signature") != "", Encoded: h.Get("Content-Encoding") != "",
+	}
+}
+
+// WriteRefusal implements azurehitch.ExchangeProtocol.
+func (protocol) WriteRefusal(h azurehitch.Header, _ azurehitch.CallerRequest, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		h.Set("Retry-After", "1")
+	}
+}
+
+// unlimited is a budget without a bound.
+type unlimited struct{}
+
+// Earn implements passthrough.RetryBudget.
+func (unlimited) Earn(string) {}
+
+// Spend implements passthrough.RetryBudget.
+func (unlimited) Spend(string) bool { return true }
+
+// rotation places each attempt on the next server.
+type rotation struct {
+	mu      sync.Mutex
+	servers []string
+	next    int
+}
+
+// Place implements passthrough.Placer.
+func (r *rotation) Place(ctx context.Context, _ place.Request) (place.Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next >= len(r.servers) {
+		return place.Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no more servers").WithRetryAfter(time.Second)
+	}
+	r.next++
+	id := fmt.Sprintf("s%d", r.next-1)
+	return place.Choice{
+		Server: azurehitch.ServerIdentity{ID: id, Address: r.servers[r.next-1]}, End: func() {},
+	}, ctx.Err()
+}
+
+// backend is a fake server. It plays one answer for each request, and keeps the heads.
+type backend struct {
+	address string
+	mu      sync.Mutex
+	heads   []string
+	closed  chan struct{}
+}
+
+// newBackend starts a server that sends a text to each request and closes the connection.
+// %ID% is the id of the request.
+func newBackend(t *testing.T, text string, hold time.Duration) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	b := &backend{address: listener.Addr().String(), closed: make(chan struct{}, 10)}
+	var group errgroup.Group
+	t.Cleanup(func() {
+		listener.Close()
+		_ = group.Wait()
+	})
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error {
+				b.play(conn, text, hold)
+				return nil
+			})
+		}
+	})
+	return b
+}
+
+func (b *backend) play(conn net.Conn, text string, hold time.Duration) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(request.Body)
+	b.mu.Lock()
+	b.heads = append(b.heads, request.Method+" "+request.RequestURI+" "+request.Header.Get("X-Server")+" "+
+		request.Header.Get("X-Last")+" "+request.Header.Get("X-Ours")+" "+string(body))
+	b.mu.Unlock()
+	if _, err := io.WriteString(conn, strings.ReplaceAll(text, "%ID%", request.Header.Get("X-Id"))); err != nil {
+		return
+	}
+	if hold > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(hold))
+		if _, err := reader.ReadByte(); err == io.EOF {
+			b.closed <- struct{}{}
+		}
+	}
+}
+
+func (b *backend) requests() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heads
+}
+
+// gateway is a server under test.
+type gateway struct {
+	*qt.C
+	server  *passthrough.Server
+	address string
+}
+
+// withGateway runs a server with a route of a kind in front of backends.
+func withGateway(t *testing.T, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
+	t.Helper()
+	c := qt.New(t)
+	route.Name, route.Host, route.PathPrefix = "r", "a.example", "/x/"
+	route.Targets = []azurehitch.RouteTarget{{Service: "llm", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 3 * time.Second
+	}
+	index := router.NewPathIndex(azurehitch.RoutingTable{Version: 1, Routes: []azurehitch.PathRoute{route}})
+	placer := &rotation{}
+	for _, b := range backends {
+		placer.servers = append(placer.servers, b.address)
+	}
+	clock := azurehitch.SystemClock{}
+	server := passthrough.NewServer(passthrough.Dependencies{
+		Routing: func() *router.PathIndex { return index }, Protocol: protocol{}, Placer: placer,
+		Connections:     connpool.New(clock),
+		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
+		Breakers:        breaker.NewBreakers(clock), Budget: unlimited{}, Clock: clock,
+		Logs: logging.Discard(), Metrics: metrics.New(),
+	}, passthrough.Settings{
+		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	run(&gateway{C: c, server: server, address: listener.Addr().String()})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c.Check(server.Stop(ctx), qt.IsNil)
+	c.Check(group.Wait(), qt.IsNil)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut is true when the body did not come to its end.
+	cut bool
+}
+
+func (g *gateway) send(method, path, body string) answer {
+	g.Helper()
+	request, err := http.NewRequest(method, "http://"+g.address+path, strings.NewReader(body))
+	g.Assert(err, qt.IsNil)
+	request.Host = "a.example"
+	request.Header.Set("X-Id", "id-1")
+	request.Header.Set("X-Ours", "smuggled")
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	g.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(content), cut: err != nil}
+}
