--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -208,6 +208,9 @@
 
 // end frees the request and logs how it went. It is called once.
 func (r *request) end(status int, reason string) {
+	if r.ctx != nil && r.hasCallerGone() {
+		reason = "the caller has gone: " + reason
+	}
 	r.unlink()
 	r.cancel(nil)
 	r.server.leave()
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -34,6 +34,10 @@
 	// fullPart is the part of a server's slots up to which requests are placed without asking
 	// the holder.
 	fullPart = 0.9
+	// listPatience is how long a request waits for the first list of servers, and listPause
+	// how often it looks.
+	listPatience = 400 * time.Millisecond
+	listPause    = 20 * time.Millisecond
 	// emptyRetry tells when to come back to a service without servers.
 	emptyRetry = 500 * time.Millisecond
 )
@@ -87,12 +91,25 @@
 // Place returns a server for the next attempt of a request. The error is an
 // *azurehitch.ErrRefused, or that of the context.
 func (p *Placer) Place(ctx context.Context, r Request) (Choice, error) {
+	if err := p.awaitList(ctx); err != nil {
+		return Choice{}, errors.Wrap(err, "wait for the list of servers")
+	}
 	if r.Service.Engine == nil || r.Model == "" {
 		return p.placeCall(r)
 	}
 	return p.placeModel(ctx, r)
 }
 
+// awaitList waits until the list of servers was read once, as after a start, but not long.
+func (p *Placer) awaitList(ctx context.Context) error {
+	for waited := time.Duration(0); p.Fleet().ReadAt.IsZero() && waited < listPatience; waited += listPause {
+		if err := p.Clock.Sleep(ctx, listPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // candidates returns the servers that neither leave nor fail, without those that were
 // tried if others are left.
 func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -197,6 +197,9 @@
 	if found {
 		return best, "a server has a copy"
 	}
+	if len(p.Unknown()) > 0 {
+		return limits.DiskLoad + p.settings.SwapTime, "not all servers have reported yet"
+	}
 	return p.remoteEstimate(need.Model, limits, now), "the model comes from the weight store"
 }
 
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -119,6 +119,17 @@
 		w.report(s, 3)
 		w.Assert(w.decide()[0].AfterOrders, qt.Equals, int64(3))
 	})
+	t.Run("nobody is refused for a copy that may not have been reported", func(t *testing.T) {
+		w := newWorld(t, 60)
+		w.add("s0", nil, names("m", 0, 60))
+		w.plan = swap.New(w.limits, swap.DefaultSettings(), 2)
+		w.plan.SetServers(w.servers)
+		for i := range 60 {
+			need := w.need(fmt.Sprintf("r%d", i), fmt.Sprintf("m%d", i))
+			need.Deadline = w.now.Add(2 * time.Second)
+			w.assertKind(w.ask(need), swap.VerdictWaiting)
+		}
+	})
 	t.Run("no order while a former holder's is carried out", func(t *testing.T) {
 		w := newWorld(t, 4)
 		s := w.add("s0", nil, names("m", 0, 4))
