--- a/internal/proof/points/capacity_test.go
+++ b/internal/proof/points/capacity_test.go
@@ -157,7 +157,7 @@
 
 // assertRecovers checks that, with all faults over, each model can be had. What
 // an open intent holds on an engine that ignores tokens is freed by the restart of
-// that engine, as docs/operations.md says.
+// that engine, as docs/OPERATIONS.md says.
 func assertRecovers(t *testing.T, w *poolworld.World) {
 	t.Helper()
 	for _, model := range models() {
