A planned stop that comes to its end refuses what waits and answers what it can

Change: 3.5 s before the end, requests that wait for a server are refused (not run); 0.5 s before it, those that a server has get 502.

--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -21,6 +21,10 @@
 	// acceptTime is how long a stopping daemon takes new connections, until the balancer
 	// has noticed that it is not ready.
 	acceptTime = 2700 * time.Millisecond
+	// waitMargin before the end of a planned stop, requests that wait for a server are refused,
+	// and answerMargin before it all others are ended.
+	waitMargin   = 3500 * time.Millisecond
+	answerMargin = 500 * time.Millisecond
 	// exitMargin is kept of the time of a planned stop.
 	exitMargin = 250 * time.Millisecond
 )
@@ -86,10 +90,28 @@
 		return nil
 	}
 	d.callers.Refuse()
-	left := time.Duration(d.stopTimeout.Load()) - exitMargin - d.Clock.Now().Sub(began)
-	limited, cancel := context.WithTimeout(ctx, left)
+	return d.endRequests(ctx, began.Add(time.Duration(d.stopTimeout.Load())))
+}
+
+// endRequests waits for the requests in progress. Towards the end of the time of the stop,
+// those that wait for a server are refused, and then all others ended.
+func (d *Daemon) endRequests(ctx context.Context, end time.Time) error {
+	limited, cancel := context.WithTimeout(ctx, end.Add(-exitMargin).Sub(d.Clock.Now()))
 	defer cancel()
-	if err := d.callers.Stop(limited); err != nil {
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		return d.callers.Stop(limited)
+	})
+	for _, step := range []struct {
+		margin time.Duration
+		act    func()
+	}{{waitMargin, d.callers.EndWaits}, {answerMargin, d.callers.EndAll}} {
+		if d.Clock.Sleep(limited, end.Add(-step.margin).Sub(d.Clock.Now())) == nil {
+			step.act()
+		}
+	}
+	if err := group.Wait(); err != nil {
 		d.Logs.Layer(logging.LayerDaemon).Warn().Int("InProgress", d.callers.Active()).Err(err).
 			Msg("planned stop ends with requests in progress")
 	}
--- a/internal/forward/passthrough/passthrough_test.go
+++ b/internal/forward/passthrough/passthrough_test.go
@@ -10,6 +10,7 @@
 	"azurehitch"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -116,6 +117,35 @@
 	})
 }
 
+// TestStopEnds answers planned stops that come to the end of their time.
+func TestStopEnds(t *testing.T) {
+	during := func(g *gateway, b *backend, act func()) answer {
+		answers := make(chan answer, 1)
+		var group errgroup.Group
+		group.Go(func() error {
+			answers <- g.send("POST", "/x/y", "")
+			return nil
+		})
+		for g.server.Active() == 0 || b != nil && len(b.requests()) == 0 {
+			g.Assert(azurehitch.SystemClock{}.Sleep(context.Background(), time.Millisecond), qt.IsNil)
+		}
+		act()
+		g.Assert(group.Wait(), qt.IsNil)
+		return <-answers
+	}
+	t.Run("a request that waits for a server is refused, not run", func(t *testing.T) {
+		withGateway(t, nonIdempotent, nil, func(g *gateway) {
+			g.Assert(during(g, nil, g.server.EndWaits).status, qt.Equals, 503)
+		})
+	})
+	t.Run("one that a server has gets an answer without a promise", func(t *testing.T) {
+		b := newBackend(t, silent, 2*time.Second)
+		withGateway(t, nonIdempotent, []*backend{b}, func(g *gateway) {
+			g.Assert(during(g, b, g.server.EndAll).status, qt.Equals, 502)
+		})
+	})
+}
+
 func TestUnchanged(t *testing.T) {
 	b := newBackend(t, "HTTP/1.1 299 Odd\r\nX-Id: %ID%\r\nX-Signature: s\r\nX-More: m\r\nContent-Length: 2\r\n\r\nok", 0)
 	withGateway(t, nonIdempotent, []*backend{b}, func(g *gateway) {
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -111,7 +111,7 @@
 		timeout = r.TimeLeft
 	}
 	r.deadline = r.began.Add(timeout)
-	limited, cancelTimer := context.WithDeadline(context.Background(), r.deadline)
+	limited, cancelTimer := context.WithDeadline(r.server.life, r.deadline)
 	ctx, cancel := context.WithCancelCause(limited)
 	r.ctx = ctx
 	r.cancel = func(cause error) {
@@ -168,7 +168,11 @@
 // place chooses the server of the next attempt.
 func (r *request) place() (place.Choice, error) {
 	began := r.server.Clock.Now()
-	choice, err := r.server.Placer.Place(r.ctx, r.placeRequest())
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	stop := context.AfterFunc(r.server.placing, cancel)
+	defer stop()
+	choice, err := r.server.Placer.Place(ctx, r.placeRequest())
 	r.placed += r.server.Clock.Now().Sub(began)
 	return choice, err
 }
@@ -176,7 +180,11 @@
 // placeRefusal makes a refusal of what kept a request from a server.
 func (r *request) placeRefusal(err error) error {
 	var refused *azurehitch.ErrRefused
-	if !errors.As(err, &refused) {
+	switch {
+	case errors.As(err, &refused):
+	case r.server.placing.Err() != nil:
+		refused = azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetry)
+	default:
 		refused = azurehitch.Refuse(azurehitch.CodeNoCapacity, "%v", err).WithRetryAfter(failureRetry)
 	}
 	if r.unknown > 0 {
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -74,6 +74,12 @@
 type Server struct {
 	Dependencies
 	http *fasthttp.Server
+	// placing ends when requests that wait for a server are given up, life when all
+	// requests are.
+	placing context.Context
+	life    context.Context
+	endWait context.CancelFunc
+	endLife context.CancelFunc
 
 	mu sync.Mutex
 	// stopping is true when answers end their connections, refusing when no request is
@@ -86,6 +92,8 @@
 // NewServer returns a server.
 func NewServer(dependencies Dependencies, settings Settings) *Server {
 	s := &Server{Dependencies: dependencies}
+	s.life, s.endLife = context.WithCancel(context.Background())
+	s.placing, s.endWait = context.WithCancel(s.life)
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleProtocolError,
@@ -130,6 +138,13 @@
 	s.refusing = true
 }
 
+// EndWaits refuses the requests that wait for a server: they were not run, and another daemon
+// may serve them.
+func (s *Server) EndWaits() { s.endWait() }
+
+// EndAll ends all requests: those without an answer get one, streams are cut.
+func (s *Server) EndAll() { s.endLife() }
+
 // Stop closes the listener and the idle connections, and waits for the requests in
 // progress until the context ends.
 func (s *Server) Stop(ctx context.Context) error {
--- a/internal/forward/passthrough/world_test.go
+++ b/internal/forward/passthrough/world_test.go
@@ -74,8 +74,12 @@
 	next    int
 }
 
-// Place implements passthrough.Placer.
+// Place implements passthrough.Placer. Without any server, it waits.
 func (r *rotation) Place(ctx context.Context, _ place.Request) (place.Choice, error) {
+	if len(r.servers) == 0 {
+		<-ctx.Done()
+		return place.Choice{}, ctx.Err()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.next >= len(r.servers) {
