Nothing is decided on a list of servers that is not complete yet

Change: until 2.2 s after the last failed read, requests wait instead, and nothing is loaded from the weight store. A daemon without a configuration names 2 s after which to come back once its start is 0.4 s ago.

--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// unconfiguredRetry tells when to come back to a daemon that knows no configuration.
-	unconfiguredRetry = 300 * time.Millisecond
+	// unconfiguredRetry tells when to come back to a daemon that knows no configuration. Some
+	// time after its start, the platform must be away, and will be for longer.
+	unconfiguredRetry     = 300 * time.Millisecond
+	longUnconfigured      = 400 * time.Millisecond
+	longUnconfiguredRetry = 2 * time.Second
 	// Callers of a stream leave after the longest of these without an event: a time, a number
 	// of objectives and a number of longest pauses.
 	shortestPatience   = 2 * time.Second
@@ -89,7 +92,11 @@
 		return azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetry)
 	}
 	if r.version == 0 {
-		return azurehitch.Refuse(azurehitch.CodeNotConfigured, "no configuration is known").WithRetryAfter(unconfiguredRetry)
+		retry := unconfiguredRetry
+		if r.began.Sub(r.server.began) > longUnconfigured {
+			retry = longUnconfiguredRetry
+		}
+		return azurehitch.Refuse(azurehitch.CodeNotConfigured, "no configuration is known").WithRetryAfter(retry)
 	}
 	path, _, _ := strings.Cut(string(r.http.Request.Header.RequestURI()), "?")
 	route, ok := index.Route(string(r.http.Request.Header.Host()), path)
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -73,7 +73,8 @@
 // Server serves the callers.
 type Server struct {
 	Dependencies
-	http *fasthttp.Server
+	http  *fasthttp.Server
+	began time.Time
 	// placing ends when requests that wait for a server are given up, life when all
 	// requests are.
 	placing context.Context
@@ -91,7 +92,7 @@
 
 // NewServer returns a server.
 func NewServer(dependencies Dependencies, settings Settings) *Server {
-	s := &Server{Dependencies: dependencies}
+	s := &Server{Dependencies: dependencies, began: dependencies.Clock.Now()}
 	s.life, s.endLife = context.WithCancel(context.Background())
 	s.placing, s.endWait = context.WithCancel(s.life)
 	s.http = &fasthttp.Server{
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -34,7 +34,7 @@
 	// fullPart is the part of a server's slots up to which requests are placed without asking
 	// the holder.
 	fullPart = 0.9
-	// listPatience is how long a request waits for the first list of servers, and listPause
+	// listPatience is how long a request waits for servers on the list, and listPause
 	// how often it looks.
 	listPatience = 400 * time.Millisecond
 	listPause    = 20 * time.Millisecond
@@ -91,7 +91,7 @@
 // Place returns a server for the next attempt of a request. The error is an
 // *azurehitch.ErrRefused, or that of the context.
 func (p *Placer) Place(ctx context.Context, r Request) (Choice, error) {
-	if err := p.awaitList(ctx); err != nil {
+	if err := p.awaitList(ctx, r.Service.Name); err != nil {
 		return Choice{}, errors.Wrap(err, "wait for the list of servers")
 	}
 	if r.Service.Engine == nil || r.Model == "" {
@@ -100,9 +100,14 @@
 	return p.placeModel(ctx, r)
 }
 
-// awaitList waits until the list of servers was read once, as after a start, but not long.
-func (p *Placer) awaitList(ctx context.Context) error {
-	for waited := time.Duration(0); p.Fleet().ReadAt.IsZero() && waited < listPatience; waited += listPause {
+// awaitList waits, but not long, for servers of a service while the list may lack some, as
+// after a start.
+func (p *Placer) awaitList(ctx context.Context, service string) error {
+	for waited := time.Duration(0); waited < listPatience; waited += listPause {
+		view := p.Fleet()
+		if !view.ReadAt.IsZero() && (view.Settled || len(view.Service(service)) > 0) {
+			return nil
+		}
 		if err := p.Clock.Sleep(ctx, listPause); err != nil {
 			return err
 		}
--- a/internal/membership/fleet/fold.go
+++ b/internal/membership/fleet/fold.go
@@ -161,11 +161,11 @@
 		}
 	}
 	view := f.view.Load()
-	if view.Version == f.version && !view.ReadAt.IsZero() {
-		same := *view
-		same.ReadAt = readAt
-		f.view.Store(&same)
-		return
+	next := *view
+	if view.Version != f.version || view.ReadAt.IsZero() {
+		next = *newView(f.servers, f.missing, f.version, readAt)
 	}
-	f.view.Store(newView(f.servers, f.missing, f.version, readAt))
+	next.ReadAt = readAt
+	next.Settled = f.failedAt.IsZero() || readAt.Sub(f.failedAt) >= returnTime
+	f.view.Store(&next)
 }
--- a/internal/membership/fleet/fold_test.go
+++ b/internal/membership/fleet/fold_test.go
@@ -104,6 +104,15 @@
 		c.Assert(known, qt.IsTrue)
 		c.Assert(r.unreadable, qt.Equals, 1)
 	})
+	t.Run("the list is settled some time after it could be read again", func(t *testing.T) {
+		c, f, _ := newFold(t)
+		c.Assert(f.View().Settled, qt.IsTrue)
+		f.Failed(start.Add(time.Second))
+		f.Apply(nil, start.Add(2*time.Second))
+		c.Assert(f.View().Settled, qt.IsFalse)
+		f.Apply(nil, start.Add(4*time.Second))
+		c.Assert(f.View().Settled, qt.IsTrue)
+	})
 	t.Run("a view is never changed", func(t *testing.T) {
 		c, f, _ := newFold(t)
 		before := f.View()
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -25,6 +25,9 @@
 type View struct {
 	// ReadAt is when the list was last read; zero before the first time.
 	ReadAt time.Time
+	// Settled is false while servers may be missing from the list because it could not be
+	// read a short time ago.
+	Settled bool
 	// Version counts the changes.
 	Version  int64
 	services map[string][]azurehitch.FleetServer
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -197,8 +197,8 @@
 	if found {
 		return best, "a server has a copy"
 	}
-	if len(p.Unknown()) > 0 {
-		return limits.DiskLoad + p.settings.SwapTime, "not all servers have reported yet"
+	if len(p.Unknown()) > 0 || !p.settled {
+		return limits.DiskLoad + p.settings.SwapTime, "not all servers are known yet"
 	}
 	return p.remoteEstimate(need.Model, limits, now), "the model comes from the weight store"
 }
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -46,6 +46,9 @@
 	p.keep(now, inProgress)
 	var orders []Order
 	remote := p.settings.RemoteLoads - len(p.remoteEnds(now))
+	if !p.settled {
+		remote = 0
+	}
 	for _, name := range p.needed(now) {
 		for range p.missing(name, now, inProgress) {
 			order, ok := p.serve(name, now, inProgress, &remote)
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -90,7 +90,9 @@
 	limits   azurehitch.EngineLimits
 	servers  map[string]*server
 	// list is the servers by name.
-	list    []*server
+	list []*server
+	// settled is false while servers may be missing from the list.
+	settled bool
 	models  map[string]*model
 	waiters map[string]*waiter
 	daemons map[string]*daemon
@@ -118,6 +120,7 @@
 func New(limits azurehitch.EngineLimits, settings Settings, token int64) *Plan {
 	return &Plan{
 		settings:  settings,
+		settled:   true,
 		lastGrant: token * grantsPerToken,
 		limits:    limits,
 		servers:   map[string]*server{},
@@ -152,6 +155,10 @@
 	p.list = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// SetSettled tells whether the list of servers is complete. While it is not, a model may have
+// copies at servers that are not listed: nothing is loaded from the weight store.
+func (p *Plan) SetSettled(settled bool) { p.settled = settled }
+
 // Unknown returns the servers that were not reached yet, in order.
 func (p *Plan) Unknown() []azurehitch.ServerIdentity {
 	var unknown []azurehitch.ServerIdentity
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -130,6 +130,17 @@
 			w.assertKind(w.ask(need), swap.VerdictWaiting)
 		}
 	})
+	t.Run("nothing is loaded from the store, and nobody refused, while the list is not complete", func(t *testing.T) {
+		w := newWorld(t, 60)
+		w.add("s0", nil, nil)
+		w.plan.SetSettled(false)
+		for i := range 60 {
+			w.assertKind(w.ask(w.need(fmt.Sprintf("r%d", i), fmt.Sprintf("m%d", i))), swap.VerdictWaiting)
+		}
+		w.Assert(w.decide(), qt.HasLen, 0)
+		w.plan.SetSettled(true)
+		w.Assert(w.decide(), qt.HasLen, 1)
+	})
 	t.Run("no order while a former holder's is carried out", func(t *testing.T) {
 		w := newWorld(t, 4)
 		s := w.add("s0", nil, names("m", 0, 4))
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -144,7 +144,9 @@
 	if engine := h.Routing().Services[h.service].Engine; engine != nil {
 		h.plan.SetLimits(*engine)
 	}
-	h.plan.SetServers(h.Fleet().Service(h.service))
+	view := h.Fleet()
+	h.plan.SetServers(view.Service(h.service))
+	h.plan.SetSettled(view.Settled)
 }
 
 func (h *holder) step(ctx context.Context) {
