--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -11,8 +11,6 @@
 package gateway
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"runtime/debug"
 	"sync/atomic"
@@ -42,9 +40,8 @@
 )
 
 const (
-	controlStream    = "control"
-	memberStream     = "members"
-	incarnationBytes = 6
+	controlStream = "control"
+	memberStream  = "members"
 	// memoryPart is the part of its memory that the runtime keeps to.
 	memoryPart = 0.6
 	// snapshotRecords is after how many records a snapshot of the leases is due.
@@ -69,8 +66,10 @@
 	Protocol    azurehitch.ExchangeProtocol
 	Connections *connpool.Pool
 	Clock       azurehitch.Clock
-	Logs        *logging.Logs
-	Metrics     *metrics.Metrics
+	// LeaseClock counts the time for which the machine is suspended.
+	LeaseClock azurehitch.Clock
+	Logs       *logging.Logs
+	Metrics    *metrics.Metrics
 }
 
 // Daemon is one daemon.
@@ -113,7 +112,7 @@
 	d := &Daemon{
 		Platform: platform,
 		settings: s,
-		self:     leaselog.Holder{Daemon: s.Name, Incarnation: newIncarnation()},
+		self:     leaselog.NewHolder(s.Name),
 	}
 	d.stopTimeout.Store(int64(s.StopTimeout))
 	d.observer = newObserver(platform.Metrics, platform.Logs)
@@ -126,17 +125,10 @@
 	return d, d.listen()
 }
 
-func newIncarnation() string {
-	var random [incarnationBytes]byte
-	// crypto/rand.Read never fails.
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
-
 func (d *Daemon) assembleState() {
-	d.store = control.NewStore(d.self, d.Clock).WithoutTables()
+	d.store = control.NewStore(d.self, d.LeaseClock).WithoutTables()
 	d.writer = control.NewWriter(d.Log, controlStream, d.store, d.observer)
-	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.Clock, d.observer)
+	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.LeaseClock, d.observer)
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
 	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
 	self := members.Member{Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers}
--- a/internal/daemon/serve/daemon.go
+++ b/internal/daemon/serve/daemon.go
@@ -11,8 +11,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"sync"
 	"time"
@@ -42,8 +40,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-const incarnationBytes = 6
-
 // Platform is the outside systems.
 type Platform struct {
 	Log     azurehitch.Log
@@ -98,7 +94,7 @@
 	d := &Daemon{
 		Platform: platform,
 		settings: s,
-		self:     leaselog.Holder{Daemon: s.Name, Incarnation: newIncarnation()},
+		self:     leaselog.NewHolder(s.Name),
 		metrics:  metrics.New(),
 		draining: make(chan struct{}),
 	}
@@ -109,13 +105,6 @@
 	return d, d.listen()
 }
 
-func newIncarnation() string {
-	var random [incarnationBytes]byte
-	// crypto/rand.Read never fails.
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
-
 func (d *Daemon) assembleLog() {
 	s := d.settings
 	d.store = control.NewStore(d.self, d.Clock)
--- a/internal/lease/leaselog/fold.go
+++ b/internal/lease/leaselog/fold.go
@@ -22,6 +22,8 @@
 package leaselog
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"time"
@@ -30,6 +32,8 @@
 	"azurehitch/internal/proof/sabotage"
 )
 
+const incarnationBytes = 6
+
 // Holder is one start of a daemon.
 type Holder struct {
 	Daemon string
@@ -37,6 +41,14 @@
 	Incarnation string
 }
 
+// NewHolder returns a new start of a daemon.
+func NewHolder(daemon string) Holder {
+	var random [incarnationBytes]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(random[:])
+	return Holder{Daemon: daemon, Incarnation: hex.EncodeToString(random[:])}
+}
+
 // Claim asks for the lease of a pool.
 type Claim struct {
 	Pool string
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -160,3 +160,26 @@
 	// model was loaded.
 	Tier azurehitch.CacheTier
 }
+
+// isCrowded reports whether the replicas of a model, with those that are being loaded, have
+// so many requests that a further one is worth a load from the weight store.
+func (p *Plan) isCrowded(name string, inProgress map[Replica]int) bool {
+	replicas := len(p.replicas(name)) + p.loading(name)
+	return replicas > 0 && p.requests(name, inProgress) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
+}
+
+// requests is the number of requests for a model that are in progress or wait.
+func (p *Plan) requests(name string, inProgress map[Replica]int) float64 {
+	count := 0
+	for r, n := range inProgress {
+		if r.Model == name {
+			count += n
+		}
+	}
+	for _, w := range p.waiters {
+		if w.Model == name {
+			count++
+		}
+	}
+	return float64(count)
+}
