A daemon claims its earlier process's leases at once only where that process has ended for certain

Cause: make test, TestProveRemovedServer (2 of 2 cases, each time): the quick claim also held for the daemons of our own interface, where nothing keeps two processes of one name apart. The gateway asks for it now; there one process has the addresses.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -213,7 +213,7 @@
 }
 
 func (d *Daemon) environment() leaselog.Environment {
-	environment := leaselog.Environment{Daemons: d.members.Names(), Draining: d.stopping.Load()}
+	environment := leaselog.Environment{Daemons: d.members.Names(), Draining: d.stopping.Load(), Succeeds: true}
 	for _, name := range d.engineServices() {
 		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: name, Duration: d.settings.LeaseDuration})
 	}
--- a/internal/lease/leaselog/leaselog_test.go
+++ b/internal/lease/leaselog/leaselog_test.go
@@ -215,3 +215,33 @@
 	c.Assert(m.OnRelease(8, daemon("a"), *released.Release, now), qt.IsTrue)
 	c.Assert(m.Decide(now.Add(time.Hour), environment), qt.HasLen, 0)
 }
+
+// TestSuccession answers daemons that start anew while a lease of their earlier process
+// runs.
+func TestSuccession(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		succeeds bool
+		earlier  string
+		claims   bool
+	}{
+		{"its own, which has ended for certain", true, "a", true},
+		{"its own, which may still run", false, "a", false},
+		{"that of another daemon", true, "b", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			fold := leaselog.NewFold()
+			c.Assert(fold.Claim(1, daemon(test.earlier), claim(0)), qt.IsTrue)
+			manager := leaselog.NewManager(leaselog.Holder{Daemon: "a", Incarnation: "2"}, fold, now)
+			environment := leaselog.Environment{
+				Pools:   []leaselog.PoolSetting{{Name: "llm", Duration: duration}},
+				Daemons: []string{"a", "b"}, Succeeds: test.succeeds,
+			}
+			actions := manager.Decide(now, environment)
+			c.Assert(len(actions) == 1 && actions[0].Claim != nil, qt.Equals, test.claims)
+			c.Assert(manager.Decide(now, environment), qt.HasLen, 0, qt.Commentf("one claim at a time"))
+		})
+	}
+}
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -33,6 +33,9 @@
 	Daemons []string
 	// Draining stops claims.
 	Draining bool
+	// Succeeds is true when an earlier process of this daemon has ended for certain, as when
+	// this one has its addresses: its leases are claimed at once.
+	Succeeds bool
 }
 
 // Action is a record to append: one of its fields is set.
@@ -229,8 +232,7 @@
 	if sent, waiting := m.lastClaim[pool.Name]; waiting && now.Sub(sent) < claimRetry {
 		return nil
 	}
-	if lease.Holder.Daemon == m.self.Daemon && !lease.IsFree() {
-		// An earlier process of this daemon held it. It has ended: this one has its addresses.
+	if environment.Succeeds && lease.Holder.Daemon == m.self.Daemon {
 		return &Claim{Pool: pool.Name, Seen: lease.Last, Duration: pool.Duration}
 	}
 	claimableAt := m.claimableAt(lease, pool, now)
--- a/internal/oplog/control/control_test.go
+++ b/internal/oplog/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"azurehitch"
 	"azurehitch/internal/configuration/configlog"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/lease/leaselog"
@@ -47,3 +48,25 @@
 		})
 	}
 }
+
+// TestEmptyLog answers a log whose records have all expired before a daemon read them.
+func TestEmptyLog(t *testing.T) {
+	empty := azurehitch.Batch{First: 41, Next: 41}
+	t.Run("a stream of leases goes on behind them: none of these leases lives", func(t *testing.T) {
+		c := qt.New(t)
+		store := control.NewStore(leaselog.Holder{Daemon: "a"}, azurehitch.SystemClock{}).WithoutTables()
+		c.Assert(store.Bridge(empty), qt.IsNil)
+		c.Assert(store.FoldedTo(), qt.Equals, int64(40))
+	})
+	t.Run("not while records are kept that a snapshot must precede", func(t *testing.T) {
+		c := qt.New(t)
+		store := control.NewStore(leaselog.Holder{Daemon: "a"}, azurehitch.SystemClock{}).WithoutTables()
+		batch := azurehitch.Batch{First: 41, Next: 42, Records: []azurehitch.Record{{Offset: 41}}}
+		c.Assert(store.Bridge(batch), qt.IsNotNil)
+	})
+	t.Run("a stream with tables waits for a snapshot", func(t *testing.T) {
+		c := qt.New(t)
+		store := control.NewStore(leaselog.Holder{Daemon: "a"}, azurehitch.SystemClock{})
+		c.Assert(store.Bridge(empty), qt.IsNotNil)
+	})
+}
