--- a/internal/configuration/routing/fold.go
+++ b/internal/configuration/routing/fold.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	fold := routing.NewFold(decoder, observer)
-//	follower := keyed.NewFollower(log, stream, fold, clock, observer, pace)
+//	follower := compacted.NewFollower(log, stream, fold, clock, observer, pace)
 //	index := fold.Index()
 //
 // A table replaces one with a lower version only, so that what is in force never goes back.
@@ -45,10 +45,10 @@
 // Table returns the table in force.
 func (f *Fold) Table() azurehitch.RoutingTable { return f.Index().Table }
 
-// Replace implements keyed.Fold.
+// Replace implements compacted.Fold.
 func (f *Fold) Replace(records []azurehitch.KeyedRecord, readAt time.Time) { f.Apply(records, readAt) }
 
-// Apply implements keyed.Fold.
+// Apply implements compacted.Fold.
 func (f *Fold) Apply(records []azurehitch.KeyedRecord, _ time.Time) {
 	_, key := f.decoder.Stream()
 	for i := len(records) - 1; i >= 0; i-- {
@@ -68,5 +68,5 @@
 	}
 }
 
-// Failed implements keyed.Fold. The table stays in force.
+// Failed implements compacted.Fold. The table stays in force.
 func (f *Fold) Failed(time.Time) {}
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -28,7 +28,7 @@
 	"azurehitch/internal/membership/members"
 	"azurehitch/internal/oplog/control"
 	"azurehitch/internal/oplog/follow"
-	"azurehitch/internal/oplog/keyed"
+	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/placement/swapholder"
 	"azurehitch/internal/placement/swappeer"
@@ -52,8 +52,8 @@
 
 // The pace at which the streams of the platform are read.
 var (
-	routingPace = keyed.Pace{Wait: 2 * time.Second}
-	fleetPace   = keyed.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
+	routingPace = compacted.Pace{Wait: 2 * time.Second}
+	fleetPace   = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
 )
 
 // Platform is the outside systems.
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"azurehitch/internal/oplog/keyed"
+	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/placement/swappeer"
 	"azurehitch/internal/telemetry/logging"
@@ -139,8 +139,8 @@
 func (d *Daemon) runFollowers(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	stream, _ := d.Platform.Routing.Stream()
-	table := keyed.NewFollower(d.Keyed, stream, d.routing, d.Clock, d.observer, routingPace)
-	servers := keyed.NewFollower(d.Keyed, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer, fleetPace)
+	table := compacted.NewFollower(d.Keyed, stream, d.routing, d.Clock, d.observer, routingPace)
+	servers := compacted.NewFollower(d.Keyed, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer, fleetPace)
 	group.Go(func() error { return table.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
 	return group.Wait()
--- a/internal/daemon/observe/observer.go
+++ b/internal/daemon/observe/observer.go
@@ -41,7 +41,7 @@
 	o.Note(logging.LayerLog, "log appends", err, metrics.LogAppendErrors)
 }
 
-// StreamRead implements keyed.Observer.
+// StreamRead implements compacted.Observer.
 func (o *Observer) StreamRead(stream string, err error) {
 	o.Metrics.Add(metrics.StoreReads, 1)
 	o.Note(logging.LayerLog, "stream "+stream, err, metrics.StoreReadErrors)
--- a/internal/membership/fleet/fold.go
+++ b/internal/membership/fleet/fold.go
@@ -67,7 +67,7 @@
 // View returns the servers as of the last read.
 func (f *Fold) View() *View { return f.view.Load() }
 
-// Replace implements keyed.Fold.
+// Replace implements compacted.Fold.
 func (f *Fold) Replace(records []azurehitch.KeyedRecord, readAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,7 +84,7 @@
 	f.publish(readAt)
 }
 
-// Apply implements keyed.Fold.
+// Apply implements compacted.Fold.
 func (f *Fold) Apply(records []azurehitch.KeyedRecord, readAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +94,7 @@
 	f.publish(readAt)
 }
 
-// Failed implements keyed.Fold.
+// Failed implements compacted.Fold.
 func (f *Fold) Failed(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	fold := fleet.NewFold(decode, clock, observer)
-//	follower := keyed.NewFollower(log, stream, fold, clock, observer, pace)
+//	follower := compacted.NewFollower(log, stream, fold, clock, observer, pace)
 //	servers := fold.View().Service("llm")
 //
 // The list lags, and entries lapse while the platform is away. An entry that went right
--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/oplog/keyed"
+	"azurehitch/internal/oplog/compacted"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -37,20 +37,20 @@
 	Address string
 }
 
-// Directory is the known daemons. It implements keyed.Fold.
+// Directory is the known daemons. It implements compacted.Fold.
 type Directory struct {
 	log      azurehitch.KeyedLog
 	stream   string
 	self     Member
 	clock    azurehitch.Clock
-	observer keyed.Observer
+	observer compacted.Observer
 
 	mu      sync.Mutex
 	members map[string]Member
 }
 
 // New returns a directory that knows its own daemon only.
-func New(log azurehitch.KeyedLog, stream string, self Member, clock azurehitch.Clock, observer keyed.Observer) *Directory {
+func New(log azurehitch.KeyedLog, stream string, self Member, clock azurehitch.Clock, observer compacted.Observer) *Directory {
 	return &Directory{
 		log: log, stream: stream, self: self, clock: clock, observer: observer,
 		members: map[string]Member{self.Name: self},
@@ -61,7 +61,7 @@
 func (d *Directory) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.announce(ctx) })
-	follower := keyed.NewFollower(d.log, d.stream, d, d.clock, d.observer, keyed.Pace{Wait: readWait})
+	follower := compacted.NewFollower(d.log, d.stream, d, d.clock, d.observer, compacted.Pace{Wait: readWait})
 	group.Go(func() error { return follower.Run(ctx) })
 	return group.Wait()
 }
@@ -99,12 +99,12 @@
 	return slices.Sorted(maps.Keys(d.members))
 }
 
-// Replace implements keyed.Fold.
+// Replace implements compacted.Fold.
 func (d *Directory) Replace(records []azurehitch.KeyedRecord, readAt time.Time) {
 	d.Apply(records, readAt)
 }
 
-// Apply implements keyed.Fold.
+// Apply implements compacted.Fold.
 func (d *Directory) Apply(records []azurehitch.KeyedRecord, _ time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -118,5 +118,5 @@
 	}
 }
 
-// Failed implements keyed.Fold. The members stay known.
+// Failed implements compacted.Fold. The members stay known.
 func (d *Directory) Failed(time.Time) {}
--- a/internal/oplog/keyed/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -1,13 +1,13 @@
-// Package keyed follows a stream that keeps the newest record of each key.
+// Package compacted follows a stream that keeps the newest record of each key.
 //
 // # Usage
 //
-//	follower := keyed.NewFollower(log, "servers", fold, clock, observer, keyed.Pace{Wait: time.Second})
+//	follower := compacted.NewFollower(log, "servers", fold, clock, observer, compacted.Pace{Wait: time.Second})
 //	group.Go(func() error { return follower.Run(ctx) })
 //
 // The follower lists the newest records once and reads changes from there on. When
 // changes were deleted unread, it lists again.
-package keyed
+package compacted
 
 import (
 	"context"
--- a/internal/oplog/keyed/follower_test.go
+++ b/internal/oplog/compacted/follower_test.go
@@ -1,4 +1,4 @@
-package keyed_test
+package compacted_test
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/oplog/keyed"
+	"azurehitch/internal/oplog/compacted"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -51,23 +51,23 @@
 // recordingFold keeps what it is told.
 type recordingFold struct{ told []string }
 
-// Replace implements keyed.Fold.
+// Replace implements compacted.Fold.
 func (f *recordingFold) Replace(records []azurehitch.KeyedRecord, _ time.Time) {
 	f.told = append(f.told, fmt.Sprintf("replace %d", len(records)))
 }
 
-// Apply implements keyed.Fold.
+// Apply implements compacted.Fold.
 func (f *recordingFold) Apply(records []azurehitch.KeyedRecord, _ time.Time) {
 	f.told = append(f.told, fmt.Sprintf("apply %d", len(records)))
 }
 
-// Failed implements keyed.Fold.
+// Failed implements compacted.Fold.
 func (f *recordingFold) Failed(time.Time) { f.told = append(f.told, "failed") }
 
 // silent is an observer that drops what it is told.
 type silent struct{}
 
-// StreamRead implements keyed.Observer.
+// StreamRead implements compacted.Observer.
 func (silent) StreamRead(string, error) {}
 
 func TestFollower(t *testing.T) {
@@ -104,7 +104,7 @@
 			defer cancel()
 			log := &scriptedLog{answers: test.answers, end: cancel}
 			fold := &recordingFold{}
-			follower := keyed.NewFollower(log, "s", fold, azurehitch.SystemClock{}, silent{}, keyed.Pace{})
+			follower := compacted.NewFollower(log, "s", fold, azurehitch.SystemClock{}, silent{}, compacted.Pace{})
 			c.Assert(follower.Run(ctx), qt.IsNil)
 			c.Assert(log.calls, qt.DeepEquals, test.calls)
 			// What is told of the last answer depends on when the context's end is seen.
