--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -29,20 +29,12 @@
 	MaxHeaderBytes int
 	ReadTimeout    time.Duration
 	IdleTimeout    time.Duration
-	// FencingEnforced tells that model engines refuse orders with an old token.
-	FencingEnforced bool
 	// LeaseDuration is how long the holder of a service stays in office without a renewal.
 	LeaseDuration time.Duration
-	// HolderGap is the span within which two holders must not give orders by turns.
-	HolderGap time.Duration
 	// LogRetention is how long the log keeps records.
 	LogRetention time.Duration
-	// LoadWindow is the span over which loads from the weight store are counted.
-	LoadWindow time.Duration
 	// StopTimeout is how long a planned stop may take.
 	StopTimeout time.Duration
-	// Heartbeat is how often backend servers describe themselves.
-	Heartbeat time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the requests that all daemons together
 	// send again.
 	RetryRatio  float64
@@ -61,11 +53,8 @@
 		ReadTimeout:    10 * time.Second,
 		IdleTimeout:    90 * time.Second,
 		LeaseDuration:  4500 * time.Millisecond,
-		HolderGap:      3 * time.Second,
 		LogRetention:   20 * time.Second,
-		LoadWindow:     5 * time.Second,
 		StopTimeout:    8 * time.Second,
-		Heartbeat:      1200 * time.Millisecond,
 		RetryRatio:     0.1,
 		RetrySlack:     10,
 		RetryWindow:    10 * time.Second,
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -16,10 +16,7 @@
 	inProgress := p.inProgress(now)
 	p.keep(now, inProgress)
 	var orders []Order
-	remote := p.settings.RemoteLoads - len(p.remoteEnds(now))
-	if !p.settled {
-		remote = 0
-	}
+	remote := p.remoteAllowance(now)
 	for _, name := range p.needed(now) {
 		for range p.missing(name, now, inProgress) {
 			order, ok := p.serve(name, now, inProgress, &remote)
@@ -35,6 +32,23 @@
 	return orders
 }
 
+// remoteAllowance is the number of loads from the weight store that may begin now: within
+// the number at once, and within the rate over each window.
+func (p *Plan) remoteAllowance(now time.Time) int {
+	if !p.settled {
+		return 0
+	}
+	p.remoteStarts = slices.DeleteFunc(p.remoteStarts, func(at time.Time) bool {
+		return now.Sub(at) > p.settings.LoadWindow
+	})
+	allowance := p.settings.RemoteLoads - len(p.remoteEnds(now))
+	if p.limits.RemoteLoadsPerSecond > 0 {
+		perWindow := int(p.limits.RemoteLoadsPerSecond * p.settings.LoadWindow.Seconds())
+		allowance = min(allowance, perWindow-len(p.remoteStarts))
+	}
+	return max(allowance, 0)
+}
+
 // expire drops the waiters that their daemons no longer renew.
 func (p *Plan) expire(now time.Time) {
 	for id, w := range p.waiters {
--- a/internal/placement/swap/order.go
+++ b/internal/placement/swap/order.go
@@ -41,6 +41,7 @@
 	s.replicas[name] = &replica{state: stateLoading, lastUsed: now, adapters: map[string]*adapter{}}
 	if tier == azurehitch.CacheTierRemote {
 		s.remoteAt = now
+		p.remoteStarts = append(p.remoteStarts, now)
 	}
 	for _, w := range p.waiters {
 		if w.Model == name && w.tier == "" {
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -37,6 +37,8 @@
 type Settings struct {
 	// RemoteLoads is the number of loads from the weight store that run at once.
 	RemoteLoads int
+	// LoadWindow is the span over which the rate of loads from the weight store is counted.
+	LoadWindow time.Duration
 	// SwapTime is what a swap takes beside the load itself.
 	SwapTime time.Duration
 	// QueueTime is the longest estimated wait for a load with which a request waits.
@@ -59,6 +61,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		RemoteLoads:       4,
+		LoadWindow:        5 * time.Second,
 		SwapTime:          300 * time.Millisecond,
 		QueueTime:         14 * time.Second,
 		BusyRate:          0.8,
@@ -96,6 +99,8 @@
 	models  map[string]*model
 	waiters map[string]*waiter
 	daemons map[string]*daemon
+	// remoteStarts are the starts of loads from the weight store in the last window.
+	remoteStarts []time.Time
 	// listings counts the stays of servers on the list.
 	listings int64
 	// lastGrant is the number of the last grant.
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -70,6 +70,30 @@
 		w.Assert(w.decide(), qt.HasLen, swap.DefaultSettings().RemoteLoads)
 		w.Assert(w.decide(), qt.HasLen, 0)
 	})
+	t.Run("no more than the rate, however short the loads", func(t *testing.T) {
+		w := newWorld(t, 200)
+		w.limits.RemoteLoadsPerSecond = 2
+		for name, limits := range w.limits.Models {
+			limits.RemoteLoad = 100 * time.Millisecond
+			w.limits.Models[name] = limits
+		}
+		w.plan.SetLimits(w.limits)
+		for i := range 8 {
+			w.add(fmt.Sprintf("s%d", i), nil, []string{fmt.Sprintf("m%d", i)})
+		}
+		began, loads := w.now, 0
+		for w.now.Sub(began) < 5*time.Second {
+			for _, order := range w.decide() {
+				if order.Tier == azurehitch.CacheTierRemote && order.Kind == azurehitch.OrderLoad {
+					loads++
+				}
+				w.carryOut([]swap.Order{order})
+			}
+			w.pass(50 * time.Millisecond)
+		}
+		w.Assert(loads <= 10, qt.IsTrue, qt.Commentf("%d loads in 5 s at 2 a second", loads))
+		w.Assert(loads > 5, qt.IsTrue)
+	})
 	t.Run("what is asked for most goes first", func(t *testing.T) {
 		w := newWorld(t, 30)
 		w.add("s0", nil, nil)
