--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -130,7 +130,7 @@
 	return servers
 }
 
-// placeCall chooses the emptiest server, and prefers the own failure domain.
+// placeCall chooses by the counts of this daemon, and prefers the own failure domain.
 func (p *Placer) placeCall(r Request) (Choice, error) {
 	servers := p.candidates(r)
 	if len(servers) == 0 {
--- /dev/null
+++ b/internal/forward/place/placer_test.go
@@ -0,0 +1,97 @@
+package place_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/forward/place"
+	"azurehitch/internal/membership/fleet"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// silent is an observer that drops what it is told.
+type silent struct{}
+
+// ServerChanged implements fleet.Observer.
+func (silent) ServerChanged(azurehitch.FleetServer, fleet.Change) {}
+
+// EntryUnreadable implements fleet.Observer.
+func (silent) EntryUnreadable(string, error) {}
+
+// decode reads entries of the form DOMAIN or DOMAIN:leaving.
+func decode(id string, value []byte) (azurehitch.FleetServer, error) {
+	domain, state, _ := strings.Cut(string(value), ":")
+	return azurehitch.FleetServer{
+		ServerIdentity: azurehitch.ServerIdentity{ID: id, Address: id}, Service: "calls", FailureDomain: domain,
+		Slots: 6, Leaving: state == "leaving",
+	}, nil
+}
+
+// newPlacer returns a placer in failure domain a, over servers by id.
+func newPlacer(servers map[string]string) *place.Placer {
+	fold := fleet.NewFold(decode, silent{})
+	var records []azurehitch.KeyedRecord
+	for id, value := range servers {
+		records = append(records, azurehitch.KeyedRecord{Key: id, Value: []byte(value)})
+	}
+	fold.Replace(records, time.Unix(1000, 0))
+	clock := azurehitch.SystemClock{}
+	return place.New(place.Dependencies{
+		Self: "daemon-1", FailureDomain: "a", Fleet: fold.View, Breakers: breaker.NewBreakers(clock), Clock: clock,
+	})
+}
+
+func call(i int, tried ...string) place.Request {
+	return place.Request{
+		CallerRequest: azurehitch.CallerRequest{ID: fmt.Sprintf("r%d", i)},
+		Service:       azurehitch.BackendService{Name: "calls"}, Tried: tried,
+	}
+}
+
+func TestPlace(t *testing.T) {
+	t.Run("no server that leaves, and none that was tried", func(t *testing.T) {
+		c := qt.New(t)
+		placer := newPlacer(map[string]string{"s1": "a", "s2": "a:leaving", "s3": "b"})
+		for i := range 50 {
+			choice, err := placer.Place(context.Background(), call(i, "s1"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(choice.Server.ID, qt.Equals, "s3")
+			choice.End()
+		}
+	})
+	t.Run("one that was tried, rather than none", func(t *testing.T) {
+		c := qt.New(t)
+		choice, err := newPlacer(map[string]string{"s1": "a"}).Place(context.Background(), call(1, "s1"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(choice.Server.ID, qt.Equals, "s1")
+	})
+	t.Run("without servers, refused with when to come back", func(t *testing.T) {
+		c := qt.New(t)
+		_, err := newPlacer(map[string]string{"s1": "a:leaving"}).Place(context.Background(), call(1))
+		var refused *azurehitch.ErrRefused
+		c.Assert(errors.As(err, &refused), qt.IsTrue)
+		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+	})
+	// The load: 24 calls at once, to four servers with six slots each.
+	t.Run("calls at once spread over all servers", func(t *testing.T) {
+		c := qt.New(t)
+		placer := newPlacer(map[string]string{"s1": "a", "s2": "b", "s3": "c", "s4": "d"})
+		counts := map[string]int{}
+		for i := range 24 {
+			choice, err := placer.Place(context.Background(), call(i))
+			c.Assert(err, qt.IsNil)
+			counts[choice.Server.ID]++
+		}
+		for id, n := range counts {
+			c.Assert(n <= 9, qt.IsTrue, qt.Commentf("%s has %d of 24", id, n))
+		}
+		c.Assert(counts, qt.HasLen, 4)
+	})
+}
