--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -191,8 +191,13 @@
 	if choice, ok := p.placeOnKept(r); ok {
 		return choice, nil
 	}
+	need := p.need(r)
 	for {
-		grant, err := p.Swaps.Find(ctx, r.Service.Name, p.need(r))
+		grant, err := p.Swaps.Find(ctx, r.Service.Name, need)
+		if err == nil && p.hasLeft(grant.Server) {
+			need.Left = append(need.Left, grant.Server.ID)
+			continue
+		}
 		if err == nil {
 			replica := swap.Replica{Server: grant.Server.ID, Model: r.Model}
 			choice := p.choice(grant.Server, "granted by the holder", p.Swaps.Begin(r.Service.Name, replica))
@@ -208,6 +213,17 @@
 	}
 }
 
+// hasLeft reports whether a granted server leaves, or is gone, by the list of this daemon: that
+// of the holder may be older.
+func (p *Placer) hasLeft(server azurehitch.ServerIdentity) bool {
+	view := p.Fleet()
+	listed, ok := view.Server(server.ID)
+	if !ok {
+		return view.Settled && !view.ReadAt.IsZero()
+	}
+	return listed.Leaving
+}
+
 func (p *Placer) need(r Request) swap.Need {
 	return swap.Need{
 		ID: r.ID, Daemon: p.Self, FailureDomain: p.FailureDomain, Model: r.Model, Adapter: r.Adapter,
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -43,6 +43,7 @@
 // Ask answers a need: with a replica that is ready, with the advice to wait, or with a
 // refusal when no load can serve it in time. A daemon asks again while it waits.
 func (p *Plan) Ask(need Need, now time.Time) Verdict {
+	p.learnLeft(need.Left)
 	w, waiting := p.waiters[need.ID]
 	if !waiting {
 		p.countAsk(need, now)
@@ -65,6 +66,17 @@
 	return Verdict{Kind: VerdictWaiting, Estimate: estimate, Reason: reason}
 }
 
+// learnLeft takes in what a daemon knows of servers that leave. None of them comes back in the
+// same incarnation.
+func (p *Plan) learnLeft(servers []string) {
+	for _, id := range servers {
+		if s, ok := p.servers[id]; ok {
+			s.left = true
+			s.leaving = true
+		}
+	}
+}
+
 // Withdraw ends the wait of a request, as when its caller has gone.
 func (p *Plan) Withdraw(id string) { delete(p.waiters, id) }
 
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -46,6 +46,9 @@
 	Urgency int
 	// Avoid are the servers that failed the request.
 	Avoid []string
+	// Left are the servers that leave or are gone by the list of the daemon, which may be newer
+	// than that of the holder.
+	Left []string
 }
 
 // Replica names a model on a server.
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -49,6 +49,16 @@
 		w.Assert(w.decide(), qt.HasLen, 1)
 		w.Assert(w.decide(), qt.HasLen, 0)
 	})
+	t.Run("a daemon's news of a server that leaves counts, whatever the list says", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0"}, names("m", 0, 4))
+		w.add("s1", nil, names("m", 0, 4))
+		need := w.need("r", "m0")
+		need.Left = []string{"s0"}
+		w.assertKind(w.ask(need), swap.VerdictWaiting)
+		w.plan.SetServers(w.servers)
+		w.assertOrder(w.decide()[0], azurehitch.OrderLoad, "s1", "m0")
+	})
 	t.Run("a server that leaves gets neither requests nor orders", func(t *testing.T) {
 		w := newWorld(t, 4)
 		w.add("s0", []string{"m0"}, names("m", 0, 4))
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -39,6 +39,8 @@
 	slots   int
 	leaving bool
 	missing bool
+	// left is true when a daemon's list shows that the server leaves.
+	left bool
 	// known is true when the server was reached and carries out no order that this holder
 	// doesn't know.
 	known bool
@@ -65,7 +67,7 @@
 	s.ServerIdentity = l.ServerIdentity
 	s.domain = l.FailureDomain
 	s.slots = l.Slots
-	s.leaving = l.Leaving
+	s.leaving = l.Leaving || s.left
 	s.missing = l.Missing
 	if !s.known && s.order == nil {
 		s.setLoaded(l.Loaded)
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -13,7 +13,7 @@
 	return &peerpb.SwapAskRequest{
 		Service: service, Id: need.ID, FailureDomain: need.FailureDomain, Model: need.Model, Adapter: need.Adapter,
 		ObjectiveMs: need.Objective.Sub(now).Milliseconds(), DeadlineMs: need.Deadline.Sub(now).Milliseconds(),
-		Urgency: int32(need.Urgency), Avoid: need.Avoid,
+		Urgency: int32(need.Urgency), Avoid: need.Avoid, Left: need.Left,
 	}
 }
 
@@ -22,7 +22,7 @@
 		ID: r.Id, Daemon: daemon, FailureDomain: r.FailureDomain, Model: r.Model, Adapter: r.Adapter,
 		Objective: now.Add(time.Duration(r.ObjectiveMs) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(r.DeadlineMs) * time.Millisecond),
-		Urgency:   int(r.Urgency), Avoid: r.Avoid,
+		Urgency:   int(r.Urgency), Avoid: r.Avoid, Left: r.Left,
 	}
 }
 
