A last read of the change: what nothing used is gone, dropped log lines are counted

Found by reading: the count of dropped log lines stood in docs/metrics.md and was never set; it is read when the metrics are asked for. Behaviour as before.

--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/placement/swappeer"
 	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
@@ -161,7 +162,11 @@
 }
 
 func (d *Daemon) runMetrics(ctx context.Context) error {
-	return serveHTTP(ctx, d.listeners.metrics, d.Metrics.TextHandler())
+	text := d.Metrics.TextHandler()
+	return serveHTTP(ctx, d.listeners.metrics, func(request *fasthttp.RequestCtx) {
+		d.Metrics.Set(metrics.LogLinesDropped, d.Logs.Dropped())
+		text(request)
+	})
 }
 
 func serveHTTP(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -14,7 +14,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -37,7 +36,7 @@
 func newView(servers map[string]azurehitch.FleetServer, missing map[string]time.Time, version int64, readAt time.Time) *View {
 	view := &View{
 		ReadAt: readAt, Version: version,
-		services: map[string][]azurehitch.FleetServer{}, servers: maps.Clone(servers),
+		services: map[string][]azurehitch.FleetServer{}, servers: map[string]azurehitch.FleetServer{},
 	}
 	listed := map[string]bool{}
 	for id, s := range servers {
@@ -65,6 +64,3 @@
 	s, ok := v.servers[id]
 	return s, ok
 }
-
-// Len returns the number of servers.
-func (v *View) Len() int { return len(v.servers) }
--- a/internal/placement/swap/kept.go
+++ b/internal/placement/swap/kept.go
@@ -14,14 +14,8 @@
 	Requests int
 }
 
-// Table is the kept replicas, for the daemons.
-type Table struct {
-	Version  int64
-	Replicas []Kept
-}
-
-// Table returns the kept replicas as of the last decision.
-func (p *Plan) Table() Table { return Table{Version: p.changed, Replicas: p.kept} }
+// Kept returns the kept replicas as of the last decision.
+func (p *Plan) Kept() []Kept { return p.kept }
 
 // isKept reports whether a replica is not to be unloaded.
 func (p *Plan) isKept(server, name string) bool {
@@ -39,11 +33,7 @@
 			kept = append(kept, Kept{Replica: Replica{Server: s.ID, Model: name}, Requests: load(inProgress, s.ID)})
 		}
 	}
-	same := slices.EqualFunc(kept, p.kept, func(a, b Kept) bool { return a.Replica == b.Replica })
 	p.kept = kept
-	if !same {
-		p.changed++
-	}
 }
 
 // keepOf returns the replicas of a busy model that stay: one in each failure domain, and as
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -105,9 +105,8 @@
 	listings int64
 	// lastGrant is the number of the last grant.
 	lastGrant int64
-	// changed counts the changes of the kept replicas.
-	changed int64
-	kept    []Kept
+	// kept are the replicas of busy models that stay.
+	kept []Kept
 }
 
 // model is what is known of the use of a model.
--- a/internal/placement/swapholder/set.go
+++ b/internal/placement/swapholder/set.go
@@ -104,10 +104,10 @@
 }
 
 // Report takes in the demand of a daemon, and returns the replicas that stay.
-func (s *Set) Report(service, daemon string, demand swap.Demand, withdrawn []string) (swap.Table, error) {
+func (s *Set) Report(service, daemon string, demand swap.Demand, withdrawn []string) ([]swap.Kept, error) {
 	h, err := s.held(service)
 	if err != nil {
-		return swap.Table{}, err
+		return nil, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -116,5 +116,5 @@
 		h.plan.Withdraw(id)
 	}
 	h.notifyAsks()
-	return h.plan.Table(), nil
+	return h.plan.Kept(), nil
 }
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -166,8 +166,7 @@
 func (c *Client) sendReport(ctx context.Context, service string, demand swap.Demand, withdrawn []string) ([]swap.Kept, error) {
 	holder := c.Holder(service)
 	if holder.Daemon == c.Self {
-		table, err := c.Held.Report(service, c.Self, demand, withdrawn)
-		return table.Replicas, err
+		return c.Held.Report(service, c.Self, demand, withdrawn)
 	}
 	response, err := c.call(ctx, holder.Daemon, reportTimeout, &peerpb.Request{
 		Kind: &peerpb.Request_SwapReport{SwapReport: demandToProto(service, demand, withdrawn)},
--- a/internal/placement/swappeer/server.go
+++ b/internal/placement/swappeer/server.go
@@ -25,10 +25,10 @@
 		}
 	case *peerpb.Request_SwapReport:
 		report := kind.SwapReport
-		table, err := s.Held.Report(report.Service, request.Daemon, demandFromProto(report), report.Withdrawn)
+		kept, err := s.Held.Report(report.Service, request.Daemon, demandFromProto(report), report.Withdrawn)
 		if err == nil {
 			return &peerpb.Response{Kind: &peerpb.Response_SwapReport{
-				SwapReport: &peerpb.SwapReportResponse{Kept: keptToProto(table.Replicas)},
+				SwapReport: &peerpb.SwapReportResponse{Kept: keptToProto(kept)},
 			}}
 		}
 	}
--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -22,7 +22,6 @@
 	tcp     net.Conn
 	reader  *bufio.Reader
 	expires time.Time
-	reused  bool
 }
 
 func newConn(tcp net.Conn) *conn {
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -29,8 +29,6 @@
 // use.
 type Exchange struct {
 	Header fasthttp.ResponseHeader
-	// Reused is true when the connection had carried a request before.
-	Reused bool
 
 	pool    *Pool
 	address string
@@ -56,7 +54,7 @@
 		return nil, &ErrExchange{Address: address, Cause: err}
 	}
 	e := &Exchange{
-		pool: p, address: address, conn: c, Reused: c.reused,
+		pool: p, address: address, conn: c,
 		sending: &errgroup.Group{}, sent: make(chan struct{}),
 	}
 	if err := e.start(ctx, request); err != nil {
@@ -67,7 +65,6 @@
 }
 
 func (e *Exchange) start(ctx context.Context, request Request) error {
-	e.conn.reused = true
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := e.conn.tcp.SetDeadline(deadline); err != nil {
 			return errors.Wrap(err, "set deadline")
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -128,26 +128,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address, as when its server is gone.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h, ok := p.hosts[address]; ok {
-		closeAll(h.idle)
-		h.idle = nil
-	}
-}
-
-// InUse returns the number of connections to an address that carry a request.
-func (p *Pool) InUse(address string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h, ok := p.hosts[address]; ok {
-		return h.inUse
-	}
-	return 0
-}
-
 // acquire returns a connection, from the idle ones if that is allowed.
 func (p *Pool) acquire(ctx context.Context, address string, options Options) (*conn, error) {
 	idle, err := p.reserve(address, options)
