Holder of a service: strong hosts first

Ruled out: processor time (0.08 cores at most), store.

Change: members announce processor time and bandwidth; daemons on strong hosts claim first, others 1.5 s later; a pool that nobody has held waits until the members are known.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -131,7 +131,10 @@
 	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.LeaseClock, d.observer)
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
 	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
-	self := members.Member{Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers}
+	self := members.Member{
+		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers,
+		Processor: d.settings.Processor, Bandwidth: d.settings.Bandwidth,
+	}
 	d.members = members.New(d.Keyed, memberStream, self, d.Clock, d.observer)
 	d.leases = leaserunner.Runner{
 		Store: d.store, Writer: d.writer, Clock: d.Clock, Environment: d.environment, Counters: d.observer,
@@ -213,7 +216,10 @@
 }
 
 func (d *Daemon) environment() leaselog.Environment {
-	environment := leaselog.Environment{Daemons: d.members.Names(), Draining: d.stopping.Load(), Succeeds: true}
+	environment := leaselog.Environment{
+		Daemons: d.members.Names(), Strong: d.members.Strong(), Gathering: d.members.IsGathering(),
+		Draining: d.stopping.Load(), Succeeds: true,
+	}
 	for _, name := range d.engineServices() {
 		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: name, Duration: d.settings.LeaseDuration})
 	}
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -23,6 +23,10 @@
 	Store string
 	// Memory is what the process may use.
 	Memory azurehitch.ByteSize
+	// Processor is the processor time of the host, in cores, and Bandwidth the rate of its
+	// link in bits per second. 0 is unknown.
+	Processor float64
+	Bandwidth int64
 	// MaxConnections bounds the connections of callers.
 	MaxConnections int
 	MaxBodyBytes   int
--- a/internal/lease/leaselog/leaselog_test.go
+++ b/internal/lease/leaselog/leaselog_test.go
@@ -168,6 +168,47 @@
 	})
 }
 
+// TestStrongHosts asks for the claims of daemons on hosts that differ in strength.
+func TestStrongHosts(t *testing.T) {
+	environment := leaselog.Environment{
+		Pools: []leaselog.PoolSetting{{Name: "llm", Duration: duration}}, Daemons: []string{"a", "b", "c", "d"}, Strong: []string{"b", "d"},
+	}
+	// claimsAfter is how long a daemon waits with its claim of a pool that nobody has held.
+	claimsAfter := func(name string, environment leaselog.Environment) time.Duration {
+		now := time.Unix(1000, 0)
+		manager := leaselog.NewManager(daemon(name), leaselog.NewFold(), now)
+		const step, most = 50 * time.Millisecond, 10 * time.Second
+		for waited := time.Duration(0); waited < most; waited += step {
+			if len(manager.Decide(now.Add(waited), environment)) > 0 {
+				return waited
+			}
+		}
+		return most
+	}
+	t.Run("strong hosts go first", func(t *testing.T) {
+		c := qt.New(t)
+		for _, strong := range environment.Strong {
+			for _, weak := range []string{"a", "c"} {
+				c.Check(claimsAfter(weak, environment)-claimsAfter(strong, environment) >= time.Second, qt.IsTrue)
+			}
+		}
+	})
+	t.Run("no two claim at the same time", func(t *testing.T) {
+		c := qt.New(t)
+		at := map[time.Duration]bool{}
+		for _, name := range environment.Daemons {
+			at[claimsAfter(name, environment)] = true
+		}
+		c.Assert(at, qt.HasLen, len(environment.Daemons))
+	})
+	t.Run("nobody claims a new pool while daemons announce themselves", func(t *testing.T) {
+		c := qt.New(t)
+		gathering := environment
+		gathering.Gathering = true
+		c.Assert(claimsAfter("b", gathering), qt.Equals, 10*time.Second)
+	})
+}
+
 // TestRebalance gives one daemon all pools, as when it started first.
 func TestRebalance(t *testing.T) {
 	c := qt.New(t)
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -18,6 +18,8 @@
 	rebalanceInterval = 2 * time.Second
 	// claimRetry is how long a claim without an answer holds up the next.
 	claimRetry = time.Second
+	// weakDelay is how long daemons on weak hosts let those on strong ones go first.
+	weakDelay = 1500 * time.Millisecond
 )
 
 // PoolSetting is what the manager needs to know of a pool.
@@ -31,6 +33,12 @@
 	Pools []PoolSetting
 	// Daemons are the live entry hosts, this one included.
 	Daemons []string
+	// Strong are the daemons on the hosts with the most processor time and bandwidth. They
+	// are preferred. Without any, all hosts are alike.
+	Strong []string
+	// Gathering is true while daemons are still announcing themselves after a start: pools
+	// that nobody has held yet wait until the strong hosts are known.
+	Gathering bool
 	// Draining stops claims.
 	Draining bool
 	// Succeeds is true when an earlier process of this daemon has ended for certain, as when
@@ -235,6 +243,9 @@
 	if environment.Succeeds && lease.Holder.Daemon == m.self.Daemon {
 		return &Claim{Pool: pool.Name, Seen: lease.Last, Duration: pool.Duration}
 	}
+	if environment.Gathering && lease.Token == 0 {
+		return nil
+	}
 	claimableAt := m.claimableAt(lease, pool, now)
 	if now.Before(claimableAt) || now.Before(claimableAt.Add(m.preference(pool.Name, environment))) {
 		return nil
@@ -257,12 +268,23 @@
 
 // preference is how long this daemon lets more preferred ones go first.
 func (m *Manager) preference(pool string, environment Environment) time.Duration {
-	ranking := Rank(pool, environment.Daemons, m.load(environment))
+	daemons := environment.Daemons
+	delay := time.Duration(0)
+	if len(environment.Strong) > 0 {
+		isStrong := func(name string) bool { return slices.Contains(environment.Strong, name) }
+		if isStrong(m.self.Daemon) {
+			daemons = environment.Strong
+		} else {
+			daemons = slices.DeleteFunc(slices.Clone(daemons), isStrong)
+			delay = weakDelay
+		}
+	}
+	ranking := Rank(pool, daemons, m.load(environment))
 	rank := slices.Index(ranking, m.self.Daemon)
 	if rank < 0 {
 		rank = len(ranking)
 	}
-	return time.Duration(rank) * claimStagger
+	return delay + time.Duration(rank)*claimStagger
 }
 
 func (m *Manager) load(environment Environment) Load {
--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -27,6 +27,8 @@
 const (
 	readWait    = 10 * time.Second
 	putInterval = 500 * time.Millisecond
+	// gatherTime is how long daemons that start together take to announce themselves.
+	gatherTime = 700 * time.Millisecond
 )
 
 // Member is a daemon.
@@ -35,6 +37,10 @@
 	Incarnation string
 	// Address is where other daemons reach it.
 	Address string
+	// Processor is the processor time of its host, in cores, and Bandwidth the rate of its
+	// link in bits per second. 0 is unknown.
+	Processor float64
+	Bandwidth int64
 }
 
 // Directory is the known daemons. It implements compacted.Fold.
@@ -47,6 +53,8 @@
 
 	mu      sync.Mutex
 	members map[string]Member
+	// listedAt is when the members were first listed.
+	listedAt time.Time
 }
 
 // New returns a directory that knows its own daemon only.
@@ -99,9 +107,41 @@
 	return slices.Sorted(maps.Keys(d.members))
 }
 
+// Strong returns the members whose hosts have at least half of the processor time and of
+// the bandwidth that any has, by name.
+func (d *Directory) Strong() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var most Member
+	for _, m := range d.members {
+		most.Processor = max(most.Processor, m.Processor)
+		most.Bandwidth = max(most.Bandwidth, m.Bandwidth)
+	}
+	var strong []string
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		if m := d.members[name]; 2*m.Processor >= most.Processor && 2*m.Bandwidth >= most.Bandwidth {
+			strong = append(strong, name)
+		}
+	}
+	return strong
+}
+
+// IsGathering reports whether daemons that started together may still be announcing
+// themselves.
+func (d *Directory) IsGathering() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listedAt.IsZero() || d.clock.Now().Sub(d.listedAt) < gatherTime
+}
+
 // Replace implements compacted.Fold.
 func (d *Directory) Replace(records []azurehitch.KeyedRecord, readAt time.Time) {
 	d.Apply(records, readAt)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listedAt.IsZero() {
+		d.listedAt = readAt
+	}
 }
 
 // Apply implements compacted.Fold.
--- /dev/null
+++ b/internal/membership/members/members_test.go
@@ -0,0 +1,65 @@
+package members_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/membership/members"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fixedClock stands still until it is set.
+type fixedClock struct {
+	azurehitch.SystemClock
+	now time.Time
+}
+
+// Now implements azurehitch.Clock.
+func (f *fixedClock) Now() time.Time { return f.now }
+
+func records(t *testing.T, list ...members.Member) []azurehitch.KeyedRecord {
+	t.Helper()
+	var result []azurehitch.KeyedRecord
+	for _, m := range list {
+		value, err := json.Marshal(m)
+		qt.New(t).Assert(err, qt.IsNil)
+		result = append(result, azurehitch.KeyedRecord{Key: m.Name, Value: value})
+	}
+	return result
+}
+
+func TestStrong(t *testing.T) {
+	small := members.Member{Name: "small", Processor: 0.2, Bandwidth: 10_000_000}
+	fast := members.Member{Name: "fast", Processor: 0.8, Bandwidth: 10_000_000}
+	large := members.Member{Name: "large", Processor: 0.8, Bandwidth: 200_000_000}
+	for _, test := range []struct {
+		name   string
+		self   members.Member
+		others []members.Member
+		want   []string
+	}{
+		{"only with both processor time and bandwidth", small, []members.Member{fast, large}, []string{"large"}},
+		{"all when alike", members.Member{Name: "a"}, []members.Member{{Name: "b"}}, []string{"a", "b"}},
+		{"the only one", small, nil, []string{"small"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			directory := members.New(nil, "members", test.self, &fixedClock{}, nil)
+			directory.Apply(records(t, test.others...), time.Time{})
+			qt.New(t).Assert(directory.Strong(), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestGathering(t *testing.T) {
+	c := qt.New(t)
+	clock := &fixedClock{now: time.Unix(1000, 0)}
+	directory := members.New(nil, "members", members.Member{Name: "a"}, clock, nil)
+	c.Assert(directory.IsGathering(), qt.IsTrue)
+	directory.Replace(nil, clock.now)
+	c.Assert(directory.IsGathering(), qt.IsTrue)
+	clock.now = clock.now.Add(time.Second)
+	c.Assert(directory.IsGathering(), qt.IsFalse)
+}
