Holder: one pass over the queue, servers found by model

Answers to questions about loaded models took 0.5 to 1 s, others ran into their timeout.

Change: requests in progress are counted as they change; the queue is kept in order by model; servers are found by model; each step goes once through the queue and hands the verdicts to the waiting questions; steps are 10 ms apart at least; the list and the configuration are taken in only when they have changed.

--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -21,10 +21,10 @@
 )
 
 // loadAdapters returns the orders for adapters that requests wait for.
-func (p *Plan) loadAdapters(now time.Time, inProgress map[Replica]int) []Order {
+func (p *Plan) loadAdapters(now time.Time) []Order {
 	var orders []Order
-	for _, w := range p.sortedWaiters() {
-		if w.Adapter == "" || p.adapterUnderWay(w.Need) || p.choose(w.Need, inProgress) != nil {
+	for _, w := range p.waiters.sorted() {
+		if w.Adapter == "" || p.adapterUnderWay(w.Need) || p.choose(w.Need, p.replicas(w.Model)) != nil {
 			continue
 		}
 		if order, ok := p.loadAdapter(w.Need, now); ok {
@@ -34,15 +34,6 @@
 	return orders
 }
 
-func (p *Plan) sortedWaiters() []*waiter {
-	waiters := make([]*waiter, 0, len(p.waiters))
-	for _, w := range p.waiters {
-		waiters = append(waiters, w)
-	}
-	slices.SortFunc(waiters, compareWaiters)
-	return waiters
-}
-
 func (p *Plan) adapterUnderWay(need Need) bool {
 	for _, s := range p.replicas(need.Model) {
 		if a, ok := s.replicas[need.Model].adapters[need.Adapter]; ok && a.state == stateLoading {
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -44,23 +44,56 @@
 // refusal when no load can serve it in time. A daemon asks again while it waits.
 func (p *Plan) Ask(need Need, now time.Time) Verdict {
 	p.learnLeft(need.Left)
-	w, waiting := p.waiters[need.ID]
+	w, waiting := p.waiters.byID[need.ID]
 	if !waiting {
 		p.countAsk(need, now)
-		w = &waiter{Need: need, since: now}
+		w = &waiter{since: now}
 	}
-	inProgress := p.inProgress(now)
-	if s := p.choose(need, inProgress); s != nil && p.isNext(w, inProgress) {
-		delete(p.waiters, need.ID)
-		return Verdict{Kind: VerdictGranted, Grant: p.grant(need, s, w.tier, now), Reason: "replica is ready"}
-	}
-	w.renewed = now
 	w.Need = need
-	p.waiters[need.ID] = w
-	estimate, reason := p.estimate(w, inProgress, now)
-	margin := time.Duration(p.settings.AnswerPart * float64(need.Deadline.Sub(w.since)))
-	if estimate > p.settings.QueueTime || now.Add(estimate+margin).After(need.Deadline) {
-		delete(p.waiters, need.ID)
+	w.renewed = now
+	verdict := p.judge(w, p.outlook(need.Model, now), now)
+	if verdict.Kind == VerdictWaiting {
+		p.waiters.add(w)
+	}
+	return verdict
+}
+
+// Settlement is the verdict on a request that has waited.
+type Settlement struct {
+	ID      string
+	Verdict Verdict
+}
+
+// Settle goes once through the requests that wait and whose daemons are asking, and returns
+// the verdicts that end their wait.
+func (p *Plan) Settle(now time.Time, isAsking func(id string) bool) []Settlement {
+	var settled []Settlement
+	for _, name := range p.waiters.models() {
+		outlook := p.outlook(name, now)
+		for _, w := range slices.Clone(p.waiters.byModel[name]) {
+			if !isAsking(w.ID) {
+				continue
+			}
+			if verdict := p.judge(w, outlook, now); verdict.Kind != VerdictWaiting {
+				settled = append(settled, Settlement{ID: w.ID, Verdict: verdict})
+			}
+		}
+	}
+	return settled
+}
+
+// judge decides about a request. One that need not wait any more leaves the queue.
+func (p *Plan) judge(w *waiter, o outlook, now time.Time) Verdict {
+	if len(o.replicas) > 0 && p.waiters.ahead(w) < p.freeSlots(o.replicas) {
+		if s := p.choose(w.Need, o.replicas); s != nil {
+			p.waiters.remove(w.ID)
+			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Need, s, w.tier, now), Reason: "replica is ready"}
+		}
+	}
+	estimate, reason := p.estimate(w, o)
+	margin := time.Duration(p.settings.AnswerPart * float64(w.Deadline.Sub(w.since)))
+	if estimate > p.settings.QueueTime || now.Add(estimate+margin).After(w.Deadline) {
+		p.waiters.remove(w.ID)
 		return Verdict{Kind: VerdictRefused, Estimate: estimate, Reason: reason}
 	}
 	return Verdict{Kind: VerdictWaiting, Estimate: estimate, Reason: reason}
@@ -73,12 +106,13 @@
 		if s, ok := p.servers[id]; ok {
 			s.left = true
 			s.leaving = true
+			p.index.invalidate()
 		}
 	}
 }
 
 // Withdraw ends the wait of a request, as when its caller has gone.
-func (p *Plan) Withdraw(id string) { delete(p.waiters, id) }
+func (p *Plan) Withdraw(id string) { p.waiters.remove(id) }
 
 func (p *Plan) countAsk(need Need, now time.Time) {
 	m := p.model(need.Model)
@@ -93,9 +127,9 @@
 func (p *Plan) grant(need Need, s *server, tier azurehitch.CacheTier, now time.Time) Grant {
 	p.lastGrant++
 	d := p.daemon(need.Daemon)
-	d.grants = append(d.grants, issuedGrant{
-		number: p.lastGrant, replica: Replica{Server: s.ID, Model: need.Model}, at: now,
-	})
+	replica := Replica{Server: s.ID, Model: need.Model}
+	d.grants = append(d.grants, issuedGrant{number: p.lastGrant, replica: replica, at: now})
+	p.progress.add(replica, 1)
 	r := s.replicas[need.Model]
 	r.lastUsed = now
 	if a, ok := r.adapters[need.Adapter]; ok {
@@ -104,59 +138,39 @@
 	return Grant{Server: s.ServerIdentity, Number: p.lastGrant, Tier: tier}
 }
 
-// choose returns the best server on which the model, and the adapter, take requests, and
-// whose slots are not all taken.
-func (p *Plan) choose(need Need, inProgress map[Replica]int) *server {
-	candidates := slices.DeleteFunc(p.replicas(need.Model), func(s *server) bool {
-		if slices.Contains(need.Avoid, s.ID) || load(inProgress, s.ID) >= s.slots {
-			return true
+// choose returns the best of the replicas of a model on which the adapter, if any, takes
+// requests, and whose slots are not all taken.
+func (p *Plan) choose(need Need, replicas []*server) *server {
+	var candidates []*server
+	for _, s := range replicas {
+		isFull := p.progress.servers[s.ID] >= s.slots
+		isFit := need.Adapter == "" || s.replicas[need.Model].hasAdapter(need.Adapter)
+		if !isFull && isFit && !slices.Contains(need.Avoid, s.ID) {
+			candidates = append(candidates, s)
 		}
-		return need.Adapter != "" && !s.replicas[need.Model].hasAdapter(need.Adapter)
-	})
+	}
 	if len(candidates) == 0 {
 		return nil
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
-			compareBool(p.isFull(a, inProgress), p.isFull(b, inProgress)),
+			compareBool(p.isFull(a), p.isFull(b)),
 			compareBool(a.domain != need.FailureDomain, b.domain != need.FailureDomain),
-			cmp.Compare(load(inProgress, a.ID), load(inProgress, b.ID)),
+			cmp.Compare(p.progress.servers[a.ID], p.progress.servers[b.ID]),
 		)
 	})
 }
 
 // isFull reports whether a server has as many requests as it serves without delay.
-func (p *Plan) isFull(s *server, inProgress map[Replica]int) bool {
-	return float64(load(inProgress, s.ID)) >= p.settings.ReplicaLoad*2*float64(s.slots)
-}
-
-// isNext reports whether the free slots at the replicas of a model suffice for those of its
-// waiters that go first, and this one.
-func (p *Plan) isNext(w *waiter, inProgress map[Replica]int) bool {
-	return p.ahead(w) < p.freeSlots(w.Model, inProgress)
-}
-
-// ahead is the number of waiters for the same model that go first: those of more urgent
-// routes, then those that wait longer.
-func (p *Plan) ahead(w *waiter) int {
-	ahead := 0
-	for _, other := range p.waiters {
-		if other.Model == w.Model && other.ID != w.ID && compareWaiters(other, w) < 0 {
-			ahead++
-		}
-	}
-	return ahead
-}
-
-func compareWaiters(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID))
+func (p *Plan) isFull(s *server) bool {
+	return float64(p.progress.servers[s.ID]) >= p.settings.ReplicaLoad*2*float64(s.slots)
 }
 
-// freeSlots is the number of further requests that the replicas of a model take at once.
-func (p *Plan) freeSlots(name string, inProgress map[Replica]int) int {
+// freeSlots is the number of further requests that replicas take at once.
+func (p *Plan) freeSlots(replicas []*server) int {
 	free := 0
-	for _, s := range p.replicas(name) {
-		free += max(s.slots-load(inProgress, s.ID), 0)
+	for _, s := range replicas {
+		free += max(s.slots-p.progress.servers[s.ID], 0)
 	}
 	return free
 }
@@ -177,42 +191,58 @@
 	return 1
 }
 
-// estimate returns how long a request for a model will wait, and why.
-func (p *Plan) estimate(w *waiter, inProgress map[Replica]int, now time.Time) (time.Duration, string) {
-	need := w.Need
-	limits, known := p.limits.Models[need.Model]
+// outlook is what requests for a model have to expect.
+type outlook struct {
+	// replicas are the servers on which the model takes requests.
+	replicas []*server
+	// wait is how long it takes until there is one, and reason why.
+	wait   time.Duration
+	reason string
+}
+
+// outlook looks at a model once for all its requests.
+func (p *Plan) outlook(name string, now time.Time) outlook {
+	limits, known := p.limits.Models[name]
 	if !known {
-		return p.settings.QueueTime * 2, "the model is not configured"
+		return outlook{wait: p.settings.QueueTime * 2, reason: "the model is not configured"}
 	}
-	if replicas := len(p.replicas(need.Model)); replicas > 0 {
-		if behind := p.ahead(w) - p.freeSlots(need.Model, inProgress); behind >= 0 {
-			rate := float64(replicas*p.slots()) / p.settings.RunTime.Seconds()
-			return time.Duration(float64(behind+1) / rate * float64(time.Second)), "the servers are full"
-		}
-		return p.settings.SwapTime, "the adapter is loaded"
+	if replicas := p.replicas(name); len(replicas) > 0 {
+		return outlook{replicas: replicas}
 	}
-	for _, s := range p.list {
-		if r, ok := s.replicas[need.Model]; ok && r.state == stateLoading && !s.leaving {
-			return max(s.freeAt.Sub(now), 0), "the model is being loaded"
+	for _, s := range p.holdersOf(name) {
+		if s.replicas[name].state == stateLoading && !s.leaving {
+			return outlook{wait: max(s.freeAt.Sub(now), 0), reason: "the model is being loaded"}
 		}
 	}
 	best, found := time.Duration(0), false
-	for _, s := range p.list {
-		if !s.hasCopy(need.Model) || s.leaving || !s.known {
+	for _, s := range p.homesOf(name) {
+		if !s.known {
 			continue
 		}
-		wait := max(s.freeAt.Sub(now), 0) + limits.LoadTime(s.tier(need.Model)) + p.settings.SwapTime
+		wait := max(s.freeAt.Sub(now), 0) + limits.LoadTime(s.tier(name)) + p.settings.SwapTime
 		if !found || wait < best {
 			best, found = wait, true
 		}
 	}
-	if found {
-		return best, "a server has a copy"
+	switch {
+	case found:
+		return outlook{wait: best, reason: "a server has a copy"}
+	case !p.settled || len(p.Unknown()) > 0:
+		return outlook{wait: limits.DiskLoad + p.settings.SwapTime, reason: "not all servers are known yet"}
+	}
+	return outlook{wait: p.remoteEstimate(name, limits, now), reason: "the model comes from the weight store"}
+}
+
+// estimate returns how long a request will wait, and why.
+func (p *Plan) estimate(w *waiter, o outlook) (time.Duration, string) {
+	if len(o.replicas) == 0 {
+		return o.wait, o.reason
 	}
-	if len(p.Unknown()) > 0 || !p.settled {
-		return limits.DiskLoad + p.settings.SwapTime, "not all servers are known yet"
+	if behind := p.waiters.ahead(w) - p.freeSlots(o.replicas); behind >= 0 {
+		rate := float64(len(o.replicas)*p.slots()) / p.settings.RunTime.Seconds()
+		return time.Duration(float64(behind+1) / rate * float64(time.Second)), "the servers are full"
 	}
-	return p.remoteEstimate(need.Model, limits, now), "the model comes from the weight store"
+	return p.settings.SwapTime, "the adapter is loaded"
 }
 
 // remoteEstimate is the wait for a load from the weight store, behind the loads under way
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -13,22 +13,21 @@
 // Decide returns the orders that are due and books them.
 func (p *Plan) Decide(now time.Time) []Order {
 	p.expire(now)
-	inProgress := p.inProgress(now)
-	p.keep(now, inProgress)
+	p.keep(now)
 	var orders []Order
 	remote := p.remoteAllowance(now)
 	for _, name := range p.needed(now) {
-		for range p.missing(name, now, inProgress) {
-			order, ok := p.serve(name, now, inProgress, &remote)
+		for range p.missing(name, now) {
+			order, ok := p.serve(name, now, &remote)
 			if !ok {
 				break
 			}
 			orders = append(orders, order)
 		}
 	}
-	orders = append(orders, p.loadAdapters(now, inProgress)...)
-	orders = append(orders, p.invest(now, inProgress, remote)...)
-	orders = append(orders, p.makeRoom(now, inProgress)...)
+	orders = append(orders, p.loadAdapters(now)...)
+	orders = append(orders, p.invest(now, remote)...)
+	orders = append(orders, p.makeRoom(now)...)
 	return orders
 }
 
@@ -49,45 +48,57 @@
 	return max(allowance, 0)
 }
 
-// expire drops the waiters that their daemons no longer renew.
+// expire drops the waiters that their daemons no longer renew, and demand that is too old.
 func (p *Plan) expire(now time.Time) {
-	for id, w := range p.waiters {
+	for id, w := range p.waiters.byID {
 		if now.Sub(w.renewed) > waiterTTL {
-			delete(p.waiters, id)
+			p.waiters.remove(id)
 		}
 	}
+	p.expireDemand(now)
 }
 
 // wanted returns the models that requests wait for, the most wanted first: those whose
 // requests can still be on time, then by the number of requests that found it missing.
 func (p *Plan) wanted(now time.Time) []string {
 	type want struct {
-		onTime  bool
-		waiting int
-		since   time.Time
+		model  string
+		busy   bool
+		unmet  int
+		onTime bool
+		since  time.Time
 	}
-	wants := map[string]want{}
-	for _, w := range p.waiters {
-		if w.Adapter != "" && len(p.replicas(w.Model)) > 0 {
-			continue
+	var wants []want
+	for model, waiters := range p.waiters.byModel {
+		isLoaded := len(p.replicas(model)) > 0
+		w := want{model: model, busy: p.isBusy(model, now), unmet: p.model(model).unmet}
+		for _, waiter := range waiters {
+			if waiter.Adapter != "" && isLoaded {
+				continue
+			}
+			w.onTime = w.onTime || now.Before(waiter.Objective)
+			if w.since.IsZero() || waiter.since.Before(w.since) {
+				w.since = waiter.since
+			}
 		}
-		x, ok := wants[w.Model]
-		x.onTime = x.onTime || now.Before(w.Objective)
-		x.waiting++
-		if !ok || w.since.Before(x.since) {
-			x.since = w.since
+		if !w.since.IsZero() {
+			wants = append(wants, w)
 		}
-		wants[w.Model] = x
 	}
-	return slices.SortedFunc(maps.Keys(wants), func(a, b string) int {
+	slices.SortFunc(wants, func(a, b want) int {
 		return cmp.Or(
-			-compareBool(p.isBusy(a, now), p.isBusy(b, now)),
-			cmp.Compare(p.model(b).unmet, p.model(a).unmet),
-			-compareBool(wants[a].onTime, wants[b].onTime),
-			wants[a].since.Compare(wants[b].since),
-			cmp.Compare(a, b),
+			-compareBool(a.busy, b.busy),
+			cmp.Compare(b.unmet, a.unmet),
+			-compareBool(a.onTime, b.onTime),
+			a.since.Compare(b.since),
+			cmp.Compare(a.model, b.model),
 		)
 	})
+	names := make([]string, 0, len(wants))
+	for _, w := range wants {
+		names = append(names, w.model)
+	}
+	return names
 }
 
 // isBusy reports whether a model is asked for all the time.
@@ -109,15 +120,15 @@
 
 // missing is the number of replicas to be loaded of a model beside those that are ready or
 // being loaded. One that requests wait for needs one at least.
-func (p *Plan) missing(name string, now time.Time, inProgress map[Replica]int) int {
-	needed := max(p.replicasNeeded(name, now, inProgress), 1)
+func (p *Plan) missing(name string, now time.Time) int {
+	needed := max(p.replicasNeeded(name, now), 1)
 	return max(needed-len(p.replicas(name))-p.loading(name), 0)
 }
 
 // replicasNeeded is the number of replicas that the demand for a model fills.
-func (p *Plan) replicasNeeded(name string, now time.Time, inProgress map[Replica]int) int {
+func (p *Plan) replicasNeeded(name string, now time.Time) int {
 	perReplica := p.settings.ReplicaLoad * float64(p.slots())
-	needed := int(math.Ceil(p.requests(name, inProgress) / max(perReplica, 1)))
+	needed := int(math.Ceil(float64(p.requests(name)) / max(perReplica, 1)))
 	if p.isBusy(name, now) {
 		// A second replica carries on when the server of the first is lost.
 		needed = max(needed, 2)
@@ -133,18 +144,18 @@
 }
 
 // serve returns the next order towards a replica of a model, if one is due.
-func (p *Plan) serve(name string, now time.Time, inProgress map[Replica]int, remote *int) (Order, bool) {
-	if s := p.bestHome(name, now, inProgress); s != nil {
-		return p.loadOrMakeRoom(s, name, "requests wait, a copy is near", now, inProgress)
+func (p *Plan) serve(name string, now time.Time, remote *int) (Order, bool) {
+	if s := p.bestHome(name, now); s != nil {
+		return p.loadOrMakeRoom(s, name, "requests wait, a copy is near", now)
 	}
-	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name, inProgress) {
+	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name) {
 		return Order{}, false
 	}
-	s := p.bestForRemote(name, now, inProgress)
+	s := p.bestForRemote(name, now)
 	if s == nil {
 		return Order{}, false
 	}
-	order, ok := p.loadOrMakeRoom(s, name, "requests wait, no copy is near", now, inProgress)
+	order, ok := p.loadOrMakeRoom(s, name, "requests wait, no copy is near", now)
 	if ok && order.Kind == azurehitch.OrderLoad {
 		*remote--
 	}
@@ -153,17 +164,20 @@
 
 // invest loads models that no server has a copy of, while nobody waits for the weight
 // store: those that were asked for most first.
-func (p *Plan) invest(now time.Time, inProgress map[Replica]int, remote int) []Order {
+func (p *Plan) invest(now time.Time, remote int) []Order {
+	if remote <= 0 {
+		return nil
+	}
 	var orders []Order
 	for _, name := range p.uncopied() {
 		if remote <= 0 {
 			break
 		}
-		s := p.bestForRemote(name, now, inProgress)
+		s := p.bestForRemote(name, now)
 		if s == nil {
 			break
 		}
-		order, ok := p.loadOrMakeRoom(s, name, "no copy is near", now, inProgress)
+		order, ok := p.loadOrMakeRoom(s, name, "no copy is near", now)
 		if !ok {
 			continue
 		}
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"azurehitch"
@@ -84,15 +85,9 @@
 // Report takes in the demand of a daemon.
 func (p *Plan) Report(name string, demand Demand, now time.Time) {
 	d := p.daemon(name)
-	d.demand = demand
+	p.replaceDemand(d, demand)
 	d.at = now
-	kept := d.grants[:0]
-	for _, g := range d.grants {
-		if g.number > demand.LastGrant && now.Sub(g.at) < grantTTL {
-			kept = append(kept, g)
-		}
-	}
-	d.grants = kept
+	p.dropGrants(d, func(g issuedGrant) bool { return g.number <= demand.LastGrant })
 	for name, n := range demand.Arrived {
 		m := p.model(name)
 		m.asks += n
@@ -125,33 +120,36 @@
 	}
 }
 
-// inProgress returns the number of requests at each replica.
-func (p *Plan) inProgress(now time.Time) map[Replica]int {
-	sum := map[Replica]int{}
-	for _, d := range p.daemons {
-		if now.Sub(d.at) < demandTTL {
-			for r, n := range d.demand.InProgress {
-				sum[r] += n
-			}
-		}
-		for _, g := range d.grants {
-			if now.Sub(g.at) < grantTTL {
-				sum[g.replica]++
-			}
-		}
+// replaceDemand counts what a daemon reports in place of its last report.
+func (p *Plan) replaceDemand(d *daemon, demand Demand) {
+	for r, n := range d.demand.InProgress {
+		p.progress.add(r, -n)
+	}
+	for r, n := range demand.InProgress {
+		p.progress.add(r, n)
 	}
-	return sum
+	d.demand = demand
 }
 
-// load returns the number of requests at a server.
-func load(inProgress map[Replica]int, server string) int {
-	sum := 0
-	for r, n := range inProgress {
-		if r.Server == server {
-			sum += n
+// dropGrants ends the count of grants that are covered by a report, or too old.
+func (p *Plan) dropGrants(d *daemon, isOver func(g issuedGrant) bool) {
+	d.grants = slices.DeleteFunc(d.grants, func(g issuedGrant) bool {
+		if !isOver(g) {
+			return false
 		}
+		p.progress.add(g.replica, -1)
+		return true
+	})
+}
+
+// expireDemand forgets reports and grants that are too old.
+func (p *Plan) expireDemand(now time.Time) {
+	for _, d := range p.daemons {
+		if now.Sub(d.at) >= demandTTL {
+			p.replaceDemand(d, Demand{})
+		}
+		p.dropGrants(d, func(g issuedGrant) bool { return now.Sub(g.at) >= grantTTL })
 	}
-	return sum
 }
 
 // Grant tells where a request may go.
@@ -166,23 +164,12 @@
 
 // isCrowded reports whether the replicas of a model, with those that are being loaded, have
 // so many requests that a further one is worth a load from the weight store.
-func (p *Plan) isCrowded(name string, inProgress map[Replica]int) bool {
+func (p *Plan) isCrowded(name string) bool {
 	replicas := len(p.replicas(name)) + p.loading(name)
-	return replicas > 0 && p.requests(name, inProgress) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
+	return replicas > 0 && float64(p.requests(name)) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
 }
 
 // requests is the number of requests for a model that are in progress or wait.
-func (p *Plan) requests(name string, inProgress map[Replica]int) float64 {
-	count := 0
-	for r, n := range inProgress {
-		if r.Model == name {
-			count += n
-		}
-	}
-	for _, w := range p.waiters {
-		if w.Model == name {
-			count++
-		}
-	}
-	return float64(count)
+func (p *Plan) requests(name string) int {
+	return p.progress.models[name] + len(p.waiters.byModel[name])
 }
--- a/internal/placement/swap/home.go
+++ b/internal/placement/swap/home.go
@@ -7,22 +7,15 @@
 )
 
 // hasHome reports whether a server that takes orders has a copy of a model.
-func (p *Plan) hasHome(name string) bool {
-	for _, s := range p.servers {
-		if s.hasCopy(name) && !s.leaving {
-			return true
-		}
-	}
-	return false
-}
+func (p *Plan) hasHome(name string) bool { return len(p.homesOf(name)) > 0 }
 
 func (p *Plan) isLoading(name string) bool { return p.loading(name) > 0 }
 
 // loading is the number of servers that load a model.
 func (p *Plan) loading(name string) int {
 	count := 0
-	for _, s := range p.servers {
-		if r, ok := s.replicas[name]; ok && r.state == stateLoading && !s.leaving {
+	for _, s := range p.holdersOf(name) {
+		if s.replicas[name].state == stateLoading && !s.leaving {
 			count++
 		}
 	}
@@ -30,17 +23,17 @@
 }
 
 // bestHome returns the server with a copy from which the model is ready soonest.
-func (p *Plan) bestHome(name string, now time.Time, inProgress map[Replica]int) *server {
+func (p *Plan) bestHome(name string, now time.Time) *server {
 	limits := p.limits.Models[name]
 	var best *server
 	var bestTime time.Duration
-	for _, s := range p.list {
-		if _, loaded := s.replicas[name]; loaded || !s.takesOrders(now) || !s.hasCopy(name) {
+	for _, s := range p.homesOf(name) {
+		if _, loaded := s.replicas[name]; loaded || !s.takesOrders(now) {
 			continue
 		}
 		took := limits.LoadTime(s.tier(name))
 		if s.free(p.limits) < limits.Memory {
-			if p.victim(s, limits.Memory, inProgress) == "" {
+			if p.victim(s, limits.Memory) == "" {
 				continue
 			}
 			took += p.settings.SwapTime
@@ -54,14 +47,14 @@
 
 // bestForRemote returns the server for a load from the weight store: with room, with few
 // copies that the load would hold up, and longest without such a load.
-func (p *Plan) bestForRemote(name string, now time.Time, inProgress map[Replica]int) *server {
+func (p *Plan) bestForRemote(name string, now time.Time) *server {
 	memory := p.limits.Models[name].Memory
 	var candidates []*server
 	for _, s := range p.list {
 		if _, loaded := s.replicas[name]; loaded || !s.takesOrders(now) {
 			continue
 		}
-		if s.free(p.limits) >= memory || p.victim(s, memory, inProgress) != "" {
+		if s.free(p.limits) >= memory || p.victim(s, memory) != "" {
 			candidates = append(candidates, s)
 		}
 	}
--- a/internal/placement/swap/kept.go
+++ b/internal/placement/swap/kept.go
@@ -19,34 +19,38 @@
 
 // isKept reports whether a replica is not to be unloaded.
 func (p *Plan) isKept(server, name string) bool {
-	return slices.ContainsFunc(p.kept, func(k Kept) bool { return k.Server == server && k.Model == name })
+	return p.keptSet[Replica{Server: server, Model: name}]
 }
 
 // keep chooses the replicas of busy models that stay.
-func (p *Plan) keep(now time.Time, inProgress map[Replica]int) {
+func (p *Plan) keep(now time.Time) {
 	var kept []Kept
 	for _, name := range slices.Sorted(maps.Keys(p.models)) {
 		if !p.isBusy(name, now) {
 			continue
 		}
-		for _, s := range p.keepOf(name, now, inProgress) {
-			kept = append(kept, Kept{Replica: Replica{Server: s.ID, Model: name}, Requests: load(inProgress, s.ID)})
+		for _, s := range p.keepOf(name, now) {
+			kept = append(kept, Kept{Replica: Replica{Server: s.ID, Model: name}, Requests: p.progress.servers[s.ID]})
 		}
 	}
 	p.kept = kept
+	p.keptSet = map[Replica]bool{}
+	for _, k := range kept {
+		p.keptSet[k.Replica] = true
+	}
 }
 
 // keepOf returns the replicas of a busy model that stay: one in each failure domain, and as
 // many as the demand fills. Those that are in use or were kept before come first.
-func (p *Plan) keepOf(name string, now time.Time, inProgress map[Replica]int) []*server {
+func (p *Plan) keepOf(name string, now time.Time) []*server {
 	replicas := p.replicas(name)
 	slices.SortStableFunc(replicas, func(a, b *server) int {
 		return cmp.Or(
 			-compareBool(p.isKept(a.ID, name), p.isKept(b.ID, name)),
-			cmp.Compare(inProgress[Replica{Server: b.ID, Model: name}], inProgress[Replica{Server: a.ID, Model: name}]),
+			cmp.Compare(p.progress.replicas[Replica{Server: b.ID, Model: name}], p.progress.replicas[Replica{Server: a.ID, Model: name}]),
 		)
 	})
-	needed := p.replicasNeeded(name, now, inProgress)
+	needed := p.replicasNeeded(name, now)
 	var stay, rest []*server
 	domains := map[string]bool{}
 	for _, s := range replicas {
--- a/internal/placement/swap/order.go
+++ b/internal/placement/swap/order.go
@@ -39,12 +39,13 @@
 func (p *Plan) bookLoad(s *server, name, reason string, now time.Time) Order {
 	tier := s.tier(name)
 	s.replicas[name] = &replica{state: stateLoading, lastUsed: now, adapters: map[string]*adapter{}}
+	p.index.holdingStale = true
 	if tier == azurehitch.CacheTierRemote {
 		s.remoteAt = now
 		p.remoteStarts = append(p.remoteStarts, now)
 	}
-	for _, w := range p.waiters {
-		if w.Model == name && w.tier == "" {
+	for _, w := range p.waiters.byModel[name] {
+		if w.tier == "" {
 			w.tier = tier
 		}
 	}
@@ -106,8 +107,10 @@
 		r.state = stateReady
 		r.lastUsed = now
 		s.tiers[order.Model] = azurehitch.CacheTierMemory
+		p.index.copiesStale = true
 	case isLoad, done:
 		delete(s.replicas, order.Model)
+		p.index.holdingStale = true
 	default:
 		r.state = stateReady
 	}
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -95,10 +95,12 @@
 	// list is the servers by name.
 	list []*server
 	// settled is false while servers may be missing from the list.
-	settled bool
-	models  map[string]*model
-	waiters map[string]*waiter
-	daemons map[string]*daemon
+	settled  bool
+	models   map[string]*model
+	waiters  queue
+	daemons  map[string]*daemon
+	progress progress
+	index    index
 	// remoteStarts are the starts of loads from the weight store in the last window.
 	remoteStarts []time.Time
 	// listings counts the stays of servers on the list.
@@ -106,7 +108,8 @@
 	// lastGrant is the number of the last grant.
 	lastGrant int64
 	// kept are the replicas of busy models that stay.
-	kept []Kept
+	kept    []Kept
+	keptSet map[Replica]bool
 }
 
 // model is what is known of the use of a model.
@@ -129,8 +132,9 @@
 		limits:    limits,
 		servers:   map[string]*server{},
 		models:    map[string]*model{},
-		waiters:   map[string]*waiter{},
+		waiters:   newQueue(),
 		daemons:   map[string]*daemon{},
+		progress:  newProgress(),
 	}
 }
 
@@ -156,6 +160,7 @@
 			delete(p.servers, id)
 		}
 	}
+	p.index.invalidate()
 	p.list = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
@@ -182,6 +187,7 @@
 		return
 	}
 	s.observe(report)
+	p.index.invalidate()
 }
 
 // Unreachable notes that a server gave no report.
@@ -204,8 +210,8 @@
 // replicas returns the servers on which a model takes new requests, by name.
 func (p *Plan) replicas(name string) []*server {
 	var found []*server
-	for _, s := range p.list {
-		if r, ok := s.replicas[name]; ok && r.state == stateReady && s.takesRequests() {
+	for _, s := range p.holdersOf(name) {
+		if s.replicas[name].state == stateReady && s.takesRequests() {
 			found = append(found, s)
 		}
 	}
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -69,6 +69,54 @@
 	})
 }
 
+// TestSettle answers the load of many requests that wait at once for models that are
+// being loaded.
+func TestSettle(t *testing.T) {
+	everybody := func(string) bool { return true }
+	t.Run("as many are granted as there are slots, the most urgent and then the first", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", nil, names("m", 0, 4))
+		const waiting = slots + 3
+		for i := range waiting {
+			need := w.need(fmt.Sprintf("r%02d", i), "m0")
+			need.Urgency = 1
+			if i == waiting-1 {
+				need.Urgency = 0
+			}
+			w.assertKind(w.ask(need), swap.VerdictWaiting)
+			w.pass(time.Millisecond)
+		}
+		w.Assert(w.plan.Settle(w.now, everybody), qt.HasLen, 0)
+		w.carryOut(w.decide())
+		settled := w.plan.Settle(w.now, everybody)
+		w.Assert(settled, qt.HasLen, slots)
+		w.Assert(settled[0].ID, qt.Equals, fmt.Sprintf("r%02d", waiting-1))
+		w.Assert(settled[slots-1].ID, qt.Equals, fmt.Sprintf("r%02d", slots-2))
+		w.Assert(w.plan.Settle(w.now, everybody), qt.HasLen, 0)
+	})
+	t.Run("nothing is granted to a request whose daemon doesn't ask", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", nil, names("m", 0, 4))
+		w.ask(w.need("gone", "m0"))
+		w.ask(w.need("here", "m0"))
+		w.carryOut(w.decide())
+		settled := w.plan.Settle(w.now, func(id string) bool { return id == "here" })
+		w.Assert(settled, qt.HasLen, 1)
+		w.Assert(settled[0].ID, qt.Equals, "here")
+	})
+	t.Run("who can no longer be served in time is refused while it waits", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", nil, names("m", 0, 4))
+		w.assertKind(w.ask(w.need("r", "m0")), swap.VerdictWaiting)
+		order := w.decide()[0]
+		w.plan.Finish(order, swap.OutcomeUnknown, w.now)
+		w.pass(9 * time.Second)
+		settled := w.plan.Settle(w.now, everybody)
+		w.Assert(settled, qt.HasLen, 1)
+		w.assertKind(settled[0].Verdict, swap.VerdictRefused)
+	})
+}
+
 // TestStoreLoads answers the load of a fleet in which some models have no copy near any
 // server, with the weight store at its limit.
 func TestStoreLoads(t *testing.T) {
--- /dev/null
+++ b/internal/placement/swap/queue.go
@@ -0,0 +1,56 @@
+package swap
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// queue is the requests that wait, by id and by model. Those for a model are in the order in
+// which they are served.
+type queue struct {
+	byID    map[string]*waiter
+	byModel map[string][]*waiter
+}
+
+func newQueue() queue {
+	return queue{byID: map[string]*waiter{}, byModel: map[string][]*waiter{}}
+}
+
+func (q queue) add(w *waiter) {
+	if _, waits := q.byID[w.ID]; waits {
+		return
+	}
+	q.byID[w.ID] = w
+	q.byModel[w.Model] = slices.Insert(q.byModel[w.Model], q.ahead(w), w)
+}
+
+func (q queue) remove(id string) {
+	w, ok := q.byID[id]
+	if !ok {
+		return
+	}
+	delete(q.byID, id)
+	rest := slices.DeleteFunc(q.byModel[w.Model], func(other *waiter) bool { return other == w })
+	if q.byModel[w.Model] = rest; len(rest) == 0 {
+		delete(q.byModel, w.Model)
+	}
+}
+
+// ahead is the number of requests for the same model that go before one.
+func (q queue) ahead(w *waiter) int {
+	position, _ := slices.BinarySearchFunc(q.byModel[w.Model], w, compareWaiters)
+	return position
+}
+
+// models returns the models that requests wait for, in order.
+func (q queue) models() []string { return slices.Sorted(maps.Keys(q.byModel)) }
+
+// sorted returns all requests in the order in which they are served.
+func (q queue) sorted() []*waiter { return slices.SortedFunc(maps.Values(q.byID), compareWaiters) }
+
+// compareWaiters orders requests: those of more urgent routes first, then those that wait
+// longer.
+func compareWaiters(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID))
+}
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -32,8 +32,12 @@
 	// reportInterval is the least time between two reports of a server that is not known.
 	reportInterval = 400 * time.Millisecond
 	reportTimeout  = 600 * time.Millisecond
+	// stepPause is the least time between two passes over the queue and the servers.
+	stepPause = 10 * time.Millisecond
 	// askTimeout is how long a question waits at the holder before its daemon asks again.
 	askTimeout = 700 * time.Millisecond
+	// noVersion is before any version of the configuration.
+	noVersion = -1
 )
 
 // Dependencies are what holders need.
@@ -65,8 +69,12 @@
 	// reportedAt is when the report of a server that is not known was last asked for.
 	reportedAt map[string]time.Time
 	// stale is true when a server has seen a higher token.
-	stale   bool
-	changed chan struct{}
+	stale bool
+	// asks are the questions that wait for a verdict, by the id of the request.
+	asks map[string]chan swap.Verdict
+	// view and version are the list of servers and the configuration that the plan knows.
+	view    *fleet.View
+	version int64
 	wake    chan struct{}
 	// turns let one order at a time be sent to a server.
 	turns map[string]*sync.Mutex
@@ -79,7 +87,8 @@
 		token:        token,
 		plan:         swap.New(azurehitch.EngineLimits{}, d.Settings, token),
 		reportedAt:   map[string]time.Time{},
-		changed:      make(chan struct{}),
+		asks:         map[string]chan swap.Verdict{},
+		version:      noVersion,
 		wake:         make(chan struct{}, 1),
 		turns:        map[string]*sync.Mutex{},
 	}
@@ -117,6 +126,9 @@
 }
 
 func (h *holder) pause(ctx context.Context) error {
+	if err := h.Clock.Sleep(ctx, stepPause); err != nil {
+		return err
+	}
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
 	select {
@@ -139,14 +151,19 @@
 	return turn
 }
 
-// refresh takes in the configuration and the list of servers.
+// refresh takes in the configuration and the list of servers where they have changed.
 func (h *holder) refresh() {
-	if engine := h.Routing().Services[h.service].Engine; engine != nil {
-		h.plan.SetLimits(*engine)
+	if table := h.Routing(); table.Version != h.version {
+		h.version = table.Version
+		if engine := table.Services[h.service].Engine; engine != nil {
+			h.plan.SetLimits(*engine)
+		}
+	}
+	if view := h.Fleet(); view != h.view {
+		h.view = view
+		h.plan.SetServers(view.Service(h.service))
+		h.plan.SetSettled(view.Settled)
 	}
-	view := h.Fleet()
-	h.plan.SetServers(view.Service(h.service))
-	h.plan.SetSettled(view.Settled)
 }
 
 func (h *holder) step(ctx context.Context) {
@@ -165,6 +182,10 @@
 			return nil
 		})
 	}
+	for _, settled := range h.plan.Settle(now, h.isAsking) {
+		h.asks[settled.ID] <- settled.Verdict
+		delete(h.asks, settled.ID)
+	}
 	if !mayOrder {
 		return
 	}
@@ -191,7 +212,7 @@
 	h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", server.ID).
 		Int64("Orders", report.Orders).Bool("Busy", report.Busy).Int("Models", len(report.Loaded)).
 		Int("OnDisk", len(report.Cached.OnDisk)).Msg("server reported")
-	h.notify()
+	h.wakeUp()
 }
 
 func (h *holder) report(ctx context.Context, server azurehitch.ServerIdentity) (azurehitch.ServerReport, error) {
@@ -201,18 +222,13 @@
 	return h.Engines.Report(ctx, server)
 }
 
-// notify lets the questions look again, and the plan decide.
-func (h *holder) notify() {
-	h.notifyAsks()
-	h.wakeUp()
-}
-
-// notifyAsks lets the questions look again.
-func (h *holder) notifyAsks() {
-	close(h.changed)
-	h.changed = make(chan struct{})
+// isAsking reports whether a question waits for a verdict.
+func (h *holder) isAsking(id string) bool {
+	_, asks := h.asks[id]
+	return asks
 }
 
+// wakeUp lets the holder look again at what is due.
 func (h *holder) wakeUp() {
 	select {
 	case h.wake <- struct{}{}:
@@ -222,29 +238,42 @@
 
 // ask waits some time for a verdict other than to wait.
 func (h *holder) ask(ctx context.Context, need swap.Need) swap.Verdict {
+	verdict, settled := h.tryAsk(need)
+	if settled == nil {
+		return verdict
+	}
 	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
-	for {
-		verdict, changed := h.tryAsk(need)
-		if verdict.Kind != swap.VerdictWaiting {
-			return verdict
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return verdict
-		case <-ctx.Done():
-			return verdict
-		}
+	select {
+	case verdict = <-settled:
+		return verdict
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.asks[need.ID] == settled {
+		delete(h.asks, need.ID)
+		return verdict
 	}
+	// The verdict came at the last moment, or the request was asked for again meanwhile.
+	select {
+	case verdict = <-settled:
+	default:
+	}
+	return verdict
 }
 
-func (h *holder) tryAsk(need swap.Need) (swap.Verdict, <-chan struct{}) {
+// tryAsk asks the plan. A request that waits gets a channel for its verdict.
+func (h *holder) tryAsk(need swap.Need) (swap.Verdict, <-chan swap.Verdict) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	verdict := h.plan.Ask(need, h.Clock.Now())
-	if verdict.Kind == swap.VerdictWaiting {
-		h.wakeUp()
+	if verdict.Kind != swap.VerdictWaiting {
+		return verdict, nil
 	}
-	return verdict, h.changed
+	settled := make(chan swap.Verdict, 1)
+	h.asks[need.ID] = settled
+	h.wakeUp()
+	return verdict, settled
 }
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -68,7 +68,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.plan.Finish(order, outcome, h.Clock.Now())
-	h.notify()
+	h.wakeUp()
 	h.Metrics.AddLabeled(metrics.SwapOrders, string(order.Kind)+"."+string(order.Tier)+"."+string(outcome), 1)
 	h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", order.Server.ID).
 		Str("Kind", string(order.Kind)).Str("Model", order.Model).Str("Adapter", order.Adapter).
--- a/internal/placement/swapholder/set.go
+++ b/internal/placement/swapholder/set.go
@@ -115,6 +115,6 @@
 	for _, id := range withdrawn {
 		h.plan.Withdraw(id)
 	}
-	h.notifyAsks()
+	h.wakeUp()
 	return h.plan.Kept(), nil
 }
