--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -25,8 +25,11 @@
 )
 
 const (
-	readWait    = 10 * time.Second
-	putInterval = 500 * time.Millisecond
+	readWait = 10 * time.Second
+	// readInterval is the least time between two reads: daemons that start together announce
+	// themselves one by one.
+	readInterval = 600 * time.Millisecond
+	putInterval  = 500 * time.Millisecond
 	// gatherTime is how long daemons that start together take to announce themselves.
 	gatherTime = 700 * time.Millisecond
 )
@@ -69,7 +72,7 @@
 func (d *Directory) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.announce(ctx) })
-	follower := compacted.NewFollower(d.log, d.stream, d, d.clock, d.observer, compacted.Pace{Wait: readWait})
+	follower := compacted.NewFollower(d.log, d.stream, d, d.clock, d.observer, compacted.Pace{Wait: readWait, Interval: readInterval})
 	group.Go(func() error { return follower.Run(ctx) })
 	return group.Wait()
 }
