--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -56,6 +56,7 @@
 		}
 	}
 	p.expireDemand(now)
+	p.expireReleased(now)
 }
 
 // wanted returns the models that requests wait for, the most wanted first: those whose
@@ -148,6 +149,9 @@
 	if s := p.bestHome(name, now); s != nil {
 		return p.loadOrMakeRoom(s, name, "requests wait, a copy is near", now)
 	}
+	if p.hasHome(name) && len(p.replicas(name)) == 0 && !p.isLoading(name) {
+		p.letGiveWay(name, now)
+	}
 	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name) {
 		return Order{}, false
 	}
--- /dev/null
+++ b/internal/placement/swap/giveway.go
@@ -0,0 +1,86 @@
+package swap
+
+import "time"
+
+const (
+	// releaseTime is how long a replica that gives way is neither kept nor loaded again.
+	releaseTime = 4 * time.Second
+	// blockedPatience is how long requests wait for room at the homes of their model before a
+	// replica gives way.
+	blockedPatience = 600 * time.Millisecond
+)
+
+// letGiveWay lets a kept replica go where a model is asked for whose homes have no room
+// that is not kept: its daemons stop using it, and once its requests have ended it is idle.
+// Only a busy model with a ready replica elsewhere gives way.
+func (p *Plan) letGiveWay(name string, now time.Time) {
+	waiting := p.waiters.byModel[name]
+	if len(waiting) == 0 || now.Sub(waiting[0].since) < blockedPatience {
+		return
+	}
+	var best *server
+	gives := ""
+	for _, s := range p.homesOf(name) {
+		if !s.takesOrders(now) {
+			continue
+		}
+		if p.givesWay(s) {
+			return
+		}
+		if model := p.spare(s); model != "" && (best == nil || p.progress.servers[s.ID] < p.progress.servers[best.ID]) {
+			best, gives = s, model
+		}
+	}
+	if best != nil {
+		p.released[Replica{Server: best.ID, Model: gives}] = now.Add(releaseTime)
+	}
+}
+
+// givesWay reports whether a replica on a server already gives way.
+func (p *Plan) givesWay(s *server) bool {
+	for model := range s.replicas {
+		if p.isReleased(s.ID, model) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) isReleased(server, model string) bool {
+	_, released := p.released[Replica{Server: server, Model: model}]
+	return released
+}
+
+// spare returns the kept replica on a server, if any, that is least used and whose model has
+// another one.
+func (p *Plan) spare(s *server) string {
+	best := ""
+	for _, model := range s.replicaNames() {
+		if !p.isKept(s.ID, model) || !p.hasOther(model, s) {
+			continue
+		}
+		if best == "" || p.progress.replicas[Replica{Server: s.ID, Model: model}] < p.progress.replicas[Replica{Server: s.ID, Model: best}] {
+			best = model
+		}
+	}
+	return best
+}
+
+// hasOther reports whether a model has a ready replica beside that on a server, which does
+// not give way itself.
+func (p *Plan) hasOther(model string, s *server) bool {
+	for _, other := range p.replicas(model) {
+		if other != s && !p.isReleased(other.ID, model) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) expireReleased(now time.Time) {
+	for r, until := range p.released {
+		if !now.Before(until) {
+			delete(p.released, r)
+		}
+	}
+}
--- a/internal/placement/swap/home.go
+++ b/internal/placement/swap/home.go
@@ -28,7 +28,7 @@
 	var best *server
 	var bestTime time.Duration
 	for _, s := range p.homesOf(name) {
-		if _, loaded := s.replicas[name]; loaded || !s.takesOrders(now) {
+		if _, loaded := s.replicas[name]; loaded || !s.takesOrders(now) || p.isReleased(s.ID, name) {
 			continue
 		}
 		took := limits.LoadTime(s.tier(name))
--- a/internal/placement/swap/kept.go
+++ b/internal/placement/swap/kept.go
@@ -43,7 +43,7 @@
 // keepOf returns the replicas of a busy model that stay: one in each failure domain, and as
 // many as the demand fills. Those that are in use or were kept before come first.
 func (p *Plan) keepOf(name string, now time.Time) []*server {
-	replicas := p.replicas(name)
+	replicas := slices.DeleteFunc(p.replicas(name), func(s *server) bool { return p.isReleased(s.ID, name) })
 	slices.SortStableFunc(replicas, func(a, b *server) int {
 		return cmp.Or(
 			-compareBool(p.isKept(a.ID, name), p.isKept(b.ID, name)),
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -110,6 +110,8 @@
 	// kept are the replicas of busy models that stay.
 	kept    []Kept
 	keptSet map[Replica]bool
+	// released are the replicas that gave way to other models, and until when.
+	released map[Replica]time.Time
 }
 
 // model is what is known of the use of a model.
@@ -135,6 +137,7 @@
 		waiters:   newQueue(),
 		daemons:   map[string]*daemon{},
 		progress:  newProgress(),
+		released:  map[Replica]time.Time{},
 	}
 }
 
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,6 +118,57 @@
 	})
 }
 
+// TestBlockedHome answers the load of a rare model whose only copy lies near a server that is
+// full of replicas of busy models.
+func TestBlockedHome(t *testing.T) {
+	const most = 5 * time.Second
+	// served is how long a request for m3 waits, while the busy models are asked for.
+	served := func(w *world, busy map[string][]string) time.Duration {
+		for range 5 {
+			w.plan.Report("daemon-1", busyDemand(w, busy), w.now)
+			w.carryOut(w.decide())
+			w.pass(100 * time.Millisecond)
+		}
+		began := w.now
+		need := w.need("rare", "m3")
+		for w.now.Sub(began) < most {
+			w.plan.Report("daemon-1", busyDemand(w, busy), w.now)
+			if w.ask(need).Kind == swap.VerdictGranted {
+				break
+			}
+			w.carryOut(w.decide())
+			w.pass(100 * time.Millisecond)
+		}
+		return w.now.Sub(began)
+	}
+	t.Run("a busy model with replicas elsewhere gives way", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0", "m1"}, []string{"m0", "m1", "m3"})
+		w.add("s1", []string{"m0", "m1"}, []string{"m0", "m1"})
+		w.Assert(served(w, map[string][]string{"m0": {"s0", "s1"}, "m1": {"s0", "s1"}}) < 2*time.Second, qt.IsTrue)
+	})
+	t.Run("one without stays", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0", "m1"}, []string{"m0", "m1", "m3"})
+		w.Assert(served(w, map[string][]string{"m0": {"s0"}, "m1": {"s0"}}), qt.Equals, most)
+	})
+}
+
+// busyDemand is requests for busy models at the servers where they are kept.
+func busyDemand(w *world, busy map[string][]string) swap.Demand {
+	demand := swap.Demand{InProgress: map[swap.Replica]int{}, Arrived: map[string]int{}}
+	for model, servers := range busy {
+		demand.Arrived[model] = 2
+		for _, s := range servers {
+			replica := swap.Replica{Server: s, Model: model}
+			if slices.ContainsFunc(w.plan.Kept(), func(k swap.Kept) bool { return k.Replica == replica }) {
+				demand.InProgress[replica] = 1
+			}
+		}
+	}
+	return demand
+}
+
 // TestStoreLoads answers the load of a fleet in which some models have no copy near any
 // server, with the weight store at its limit.
 func TestStoreLoads(t *testing.T) {
