The holder vouches for the streams that all daemons follow

Change: the answers to reports of demand tell how far the holder has read and how long ago. While that covers what matters at once (servers that come, leave, start anew or go; tables), a follower reads every 5 s only; a vouch rests on a read of the last 0.9 s, so a holder that is frozen or cut off vouches no longer. The holder reads by short long polls, from 24 daemons on. Daemons on weak hosts read the leases every 3 s while the holder answers them.

--- a/internal/configuration/routing/fold.go
+++ b/internal/configuration/routing/fold.go
@@ -70,3 +70,6 @@
 
 // Failed implements compacted.Fold. The table stays in force.
 func (f *Fold) Failed(time.Time) {}
+
+// Changes implements compacted.Fold: each table matters at once.
+func (f *Fold) Changes() int64 { return f.Table().Version }
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -13,6 +13,7 @@
 import (
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -50,10 +51,13 @@
 	snapshotsPerRetention = 3
 )
 
-// The pace at which the streams of the platform are read.
+// The pace at which the streams of the platform are read, by most daemons and by a holder that
+// vouches for them.
 var (
-	routingPace = compacted.Pace{Wait: 2 * time.Second}
-	fleetPace   = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
+	routingPace     = compacted.Pace{Wait: 2 * time.Second}
+	fleetPace       = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
+	vouchingPace    = compacted.Pace{Wait: 300 * time.Millisecond}
+	vouchingMinimum = 24
 )
 
 // Platform is the outside systems.
@@ -86,12 +90,15 @@
 	snapshots control.Snapshotter
 	routing   *routing.Fold
 	fleet     *fleet.Fold
-	members   *members.Directory
-	held      *swapholder.Set
-	peers     *mux.Client
-	swaps     *swappeer.Client
-	callers   *passthrough.Server
-	budget    *retrybudget.Budget
+	// routingFollower and fleetFollower feed the folds.
+	routingFollower *compacted.Follower
+	fleetFollower   *compacted.Follower
+	members         *members.Directory
+	held            *swapholder.Set
+	peers           *mux.Client
+	swaps           *swappeer.Client
+	callers         *passthrough.Server
+	budget          *retrybudget.Budget
 
 	listeners listeners
 	stopping  atomic.Bool
@@ -128,13 +135,14 @@
 func (d *Daemon) assembleState() {
 	d.store = control.NewStore(d.self, d.LeaseClock).WithoutTables()
 	d.writer = control.NewWriter(d.Log, controlStream, d.store, d.observer)
-	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.LeaseClock, d.observer)
+	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.LeaseClock, d.observer).RestWhile(d.needsNoLeases)
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
 	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
 	self := members.Member{
 		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers,
 		Processor: d.settings.Processor, Bandwidth: d.settings.Bandwidth,
 	}
+	d.assembleFollowers()
 	d.members = members.New(d.Keyed, memberStream, self, d.Clock, d.observer)
 	d.leases = leaserunner.Runner{
 		Store: d.store, Writer: d.writer, Clock: d.Clock, Environment: d.environment, Counters: d.observer,
@@ -147,6 +155,56 @@
 	}
 }
 
+func (d *Daemon) assembleFollowers() {
+	stream, _ := d.Platform.Routing.Stream()
+	d.routingFollower = compacted.NewVouchedFollower(d.Keyed, stream, d.routing, d.Clock, d.observer,
+		compacted.Paces{Own: routingPace, Vouching: vouchingPace, IsVouching: d.isVouching})
+	d.fleetFollower = compacted.NewVouchedFollower(d.Keyed, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer,
+		compacted.Paces{Own: fleetPace, Vouching: vouchingPace, IsVouching: d.isVouching})
+}
+
+// isVouching reports whether the others rely on what this daemon reads. The holder reads more
+// often for them, which is worth it from some number of daemons on.
+func (d *Daemon) isVouching() bool {
+	return d.daemons() >= vouchingMinimum && slices.ContainsFunc(d.engineServices(), func(service string) bool {
+		return d.store.Lease(service).Holder == d.self
+	})
+}
+
+// positions is how far this daemon has read the streams that all follow. It is empty when it
+// doesn't vouch for others.
+func (d *Daemon) positions() []compacted.Position {
+	if !d.isVouching() {
+		return nil
+	}
+	var positions []compacted.Position
+	for _, f := range []*compacted.Follower{d.routingFollower, d.fleetFollower} {
+		if position, ok := f.Position(); ok {
+			positions = append(positions, position)
+		}
+	}
+	return positions
+}
+
+// vouched takes in how far a holder has read.
+func (d *Daemon) vouched(positions []compacted.Position, askedAt time.Time) {
+	routing, _ := d.Platform.Routing.Stream()
+	for _, p := range positions {
+		switch p.Stream {
+		case routing:
+			d.routingFollower.Vouch(p, askedAt)
+		case d.Platform.Fleet.Stream():
+			d.fleetFollower.Vouch(p, askedAt)
+		}
+	}
+}
+
+// needsNoLeases reports whether the leases may be read late: other daemons hold all of them
+// and answer, and daemons on stronger hosts would follow them.
+func (d *Daemon) needsNoLeases() bool {
+	return d.swaps.HolderAnswers() && !slices.Contains(d.members.Strong(), d.settings.Name)
+}
+
 func (d *Daemon) assemblePlacement() {
 	d.peers = mux.NewClient(d.settings.Name)
 	d.held = swapholder.NewSet(swapholder.Dependencies{
@@ -158,6 +216,7 @@
 		Holder:   func(service string) leaselog.Holder { return d.store.Lease(service).Holder },
 		Address:  d.members.Address,
 		Services: d.engineServices,
+		Vouched:  d.vouched,
 		Held:     d.held, Peers: d.peers, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics,
 	})
 }
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/placement/swappeer"
 	"azurehitch/internal/telemetry/logging"
@@ -139,16 +138,13 @@
 // runFollowers follows the routing table and the list of servers.
 func (d *Daemon) runFollowers(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	stream, _ := d.Platform.Routing.Stream()
-	table := compacted.NewFollower(d.Keyed, stream, d.routing, d.Clock, d.observer, routingPace)
-	servers := compacted.NewFollower(d.Keyed, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer, fleetPace)
-	group.Go(func() error { return table.Run(ctx) })
-	group.Go(func() error { return servers.Run(ctx) })
+	group.Go(func() error { return d.routingFollower.Run(ctx) })
+	group.Go(func() error { return d.fleetFollower.Run(ctx) })
 	return group.Wait()
 }
 
 func (d *Daemon) runPeers(ctx context.Context) error {
-	server := &swappeer.Server{Held: d.held, Clock: d.Clock}
+	server := &swappeer.Server{Held: d.held, Clock: d.Clock, Read: d.positions}
 	return mux.NewServer(d.listeners.peers, server.Handle).Run(ctx)
 }
 
--- a/internal/membership/fleet/fold.go
+++ b/internal/membership/fleet/fold.go
@@ -51,6 +51,7 @@
 	missing  map[string]time.Time
 	failedAt time.Time
 	version  int64
+	changes  atomic.Int64
 	view     atomic.Pointer[View]
 }
 
@@ -101,6 +102,15 @@
 	f.failedAt = at
 }
 
+// Changes implements compacted.Fold: servers that came, leave, started anew or went matter at
+// once, what they hold does not.
+func (f *Fold) Changes() int64 { return f.changes.Load() }
+
+func (f *Fold) changed(server azurehitch.FleetServer, change Change) {
+	f.changes.Add(1)
+	f.observer.ServerChanged(server, change)
+}
+
 func (f *Fold) apply(r azurehitch.KeyedRecord, readAt time.Time) {
 	if len(r.Value) == 0 {
 		f.remove(r.Key, readAt)
@@ -120,12 +130,12 @@
 	f.version++
 	switch {
 	case !known:
-		f.observer.ServerChanged(s, ChangeCame)
+		f.changed(s, ChangeCame)
 	case s.Incarnation != before.Incarnation:
-		f.observer.ServerChanged(s, ChangeRestarted)
+		f.changed(s, ChangeRestarted)
 	}
 	if s.Leaving && !before.Leaving {
-		f.observer.ServerChanged(s, ChangeLeaves)
+		f.changed(s, ChangeLeaves)
 	}
 }
 
@@ -143,7 +153,7 @@
 	if _, waits := f.missing[id]; !waits {
 		f.missing[id] = readAt.Add(returnTime)
 		f.version++
-		f.observer.ServerChanged(s, ChangeMissing)
+		f.changed(s, ChangeMissing)
 	}
 }
 
@@ -151,7 +161,7 @@
 	delete(f.servers, s.ID)
 	delete(f.missing, s.ID)
 	f.version++
-	f.observer.ServerChanged(s, ChangeGone)
+	f.changed(s, ChangeGone)
 }
 
 func (f *Fold) publish(readAt time.Time) {
--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -163,3 +163,6 @@
 
 // Failed implements compacted.Fold. The members stay known.
 func (d *Directory) Failed(time.Time) {}
+
+// Changes implements compacted.Fold: nobody vouches for members.
+func (d *Directory) Changes() int64 { return 0 }
--- a/internal/oplog/compacted/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -4,13 +4,18 @@
 //
 //	follower := compacted.NewFollower(log, "servers", fold, clock, observer, compacted.Pace{Wait: time.Second})
 //	group.Go(func() error { return follower.Run(ctx) })
+//	follower.Vouch(position, now)
 //
 // The follower lists the newest records once and reads changes from there on. When
 // changes were deleted unread, it lists again.
+//
+// Another daemon that reads the same stream can vouch that nothing has changed that matters
+// at once. For as long as somebody vouches, the follower reads little.
 package compacted
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"azurehitch"
@@ -21,6 +26,13 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// vouchTime is how old the read may be on which a vouch rests, and vouchPause how often it
+	// is looked at.
+	vouchTime  = 900 * time.Millisecond
+	vouchPause = 50 * time.Millisecond
+	// vouchedInterval is the longest time without an own read: changes that don't matter at
+	// once are read then.
+	vouchedInterval = 5 * time.Second
 )
 
 // Observer is told of each read of a stream.
@@ -36,6 +48,17 @@
 	Apply(records []azurehitch.KeyedRecord, readAt time.Time)
 	// Failed notes that the stream could not be read.
 	Failed(at time.Time)
+	// Changes counts the changes that matter at once.
+	Changes() int64
+}
+
+// Position is how far a follower has read a stream.
+type Position struct {
+	Stream string
+	// Next is the offset behind the last change that matters at once.
+	Next int64
+	// Age is how long ago the stream was read.
+	Age time.Duration
 }
 
 // Pace is how often a stream is read.
@@ -46,6 +69,14 @@
 	Interval time.Duration
 }
 
+// Paces are the pace of a follower, and that of one that vouches for others.
+type Paces struct {
+	Own      Pace
+	Vouching Pace
+	// IsVouching reports whether others rely on this follower.
+	IsVouching func() bool
+}
+
 // Follower reads a stream into a fold.
 type Follower struct {
 	log      azurehitch.KeyedLog
@@ -53,31 +84,69 @@
 	fold     Fold
 	clock    azurehitch.Clock
 	observer Observer
-	pace     Pace
+	paces    Paces
+
+	mu sync.Mutex
 	// next is the offset from which to read on; negative before the first list.
 	next int64
+	// matters is the offset behind the last change that matters at once.
+	matters int64
+	readAt  time.Time
+	// vouchedAt is when another daemon has read the stream, which had nothing then that
+	// matters beyond vouchedNext.
+	vouchedAt   time.Time
+	vouchedNext int64
 }
 
-// NewFollower returns a follower of a stream.
+// NewFollower returns a follower that always reads at one pace.
 func NewFollower(
 	log azurehitch.KeyedLog, stream string, fold Fold, clock azurehitch.Clock, observer Observer, pace Pace,
 ) *Follower {
-	return &Follower{log: log, stream: stream, fold: fold, clock: clock, observer: observer, pace: pace, next: -1}
+	return NewVouchedFollower(log, stream, fold, clock, observer, Paces{Own: pace, IsVouching: func() bool { return false }})
 }
 
-// Run reads until the context ends. It returns nil then.
+// NewVouchedFollower returns a follower that takes and gives vouches.
+func NewVouchedFollower(
+	log azurehitch.KeyedLog, stream string, fold Fold, clock azurehitch.Clock, observer Observer, paces Paces,
+) *Follower {
+	return &Follower{log: log, stream: stream, fold: fold, clock: clock, observer: observer, paces: paces, next: -1}
+}
+
+// Vouch takes in how far another daemon has read, at the time at which it was asked.
+func (f *Follower) Vouch(position Position, askedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := askedAt.Add(-position.Age); at.After(f.vouchedAt) {
+		f.vouchedAt, f.vouchedNext = at, position.Next
+	}
+}
+
+// Position returns how far the stream was read, and false before the first time.
+func (f *Follower) Position() (Position, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Position{Stream: f.stream, Next: f.matters, Age: f.clock.Now().Sub(f.readAt)}, f.next >= 0
+}
+
+// Run reads until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = minBackoff
 	delays.MaxInterval = maxBackoff
 	for ctx.Err() == nil {
+		if f.takeVouch() {
+			if err := f.clock.Sleep(ctx, vouchPause); err != nil {
+				return nil
+			}
+			continue
+		}
 		began := f.clock.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		f.observer.StreamRead(f.stream, err)
-		pause := f.pace.Interval - f.clock.Now().Sub(began)
+		pause := f.pace().Interval - f.clock.Now().Sub(began)
 		if err != nil {
 			f.fold.Failed(f.clock.Now())
 			pause = delays.NextBackOff()
@@ -94,28 +163,63 @@
 	return nil
 }
 
+func (f *Follower) pace() Pace {
+	if f.paces.IsVouching() {
+		return f.paces.Vouching
+	}
+	return f.paces.Own
+}
+
+// takeVouch tells the fold that nothing has changed, and returns true, while a vouch spares
+// the next read.
+func (f *Follower) takeVouch() bool {
+	f.mu.Lock()
+	at := f.vouchedAt
+	now := f.clock.Now()
+	isSpared := f.next >= 0 && f.vouchedNext <= f.next && now.Sub(at) < vouchTime && now.Sub(f.readAt) < vouchedInterval
+	isNewer := at.After(f.readAt)
+	f.mu.Unlock()
+	if isSpared && isNewer {
+		f.fold.Apply(nil, at)
+	}
+	return isSpared
+}
+
+// step reads what is next.
 func (f *Follower) step(ctx context.Context) error {
 	if f.next < 0 {
 		return f.list(ctx)
 	}
-	batch, err := f.log.Changes(ctx, f.stream, f.next, f.pace.Wait)
+	batch, err := f.log.Changes(ctx, f.stream, f.next, f.pace().Wait)
 	if err != nil {
 		return err
 	}
 	if batch.Gap {
 		return f.list(ctx)
 	}
-	f.next = batch.Next
-	f.fold.Apply(batch.Records, f.clock.Now())
+	f.take(batch, f.fold.Apply)
 	return nil
 }
 
+// list reads the newest record of each key.
 func (f *Follower) list(ctx context.Context) error {
 	batch, err := f.log.Newest(ctx, f.stream)
 	if err != nil {
 		return err
 	}
-	f.next = batch.Next
-	f.fold.Replace(batch.Records, f.clock.Now())
+	f.take(batch, f.fold.Replace)
 	return nil
 }
+
+// take hands a batch to the fold and notes how far the stream was read.
+func (f *Follower) take(batch azurehitch.KeyedBatch, into func([]azurehitch.KeyedRecord, time.Time)) {
+	readAt := f.clock.Now()
+	before := f.fold.Changes()
+	into(batch.Records, readAt)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next, f.readAt = batch.Next, readAt
+	if f.fold.Changes() != before {
+		f.matters = batch.Next
+	}
+}
--- a/internal/oplog/compacted/follower_test.go
+++ b/internal/oplog/compacted/follower_test.go
@@ -62,6 +62,8 @@
 }
 
 // Failed implements compacted.Fold.
+func (f *recordingFold) Changes() int64 { return int64(len(f.told)) }
+
 func (f *recordingFold) Failed(time.Time) { f.told = append(f.told, "failed") }
 
 // silent is an observer that drops what it is told.
--- a/internal/oplog/follow/follower.go
+++ b/internal/oplog/follow/follower.go
@@ -23,6 +23,9 @@
 	readTimeout    = 15 * time.Second
 	minReadBackoff = 50 * time.Millisecond
 	maxReadBackoff = time.Second
+	// maxRest is how long a read may wait, and restPause how often the condition is looked at.
+	maxRest   = 3 * time.Second
+	restPause = 100 * time.Millisecond
 )
 
 // Observer is told what is seen of the log.
@@ -53,11 +56,19 @@
 	fold     Fold
 	clock    azurehitch.Clock
 	observer Observer
+	// rests reports whether the next read may wait.
+	rests func() bool
 }
 
 // NewFollower returns a follower of a stream.
 func NewFollower(log azurehitch.Log, stream string, fold Fold, clock azurehitch.Clock, observer Observer) *Follower {
-	return &Follower{log: log, stream: stream, fold: fold, clock: clock, observer: observer}
+	return &Follower{log: log, stream: stream, fold: fold, clock: clock, observer: observer, rests: func() bool { return false }}
+}
+
+// RestWhile lets the follower wait for up to maxRest after each read while a condition holds.
+func (f *Follower) RestWhile(condition func() bool) *Follower {
+	f.rests = condition
+	return f
 }
 
 // Run reads until the context ends. It returns nil then.
@@ -73,6 +84,9 @@
 		f.observer.LogRead(err)
 		if err == nil {
 			delays.Reset()
+			if err := f.rest(ctx); err != nil {
+				return nil
+			}
 			continue
 		}
 		if err := f.clock.Sleep(ctx, delays.NextBackOff()); err != nil {
@@ -82,6 +96,16 @@
 	return nil
 }
 
+// rest waits between two reads.
+func (f *Follower) rest(ctx context.Context) error {
+	for rested := time.Duration(0); rested < maxRest && f.rests(); rested += restPause {
+		if err := f.clock.Sleep(ctx, restPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Step reads one batch and folds it.
 func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -18,6 +18,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/swap"
@@ -37,10 +38,13 @@
 	// placed without the holder.
 	holderPatience = 250 * time.Millisecond
 	// reportInterval is how often changed demand is reported, and idleReportInterval how
-	// often any is.
-	reportInterval     = 250 * time.Millisecond
-	idleReportInterval = time.Second
-	reportTimeout      = 600 * time.Millisecond
+	// often any is. To a holder that vouches for what others read, it is vouchedReportInterval.
+	reportInterval        = 250 * time.Millisecond
+	idleReportInterval    = time.Second
+	vouchedReportInterval = 500 * time.Millisecond
+	reportTimeout         = 600 * time.Millisecond
+	// answerAge is how old the last answer of a holder that answers may be.
+	answerAge = 1300 * time.Millisecond
 	// tableTTL is how long the replicas of a report are used.
 	tableTTL = 4 * time.Second
 )
@@ -58,10 +62,13 @@
 	// Services returns the services with model engines.
 	Services func() []string
 	Held     *swapholder.Set
-	Peers    *mux.Client
-	Clock    azurehitch.Clock
-	Logs     *logging.Logs
-	Metrics  *metrics.Metrics
+	// Vouched takes in how far the holder has read the streams that all follow, as of when it
+	// was asked.
+	Vouched func(positions []compacted.Position, askedAt time.Time)
+	Peers   *mux.Client
+	Clock   azurehitch.Clock
+	Logs    *logging.Logs
+	Metrics *metrics.Metrics
 }
 
 // Client asks holders.
@@ -168,6 +175,7 @@
 	if holder.Daemon == c.Self {
 		return c.Held.Report(service, c.Self, demand, withdrawn)
 	}
+	askedAt := c.Clock.Now()
 	response, err := c.call(ctx, holder.Daemon, reportTimeout, &peerpb.Request{
 		Kind: &peerpb.Request_SwapReport{SwapReport: demandToProto(service, demand, withdrawn)},
 	})
@@ -178,9 +186,24 @@
 	if !ok {
 		return nil, ErrNoHolder
 	}
+	read := positionsFromProto(answer.SwapReport.Read)
+	c.usage(service).setAnswered(c.Clock.Now(), len(read) > 0)
+	c.Vouched(read, askedAt)
 	return keptFromProto(answer.SwapReport.Kept), nil
 }
 
+// HolderAnswers reports whether other daemons have answered lately as the holders of all
+// services with model engines.
+func (c *Client) HolderAnswers() bool {
+	services := c.Services()
+	for _, service := range services {
+		if c.Holder(service).Daemon == c.Self || c.Clock.Now().Sub(c.usage(service).lastAnswer()) > answerAge {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
 func (c *Client) usage(service string) *usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/swap"
 )
@@ -83,3 +84,21 @@
 	}
 	return kept
 }
+
+func positionsToProto(positions []compacted.Position) []*peerpb.StreamPosition {
+	var list []*peerpb.StreamPosition
+	for _, p := range positions {
+		list = append(list, &peerpb.StreamPosition{Stream: p.Stream, Next: p.Next, AgeMs: p.Age.Milliseconds()})
+	}
+	return list
+}
+
+func positionsFromProto(list []*peerpb.StreamPosition) []compacted.Position {
+	var positions []compacted.Position
+	for _, p := range list {
+		// Times are cut to milliseconds: an age counts as one more.
+		age := time.Duration(p.AgeMs+1) * time.Millisecond
+		positions = append(positions, compacted.Position{Stream: p.Stream, Next: p.Next, Age: age})
+	}
+	return positions
+}
--- a/internal/placement/swappeer/server.go
+++ b/internal/placement/swappeer/server.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"azurehitch"
+	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/swapholder"
 )
@@ -12,6 +13,8 @@
 type Server struct {
 	Held  *swapholder.Set
 	Clock azurehitch.Clock
+	// Read returns how far this daemon has read the streams that all follow.
+	Read func() []compacted.Position
 }
 
 // Handle implements mux.Handler.
@@ -28,7 +31,7 @@
 		kept, err := s.Held.Report(report.Service, request.Daemon, demandFromProto(report), report.Withdrawn)
 		if err == nil {
 			return &peerpb.Response{Kind: &peerpb.Response_SwapReport{
-				SwapReport: &peerpb.SwapReportResponse{Kept: keptToProto(kept)},
+				SwapReport: &peerpb.SwapReportResponse{Kept: keptToProto(kept), Read: positionsToProto(s.Read())},
 			}}
 		}
 	}
--- a/internal/placement/swappeer/usage.go
+++ b/internal/placement/swappeer/usage.go
@@ -19,6 +19,10 @@
 	reportedAt time.Time
 	kept       []swap.Kept
 	keptAt     time.Time
+	answeredAt time.Time
+	// vouched is true when the holder told how far it has read the streams that all follow:
+	// it is asked again before that is too old.
+	vouched bool
 	// sinceKept is how the requests at a server changed since the last report.
 	sinceKept map[string]int
 }
@@ -31,7 +35,11 @@
 func (u *usage) takeDemand(now time.Time) (demand swap.Demand, withdrawn []string, due bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.dirty && now.Sub(u.reportedAt) < idleReportInterval {
+	interval := idleReportInterval
+	if u.vouched {
+		interval = vouchedReportInterval
+	}
+	if !u.dirty && now.Sub(u.reportedAt) < interval {
 		return swap.Demand{}, nil, false
 	}
 	demand = swap.Demand{InProgress: maps.Clone(u.inProgress), Arrived: u.arrivals, LastGrant: u.lastGrant}
@@ -59,6 +67,18 @@
 	u.sinceKept = map[string]int{}
 }
 
+func (u *usage) setAnswered(at time.Time, vouched bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.answeredAt, u.vouched = at, vouched
+}
+
+func (u *usage) lastAnswer() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.answeredAt
+}
+
 func (u *usage) keptOf(model string, now time.Time) []swap.Kept {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 )
 
 var (
@@ -128,17 +129,21 @@
 
 // awaitRecovery checks that each daemon serves each kind of request again.
 func (w *world) awaitRecovery() {
-	began := time.Now()
+	var group errgroup.Group
 	for i := range w.daemons {
 		for _, route := range routes() {
 			model := ""
 			if route.Targets[0].Service == engineService {
 				model = modelName(i % modelCount)
 			}
-			w.await(fmt.Sprintf("daemon-%d serves %s", i, route.Name), max(recoveryTime-time.Since(began), time.Second),
-				func() bool { return w.serves(i, route, model) })
+			group.Go(func() error {
+				w.await(fmt.Sprintf("daemon-%d serves %s", i, route.Name), recoveryTime, func() bool { return w.serves(i, route, model) })
+				return nil
+			})
 		}
 	}
+	// The checks return no error.
+	_ = group.Wait()
 }
 
 // report fails the test with all that is needed to trace a violation.
