Loads from the weight store: one at a time where they are long; overdue homes are passed over

Cause: the number of loads at full speed is on the sheet and in no message; four ran at once.

Change: the first loads are so few that they end within 24 s even one by one; the limit rises while loads are in time and falls when they are slower by their number; an overdue load is expected to take as long again, and after 1 s another home is asked.

--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -211,7 +211,8 @@
 	}
 	for _, s := range p.holdersOf(name) {
 		if s.replicas[name].state == stateLoading && !s.leaving {
-			return outlook{wait: max(s.freeAt.Sub(now), 0), reason: "the model is being loaded"}
+			// A load that is overdue is expected to take as long again as it is late.
+			return outlook{wait: s.freeAt.Sub(now).Abs(), reason: "the model is being loaded"}
 		}
 	}
 	best, found := time.Duration(0), false
@@ -254,13 +255,14 @@
 		position = len(queue)
 	}
 	ends := p.remoteEnds(now)
-	free := p.settings.RemoteLoads - len(ends)
+	atOnce := p.remoteLoads(now)
+	free := max(atOnce-len(ends), 0)
 	if position < free {
 		return limits.RemoteLoad
 	}
-	rounds := (position - free) / max(p.settings.RemoteLoads, 1)
+	rounds := (position - free) / atOnce
 	first := time.Duration(0)
-	if i := (position - free) % max(p.settings.RemoteLoads, 1); i < len(ends) {
+	if i := (position - free) % atOnce; i < len(ends) {
 		first = ends[i]
 	}
 	return first + time.Duration(rounds+1)*limits.RemoteLoad
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -40,7 +40,7 @@
 	p.remoteStarts = slices.DeleteFunc(p.remoteStarts, func(at time.Time) bool {
 		return now.Sub(at) > p.settings.LoadWindow
 	})
-	allowance := p.settings.RemoteLoads - len(p.remoteEnds(now))
+	allowance := p.remoteLoads(now) - len(p.remoteEnds(now))
 	if p.limits.RemoteLoadsPerSecond > 0 {
 		perWindow := int(p.limits.RemoteLoadsPerSecond * p.settings.LoadWindow.Seconds())
 		allowance = min(allowance, perWindow-len(p.remoteStarts))
@@ -123,7 +123,7 @@
 // being loaded. One that requests wait for needs one at least.
 func (p *Plan) missing(name string, now time.Time) int {
 	needed := max(p.replicasNeeded(name, now), 1)
-	return max(needed-len(p.replicas(name))-p.loading(name), 0)
+	return max(needed-len(p.replicas(name))-p.loadingInTime(name, now), 0)
 }
 
 // replicasNeeded is the number of replicas that the demand for a model fills.
--- a/internal/placement/swap/home.go
+++ b/internal/placement/swap/home.go
@@ -22,6 +22,17 @@
 	return count
 }
 
+// loadingInTime is the number of servers that load a model and are not far behind their time.
+func (p *Plan) loadingInTime(name string, now time.Time) int {
+	count := 0
+	for _, s := range p.holdersOf(name) {
+		if s.replicas[name].state == stateLoading && !s.leaving && !s.isOverdue(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // bestHome returns the server with a copy from which the model is ready soonest.
 func (p *Plan) bestHome(name string, now time.Time) *server {
 	limits := p.limits.Models[name]
--- a/internal/placement/swap/order.go
+++ b/internal/placement/swap/order.go
@@ -19,6 +19,10 @@
 	Expected time.Duration
 	// Reason says in a few words what decided.
 	Reason string
+	// among is the number of loads from the weight store that run with this one, and beganAt
+	// when it was decided.
+	among   int
+	beganAt time.Time
 	// listing is the stay of the server on the list that the order was decided in.
 	listing int64
 }
@@ -64,6 +68,10 @@
 	order.Server = s.ServerIdentity
 	order.AfterOrders = s.orders
 	order.listing = s.listing
+	order.beganAt = now
+	if order.isRemoteLoad() {
+		order.among = len(p.remoteEnds(now)) + 1
+	}
 	s.order = &order
 	s.freeAt = now.Add(order.Expected)
 	return order
@@ -90,6 +98,9 @@
 		s.failedAt = now
 		return
 	}
+	if outcome == OutcomeDone && order.isRemoteLoad() {
+		p.finished(order, now)
+	}
 	p.apply(s, order, outcome, now)
 }
 
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -35,7 +35,8 @@
 
 // Settings are the bounds and weights of the decisions.
 type Settings struct {
-	// RemoteLoads is the number of loads from the weight store that run at once.
+	// RemoteLoads is the most loads from the weight store that run at once. Fewer run where
+	// they are long, or were seen to slow each other.
 	RemoteLoads int
 	// LoadWindow is the span over which the rate of loads from the weight store is counted.
 	LoadWindow time.Duration
@@ -103,6 +104,7 @@
 	index    index
 	// remoteStarts are the starts of loads from the weight store in the last window.
 	remoteStarts []time.Time
+	share        remoteShare
 	// listings counts the stays of servers on the list.
 	listings int64
 	// lastGrant is the number of the last grant.
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -118,6 +118,23 @@
 	})
 }
 
+// TestOverdueLoad answers a home that has taken an order and does not end it.
+func TestOverdueLoad(t *testing.T) {
+	w := newWorld(t, 4)
+	w.add("s0", nil, names("m", 0, 4))
+	w.add("s1", nil, names("m", 0, 4))
+	w.ask(w.need("r", "m0"))
+	first := w.decide()[0]
+	w.pass(first.Expected + 500*time.Millisecond)
+	w.assertKind(w.ask(w.need("r", "m0")), swap.VerdictWaiting)
+	w.Assert(w.decide(), qt.HasLen, 0)
+	w.pass(time.Second)
+	w.ask(w.need("r", "m0"))
+	second := w.decide()
+	w.Assert(second, qt.HasLen, 1)
+	w.assertOrder(second[0], azurehitch.OrderLoad, map[string]string{"s0": "s1", "s1": "s0"}[first.Server.ID], "m0")
+}
+
 // TestBlockedHome answers the load of a rare model whose only copy lies near a server that is
 // full of replicas of busy models.
 func TestBlockedHome(t *testing.T) {
@@ -204,6 +221,48 @@
 		w.Assert(loads <= 10, qt.IsTrue, qt.Commentf("%d loads in 5 s at 2 a second", loads))
 		w.Assert(loads > 5, qt.IsTrue)
 	})
+	// store is loads from a weight store at which so many run at full speed; further ones take
+	// longer in proportion. It returns how many run at once after some time.
+	store := func(t *testing.T, load time.Duration, atFullSpeed int) (w *world, atOnce int) {
+		w = newWorld(t, 60)
+		for name, limits := range w.limits.Models {
+			limits.RemoteLoad = load
+			w.limits.Models[name] = limits
+		}
+		w.plan.SetLimits(w.limits)
+		for i := range 12 {
+			w.add(fmt.Sprintf("s%d", i), nil, []string{fmt.Sprintf("m%d", i)})
+		}
+		ends := map[swap.Order]time.Time{}
+		for began := w.now; w.now.Sub(began) < 10*load; w.pass(load / 10) {
+			for order, end := range ends {
+				if !w.now.Before(end) {
+					w.plan.Finish(order, swap.OutcomeDone, w.now)
+					delete(ends, order)
+				}
+			}
+			for _, order := range w.decide() {
+				if order.Kind != azurehitch.OrderLoad {
+					w.plan.Finish(order, swap.OutcomeDone, w.now)
+					continue
+				}
+				slower := max((len(ends)+atFullSpeed)/atFullSpeed, 1)
+				ends[order] = w.now.Add(load * time.Duration(slower))
+			}
+			atOnce = len(ends)
+		}
+		return w, atOnce
+	}
+	t.Run("long loads begin one at a time, and stay so where they slow each other", func(t *testing.T) {
+		w, atOnce := store(t, 13*time.Second, 1)
+		w.Assert(atOnce, qt.Equals, 1)
+	})
+	t.Run("as many as run at full speed", func(t *testing.T) {
+		w, atOnce := store(t, 6*time.Second, 4)
+		w.Assert(atOnce, qt.Equals, 4)
+		w, atOnce = store(t, 6*time.Second, 2)
+		w.Assert(atOnce, qt.Equals, 2)
+	})
 	t.Run("what is asked for most goes first", func(t *testing.T) {
 		w := newWorld(t, 30)
 		w.add("s0", nil, nil)
