Silent servers and missing holders: who can't be served is refused at once

Where no holder answered and no listed server held the model, requests waited as well.

Change: a server that is unknown is expected to be so as long again; its copies count for 6 s; servers that were never reached hold others up for 2 s. Without a holder, a request for a model that no listed server holds is refused after 0.6 s, with when to come back. Tests failed before.

--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -38,6 +38,10 @@
 	// how often it looks.
 	listPatience = 400 * time.Millisecond
 	listPause    = 20 * time.Millisecond
+	// holderPatience is how long a request for a model that no listed server holds waits for a
+	// holder to answer, and holderRetry tells when to come back: others take over meanwhile.
+	holderPatience = 600 * time.Millisecond
+	holderRetry    = 1500 * time.Millisecond
 	// emptyRetry tells when to come back to a service without servers.
 	emptyRetry = 500 * time.Millisecond
 )
@@ -192,6 +196,7 @@
 		return choice, nil
 	}
 	need := p.need(r)
+	began := p.Clock.Now()
 	for {
 		grant, err := p.Swaps.Find(ctx, r.Service.Name, need)
 		if err == nil && p.hasLeft(grant.Server) {
@@ -210,6 +215,10 @@
 		if choice, ok := p.placeOnListed(r); ok {
 			return choice, nil
 		}
+		if p.Clock.Now().Sub(began) >= holderPatience {
+			return Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no holder answers, and no listed server has %s", r.Model).
+				WithRetryAfter(holderRetry)
+		}
 	}
 }
 
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -10,7 +10,10 @@
 	"azurehitch"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/placement/swappeer"
+	"azurehitch/internal/telemetry/metrics"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -79,6 +82,29 @@
 		c.Assert(errors.As(err, &refused), qt.IsTrue)
 		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
 	})
+	t.Run("without a holder, refused soon for a model that no server holds", func(t *testing.T) {
+		c := qt.New(t)
+		placer := newPlacer(map[string]string{"s1": "a"})
+		clock := azurehitch.SystemClock{}
+		placer.Swaps = swappeer.NewClient(swappeer.Dependencies{
+			Self:    "daemon-1",
+			Holder:  func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
+			Address: func(string) (string, bool) { return "", false },
+			Clock:   clock, Metrics: metrics.New(),
+		})
+		request := call(1)
+		request.Service.Engine = &azurehitch.EngineLimits{}
+		request.Model = "m"
+		const timeout = 5 * time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		began := clock.Now()
+		_, err := placer.Place(ctx, request)
+		var refused *azurehitch.ErrRefused
+		c.Assert(errors.As(err, &refused), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+		c.Assert(clock.Now().Sub(began) < timeout/3, qt.IsTrue)
+	})
 	// The load: 24 calls at once, to four servers with six slots each.
 	t.Run("calls at once spread over all servers", func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -217,10 +217,8 @@
 	}
 	best, found := time.Duration(0), false
 	for _, s := range p.homesOf(name) {
-		if !s.known {
-			continue
-		}
-		wait := max(s.freeAt.Sub(now), 0) + limits.LoadTime(s.tier(name)) + p.settings.SwapTime
+		// A server that is unknown is expected to be so as long again.
+		wait := max(s.freeAt.Sub(now), s.unknownFor(now)) + limits.LoadTime(s.tier(name)) + p.settings.SwapTime
 		if !found || wait < best {
 			best, found = wait, true
 		}
@@ -228,12 +226,19 @@
 	switch {
 	case found:
 		return outlook{wait: best, reason: "a server has a copy"}
-	case !p.settled || len(p.Unknown()) > 0:
+	case !p.settled || p.hasNewcomers(now):
 		return outlook{wait: limits.DiskLoad + p.settings.SwapTime, reason: "not all servers are known yet"}
 	}
 	return outlook{wait: p.remoteEstimate(name, limits, now), reason: "the model comes from the weight store"}
 }
 
+// hasNewcomers reports whether a server was not reached yet that was listed a short time ago.
+func (p *Plan) hasNewcomers(now time.Time) bool {
+	return slices.ContainsFunc(p.list, func(s *server) bool {
+		return !s.known && !s.leaving && s.unknownFor(now) < listedTime
+	})
+}
+
 // estimate returns how long a request will wait, and why.
 func (p *Plan) estimate(w *waiter, o outlook) (time.Duration, string) {
 	if len(o.replicas) == 0 {
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -57,6 +57,13 @@
 	}
 	p.expireDemand(now)
 	p.expireReleased(now)
+	for _, s := range p.list {
+		s.notice(now)
+		if lost := s.unknownFor(now) > lostTime; lost != s.lost {
+			s.lost = lost
+			p.index.invalidate()
+		}
+	}
 }
 
 // wanted returns the models that requests wait for, the most wanted first: those whose
--- a/internal/placement/swap/index.go
+++ b/internal/placement/swap/index.go
@@ -29,13 +29,13 @@
 }
 
 // homesOf returns the servers with a copy of the checkpoint of a model, but for those that
-// leave.
+// leave or are unknown for long.
 func (p *Plan) homesOf(name string) []*server {
 	if p.index.copiesStale {
 		p.index.copiesStale = false
 		p.index.copies = map[string][]*server{}
 		for _, s := range p.list {
-			if s.leaving {
+			if s.leaving || s.lost {
 				continue
 			}
 			for model := range s.tiers {
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -84,6 +84,11 @@
 	grantsPerToken = 1 << 30
 	// failurePause is how long a server gets no orders after one that failed.
 	failurePause = 500 * time.Millisecond
+	// listedTime is how long the copies of servers that were not reached yet may be missing from
+	// the list.
+	listedTime = 2 * time.Second
+	// lostTime is how long a server may be unknown before its copies count no longer.
+	lostTime = 6 * time.Second
 	// idleBeforeUnload is how long a replica is idle before it makes room ahead of need.
 	idleBeforeUnload = 400 * time.Millisecond
 )
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -334,6 +334,36 @@
 		w.plan.SetSettled(true)
 		w.Assert(w.decide(), qt.HasLen, 1)
 	})
+	// silent is a world in which one server with a copy of m0 never reports, some time after it
+	// was listed. Another serves other models. The orders are those of the last decision.
+	silent := func(t *testing.T, after time.Duration) (*world, []swap.Order) {
+		w := newWorld(t, 6)
+		w.add("s0", nil, []string{"m1", "m2", "m3", "m4", "m5"})
+		w.servers = append(w.servers, azurehitch.FleetServer{
+			ServerIdentity: azurehitch.ServerIdentity{ID: "s1", Address: "s1:80", Incarnation: 1},
+			Service:        "llm", FailureDomain: "a", Slots: slots, Cached: azurehitch.CachedModels{OnDisk: []string{"m0"}},
+		})
+		w.plan.SetServers(w.servers)
+		w.decide()
+		w.pass(after)
+		return w, w.decide()
+	}
+	t.Run("a home that was just listed is waited for", func(t *testing.T) {
+		w, _ := silent(t, time.Second)
+		w.assertKind(w.ask(w.need("r", "m0")), swap.VerdictWaiting)
+		w.Assert(w.decide(), qt.HasLen, 0)
+	})
+	t.Run("the longer a home is silent, the longer the wait is expected to be", func(t *testing.T) {
+		w, _ := silent(t, 4*time.Second)
+		need := w.need("r", "m0")
+		need.Deadline = w.now.Add(2 * time.Second)
+		w.assertKind(w.ask(need), swap.VerdictRefused)
+	})
+	t.Run("a model whose home is silent for long comes from the store", func(t *testing.T) {
+		w, orders := silent(t, 8*time.Second)
+		w.assertOrder(orders[0], azurehitch.OrderLoad, "s0", "m0")
+		w.assertKind(w.ask(w.need("r", "m0")), swap.VerdictWaiting)
+	})
 	t.Run("no order while a former holder's is carried out", func(t *testing.T) {
 		w := newWorld(t, 4)
 		s := w.add("s0", nil, names("m", 0, 4))
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -44,6 +44,11 @@
 	// known is true when the server was reached and carries out no order that this holder
 	// doesn't know.
 	known bool
+	// unknownSince is since when it is not known; zero while it is, and before the next
+	// decision.
+	unknownSince time.Time
+	// lost is true when it is unknown for so long that its copies don't count.
+	lost bool
 	// orders is the number of orders that it has accepted.
 	orders int64
 	// order is the order for a model that is under way, and freeAt when it should end.
@@ -131,6 +136,24 @@
 // hasCopy reports whether a load doesn't come from the weight store.
 func (s *server) hasCopy(name string) bool { return s.tier(name) != azurehitch.CacheTierRemote }
 
+// notice keeps account of how long the server is unknown.
+func (s *server) notice(now time.Time) {
+	switch {
+	case s.known:
+		s.unknownSince = time.Time{}
+	case s.unknownSince.IsZero():
+		s.unknownSince = now
+	}
+}
+
+// unknownFor is how long the server is unknown.
+func (s *server) unknownFor(now time.Time) time.Duration {
+	if s.known || s.unknownSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.unknownSince)
+}
+
 // takesRequests reports whether new requests may go to the server.
 func (s *server) takesRequests() bool { return !s.leaving && !s.missing }
 
