Requests that were turned away count as demand for replicas

Change: the rate of requests refused for full servers counts as demand; busy models that nobody waits for are served by demand for each replica. TestCrowded failed before.

--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -20,6 +20,9 @@
 	VerdictRefused VerdictKind = "Refused"
 )
 
+// reasonFull is the reason of verdicts on requests for models whose servers have no free slot.
+const reasonFull = "the servers are full"
+
 // Verdict is the answer to a Need.
 type Verdict struct {
 	Kind  VerdictKind
@@ -94,6 +97,9 @@
 	margin := time.Duration(p.settings.AnswerPart * float64(w.Deadline.Sub(w.since)))
 	if estimate > p.settings.QueueTime || now.Add(estimate+margin).After(w.Deadline) {
 		p.waiters.remove(w.ID)
+		if reason == reasonFull {
+			p.model(w.Model).turnedAway.add(1, now)
+		}
 		return Verdict{Kind: VerdictRefused, Estimate: estimate, Reason: reason}
 	}
 	return Verdict{Kind: VerdictWaiting, Estimate: estimate, Reason: reason}
@@ -246,7 +252,7 @@
 	}
 	if behind := p.waiters.ahead(w) - p.freeSlots(o.replicas); behind >= 0 {
 		rate := float64(len(o.replicas)*p.slots()) / p.settings.RunTime.Seconds()
-		return time.Duration(float64(behind+1) / rate * float64(time.Second)), "the servers are full"
+		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonFull
 	}
 	return p.settings.SwapTime, "the adapter is loaded"
 }
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -118,12 +118,18 @@
 // needed returns the models that a replica should be loaded of, the most urgent first.
 func (p *Plan) needed(now time.Time) []string {
 	needed := p.wanted(now)
+	var busy []string
 	for _, name := range slices.Sorted(maps.Keys(p.models)) {
 		if p.isBusy(name, now) && !slices.Contains(needed, name) {
-			needed = append(needed, name)
+			busy = append(busy, name)
 		}
 	}
-	return needed
+	pressures := map[string]float64{}
+	for _, name := range busy {
+		pressures[name] = p.pressure(name, now) / float64(1+len(p.replicas(name)))
+	}
+	slices.SortStableFunc(busy, func(a, b string) int { return cmp.Compare(pressures[b], pressures[a]) })
+	return append(needed, busy...)
 }
 
 // missing is the number of replicas to be loaded of a model beside those that are ready or
@@ -136,7 +142,7 @@
 // replicasNeeded is the number of replicas that the demand for a model fills.
 func (p *Plan) replicasNeeded(name string, now time.Time) int {
 	perReplica := p.settings.ReplicaLoad * float64(p.slots())
-	needed := int(math.Ceil(float64(p.requests(name)) / max(perReplica, 1)))
+	needed := int(math.Ceil(p.pressure(name, now) / max(perReplica, 1)))
 	if p.isBusy(name, now) {
 		// A second replica carries on when the server of the first is lost.
 		needed = max(needed, 2)
@@ -159,7 +165,7 @@
 	if p.hasHome(name) && len(p.replicas(name)) == 0 && !p.isLoading(name) {
 		p.letGiveWay(name, now)
 	}
-	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name) {
+	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name, now) {
 		return Order{}, false
 	}
 	s := p.bestForRemote(name, now)
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -164,9 +164,19 @@
 
 // isCrowded reports whether the replicas of a model, with those that are being loaded, have
 // so many requests that a further one is worth a load from the weight store.
-func (p *Plan) isCrowded(name string) bool {
+func (p *Plan) isCrowded(name string, now time.Time) bool {
 	replicas := len(p.replicas(name)) + p.loading(name)
-	return replicas > 0 && float64(p.requests(name)) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
+	return replicas > 0 && p.pressure(name, now) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
+}
+
+// pressure is the number of requests for a model that would be in progress if none had been
+// turned away.
+func (p *Plan) pressure(name string, now time.Time) float64 {
+	pressure := float64(p.requests(name))
+	if m, ok := p.models[name]; ok {
+		pressure += m.turnedAway.now(now) * p.settings.RunTime.Seconds()
+	}
+	return pressure
 }
 
 // requests is the number of requests for a model that are in progress or wait.
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -129,6 +129,8 @@
 	unmet     int
 	lastAsked time.Time
 	rate      rate
+	// turnedAway are the requests that were refused because its servers were full.
+	turnedAway rate
 }
 
 // New returns the plan of a new holder, which has reached no server yet. Its grants are
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -118,6 +118,32 @@
 	})
 }
 
+// TestCrowded answers the load of a busy model whose only replica shares a full server: those
+// whom it turns away show that it needs another, from the weight store.
+func TestCrowded(t *testing.T) {
+	w := newWorld(t, 3)
+	w.add("s0", []string{"m0", "m1"}, names("m", 0, 3))
+	w.add("s1", nil, []string{"m2"})
+	remote := func() bool {
+		return slices.ContainsFunc(w.decide(), func(o swap.Order) bool {
+			return o.Server.ID == "s1" && o.Model == "m0" && o.Tier == azurehitch.CacheTierRemote
+		})
+	}
+	full := swap.Demand{InProgress: map[swap.Replica]int{
+		{Server: "s0", Model: "m0"}: slots / 2, {Server: "s0", Model: "m1"}: slots / 2,
+	}}
+	w.plan.Report("daemon-1", full, w.now)
+	w.Assert(remote(), qt.IsFalse)
+	for i := range 20 {
+		need := w.need(fmt.Sprint(i), "m0")
+		need.Deadline = w.now.Add(100 * time.Millisecond)
+		w.assertKind(w.ask(need), swap.VerdictRefused)
+		w.pass(50 * time.Millisecond)
+	}
+	w.plan.Report("daemon-1", full, w.now)
+	w.Assert(remote(), qt.IsTrue)
+}
+
 // TestOverdueLoad answers a home that has taken an order and does not end it.
 func TestOverdueLoad(t *testing.T) {
 	w := newWorld(t, 4)
