--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # The proofs on a virtual clock.
 VIRTUAL = ReplicaLimit|MemoryLimit|FrozenHolder|UnreachedServer|RemovedServer|TwoReleases|WeightStoreShare|PaidLoadsFirst|Overload|LoweredLimit|WaitingRequests|Configuration|LogOutage|LogCutForHolder
 
-.PHONY: build demo test lint bench prove generate clean
+# Fresh seeds of the soak.
+SEEDS = 10
+
+.PHONY: build demo test lint bench prove soak generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -26,6 +29,10 @@
 prove: build
 	_scripts/prove.sh
 
+soak:
+	mkdir -p soak-logs
+	go test -timeout 60m -run TestFreshSeeds ./internal/proof/soak -args -soak.seeds $(SEEDS) -soak.logs $(CURDIR)/soak-logs
+
 generate:
 	_scripts/generate.sh
 
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -133,9 +133,6 @@
 	return azurehitch.CacheTierRemote
 }
 
-// hasCopy reports whether a load doesn't come from the weight store.
-func (s *server) hasCopy(name string) bool { return s.tier(name) != azurehitch.CacheTierRemote }
-
 // notice keeps account of how long the server is unknown.
 func (s *server) notice(now time.Time) {
 	switch {
--- a/internal/proof/soak/process_test.go
+++ b/internal/proof/soak/process_test.go
@@ -1,11 +1,9 @@
 package soak_test
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -142,21 +140,3 @@
 	p.signal(syscall.SIGKILL, 0)
 	return p.group.Wait()
 }
-
-// tail returns the last lines of the log that name a text.
-func (p *process) tail(text string, most int) string {
-	content, err := os.ReadFile(filepath.Join(p.dir, p.settings.Name+".log"))
-	if err != nil {
-		return err.Error()
-	}
-	var lines []string
-	for line := range strings.Lines(string(content)) {
-		if strings.Contains(line, text) {
-			lines = append(lines, line)
-		}
-	}
-	if skipped := len(lines) - most; skipped > 0 {
-		lines = append([]string{fmt.Sprintf("(%d lines before)\n", skipped)}, lines[skipped:]...)
-	}
-	return strings.Join(lines, "")
-}
