The holder places by load, and is asked from half of the slots on

Change: the holder chooses by load with a penalty for other domains, as daemons do; they ask it from half of the slots on.

--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -33,7 +33,7 @@
 	foreignPenalty = 0.1
 	// fullPart is the part of a server's slots up to which requests are placed without asking
 	// the holder.
-	fullPart = 0.9
+	fullPart = 0.5
 	// listPatience is how long a request waits for servers on the list, and listPause
 	// how often it looks.
 	listPatience = 400 * time.Millisecond
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -159,17 +159,17 @@
 		return nil
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
-		return cmp.Or(
-			compareBool(p.isFull(a), p.isFull(b)),
-			compareBool(a.domain != need.FailureDomain, b.domain != need.FailureDomain),
-			cmp.Compare(p.progress.servers[a.ID], p.progress.servers[b.ID]),
-		)
+		return cmp.Compare(p.cost(a, need.FailureDomain), p.cost(b, need.FailureDomain))
 	})
 }
 
-// isFull reports whether a server has as many requests as it serves without delay.
-func (p *Plan) isFull(s *server) bool {
-	return float64(p.progress.servers[s.ID]) >= p.settings.ReplicaLoad*2*float64(s.slots)
+// cost is how full a server is, with a penalty where it is in another failure domain.
+func (p *Plan) cost(s *server, domain string) float64 {
+	cost := float64(p.progress.servers[s.ID]) / float64(max(s.slots, 1))
+	if s.domain != domain {
+		cost += p.settings.ForeignPenalty
+	}
+	return cost
 }
 
 // freeSlots is the number of further requests that replicas take at once.
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -49,6 +49,9 @@
 	// ReplicaLoad is the part of a server's slots up to which a replica is filled before
 	// a further one is loaded.
 	ReplicaLoad float64
+	// ForeignPenalty is the part of a server's slots by which servers in the failure domain of
+	// the asking daemon may be fuller than others.
+	ForeignPenalty float64
 	// RunTime is about how long a request runs on a server whose slots are all taken.
 	RunTime time.Duration
 	// AnswerPart is the part of the time of a request that is kept for the answer itself.
@@ -67,6 +70,7 @@
 		QueueTime:         14 * time.Second,
 		BusyRate:          0.8,
 		ReplicaLoad:       0.15,
+		ForeignPenalty:    0.1,
 		RunTime:           2500 * time.Millisecond,
 		AnswerPart:        0.12,
 		RemoteReplicaLoad: 0.6,
