--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -54,10 +54,9 @@
 // The pace at which the streams of the platform are read, by most daemons and by a holder that
 // vouches for them.
 var (
-	routingPace     = compacted.Pace{Wait: 2 * time.Second}
-	fleetPace       = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
-	vouchingPace    = compacted.Pace{Wait: 300 * time.Millisecond}
-	vouchingMinimum = 24
+	routingPace  = compacted.Pace{Wait: 2 * time.Second}
+	fleetPace    = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
+	vouchingPace = compacted.Pace{Wait: 300 * time.Millisecond}
 )
 
 // Platform is the outside systems.
@@ -163,10 +162,10 @@
 		compacted.Paces{Own: fleetPace, Vouching: vouchingPace, IsVouching: d.isVouching})
 }
 
-// isVouching reports whether the others rely on what this daemon reads. The holder reads more
-// often for them, which is worth it from some number of daemons on.
+// isVouching reports whether the others rely on what this daemon reads. It reads more often
+// then.
 func (d *Daemon) isVouching() bool {
-	return d.daemons() >= vouchingMinimum && slices.ContainsFunc(d.engineServices(), func(service string) bool {
+	return d.daemons() >= d.settings.VouchFrom && slices.ContainsFunc(d.engineServices(), func(service string) bool {
 		return d.store.Lease(service).Holder == d.self
 	})
 }
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -45,7 +45,10 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	LogLevel    string
-	Swap        swap.Settings
+	// VouchFrom is the number of daemons from which on the holder of a service vouches for the
+	// streams that all follow. Fewer daemons make fewer calls by reading for themselves.
+	VouchFrom int
+	Swap      swap.Settings
 }
 
 // DefaultSettings returns the settings but for the names and addresses.
@@ -63,6 +66,7 @@
 		RetrySlack:     10,
 		RetryWindow:    10 * time.Second,
 		LogLevel:       "info",
+		VouchFrom:      24,
 		Swap:           swap.DefaultSettings(),
 	}
 }
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -93,7 +93,7 @@
 			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Need, s, w.tier, now), Reason: "replica is ready"}
 		}
 	}
-	estimate, reason := p.estimate(w, o)
+	estimate, reason := p.estimate(w, o, now)
 	margin := time.Duration(p.settings.AnswerPart * float64(w.Deadline.Sub(w.since)))
 	if estimate > p.settings.QueueTime || now.Add(estimate+margin).After(w.Deadline) {
 		p.waiters.remove(w.ID)
@@ -246,7 +246,7 @@
 }
 
 // estimate returns how long a request will wait, and why.
-func (p *Plan) estimate(w *waiter, o outlook) (time.Duration, string) {
+func (p *Plan) estimate(w *waiter, o outlook, now time.Time) (time.Duration, string) {
 	if len(o.replicas) == 0 {
 		return o.wait, o.reason
 	}
@@ -254,7 +254,8 @@
 		rate := float64(len(o.replicas)*p.slots()) / p.settings.RunTime.Seconds()
 		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonFull
 	}
-	return p.settings.SwapTime, "the adapter is loaded"
+	// An adapter that was not loaded in time waits for a place: as long again as it has waited.
+	return max(p.settings.SwapTime, now.Sub(w.since)), "the adapter is loaded"
 }
 
 // remoteEstimate is the wait for a load from the weight store, behind the loads under way
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -450,6 +450,24 @@
 		w.Assert(orders[0].Kind, qt.Equals, azurehitch.OrderUnload)
 		w.Assert(orders[0].Adapter, qt.Equals, "a1")
 	})
+	t.Run("who waits for a place that doesn't come is refused before the end", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.add("s0", []string{"m0"}, nil)
+		place(w, "a1", "a2")
+		const patience = 2400 * time.Millisecond
+		began := w.now
+		need := w.adapterNeed("r-a3", "m0", "a3")
+		need.Deadline = began.Add(patience)
+		for w.ask(need).Kind == swap.VerdictWaiting {
+			// Others keep using the adapters that take the places.
+			for _, name := range []string{"a1", "a2"} {
+				w.ask(w.adapterNeed("user-"+name+fmt.Sprint(w.now.UnixMilli()), "m0", name))
+			}
+			w.decide()
+			w.pass(100 * time.Millisecond)
+		}
+		w.Assert(w.now.Sub(began) <= patience/2, qt.IsTrue, qt.Commentf("after %v", w.now.Sub(began)))
+	})
 	t.Run("the places count until the unload has ended", func(t *testing.T) {
 		w := newWorld(t, 1)
 		w.add("s0", []string{"m0"}, nil)
--- a/internal/placement/swap/remoteshare.go
+++ b/internal/placement/swap/remoteshare.go
@@ -35,9 +35,9 @@
 			longest = max(longest, m.RemoteLoad)
 		}
 		if longest == 0 {
-			return p.settings.RemoteLoads
+			return max(p.settings.RemoteLoads, 1)
 		}
-		p.share.limit = min(max(int(firstLoadsTime/longest), 1), p.settings.RemoteLoads)
+		p.share.limit = max(min(int(firstLoadsTime/longest), p.settings.RemoteLoads), 1)
 	}
 	for _, s := range p.list {
 		if o := s.order; o != nil && o.isRemoteLoad() && o.slowness(now) > slowFactor {
--- a/internal/proof/soak/process_test.go
+++ b/internal/proof/soak/process_test.go
@@ -32,6 +32,7 @@
 type process struct {
 	number   int
 	binary   string
+	flags    []string
 	dir      string
 	settings platformtest.Settings
 	onExit   func(exit)
@@ -87,7 +88,7 @@
 	if p.stopped {
 		return nil, nil
 	}
-	cmd := exec.Command(p.binary, "gateway")
+	cmd := exec.Command(p.binary, append([]string{"gateway"}, p.flags...)...)
 	cmd.Env = append(os.Environ(), settingsVariable+"="+p.settingsPath())
 	cmd.Stdout, cmd.Stderr = logs, logs
 	if err := cmd.Start(); err != nil {
--- a/internal/proof/soak/world_test.go
+++ b/internal/proof/soak/world_test.go
@@ -23,6 +23,8 @@
 
 const (
 	daemonCount = 4
+	// strongCount is the number of daemons whose hosts are preferred for the holder.
+	strongCount = 2
 	engineCount = 5
 	deskCount   = 2
 	modelCount  = 14
@@ -217,12 +219,20 @@
 	settings := platformtest.Settings{
 		Name: fmt.Sprintf("daemon-%d", i), IP: ip, FailureDomain: fmt.Sprintf("domain-%d", i%2), Store: storeLink.address(),
 		StopTimeout: stopTimeout, Lease: leaseSpan, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
-		LogRetention: 20 * time.Second, Memory: 284_000_000,
+		LogRetention: 20 * time.Second, Memory: 284_000_000, Processor: 0.2, Bandwidth: 10_000_000,
+	}
+	if i < strongCount {
+		settings.Processor, settings.Bandwidth = 0.8, 200_000_000
 	}
 	w.storeLinks = append(w.storeLinks, storeLink)
 	w.peerLinks = append(w.peerLinks, w.newLink(ip, settings.Peers(), linkPort+1))
 	w.doors = append(w.doors, w.newLink(ip, settings.Callers(), linkPort+2))
-	p := &process{number: i, binary: w.binary, dir: w.dir, settings: settings, onExit: w.judge.exited}
+	var flags []string
+	if w.seed%2 == 0 {
+		// The holder reads for all, as on large deployments.
+		flags = []string{"--vouch-from", "2"}
+	}
+	p := &process{flags: flags, number: i, binary: w.binary, dir: w.dir, settings: settings, onExit: w.judge.exited}
 	w.daemons = append(w.daemons, p)
 	w.Assert(p.run(), qt.IsNil)
 }
