A busy model that is alone in the way gets a second replica; one lost question is no missing holder

Beside it: requests that had waited for 4 s were refused with "no holder answers" after one question without an answer, as their whole wait counted as silence.

Change: the least used of such replicas counts as alone, and its model gets another from the store; then it gives way. A silence is counted from its first unanswered question.

--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -42,6 +42,8 @@
 	// holder to answer, and holderRetry tells when to come back: others take over meanwhile.
 	holderPatience = 600 * time.Millisecond
 	holderRetry    = 1500 * time.Millisecond
+	// silenceGap is the longest time between two questions without an answer of one silence.
+	silenceGap = 2 * time.Second
 	// emptyRetry tells when to come back to a service without servers.
 	emptyRetry = 500 * time.Millisecond
 )
@@ -196,7 +198,7 @@
 		return choice, nil
 	}
 	need := p.need(r)
-	began := p.Clock.Now()
+	silence := silence{clock: p.Clock}
 	for {
 		grant, err := p.Swaps.Find(ctx, r.Service.Name, need)
 		if err == nil && p.hasLeft(grant.Server) {
@@ -215,13 +217,31 @@
 		if choice, ok := p.placeOnListed(r); ok {
 			return choice, nil
 		}
-		if p.Clock.Now().Sub(began) >= holderPatience {
+		if silence.lasts() >= holderPatience {
 			return Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no holder answers, and no listed server has %s", r.Model).
 				WithRetryAfter(holderRetry)
 		}
 	}
 }
 
+// silence is how long no holder has answered the questions of a request.
+type silence struct {
+	clock  azurehitch.Clock
+	began  time.Time
+	seenAt time.Time
+}
+
+// lasts notes one more question without an answer, and returns how long the silence lasts. It
+// begins anew when there was time for answers since the last one.
+func (s *silence) lasts() time.Duration {
+	now := s.clock.Now()
+	if s.began.IsZero() || now.Sub(s.seenAt) > silenceGap {
+		s.began = now
+	}
+	s.seenAt = now
+	return now.Sub(s.began)
+}
+
 // hasLeft reports whether a granted server leaves, or is gone, by the list of this daemon: that
 // of the holder may be older.
 func (p *Placer) hasLeft(server azurehitch.ServerIdentity) bool {
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -37,6 +37,21 @@
 	}, nil
 }
 
+// steppedClock moves on by its sleeps only.
+type steppedClock struct {
+	azurehitch.SystemClock
+	now time.Time
+}
+
+// Now implements azurehitch.Clock.
+func (s *steppedClock) Now() time.Time { return s.now }
+
+// Sleep implements azurehitch.Clock.
+func (s *steppedClock) Sleep(ctx context.Context, d time.Duration) error {
+	s.now = s.now.Add(d)
+	return ctx.Err()
+}
+
 // newPlacer returns a placer in failure domain a, over servers by id.
 func newPlacer(servers map[string]string) *place.Placer {
 	fold := fleet.NewFold(decode, silent{})
@@ -105,6 +120,31 @@
 		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
 		c.Assert(clock.Now().Sub(began) < timeout/3, qt.IsTrue)
 	})
+	t.Run("one question without an answer is no missing holder", func(t *testing.T) {
+		c := qt.New(t)
+		placer := newPlacer(map[string]string{"s1": "a"})
+		clock := &steppedClock{now: time.Unix(1000, 0)}
+		asked := 0
+		placer.Clock = clock
+		placer.Swaps = swappeer.NewClient(swappeer.Dependencies{
+			Self: "daemon-1",
+			Holder: func(string) leaselog.Holder {
+				if asked++; asked == 1 {
+					// The request has waited for long when its last question is lost.
+					clock.now = clock.now.Add(4 * time.Second)
+				}
+				return leaselog.Holder{Daemon: "daemon-2"}
+			},
+			Address: func(string) (string, bool) { return "", false },
+			Clock:   clock, Metrics: metrics.New(),
+		})
+		request := call(1)
+		request.Service.Engine = &azurehitch.EngineLimits{}
+		request.Model = "m"
+		_, err := placer.Place(context.Background(), request)
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(asked > 4, qt.IsTrue, qt.Commentf("asked %d times", asked))
+	})
 	// The load: 24 calls at once, to four servers with six slots each.
 	t.Run("calls at once spread over all servers", func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -165,7 +165,7 @@
 	if p.hasHome(name) && len(p.replicas(name)) == 0 && !p.isLoading(name) {
 		p.letGiveWay(name, now)
 	}
-	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name, now) {
+	if *remote <= 0 || p.hasHome(name) && !p.isCrowded(name, now) && !p.isAlone(name, now) {
 		return Order{}, false
 	}
 	s := p.bestForRemote(name, now)
--- a/internal/placement/swap/giveway.go
+++ b/internal/placement/swap/giveway.go
@@ -8,6 +8,8 @@
 	// blockedPatience is how long requests wait for room at the homes of their model before a
 	// replica gives way.
 	blockedPatience = 600 * time.Millisecond
+	// aloneTime is how long a replica counts as in the way after it was found so.
+	aloneTime = time.Second
 )
 
 // letGiveWay lets a kept replica go where a model is asked for whose homes have no room
@@ -27,6 +29,7 @@
 		if p.givesWay(s) {
 			return
 		}
+		p.noteAlone(s, now)
 		if model := p.spare(s); model != "" && (best == nil || p.progress.servers[s.ID] < p.progress.servers[best.ID]) {
 			best, gives = s, model
 		}
@@ -36,6 +39,30 @@
 	}
 }
 
+// noteAlone notes the least used of the kept replicas on a server that can't give way because
+// they are the only ones: its model gets another, from the weight store if need be.
+func (p *Plan) noteAlone(s *server, now time.Time) {
+	alone := ""
+	for _, model := range s.replicaNames() {
+		switch {
+		case !p.isKept(s.ID, model):
+		case p.hasOther(model, s):
+			return
+		case alone == "" || p.progress.replicas[Replica{Server: s.ID, Model: model}] < p.progress.replicas[Replica{Server: s.ID, Model: alone}]:
+			alone = model
+		}
+	}
+	if alone != "" {
+		p.model(alone).aloneAt = now
+	}
+}
+
+// isAlone reports whether the only replica of a model keeps others from their home.
+func (p *Plan) isAlone(name string, now time.Time) bool {
+	m, ok := p.models[name]
+	return ok && !m.aloneAt.IsZero() && now.Sub(m.aloneAt) < aloneTime && len(p.replicas(name))+p.loading(name) < 2
+}
+
 // givesWay reports whether a replica on a server already gives way.
 func (p *Plan) givesWay(s *server) bool {
 	for model := range s.replicas {
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -135,6 +135,8 @@
 	rate      rate
 	// turnedAway are the requests that were refused because its servers were full.
 	turnedAway rate
+	// aloneAt is when its only replica last kept others from their home.
+	aloneAt time.Time
 }
 
 // New returns the plan of a new holder, which has reached no server yet. Its grants are
