--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -54,7 +54,7 @@
 // The pace at which the streams of the platform are read, by most daemons and by a holder that
 // vouches for them.
 var (
-	routingPace  = compacted.Pace{Wait: 2 * time.Second}
+	routingPace  = compacted.Pace{Wait: 1500 * time.Millisecond}
 	fleetPace    = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
 	vouchingPace = compacted.Pace{Wait: 300 * time.Millisecond}
 )
--- a/internal/oplog/follow/follower.go
+++ b/internal/oplog/follow/follower.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	readWait       = 5 * time.Second
+	readWait       = 2 * time.Second
 	readTimeout    = 15 * time.Second
 	minReadBackoff = 50 * time.Millisecond
 	maxReadBackoff = time.Second
