--- a/internal/proof/soak/calendar_test.go
+++ b/internal/proof/soak/calendar_test.go
@@ -59,10 +59,10 @@
 }
 
 // overlaps returns the first disturbance that fits and overlaps a span.
-func (c *calendar) overlaps(list []*disturbance, from, to time.Time, fits func(*disturbance) bool) *disturbance {
+func (c *calendar) overlaps(list *[]*disturbance, from, to time.Time, fits func(*disturbance) bool) *disturbance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, d := range list {
+	for _, d := range *list {
 		if fits(d) && d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) {
 			return d
 		}
@@ -73,22 +73,22 @@
 // isCalm reports whether a daemon was without unplanned disturbance in a span and for some
 // time before.
 func (c *calendar) isCalm(daemon int, from, to time.Time) bool {
-	return c.overlaps(c.daemons, from.Add(-stableWindow), to, func(d *disturbance) bool {
+	return c.overlaps(&c.daemons, from.Add(-stableWindow), to, func(d *disturbance) bool {
 		return !d.planned && (d.daemon == daemon || d.daemon == everyDaemon)
 	}) == nil
 }
 
 // plannedWork returns the planned work on a daemon in a span; nil if there was none.
 func (c *calendar) plannedWork(daemon int, from, to time.Time) *disturbance {
-	return c.overlaps(c.daemons, from, to, func(d *disturbance) bool {
+	return c.overlaps(&c.daemons, from, to, func(d *disturbance) bool {
 		return d.planned && (d.daemon == daemon || d.daemon == everyDaemon)
 	})
 }
 
 func (c *calendar) areServersCalm(from, to time.Time) bool {
-	return c.overlaps(c.servers, from.Add(-stableWindow), to, func(*disturbance) bool { return true }) == nil
+	return c.overlaps(&c.servers, from.Add(-stableWindow), to, func(*disturbance) bool { return true }) == nil
 }
 
 func (c *calendar) isStoreCalm(from, to time.Time) bool {
-	return c.overlaps(c.store, from.Add(-stableWindow), to, func(*disturbance) bool { return true }) == nil
+	return c.overlaps(&c.store, from.Add(-stableWindow), to, func(*disturbance) bool { return true }) == nil
 }
--- a/internal/proof/soak/judge_test.go
+++ b/internal/proof/soak/judge_test.go
@@ -428,7 +428,7 @@
 	// Holders must not take turns within the span of a lease.
 	for i := len(seen) - 1; i >= 0 && now.Sub(seen[i].at) < leaseSpan; i-- {
 		isTurn := seen[i].holder == order.Holder && slices.ContainsFunc(seen[i:], func(o orderSeen) bool { return o.holder != order.Holder })
-		if isTurn && j.calendar.overlaps(j.calendar.daemons, now.Add(-thawTime), now, func(d *disturbance) bool { return !d.planned }) == nil {
+		if isTurn && j.calendar.overlaps(&j.calendar.daemons, now.Add(-thawTime), now, func(d *disturbance) bool { return !d.planned }) == nil {
 			j.broken(ruleOne, "%s takes turns at %s", order.Holder, order.Server.ID)
 			break
 		}
--- a/internal/proof/soak/world_test.go
+++ b/internal/proof/soak/world_test.go
@@ -156,7 +156,10 @@
 		w.addServer(fmt.Sprintf("desk-%d", i), deskService, engineCount+i)
 	}
 	for i := range daemonCount {
-		w.startDaemon(i)
+		w.addDaemon(i)
+	}
+	for _, d := range w.daemons {
+		c.Assert(d.run(), qt.IsNil)
 	}
 	w.group.Go(w.balance)
 	w.await("all daemons are ready", 20*time.Second, func() bool {
@@ -212,8 +215,8 @@
 	return l
 }
 
-// startDaemon starts a daemon behind its three links.
-func (w *world) startDaemon(i int) {
+// addDaemon prepares a daemon behind its three links.
+func (w *world) addDaemon(i int) {
 	ip := w.ip(10 + i)
 	storeLink := w.newLink(ip, fmt.Sprintf("%s:%d", w.ip(1), linkPort), linkPort)
 	settings := platformtest.Settings{
@@ -234,7 +237,6 @@
 	}
 	p := &process{flags: flags, number: i, binary: w.binary, dir: w.dir, settings: settings, onExit: w.judge.exited}
 	w.daemons = append(w.daemons, p)
-	w.Assert(p.run(), qt.IsNil)
 }
 
 // addServer makes a place for a server, and starts the first in it.
