Busy models take turns where places are too few

The only replica of a model never gave way, so those without a place were refused until the end (18 s after the last fault began). Ruled out: reports, orders and links were sound. Change: an only replica gives way too if its model is asked for at most twice as often as the one that waits.

--- a/internal/placement/swap/giveway.go
+++ b/internal/placement/swap/giveway.go
@@ -8,6 +8,9 @@
 	// blockedPatience is how long requests wait for room at the homes of their model before a
 	// replica gives way.
 	blockedPatience = 600 * time.Millisecond
+	// turnRatio is how many times as often as the waiting model one that gives its only replica
+	// away may be asked for.
+	turnRatio = 2
 	// aloneTime is how long a replica counts as in the way after it was found so.
 	aloneTime = time.Second
 )
@@ -34,11 +37,32 @@
 			best, gives = s, model
 		}
 	}
+	if best == nil {
+		best, gives = p.takesTurn(name, now)
+	}
 	if best != nil {
 		p.released[Replica{Server: best.ID, Model: gives}] = now.Add(releaseTime)
 	}
 }
 
+// takesTurn returns the kept replica at the homes of a model whose own model is asked for
+// least, and hardly more than this one: where more models are busy than there is room for, they
+// take turns.
+func (p *Plan) takesTurn(name string, now time.Time) (at *server, gives string) {
+	least := turnRatio * p.model(name).rate.now(now)
+	for _, s := range p.homesOf(name) {
+		if !s.takesOrders(now) {
+			continue
+		}
+		for _, model := range s.replicaNames() {
+			if rate := p.model(model).rate.now(now); p.isKept(s.ID, model) && rate <= least {
+				at, gives, least = s, model, rate
+			}
+		}
+	}
+	return at, gives
+}
+
 // noteAlone notes the least used of the kept replicas on a server that can't give way because
 // they are the only ones: its model gets another, from the weight store if need be.
 func (p *Plan) noteAlone(s *server, now time.Time) {
--- a/internal/placement/swap/plan_test.go
+++ b/internal/placement/swap/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -198,6 +199,31 @@
 		waited := served(w, map[string][]string{"m0": {"s0", "s1"}, "m1": {"s0", "s1"}})
 		w.Assert(waited < 9*time.Second, qt.IsTrue, qt.Commentf("%v", waited))
 	})
+	t.Run("models that are asked for alike take turns", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.add("s0", []string{"m0", "m1"}, names("m", 0, 4))
+		granted := map[string]int{}
+		for i := range 100 {
+			demand := swap.Demand{Arrived: map[string]int{}, LastGrant: math.MaxInt64}
+			for k := range 4 {
+				model := fmt.Sprintf("m%d", k)
+				if slices.ContainsFunc(w.plan.Kept(), func(kept swap.Kept) bool { return kept.Model == model }) {
+					demand.Arrived[model]++
+					granted[model]++
+					continue
+				}
+				need := w.need(fmt.Sprintf("%d-%d", i, k), model)
+				need.Deadline = w.now.Add(time.Minute)
+				if w.ask(need).Kind == swap.VerdictGranted {
+					granted[model]++
+				}
+			}
+			w.plan.Report("daemon-1", demand, w.now)
+			w.carryOut(w.decide())
+			w.pass(100 * time.Millisecond)
+		}
+		w.Assert(granted, qt.HasLen, 4, qt.Commentf("%v", granted))
+	})
 	t.Run("one without stays where no server has room for another", func(t *testing.T) {
 		w := newWorld(t, 4)
 		w.add("s0", []string{"m0", "m1"}, []string{"m0", "m1", "m3"})
