--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -177,7 +177,7 @@
 		return nil
 	}
 	var positions []compacted.Position
-	for _, f := range []*compacted.Follower{d.routingFollower, d.fleetFollower} {
+	for _, f := range d.sharedFollowers() {
 		if position, ok := f.Position(); ok {
 			positions = append(positions, position)
 		}
@@ -187,17 +187,18 @@
 
 // vouched takes in how far a holder has read.
 func (d *Daemon) vouched(positions []compacted.Position, askedAt time.Time) {
-	routing, _ := d.Platform.Routing.Stream()
-	for _, p := range positions {
-		switch p.Stream {
-		case routing:
-			d.routingFollower.Vouch(p, askedAt)
-		case d.Platform.Fleet.Stream():
-			d.fleetFollower.Vouch(p, askedAt)
+	for _, f := range d.sharedFollowers() {
+		for _, p := range positions {
+			f.Vouch(p, askedAt)
 		}
 	}
 }
 
+// sharedFollowers are those of the streams for which a holder vouches.
+func (d *Daemon) sharedFollowers() []*compacted.Follower {
+	return []*compacted.Follower{d.routingFollower, d.fleetFollower}
+}
+
 // needsNoLeases reports whether the leases may be read late: other daemons hold all of them
 // and answer, and daemons on stronger hosts would follow them.
 func (d *Daemon) needsNoLeases() bool {
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -28,9 +28,6 @@
 )
 
 const (
-	// foreignPenalty is the part of a server's slots by which servers of the own failure
-	// domain may be fuller than others.
-	foreignPenalty = 0.1
 	// fullPart is the part of a server's slots up to which requests are placed without asking
 	// the holder.
 	fullPart = 0.5
@@ -154,11 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cost := func(s azurehitch.FleetServer) float64 {
-		taken := float64(p.inProgress[s.ID]+others(s)) / float64(max(s.Slots, 1))
-		if s.FailureDomain != p.FailureDomain {
-			taken += foreignPenalty
-		}
-		return taken
+		return swap.Cost(p.inProgress[s.ID]+others(s), s.Slots, s.FailureDomain != p.FailureDomain)
 	}
 	slices.SortFunc(servers, func(a, b azurehitch.FleetServer) int {
 		return cmp.Compare(weight(b.ID, r.ID), weight(a.ID, r.ID))
--- a/internal/oplog/compacted/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -112,8 +112,12 @@
 	return &Follower{log: log, stream: stream, fold: fold, clock: clock, observer: observer, paces: paces, next: -1}
 }
 
-// Vouch takes in how far another daemon has read, at the time at which it was asked.
+// Vouch takes in how far another daemon has read, at the time at which it was asked. Positions
+// in other streams are passed over.
 func (f *Follower) Vouch(position Position, askedAt time.Time) {
+	if position.Stream != f.stream {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at := askedAt.Add(-position.Age); at.After(f.vouchedAt) {
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -123,7 +123,6 @@
 func (p *Plan) countAsk(need Need, now time.Time) {
 	m := p.model(need.Model)
 	m.asks++
-	m.lastAsked = now
 	m.rate.add(1, now)
 	if len(p.replicas(need.Model)) == 0 {
 		m.unmet++
@@ -163,11 +162,20 @@
 	})
 }
 
-// cost is how full a server is, with a penalty where it is in another failure domain.
 func (p *Plan) cost(s *server, domain string) float64 {
-	cost := float64(p.progress.servers[s.ID]) / float64(max(s.slots, 1))
-	if s.domain != domain {
-		cost += p.settings.ForeignPenalty
+	return Cost(p.progress.servers[s.ID], s.slots, s.domain != domain)
+}
+
+// foreignPenalty is the part of a server's slots by which servers in the failure domain of the
+// asking daemon may be fuller than others.
+const foreignPenalty = 0.1
+
+// Cost is how full a server is, with a penalty where it is in another failure domain. Of two
+// servers, that with the lower cost takes the next request.
+func Cost(requests, slots int, isForeign bool) float64 {
+	cost := float64(requests) / float64(max(slots, 1))
+	if isForeign {
+		cost += foreignPenalty
 	}
 	return cost
 }
@@ -215,11 +223,9 @@
 	if replicas := p.replicas(name); len(replicas) > 0 {
 		return outlook{replicas: replicas}
 	}
-	for _, s := range p.holdersOf(name) {
-		if s.replicas[name].state == stateLoading && !s.leaving {
-			// A load that is overdue is expected to take as long again as it is late.
-			return outlook{wait: s.freeAt.Sub(now).Abs(), reason: "the model is being loaded"}
-		}
+	if loaders := p.loaders(name); len(loaders) > 0 {
+		// A load that is overdue is expected to take as long again as it is late.
+		return outlook{wait: loaders[0].freeAt.Sub(now).Abs(), reason: "the model is being loaded"}
 	}
 	best, found := time.Duration(0), false
 	for _, s := range p.homesOf(name) {
@@ -285,7 +291,7 @@
 func (p *Plan) remoteEnds(now time.Time) []time.Duration {
 	var ends []time.Duration
 	for _, s := range p.servers {
-		if s.order != nil && s.order.Tier == azurehitch.CacheTierRemote && s.order.Kind == azurehitch.OrderLoad {
+		if s.order != nil && s.order.isRemoteLoad() {
 			ends = append(ends, max(s.freeAt.Sub(now), 0))
 		}
 	}
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -133,10 +133,11 @@
 }
 
 // missing is the number of replicas to be loaded of a model beside those that are ready or
-// being loaded. One that requests wait for needs one at least.
+// being loaded in time. One that requests wait for needs one at least.
 func (p *Plan) missing(name string, now time.Time) int {
 	needed := max(p.replicasNeeded(name, now), 1)
-	return max(needed-len(p.replicas(name))-p.loadingInTime(name, now), 0)
+	inTime := slices.DeleteFunc(p.loaders(name), func(s *server) bool { return s.isOverdue(now) })
+	return max(needed-len(p.replicas(name))-len(inTime), 0)
 }
 
 // replicasNeeded is the number of replicas that the demand for a model fills.
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -91,7 +91,6 @@
 	for name, n := range demand.Arrived {
 		m := p.model(name)
 		m.asks += n
-		m.lastAsked = now
 		m.rate.add(n, now)
 	}
 	for r, n := range demand.InProgress {
@@ -165,7 +164,7 @@
 // isCrowded reports whether the replicas of a model, with those that are being loaded, have
 // so many requests that a further one is worth a load from the weight store.
 func (p *Plan) isCrowded(name string, now time.Time) bool {
-	replicas := len(p.replicas(name)) + p.loading(name)
+	replicas := len(p.replicas(name)) + len(p.loaders(name))
 	return replicas > 0 && p.pressure(name, now) > p.settings.RemoteReplicaLoad*float64(p.slots()*replicas)
 }
 
--- a/internal/placement/swap/giveway.go
+++ b/internal/placement/swap/giveway.go
@@ -33,8 +33,12 @@
 		if p.givesWay(s) {
 			return
 		}
-		p.noteAlone(s, now)
-		if model := p.spare(s); model != "" && (best == nil || p.progress.servers[s.ID] < p.progress.servers[best.ID]) {
+		model := p.spare(s)
+		if model == "" {
+			p.noteAlone(s, now)
+			continue
+		}
+		if best == nil || p.progress.servers[s.ID] < p.progress.servers[best.ID] {
 			best, gives = s, model
 		}
 	}
@@ -67,17 +71,7 @@
 // noteAlone notes the least used of the kept replicas on a server that can't give way because
 // they are the only ones: its model gets another, from the weight store if need be.
 func (p *Plan) noteAlone(s *server, now time.Time) {
-	alone := ""
-	for _, model := range s.replicaNames() {
-		switch {
-		case !p.isKept(s.ID, model):
-		case p.hasOther(model, s):
-			return
-		case alone == "" || p.progress.replicas[Replica{Server: s.ID, Model: model}] < p.progress.replicas[Replica{Server: s.ID, Model: alone}]:
-			alone = model
-		}
-	}
-	if alone != "" {
+	if alone := p.leastUsed(s, func(model string) bool { return p.isKept(s.ID, model) }); alone != "" {
 		p.model(alone).aloneAt = now
 	}
 }
@@ -85,7 +79,7 @@
 // isAlone reports whether the only replica of a model keeps others from their home.
 func (p *Plan) isAlone(name string, now time.Time) bool {
 	m, ok := p.models[name]
-	return ok && !m.aloneAt.IsZero() && now.Sub(m.aloneAt) < aloneTime && len(p.replicas(name))+p.loading(name) < 2
+	return ok && !m.aloneAt.IsZero() && now.Sub(m.aloneAt) < aloneTime && len(p.replicas(name))+len(p.loaders(name)) < 2
 }
 
 // givesWay reports whether a replica on a server already gives way.
@@ -106,16 +100,23 @@
 // spare returns the kept replica on a server, if any, that is least used and whose model has
 // another one.
 func (p *Plan) spare(s *server) string {
-	best := ""
+	return p.leastUsed(s, func(model string) bool { return p.isKept(s.ID, model) && p.hasOther(model, s) })
+}
+
+// leastUsed returns the model with the fewest requests at a server among those that fit; none
+// if none does.
+func (p *Plan) leastUsed(s *server, fits func(model string) bool) string {
+	least := ""
 	for _, model := range s.replicaNames() {
-		if !p.isKept(s.ID, model) || !p.hasOther(model, s) {
-			continue
-		}
-		if best == "" || p.progress.replicas[Replica{Server: s.ID, Model: model}] < p.progress.replicas[Replica{Server: s.ID, Model: best}] {
-			best = model
+		if fits(model) && (least == "" || p.requestsAt(s, model) < p.requestsAt(s, least)) {
+			least = model
 		}
 	}
-	return best
+	return least
+}
+
+func (p *Plan) requestsAt(s *server, model string) int {
+	return p.progress.replicas[Replica{Server: s.ID, Model: model}]
 }
 
 // hasOther reports whether a model has a ready replica beside that on a server, which does
--- a/internal/placement/swap/home.go
+++ b/internal/placement/swap/home.go
@@ -9,29 +9,18 @@
 // hasHome reports whether a server that takes orders has a copy of a model.
 func (p *Plan) hasHome(name string) bool { return len(p.homesOf(name)) > 0 }
 
-func (p *Plan) isLoading(name string) bool { return p.loading(name) > 0 }
-
-// loading is the number of servers that load a model.
-func (p *Plan) loading(name string) int {
-	count := 0
+// loaders returns the servers that load a model.
+func (p *Plan) loaders(name string) []*server {
+	var loaders []*server
 	for _, s := range p.holdersOf(name) {
 		if s.replicas[name].state == stateLoading && !s.leaving {
-			count++
+			loaders = append(loaders, s)
 		}
 	}
-	return count
+	return loaders
 }
 
-// loadingInTime is the number of servers that load a model and are not far behind their time.
-func (p *Plan) loadingInTime(name string, now time.Time) int {
-	count := 0
-	for _, s := range p.holdersOf(name) {
-		if s.replicas[name].state == stateLoading && !s.leaving && !s.isOverdue(now) {
-			count++
-		}
-	}
-	return count
-}
+func (p *Plan) isLoading(name string) bool { return len(p.loaders(name)) > 0 }
 
 // bestHome returns the server with a copy from which the model is ready soonest.
 func (p *Plan) bestHome(name string, now time.Time) *server {
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -49,9 +49,6 @@
 	// ReplicaLoad is the part of a server's slots up to which a replica is filled before
 	// a further one is loaded.
 	ReplicaLoad float64
-	// ForeignPenalty is the part of a server's slots by which servers in the failure domain of
-	// the asking daemon may be fuller than others.
-	ForeignPenalty float64
 	// RunTime is about how long a request runs on a server whose slots are all taken.
 	RunTime time.Duration
 	// AnswerPart is the part of the time of a request that is kept for the answer itself.
@@ -70,7 +67,6 @@
 		QueueTime:         14 * time.Second,
 		BusyRate:          0.8,
 		ReplicaLoad:       0.15,
-		ForeignPenalty:    0.1,
 		RunTime:           2500 * time.Millisecond,
 		AnswerPart:        0.12,
 		RemoteReplicaLoad: 0.6,
@@ -130,9 +126,8 @@
 	// asks is the number of requests that came for it since this daemon holds the lease.
 	asks int
 	// unmet is the number of them that found it loaded nowhere.
-	unmet     int
-	lastAsked time.Time
-	rate      rate
+	unmet int
+	rate  rate
 	// turnedAway are the requests that were refused because its servers were full.
 	turnedAway rate
 	// aloneAt is when its only replica last kept others from their home.
--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -117,8 +117,7 @@
 // exchange makes up the next request.
 func (c *caller) exchange() exchange {
 	w := c.world
-	start, _ := w.daemons[c.daemon].running()
-	x := exchange{daemon: c.daemon, start: start, sentAt: time.Now()}
+	x := exchange{daemon: c.daemon, sentAt: time.Now()}
 	x.ID = fmt.Sprintf("%d-%d", w.seed, w.nextID.Add(1))
 	x.Method, x.Host, x.Body = "POST", callerHost, "body of "+x.ID
 	all := routes()
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -10,6 +10,7 @@
 	"azurehitch"
 	"azurehitch/platform/platformtest"
 
+	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -194,7 +195,7 @@
 	end := w.calendar.planWork(i, "changed settings")
 	changed := daemon.settings
 	changed.RetrySlack = retrySlack - a.variant%5
-	w.Check(daemon.writeSettings(changed), quietNil)
+	w.Check(daemon.writeSettings(changed), qt.IsNil)
 	if a.variant%2 == 0 {
 		daemon.signal(syscall.SIGHUP, 0)
 	}
@@ -264,79 +265,60 @@
 	end()
 }
 
-// playCrash ends a server without a word. The next has another id at the same address, and
-// keeps the disk in some cases.
+// playCrash ends a server without a word.
 func playCrash(w *world, a act) {
-	s := w.serverOf(a)
-	if !s.replacing.TryLock() {
-		return
-	}
-	defer s.replacing.Unlock()
-	end := w.calendar.disturbServers("crash")
-	defer end()
-	s.mu.Lock()
-	crashed := s.current
-	s.listed = false
-	s.mu.Unlock()
-	entry := crashed.Entry()
-	crashed.Kill()
-	time.Sleep(a.lasts / 2)
-	w.store.RemoveServer(entry.ID)
-	w.judge.left(entry.ID)
-	w.restartServer(s, entry, a)
+	w.replaceServer(a, "crash", func(crashed *platformtest.Backend) {
+		crashed.Kill()
+		time.Sleep(a.lasts / 2)
+	})
 }
 
-// restartServer starts the next server in a place: empty, or with what the last had on disk.
-func (w *world) restartServer(s *backendServer, last azurehitch.FleetServer, a act) {
-	cached := azurehitch.CachedModels{OnDisk: last.Cached.OnDisk}
-	if a.variant%2 == 0 {
-		cached = azurehitch.CachedModels{}
-	}
-	w.startServer(s, cached)
-}
-
-// playLeave lets a server leave as planned, and another come at the same address.
-func playLeave(w *world, a act) {
-	w.leave(a, 0, drainTime+a.lasts/2)
-}
+// playLeave lets a server leave as planned.
+func playLeave(w *world, a act) { w.leave(a, 0, drainTime+a.lasts/2) }
 
 // playNotice takes a server away at short notice.
-func playNotice(w *world, a act) {
-	w.leave(a, a.lasts, a.lasts)
-}
+func playNotice(w *world, a act) { w.leave(a, a.lasts, a.lasts) }
 
-// leave announces that a server leaves, with the time that it has left if it tells that.
+// leave lets a server announce that it leaves, with the time that it has left if it tells that.
 func (w *world) leave(a act, remaining, stays time.Duration) {
+	w.replaceServer(a, "server leaves", func(leaving *platformtest.Backend) {
+		entry := leaving.Entry()
+		entry.Leaving, entry.RemainingTime = true, remaining
+		w.Check(w.store.PutServer(entry), qt.IsNil)
+		w.judge.left(entry.ID)
+		time.Sleep(stays)
+	})
+}
+
+// replaceServer takes a server away, and starts the next at the same address under another id:
+// empty, or with what the last had on disk.
+func (w *world) replaceServer(a act, name string, takeAway func(last *platformtest.Backend)) {
 	s := w.serverOf(a)
 	if !s.replacing.TryLock() {
 		return
 	}
 	defer s.replacing.Unlock()
-	end := w.calendar.disturbServers("server leaves")
+	end := w.calendar.disturbServers(name)
 	defer end()
-	s.mu.Lock()
-	leaving := s.current
-	s.listed = false
-	s.mu.Unlock()
-	entry := leaving.Entry()
-	entry.Leaving, entry.RemainingTime = true, remaining
-	w.Check(w.store.PutServer(entry), quietNil)
-	w.judge.left(entry.ID)
-	time.Sleep(stays)
+	last := s.unlist()
+	entry := last.Entry()
+	takeAway(last)
 	w.store.RemoveServer(entry.ID)
-	leaving.Kill()
-	w.restartServer(s, entry, a)
+	w.judge.left(entry.ID)
+	last.Kill()
+	cached := azurehitch.CachedModels{OnDisk: entry.Cached.OnDisk}
+	if a.variant%2 == 0 {
+		cached = azurehitch.CachedModels{}
+	}
+	w.startServer(s, cached)
 }
 
 func playMisbehaviour(w *world, a act) {
 	kinds := []platformtest.BackendFault{
 		platformtest.BackendLosesAnswers, platformtest.BackendCutsStreams, platformtest.BackendFails, platformtest.BackendSilent,
 	}
-	s := w.serverOf(a)
 	end := w.calendar.disturbServers("server misbehaves")
-	s.mu.Lock()
-	misbehaving := s.current
-	s.mu.Unlock()
+	misbehaving := w.serverOf(a).backend()
 	misbehaving.SetFault(kinds[a.variant%len(kinds)])
 	time.Sleep(a.lasts)
 	misbehaving.SetFault(platformtest.BackendSound)
--- a/internal/proof/soak/judge_test.go
+++ b/internal/proof/soak/judge_test.go
@@ -69,10 +69,8 @@
 // exchange is one request as its caller saw it.
 type exchange struct {
 	platformtest.CallerRequest
-	route  azurehitch.PathRoute
-	daemon int
-	// start is the number of the process of the daemon that was running.
-	start   int
+	route   azurehitch.PathRoute
+	daemon  int
 	sentAt  time.Time
 	endedAt time.Time
 	// goneAt is when the caller gave up; zero if it didn't.
@@ -255,9 +253,6 @@
 	}
 }
 
-// Ended implements platformtest.Recorder.
-func (j *judge) Ended(string, azurehitch.ServerIdentity) {}
-
 func isRefusal(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/internal/proof/soak/relay_test.go
+++ b/internal/proof/soak/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,17 +200,8 @@
 		time.Sleep(linkDelay)
 		l.mu.Lock()
 	}
-	for !l.closed && (r.dead || contains(held, l.state)) {
+	for !l.closed && (r.dead || slices.Contains(held, l.state)) {
 		l.changed.Wait()
 	}
 	return !l.closed
 }
-
-func contains(states []linkState, state linkState) bool {
-	for _, s := range states {
-		if s == state {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -40,9 +40,6 @@
 	regressionsFile = "_fixtures/regressions.txt"
 )
 
-// quietNil is the check of steps that must not fail.
-var quietNil = qt.IsNil
-
 // binary builds the daemon once.
 var binary = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "soak")
--- a/internal/proof/soak/world_test.go
+++ b/internal/proof/soak/world_test.go
@@ -56,6 +56,20 @@
 	listed    bool
 }
 
+func (s *backendServer) backend() *platformtest.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// unlist ends the entries of the current server, and returns it.
+func (s *backendServer) unlist() *platformtest.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = false
+	return s.current
+}
+
 // world is one run: the processes, the stand-ins and the links between them.
 type world struct {
 	*qt.C
@@ -375,7 +389,7 @@
 		w.Check(d.stop(), qt.IsNil)
 	}
 	for _, s := range w.servers {
-		s.current.Kill()
+		s.backend().Kill()
 		s.link.close()
 	}
 	for _, links := range [][]*link{w.doors, w.peerLinks, w.storeLinks} {
