Holders keep apart where engines don't check tokens; the soak plays leaving and resting servers

Now a lease that is given back counts no longer from the decision on, and its release goes out when no order is on its way; exchanges that are given up reset their connection; where tokens aren't checked, a lease must outlast an order that is sent under it, and nobody claims a pool within the span of its own orders, or of its start, when another holds it.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -11,6 +11,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -147,6 +148,7 @@
 	d.members = members.New(d.Keyed, memberStream, self, d.Clock, d.observer)
 	d.leases = leaserunner.Runner{
 		Store: d.store, Writer: d.writer, Clock: d.Clock, Environment: d.environment, Counters: d.observer,
+		Settle: d.settle,
 	}
 	d.snapshots = control.Snapshotter{
 		Store: d.store, Writer: d.writer, Clock: d.Clock, Records: snapshotRecords,
@@ -211,7 +213,7 @@
 	d.peers = mux.NewClient(d.settings.Name).WithMaxMessage(d.settings.MaxPeerMessage)
 	d.rests = rest.New(d.settings.Name, d.Clock)
 	d.held = swapholder.NewSet(swapholder.Dependencies{
-		Self: d.settings.Name, Token: d.store.Token, LeaseChanged: d.store.Changed, Routing: d.routing.Table,
+		Self: d.settings.Name, Token: d.token, LeaseChanged: d.store.Changed, Routing: d.routing.Table,
 		Fleet: d.fleet.View, Engines: d.Engines, Noticed: d.noticed, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
 	})
 	d.swaps = swappeer.NewClient(swappeer.Dependencies{
@@ -287,12 +289,32 @@
 		Daemons: d.members.Names(), Strong: d.members.Strong(), Gathering: d.members.IsGathering(),
 		Draining: d.stopping.Load(), Succeeds: true,
 	}
+	if !d.settings.TokensChecked {
+		environment.TurnSpan = d.settings.TurnSpan
+	}
 	for _, name := range d.engineServices() {
 		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: name, Duration: d.settings.LeaseDuration})
 	}
 	return environment
 }
 
+// token returns the token under which this daemon may order the engines of a service. Where they
+// don't check it, the lease outlasts any order that is sent now.
+func (d *Daemon) token(service string) (token int64, valid bool) {
+	if d.settings.TokensChecked {
+		return d.store.Token(service)
+	}
+	return d.store.TokenFor(service, swapholder.OrderTime)
+}
+
+// settle waits until no order for a service is on its way. It takes no longer than an order may.
+func (d *Daemon) settle(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, swapholder.OrderTime)
+	defer cancel()
+	// An order that is still on its way by then never arrives.
+	_ = d.held.Settle(ctx, service)
+}
+
 func (d *Daemon) listen() error {
 	for _, l := range []struct {
 		name    string
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -47,6 +47,10 @@
 	MaxPeerMessage azurehitch.ByteSize
 	// LeaseDuration is how long the holder of a service stays in office without a renewal.
 	LeaseDuration time.Duration
+	// TokensChecked is true when model engines refuse orders under an old token. Where they don't,
+	// TurnSpan is the span within which two holders must not give orders by turns.
+	TokensChecked bool
+	TurnSpan      time.Duration
 	// LogRetention is how long the log keeps records.
 	LogRetention time.Duration
 	// StopTimeout is how long a planned stop may take.
@@ -78,6 +82,8 @@
 		MaxStoreAnswer: 4 << 20,
 		MaxPeerMessage: 1 << 20,
 		LeaseDuration:  4500 * time.Millisecond,
+		TokensChecked:  true,
+		TurnSpan:       3300 * time.Millisecond,
 		LogRetention:   20 * time.Second,
 		StopTimeout:    8 * time.Second,
 		RetryRatio:     0.1,
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -41,6 +41,9 @@
 	Gathering bool
 	// Draining stops claims.
 	Draining bool
+	// TurnSpan is the span within which no two daemons may hold a pool by turns, as where servers
+	// don't check tokens; 0 allows it.
+	TurnSpan time.Duration
 	// Succeeds is true when an earlier process of this daemon has ended for certain, as when
 	// this one has its addresses: its leases are claimed at once.
 	Succeeds bool
@@ -68,6 +71,11 @@
 	lastClaim   map[string]time.Time
 	// lastRelease is when the release of a pool that needs no holder was last tried.
 	lastRelease map[string]time.Time
+	// yielding are the pools that this daemon gives back: it orders nothing there any more.
+	yielding map[string]bool
+	// orderedUntil is until when this daemon may have given orders under a lease that it has lost.
+	orderedUntil map[string]time.Time
+	startedAt    time.Time
 	// lastRebalance is when a pool was last given away, or the daemon was last
 	// within its share.
 	lastRebalance time.Time
@@ -77,13 +85,16 @@
 // count as read now.
 func NewManager(self Holder, fold *Fold, now time.Time) *Manager {
 	m := &Manager{
-		self:        self,
-		fold:        fold,
-		seenAt:      map[string]time.Time{},
-		sentAt:      map[int64]time.Time{},
-		validFrom:   map[string]time.Time{},
-		lastClaim:   map[string]time.Time{},
-		lastRelease: map[string]time.Time{},
+		self:         self,
+		fold:         fold,
+		seenAt:       map[string]time.Time{},
+		sentAt:       map[int64]time.Time{},
+		validFrom:    map[string]time.Time{},
+		lastClaim:    map[string]time.Time{},
+		lastRelease:  map[string]time.Time{},
+		yielding:     map[string]bool{},
+		orderedUntil: map[string]time.Time{},
+		startedAt:    now,
 	}
 	for _, lease := range fold.Leases() {
 		m.seenAt[lease.Pool] = now
@@ -102,9 +113,13 @@
 	if holder == m.self {
 		delete(m.lastClaim, claim.Pool)
 	}
+	if _, held := m.Token(claim.Pool); held {
+		m.orderedUntil[claim.Pool] = m.validUntil(claim.Pool)
+	}
 	if !m.fold.Claim(offset, holder, claim) {
 		return false
 	}
+	delete(m.yielding, claim.Pool)
 	m.seenAt[claim.Pool] = readAt
 	m.readBack(holder, sequence, []string{claim.Pool})
 	return true
@@ -121,6 +136,9 @@
 
 // OnRelease applies a release that was read, and reports whether it counted.
 func (m *Manager) OnRelease(offset int64, holder Holder, release Release, readAt time.Time) bool {
+	if _, held := m.Token(release.Pool); held {
+		m.orderedUntil[release.Pool] = readAt
+	}
 	if !m.fold.Release(offset, holder, release) {
 		return false
 	}
@@ -146,15 +164,24 @@
 	return lease.Token, lease.Holder == m.self && lease.Token > 0
 }
 
-// IsValid reports whether this daemon holds a pool and its lease has not expired.
+// IsValid reports whether this daemon holds a pool, doesn't give it back, and its lease has not
+// expired.
 func (m *Manager) IsValid(pool string, now time.Time) bool {
-	if _, held := m.Token(pool); !held {
+	if _, held := m.Token(pool); !held || m.yielding[pool] {
 		return false
 	}
+	return now.Before(m.validUntil(pool))
+}
+
+func (m *Manager) validUntil(pool string) time.Time {
 	duration := m.fold.Lease(pool).Duration
-	return now.Before(m.validFrom[pool].Add(duration - duration/driftDivisor))
+	return m.validFrom[pool].Add(duration - duration/driftDivisor)
 }
 
+// Yield notes that this daemon gives a pool back. It orders nothing there until it has claimed the
+// pool anew.
+func (m *Manager) Yield(pool string) { m.yielding[pool] = true }
+
 // Decide returns the records that the daemon should append now.
 func (m *Manager) Decide(now time.Time, environment Environment) []Action {
 	var actions []Action
@@ -246,6 +273,9 @@
 	if environment.Gathering && lease.Token == 0 {
 		return nil
 	}
+	if m.wouldTakeTurns(lease, now, environment.TurnSpan) {
+		return nil
+	}
 	claimableAt := m.claimableAt(lease, pool, now)
 	if now.Before(claimableAt) || now.Before(claimableAt.Add(m.preference(pool.Name, environment))) {
 		return nil
@@ -253,6 +283,21 @@
 	return &Claim{Pool: pool.Name, Seen: lease.Last, Duration: pool.Duration}
 }
 
+// wouldTakeTurns reports whether a claim could bring orders of this daemon within a span of earlier
+// ones, with those of another holder between them. A process that has just started doesn't know
+// what the one before it has ordered.
+func (m *Manager) wouldTakeTurns(lease Lease, now time.Time, span time.Duration) bool {
+	isOfAnother := lease.Token > 0 && lease.Holder.Daemon != m.self.Daemon
+	if span == 0 || !isOfAnother {
+		return false
+	}
+	last := m.startedAt
+	if until := m.orderedUntil[lease.Pool]; until.After(last) {
+		last = until
+	}
+	return now.Before(last.Add(span))
+}
+
 func (m *Manager) claimableAt(lease Lease, pool PoolSetting, now time.Time) time.Time {
 	seen, ok := m.seenAt[pool.Name]
 	if !ok {
--- a/internal/lease/leaserunner/leaserunner.go
+++ b/internal/lease/leaserunner/leaserunner.go
@@ -38,6 +38,9 @@
 	// Environment returns what the decisions need besides the log.
 	Environment func() leaselog.Environment
 	Counters    Counters
+	// Settle waits until no order for a pool is on its way; nil doesn't wait. It is called when no
+	// further one is sent, and before others may order.
+	Settle func(ctx context.Context, pool string)
 }
 
 // Run appends the records that are due until the context ends.
@@ -74,6 +77,12 @@
 }
 
 func (r Runner) append(ctx context.Context, action leaselog.Action) error {
+	if action.Release != nil {
+		r.Store.Yield(action.Release.Pool)
+		if r.Settle != nil {
+			r.Settle(ctx, action.Release.Pool)
+		}
+	}
 	record := control.Record{Claim: action.Claim, Renewal: action.Renew, Release: action.Release}
 	verdict, err := r.Writer.Append(ctx, record)
 	if err != nil {
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -189,14 +189,17 @@
 
 // Token returns the fencing token with which this daemon holds a pool, and
 // whether the lease is valid now. The token is 0 if it doesn't hold the pool.
-func (s *Store) Token(pool string) (token int64, valid bool) {
+func (s *Store) Token(pool string) (token int64, valid bool) { return s.TokenFor(pool, 0) }
+
+// TokenFor is Token for a lease that is valid for at least a span from now on.
+func (s *Store) TokenFor(pool string, span time.Duration) (token int64, valid bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	token, held := s.leases.Token(pool)
 	if !held {
 		return 0, false
 	}
-	return token, s.leases.IsValid(pool, s.clock.Now())
+	return token, s.leases.IsValid(pool, s.clock.Now().Add(span))
 }
 
 // Decide returns the lease records that are due.
@@ -213,6 +216,13 @@
 	return s.leases.Releases()
 }
 
+// Yield notes that this daemon gives a pool back: its lease is valid no longer.
+func (s *Store) Yield(pool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.Yield(pool)
+}
+
 // TakeOrphans returns the resolutions of intents that were abandoned before
 // their order, once each.
 func (s *Store) TakeOrphans() []leaselog.Resolution {
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -36,6 +36,8 @@
 	stepPause = 10 * time.Millisecond
 	// askTimeout is how long a question waits at the holder before its daemon asks again.
 	askTimeout = 700 * time.Millisecond
+	// settlePause is how often it is looked whether orders are on their way.
+	settlePause = 5 * time.Millisecond
 	// noVersion is before any version of the configuration.
 	noVersion = -1
 )
@@ -80,6 +82,8 @@
 	wake    chan struct{}
 	// turns let one order at a time be sent to a server.
 	turns map[string]*sync.Mutex
+	// sending is the number of orders that are on their way.
+	sending int
 }
 
 func newHolder(d Dependencies, service string, token int64) *holder {
@@ -141,6 +145,28 @@
 	return ctx.Err()
 }
 
+// settle waits until no order is on its way, or the context ends.
+func (h *holder) settle(ctx context.Context) error {
+	for h.ordersOnTheirWay() > 0 {
+		if err := h.Clock.Sleep(ctx, settlePause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *holder) ordersOnTheirWay() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sending
+}
+
+func (h *holder) countSending(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sending += n
+}
+
 // turn returns the mutex under which orders are sent to a server.
 func (h *holder) turn(server string) *sync.Mutex {
 	h.mu.Lock()
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -11,6 +11,10 @@
 	"azurehitch/internal/telemetry/metrics"
 )
 
+// OrderTime is the longest time from the decision to send an order until it has arrived, or never
+// will: its connection is reset then.
+const OrderTime = answerTimeout
+
 const (
 	// answerTimeout is how long the answer to an order is waited for. An order without an
 	// answer is sent again: the count of accepted orders keeps it from being carried out
@@ -150,6 +154,8 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	e.sends++
+	e.holder.countSending(1)
+	defer e.holder.countSending(-1)
 	e.holder.Metrics.Add(metrics.OrdersSent, 1)
 	result, err := e.holder.Engines.Order(ctx, e.order.Server, azurehitch.SwapOrder{
 		Kind: e.order.Kind, Model: e.order.Model, Adapter: e.order.Adapter,
--- a/internal/placement/swapholder/set.go
+++ b/internal/placement/swapholder/set.go
@@ -94,6 +94,15 @@
 	return h, nil
 }
 
+// Settle waits until no order for a service is on its way, or the context ends.
+func (s *Set) Settle(ctx context.Context, service string) error {
+	h := s.holder(service)
+	if h == nil {
+		return nil
+	}
+	return h.settle(ctx)
+}
+
 // Ask answers a need within some time. A verdict to wait means to ask again.
 func (s *Set) Ask(ctx context.Context, service string, need swap.Need) (swap.Verdict, error) {
 	h, err := s.held(service)
--- a/internal/proof/soak/calendar_test.go
+++ b/internal/proof/soak/calendar_test.go
@@ -8,6 +8,9 @@
 // everyDaemon is the number under which the disturbances of all daemons are noted.
 const everyDaemon = -1
 
+// plannedStop is the name of planned stops.
+const plannedStop = "planned stop"
+
 // disturbance is a span in which a fault could show.
 type disturbance struct {
 	name   string
--- a/internal/proof/soak/cases_test.go
+++ b/internal/proof/soak/cases_test.go
@@ -68,6 +68,17 @@
 	return platformtest.Answer{Status: status, Whole: true, Echoes: true}
 }
 
+// leaving is the notice of a server that leaves.
+var leaving = azurehitch.ServerNotice{Leaving: true}
+
+// leaveSaid lets a daemon pass on, some time ago, that a server leaves.
+func (c *court) leaveSaid(x exchange, server string, ago time.Duration) {
+	c.run(x, server)
+	c.Noticed(x.ID, azurehitch.ServerIdentity{ID: server}, leaving)
+	c.end(x, whole(200))
+	c.saidAt[pair{server: server}] = c.saidAt[pair{server: server}].Add(-ago)
+}
+
 // TestJudge breaks each promise, and plays the case beside it that keeps it.
 func TestJudge(t *testing.T) {
 	note, followUp, remind, lookup := routes()[0], routes()[1], routes()[2], routes()[3]
@@ -102,6 +113,34 @@
 			answer.IsStream, answer.Body = true, "id: 1\ndata: 1-1 1/3\n\n"
 			c.end(x, answer)
 		}, ruleAnswer},
+		{"sent to a server that said that it leaves", func(c *court) {
+			c.leaveSaid(c.request(lookup, 0), "a", 2*drainTime)
+			c.run(c.request(remind, 0), "a")
+		}, ruleDrain},
+		{"sent soon after it said so", func(c *court) {
+			c.leaveSaid(c.request(lookup, 0), "a", drainTime/2)
+			c.run(c.request(remind, 0), "a")
+		}, ""},
+		{"sent by a daemon that has started anew since", func(c *court) {
+			c.leaveSaid(c.request(lookup, 0), "a", 2*drainTime)
+			c.calendar.disturbDaemon(0, "kill")()
+			c.run(c.request(remind, 0), "a")
+		}, ""},
+		{"sent into a rest", func(c *court) {
+			x := c.request(lookup, 0)
+			c.Noticed(x.ID, azurehitch.ServerIdentity{ID: "a"}, azurehitch.ServerNotice{Rest: time.Minute})
+			c.rests[pair{server: "a"}].askedAt = time.Now().Add(-2 * restSlack)
+			for range restTolerated + 1 {
+				c.Arrived(x.ID, azurehitch.ServerIdentity{ID: "a"}, deskService)
+			}
+		}, ruleRest},
+		{"sent before it was known", func(c *court) {
+			x := c.request(lookup, 0)
+			c.Noticed(x.ID, azurehitch.ServerIdentity{ID: "a"}, azurehitch.ServerNotice{Rest: time.Minute})
+			for range restTolerated + 1 {
+				c.Arrived(x.ID, azurehitch.ServerIdentity{ID: "a"}, deskService)
+			}
+		}, ""},
 		{"changed body", func(c *court) { x := c.request(lookup, 0); x.Body = "other"; c.run(x, "a") }, ruleRequest},
 		{"lost by a planned stop", func(c *court) {
 			c.calendar.planWork(0, "planned stop")
--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -70,6 +70,16 @@
 	_ = c.tcp.SetDeadline(time.Unix(1, 0))
 }
 
+// abandon closes a connection whose exchange is not over. What was sent and not yet delivered is
+// dropped, so that it can't arrive later.
+func (c *conn) abandon() {
+	if tcp, ok := c.tcp.(*net.TCPConn); ok {
+		// A connection that can't be set is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
+
 func (c *conn) close() {
 	// The connection is given up either way.
 	_ = c.tcp.Close()
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -239,10 +239,13 @@
 	e.closed = true
 	e.held.Release()
 	interrupted := e.stop != nil && !e.stop()
-	if !interrupted && e.isReusable() {
+	switch {
+	case !interrupted && e.isReusable():
 		e.pool.giveBack(e.address, e.conn, e.keepAlive)
-	} else {
+	case e.whole:
 		e.conn.close()
+	default:
+		e.conn.abandon()
 	}
 	// A failure to send shows in the answer, or in its absence.
 	_ = e.sending.Wait()
