--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -49,15 +49,15 @@
   report "$point" $result $sabotage $((SECONDS - began))
 }
 
-specify() { # POINT CHECKED
+specify() { # POINT SPECIFICATION DEFINITION SABOTAGE
   wanted "$1" || return 0
   local began=$SECONDS result=proved sabotage=caught
   if ! command -v spin >/dev/null; then
     report "$1" unproved none 0
     return
   fi
-  _scripts/spin.sh "$2" 0 || result=red
-  if _scripts/spin.sh "$2" 1 >/dev/null; then sabotage=missed; fi
+  _scripts/spin.sh "$2" "$3" || result=red
+  if _scripts/spin.sh "$2" "$3" "$4" >/dev/null; then sabotage=missed; fi
   report "$1" $result $sabotage $((SECONDS - began))
 }
 
@@ -72,8 +72,10 @@
 prove LoweredLimit points SkipLowering
 prove RemovedServer points SkipRetired
 prove MemoryLimit points SkipMemoryBooking
-specify SpecificationTokenChecked 1
-specify SpecificationTokenIgnored 0
+specify SpecificationTokenChecked lease CHECKED=1 SABOTAGE=1
+specify SpecificationTokenIgnored lease CHECKED=0 SABOTAGE=1
+specify SpecificationOrdersInTurn orders FREEZE=0 WAIT=0
+specify SpecificationOrdersRoom orders FREEZE=1 COUNTS=0
 prove WaitingRequests points SkipWaitLimit
 prove Deadline points SkipWaitLimit
 prove OwnWholeAnswer points SkipWholeCheck
--- a/_scripts/spin.sh
+++ b/_scripts/spin.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
-# Checks _spec/lease.pml with Spin. Arguments: CHECKED (0 or 1), SABOTAGE (0 or 1).
-# Prints the states explored; fails when the limit can be broken.
+# Checks a specification with Spin. Arguments: its name in _spec without .pml, and NAME=VALUE for
+# what it defines. Prints the states explored; fails when a promise can be broken.
 set -euo pipefail
-spec=$(cd "$(dirname "$0")/.." && pwd)/_spec/lease.pml
+spec=$(cd "$(dirname "$0")/.." && pwd)/_spec/$1.pml
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 cd "$work"
-spin -DCHECKED="$1" -DSABOTAGE="$2" -a "$spec" >spin.log
+shift
+spin "${@/#/-D}" -a "$spec" >spin.log
 gcc -w -O2 -DSAFETY -DVECTORSZ=2048 -DCOLLAPSE -o pan pan.c 2>gcc.log || { cat gcc.log >&2; exit 1; }
 ./pan -E -m2000000 -w24 >pan.log 2>&1 || true
 grep -E "states, stored|errors:|error:|max search depth" pan.log | sed 's/^ */Spin: /'
--- a/internal/lease/leaselog/leaselog_test.go
+++ b/internal/lease/leaselog/leaselog_test.go
@@ -286,3 +286,77 @@
 		})
 	}
 }
+
+// TestTurns answers daemons that would hold a pool by turns, before servers that don't check tokens:
+// orders of one must not come on both sides of those of another within a span.
+func TestTurns(t *testing.T) {
+	const span = 3 * time.Second
+	began := time.Unix(1000, 0)
+	environment := leaselog.Environment{
+		Pools: []leaselog.PoolSetting{{Name: "llm", Duration: duration}}, Daemons: []string{"a"}, TurnSpan: span,
+	}
+	claims := func(m *leaselog.Manager, at time.Time) bool {
+		actions := m.Decide(at, environment)
+		return len(actions) > 0 && actions[len(actions)-1].Claim != nil
+	}
+	// held returns the manager of a daemon that held the pool, and lost it to one that gave it back.
+	held := func(c *qt.C) (*leaselog.Manager, time.Time) {
+		m := leaselog.NewManager(daemon("a"), leaselog.NewFold(), began.Add(-time.Hour))
+		m.Sending(1, began)
+		c.Assert(m.OnClaim(1, daemon("a"), 1, claim(0), began), qt.IsTrue)
+		c.Assert(m.IsValid("llm", began), qt.IsTrue)
+		c.Assert(m.OnRelease(2, daemon("a"), leaselog.Release{Pool: "llm", Token: 1}, began), qt.IsTrue)
+		c.Assert(m.OnClaim(3, daemon("b"), 1, claim(2), began), qt.IsTrue)
+		c.Assert(m.OnRelease(4, daemon("b"), leaselog.Release{Pool: "llm", Token: 3}, began), qt.IsTrue)
+		return m, began
+	}
+	t.Run("one that held it before waits", func(t *testing.T) {
+		c := qt.New(t)
+		m, at := held(c)
+		c.Assert(claims(m, at.Add(span-time.Millisecond)), qt.IsFalse)
+		c.Assert(claims(m, at.Add(span+time.Second)), qt.IsTrue)
+	})
+	t.Run("not where servers check tokens", func(t *testing.T) {
+		c := qt.New(t)
+		m, at := held(c)
+		checked := environment
+		checked.TurnSpan = 0
+		actions := m.Decide(at.Add(time.Second), checked)
+		c.Assert(actions, qt.HasLen, 1)
+		c.Assert(actions[0].Claim, qt.IsNotNil)
+	})
+	t.Run("a process that has just started doesn't know what its last one ordered", func(t *testing.T) {
+		c := qt.New(t)
+		fold := leaselog.NewFold()
+		c.Assert(fold.Claim(3, daemon("b"), claim(0)), qt.IsTrue)
+		c.Assert(fold.Release(4, daemon("b"), leaselog.Release{Pool: "llm", Token: 3}), qt.IsTrue)
+		m := leaselog.NewManager(daemon("a"), fold, began)
+		c.Assert(claims(m, began.Add(span-time.Millisecond)), qt.IsFalse)
+		c.Assert(claims(m, began.Add(span+time.Second)), qt.IsTrue)
+	})
+	t.Run("a pool that nobody has held is claimed at once", func(t *testing.T) {
+		c := qt.New(t)
+		m := leaselog.NewManager(daemon("a"), leaselog.NewFold(), began)
+		c.Assert(claims(m, began.Add(time.Second)), qt.IsTrue)
+	})
+}
+
+// TestYield answers a daemon that gives a pool back: it orders nothing from then on, also while the
+// release is on its way, or lost.
+func TestYield(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	m := leaselog.NewManager(daemon("a"), leaselog.NewFold(), now)
+	m.Sending(1, now)
+	c.Assert(m.OnClaim(1, daemon("a"), 1, claim(0), now), qt.IsTrue)
+	c.Assert(m.IsValid("llm", now), qt.IsTrue)
+	m.Yield("llm")
+	c.Assert(m.IsValid("llm", now), qt.IsFalse)
+	m.Sending(2, now)
+	m.OnRenewal(2, daemon("a"), 2, now)
+	c.Assert(m.IsValid("llm", now), qt.IsFalse, qt.Commentf("a renewal was on its way"))
+	c.Assert(m.OnRelease(3, daemon("a"), leaselog.Release{Pool: "llm", Token: 1}, now), qt.IsTrue)
+	m.Sending(4, now)
+	c.Assert(m.OnClaim(4, daemon("a"), 4, claim(3), now), qt.IsTrue)
+	c.Assert(m.IsValid("llm", now), qt.IsTrue, qt.Commentf("claimed anew"))
+}
--- a/internal/placement/swapholder/holder_test.go
+++ b/internal/placement/swapholder/holder_test.go
@@ -124,24 +124,29 @@
 	}, nil
 }
 
-// ask runs a holder of one server, and asks for a model that is on its disk.
-func ask(t *testing.T, e *engine, wait time.Duration) swap.Verdict {
-	t.Helper()
-	c := qt.New(t)
+// newSet returns the services of a daemon that holds one with the server s, which has the model m on
+// its disk.
+func newSet(e azurehitch.EngineControl, token func(string) (int64, bool)) *swapholder.Set {
 	servers := fleet.NewFold(decode, silent{})
 	servers.Replace([]azurehitch.KeyedRecord{{Key: "s", Value: []byte("x")}}, time.Now())
 	limits := &azurehitch.EngineLimits{Slots: 4, Memory: 10, AdapterSlots: 1, Models: map[string]azurehitch.ModelLimits{
 		"m": {Memory: 10, RemoteLoad: time.Second, DiskLoad: 30 * time.Millisecond},
 	}}
-	set := swapholder.NewSet(swapholder.Dependencies{
-		Self: "daemon-1", Token: func(string) (int64, bool) { return 7, true },
+	return swapholder.NewSet(swapholder.Dependencies{
+		Self: "daemon-1", Token: token,
 		LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
 		Routing: func() azurehitch.RoutingTable {
 			return azurehitch.RoutingTable{Services: map[string]azurehitch.BackendService{"llm": {Name: "llm", Engine: limits}}}
 		},
-		Fleet: servers.View, Engines: e, Noticed: func(azurehitch.ServerIdentity, azurehitch.ServerNotice) {}, Clock: azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(),
-		Settings: swap.DefaultSettings(),
+		Fleet: servers.View, Engines: e, Noticed: func(azurehitch.ServerIdentity, azurehitch.ServerNotice) {},
+		Clock: azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(), Settings: swap.DefaultSettings(),
 	})
+}
+
+// askFor runs a set for some time at most, and asks for the model until it is granted.
+func askFor(t *testing.T, set *swapholder.Set, wait time.Duration) swap.Verdict {
+	t.Helper()
+	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return set.Run(ctx) })
@@ -159,6 +164,12 @@
 	}
 }
 
+// ask runs a holder whose lease stays valid.
+func ask(t *testing.T, e *engine, wait time.Duration) swap.Verdict {
+	t.Helper()
+	return askFor(t, newSet(e, func(string) (int64, bool) { return 7, true }), wait)
+}
+
 // TestLostAnswers answers engines that leave orders unanswered: each is carried out once, and
 // the request gets its model.
 func TestLostAnswers(t *testing.T) {
--- a/internal/placement/swapholder/notice_test.go
+++ b/internal/placement/swapholder/notice_test.go
@@ -7,11 +7,6 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/membership/fleet"
-	"azurehitch/internal/placement/swap"
-	"azurehitch/internal/placement/swapholder"
-	"azurehitch/internal/telemetry/logging"
-	"azurehitch/internal/telemetry/metrics"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -70,46 +65,20 @@
 	return 7, !l.ended
 }
 
-// holding runs a holder of the server s while it is asked for a model on its disk.
-func holding(t *testing.T, e azurehitch.EngineControl, l *lease, wait time.Duration) []azurehitch.ServerNotice {
+// noticesOf returns what a holder hears from an engine while a model is asked for.
+func noticesOf(t *testing.T, e azurehitch.EngineControl) []azurehitch.ServerNotice {
 	t.Helper()
-	c := qt.New(t)
-	servers := fleet.NewFold(decode, silent{})
-	servers.Replace([]azurehitch.KeyedRecord{{Key: "s", Value: []byte("x")}}, time.Now())
-	limits := &azurehitch.EngineLimits{Slots: 4, Memory: 10, AdapterSlots: 1, Models: map[string]azurehitch.ModelLimits{
-		"m": {Memory: 10, RemoteLoad: time.Second, DiskLoad: 30 * time.Millisecond},
-	}}
 	var mu sync.Mutex
 	var notices []azurehitch.ServerNotice
-	set := swapholder.NewSet(swapholder.Dependencies{
-		Self: "daemon-1", Token: l.Token,
-		LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
-		Routing: func() azurehitch.RoutingTable {
-			return azurehitch.RoutingTable{Services: map[string]azurehitch.BackendService{"llm": {Name: "llm", Engine: limits}}}
-		},
-		Fleet: servers.View, Engines: e, Clock: azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(),
-		Noticed: func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) {
-			mu.Lock()
-			defer mu.Unlock()
-			if server.ID == "s" && notice != (azurehitch.ServerNotice{}) {
-				notices = append(notices, notice)
-			}
-		},
-		Settings: swap.DefaultSettings(),
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	var group errgroup.Group
-	group.Go(func() error { return set.Run(ctx) })
-	need := swap.Need{ID: "r", Daemon: "daemon-1", Model: "m", Objective: time.Now().Add(5 * time.Second), Deadline: time.Now().Add(10 * time.Second)}
-	for ctx.Err() == nil {
-		if verdict, err := set.Ask(ctx, "llm", need); err == nil && verdict.Kind == swap.VerdictGranted {
-			break
+	set := newSet(e, (&lease{}).Token)
+	set.Noticed = func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) {
+		mu.Lock()
+		defer mu.Unlock()
+		if server.ID == "s" && notice != (azurehitch.ServerNotice{}) {
+			notices = append(notices, notice)
 		}
-		_ = azurehitch.SystemClock{}.Sleep(ctx, time.Millisecond)
 	}
-	cancel()
-	c.Assert(group.Wait(), qt.IsNil)
+	askFor(t, set, 800*time.Millisecond)
 	mu.Lock()
 	defer mu.Unlock()
 	return notices
@@ -130,7 +99,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			notices := holding(t, test.engine, &lease{}, 1200*time.Millisecond)
+			notices := noticesOf(t, test.engine)
 			c.Assert(len(notices) > 0, qt.IsTrue)
 			c.Assert(notices[0], qt.Equals, test.want)
 		})
@@ -143,8 +112,36 @@
 	c := qt.New(t)
 	l := &lease{}
 	e := &noticingEngine{connected: l.end}
-	holding(t, e, l, 800*time.Millisecond)
+	askFor(t, newSet(e, l.Token), 800*time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c.Assert(e.sent, qt.Equals, 0)
 }
+
+// TestSettle gives a lease back while an order is on its way: others hear of it only when that has
+// ended.
+func TestSettle(t *testing.T) {
+	c := qt.New(t)
+	arrived, answered := make(chan struct{}), make(chan struct{})
+	once := sync.OnceFunc(func() {
+		close(arrived)
+		<-answered
+	})
+	l := &lease{}
+	set := newSet(&noticingEngine{connected: once}, l.Token)
+	settled := make(chan error, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		<-arrived
+		l.end()
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		c.Check(set.Settle(ctx, "llm"), qt.IsNotNil, qt.Commentf("an order is on its way"))
+		close(answered)
+		settled <- set.Settle(context.Background(), "llm")
+		return nil
+	})
+	askFor(t, set, 300*time.Millisecond)
+	c.Assert(<-settled, qt.IsNil)
+	c.Assert(group.Wait(), qt.IsNil)
+}
--- a/internal/transport/connpool/pool_test.go
+++ b/internal/transport/connpool/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -218,3 +219,22 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(accepted(), qt.Equals, 2)
 }
+
+// TestAbandon gives up an exchange whose request the server has not read: the connection is reset, so
+// that no byte of it is delivered later.
+func TestAbandon(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = pool.Do(ctx, listener.Addr().String(), connpool.Request{Method: "POST", URI: "/order", Host: "h"}, connpool.Options{Fresh: true})
+	c.Assert(err, qt.IsNotNil)
+	conn, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.ReadAll(conn)
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
