Reads of the log are held back while it answers none of them; four successors follow the leases

Now a circuit breaker lets one read pass each 0.4 s while all streams fail (the others fail at once, so that the list of servers still knows that it may be incomplete), and the first four of the ranking follow the leases closely; others read them at once when who they ask does not answer as holder.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -29,6 +29,7 @@
 	"azurehitch/internal/lease/leaserunner"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/membership/members"
+	"azurehitch/internal/oplog/breakerlog"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/oplog/control"
 	"azurehitch/internal/oplog/follow"
@@ -84,6 +85,8 @@
 	self     leaselog.Holder
 	observer *observer
 
+	// reads are the reads of the platform's log, which are held back while it answers none.
+	reads     *breakerlog.Log
 	store     *control.Store
 	writer    *control.Writer
 	follower  *follow.Follower
@@ -128,6 +131,7 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
 	}
+	d.reads = breakerlog.New(platform.Log, platform.Keyed, platform.Clock)
 	d.assembleState()
 	d.assemblePlacement()
 	d.assembleForwarding()
@@ -137,7 +141,7 @@
 func (d *Daemon) assembleState() {
 	d.store = control.NewStore(d.self, d.LeaseClock).WithoutTables()
 	d.writer = control.NewWriter(d.Log, controlStream, d.store, d.observer)
-	d.follower = follow.NewFollower(d.Log, controlStream, d.store, d.LeaseClock, d.observer).RestWhile(d.needsNoLeases)
+	d.follower = follow.NewFollower(d.reads, controlStream, d.store, d.LeaseClock, d.observer).RestWhile(d.needsNoLeases)
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
 	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
 	self := members.Member{
@@ -145,7 +149,7 @@
 		Processor: d.settings.Processor, Bandwidth: d.settings.Bandwidth,
 	}
 	d.assembleFollowers()
-	d.members = members.New(d.Keyed, memberStream, self, d.Clock, d.observer)
+	d.members = members.New(d.reads, memberStream, self, d.Clock, d.observer)
 	d.leases = leaserunner.Runner{
 		Store: d.store, Writer: d.writer, Clock: d.Clock, Environment: d.environment, Counters: d.observer,
 		Settle: d.settle,
@@ -160,9 +164,9 @@
 
 func (d *Daemon) assembleFollowers() {
 	stream, _ := d.Platform.Routing.Stream()
-	d.routingFollower = compacted.NewVouchedFollower(d.Keyed, stream, d.routing, d.Clock, d.observer,
+	d.routingFollower = compacted.NewVouchedFollower(d.reads, stream, d.routing, d.Clock, d.observer,
 		compacted.Paces{Own: routingPace, Vouching: vouchingPace, IsVouching: d.isVouching})
-	d.fleetFollower = compacted.NewVouchedFollower(d.Keyed, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer,
+	d.fleetFollower = compacted.NewVouchedFollower(d.reads, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer,
 		compacted.Paces{Own: fleetPace, Vouching: vouchingPace, IsVouching: d.isVouching})
 }
 
@@ -203,10 +207,19 @@
 	return []*compacted.Follower{d.routingFollower, d.fleetFollower}
 }
 
+// successors is the number of daemons that follow the lease of a service closely beside its holder.
+const successors = 4
+
 // needsNoLeases reports whether the leases may be read late: other daemons hold all of them
-// and answer, and daemons on stronger hosts would follow them.
+// and answer, and others would follow them.
 func (d *Daemon) needsNoLeases() bool {
-	return d.swaps.HolderAnswers() && !slices.Contains(d.members.Strong(), d.settings.Name)
+	return d.swaps.HolderAnswers() && !slices.ContainsFunc(d.engineServices(), d.isSuccessor)
+}
+
+// isSuccessor reports whether this daemon is among the first that would hold a service next.
+func (d *Daemon) isSuccessor(service string) bool {
+	ranking := leaselog.Rank(service, d.members.Strong(), leaselog.Load{})
+	return slices.Contains(ranking[:min(successors, len(ranking))], d.settings.Name)
 }
 
 func (d *Daemon) assemblePlacement() {
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -100,6 +100,7 @@
 		}
 		if err != nil {
 			c.Metrics.Add(metrics.PeerErrors, 1)
+			c.usage(service).setUnanswered()
 			if c.Clock.Now().Sub(answeredAt) >= holderPatience {
 				return swap.Grant{}, ErrNoHolder
 			}
@@ -168,6 +169,7 @@
 	kept, err := c.sendReport(ctx, service, demand, withdrawn)
 	if err != nil {
 		c.Metrics.Add(metrics.PeerErrors, 1)
+		c.usage(service).setUnanswered()
 		c.usage(service).returnDemand(demand)
 		return
 	}
--- a/internal/placement/swappeer/leaving_test.go
+++ b/internal/placement/swappeer/leaving_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"azurehitch"
+	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/peerpb"
@@ -67,3 +68,26 @@
 	cancel()
 	c.Assert(group.Wait(), qt.IsNil)
 }
+
+// TestHolderAnswers answers a change of holder: who asks the former one reads the leases at once.
+func TestHolderAnswers(t *testing.T) {
+	c := qt.New(t)
+	reached := false
+	client := swappeer.NewClient(swappeer.Dependencies{
+		Self:     "daemon-1",
+		Services: func() []string { return []string{"llm"} },
+		Holder:   func(string) leaselog.Holder { return leaselog.Holder{Daemon: "holder"} },
+		Address: func(string) (string, bool) {
+			reached = true
+			return "", false
+		},
+		Leaving: func() []azurehitch.ServerIdentity { return nil },
+		Clock:   azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(),
+	})
+	client.Answered("llm")
+	c.Assert(client.HolderAnswers(), qt.IsTrue)
+	_, err := client.Find(context.Background(), "llm", swap.Need{ID: "r", Model: "m"})
+	c.Assert(err, qt.Equals, swappeer.ErrNoHolder)
+	c.Assert(reached, qt.IsTrue)
+	c.Assert(client.HolderAnswers(), qt.IsFalse)
+}
--- a/internal/placement/swappeer/usage.go
+++ b/internal/placement/swappeer/usage.go
@@ -73,6 +73,13 @@
 	u.answeredAt, u.vouched = at, vouched
 }
 
+// setUnanswered notes that who was asked did not answer as the holder: the leases may have changed.
+func (u *usage) setUnanswered() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.answeredAt = time.Time{}
+}
+
 func (u *usage) lastAnswer() time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
