A model whose replicas can't serve a request for long gets another from a near copy

Two servers carried out loads from the weight store that the former holder had ordered before it was killed: the new one saw them busy for 19 s, gave no orders for adapters there, and let the requests wait until they were refused, though other servers had a copy. And a request whose server had refused it twice with 421 (its load took longer than expected) avoided the only replica from then on and waited 5 s in vain.

Now a request that no replica can serve within 1.5 s counts as one for a further replica, loaded from a near copy; its estimate is that of this load. A server that was told to load the model for a request is asked twice more (after 80 and 320 ms).

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -160,7 +160,7 @@
 	switch {
 	case status == fasthttp.StatusMisdirectedRequest || answer.NotRun:
 		res := result{run: azurehitch.RunStateNotRun, cause: errors.Errorf("refused with %d, rest %v", status, answer.Rest)}
-		if res.stillLoading = choice.Tier != "" && r.sends <= 1; !res.stillLoading {
+		if res.stillLoading = choice.Tier != "" && r.sends <= maxUnrunSends; !res.stillLoading {
 			r.tried = append(r.tried, choice.Server.ID)
 		}
 		return res
@@ -194,11 +194,12 @@
 	if !r.server.Budget.Spend(r.service.Name) {
 		return false
 	}
-	return !res.stillLoading || r.server.Clock.Sleep(r.ctx, loadingPause) == nil
+	return !res.stillLoading || r.server.Clock.Sleep(r.ctx, loadingPauses[min(r.sends, len(loadingPauses))-1]) == nil
 }
 
-// loadingPause is how long a request waits for a load that was expected to be done.
-const loadingPause = 80 * time.Millisecond
+// loadingPauses are how long a request waits for a load that was expected to be done, each time that
+// its server refuses it.
+var loadingPauses = []time.Duration{80 * time.Millisecond, 320 * time.Millisecond}
 
 // maxUnrunSends is how often a request is sent beyond the attempts of its route when
 // servers refuse to run it.
--- a/internal/forward/passthrough/event_test.go
+++ b/internal/forward/passthrough/event_test.go
@@ -6,13 +6,28 @@
 	"strings"
 	"testing"
 
+	"azurehitch/internal/transport/connpool"
 	"azurehitch/internal/transport/membudget"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 )
 
 const testedBound = 32 << 10
 
+func TestEventBound(t *testing.T) {
+	read := func(size int) error {
+		stream := strings.NewReader(strings.Repeat("x", size-2) + "\n\n")
+		_, err := newEventReader(stream, testedBound, membudget.New(4*testedBound).Hold()).next()
+		return err
+	}
+	c := qt.New(t)
+	c.Assert(read(testedBound), qt.IsNil)
+	var tooLarge *connpool.ErrTooLarge
+	c.Assert(errors.As(read(testedBound+1), &tooLarge), qt.IsTrue)
+	c.Assert(tooLarge.Part, qt.Equals, connpool.PartEvent)
+}
+
 // FuzzEvents holds each event against the stream that it came from.
 func FuzzEvents(f *testing.F) {
 	for _, stream := range []string{
--- a/internal/forward/passthrough/passthrough_test.go
+++ b/internal/forward/passthrough/passthrough_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+// TestStillLoading answers servers that refuse a request whose model they were told to load for it:
+// the load takes longer than expected, and the server is asked again.
+func TestStillLoading(t *testing.T) {
+	backends := func(t *testing.T) []*backend {
+		return []*backend{newBackend(t, misdirected, 0), newBackend(t, misdirected, 0), newBackend(t, whole, 0)}
+	}
+	for name, test := range map[string]struct {
+		tier  azurehitch.CacheTier
+		tried []string
+	}{
+		"loaded for it": {azurehitch.CacheTierMemory, nil},
+		"loaded before": {"", []string{"s0", "s1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withGateway(t, nonIdempotent, backends(t), func(g *gateway) {
+				g.placer.tier = test.tier
+				g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
+				g.Assert(g.placer.tried, qt.DeepEquals, test.tried)
+			})
+		})
+	}
+}
+
 // TestRefusals holds the promise that a request was not run against what servers saw.
 func TestRefusals(t *testing.T) {
 	t.Run("all servers refuse: not run, with when to come back", func(t *testing.T) {
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -25,6 +25,7 @@
 const (
 	reasonFull    = "the servers are full"
 	reasonResting = "the servers turn requests away"
+	reasonStuck   = "no replica can serve it soon"
 )
 
 // Verdict is the answer to a Need.
@@ -273,6 +274,9 @@
 		rate := float64(len(o.replicas)*p.slots()) / p.settings.RunTime.Seconds()
 		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonFull
 	}
+	if p.isStuck(w.Need, now) {
+		return p.stuckWait(w, o, now), reasonStuck
+	}
 	// An adapter that was not loaded in time waits for a place: as long again as it has waited.
 	return max(p.settings.SwapTime, now.Sub(w.since)), "the adapter is loaded"
 }
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -81,7 +81,7 @@
 		isLoaded := len(p.replicas(model)) > 0
 		w := want{model: model, busy: p.isBusy(model, now), unmet: p.model(model).unmet}
 		for _, waiter := range waiters {
-			if waiter.Adapter != "" && isLoaded {
+			if waiter.Adapter != "" && isLoaded && !p.isStuck(waiter.Need, now) {
 				continue
 			}
 			w.onTime = w.onTime || now.Before(waiter.Objective)
@@ -136,6 +136,10 @@
 // being loaded in time. One that requests wait for needs one at least.
 func (p *Plan) missing(name string, now time.Time) int {
 	needed := max(p.replicasNeeded(name, now), 1)
+	isStuck := func(w *waiter) bool { return p.isStuck(w.Need, now) }
+	if slices.ContainsFunc(p.waiters.byModel[name], isStuck) {
+		needed = max(needed, len(p.replicas(name))+1)
+	}
 	inTime := slices.DeleteFunc(p.loaders(name), func(s *server) bool { return s.isOverdue(now) })
 	return max(needed-len(p.replicas(name))-len(inTime), 0)
 }
