Servers whose process has ended get one request of a daemon, not five; unsent repeats are free

Each of 95 daemons opened its breaker for a server after five refused connections, asked the holder again and was granted the same server, and drew on the shared budget of repeats for requests that had never arrived anywhere; with it spent, 57 requests ended in "connection refused" and others after one attempt. Now a refused connection opens the breaker for a second at once, a granted server whose breaker is open is named to the holder as one to avoid, and a send of which no byte went out neither draws on the budget nor counts among the attempts (four such at most). Tests: TestBreakers, TestServerGone.

--- a/internal/forward/breaker/breaker.go
+++ b/internal/forward/breaker/breaker.go
@@ -18,6 +18,8 @@
 	failuresToOpen  = 5
 	firstOpenTime   = 500 * time.Millisecond
 	longestOpenTime = 8 * time.Second
+	// refusedOpenTime is how long a server gets no requests on whose address nothing listens.
+	refusedOpenTime = time.Second
 )
 
 // Breakers keeps a circuit breaker for each backend server. After a number of
@@ -71,6 +73,23 @@
 	delete(b.state, address)
 }
 
+// Refused notes that nothing listens on the address of a server: its process has ended. It reports
+// whether the breaker opened by it.
+func (b *Breakers) Refused(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.state[address]
+	if !ok {
+		s = &breaker{openTime: firstOpenTime}
+		b.state[address] = s
+	}
+	wasOpen := s.failures >= failuresToOpen
+	s.failures = max(s.failures, failuresToOpen)
+	s.probing = false
+	s.openUntil = b.clock.Now().Add(refusedOpenTime)
+	return !wasOpen
+}
+
 // Failed counts a failure and reports whether the breaker opened by it.
 func (b *Breakers) Failed(address string) bool {
 	b.mu.Lock()
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"azurehitch"
@@ -25,6 +26,8 @@
 	answered bool
 	// run says whether the server may have run the request.
 	run azurehitch.RunState
+	// unsent is true when no byte of the request can have reached the server.
+	unsent bool
 	// stillLoading is true when the server was told to load the model for this request and
 	// refused it: it can take it a little later.
 	stillLoading bool
@@ -123,15 +126,28 @@
 
 func (r *request) exchangeFailed(choice place.Choice, err error) result {
 	var failed *connpool.ErrExchange
-	run := azurehitch.RunStateUnknown
+	res := result{run: azurehitch.RunStateUnknown, cause: err}
 	if errors.As(err, &failed) && !failed.Sent {
-		run = azurehitch.RunStateNotRun
+		res.run = azurehitch.RunStateNotRun
+		res.unsent = true
 	}
-	if !r.isOver() {
+	switch {
+	case r.isOver():
+	case errors.Is(err, syscall.ECONNREFUSED):
+		r.gone(choice)
+	default:
 		r.failed(choice)
 	}
 	r.noteTooLarge(err)
-	return result{run: run, cause: err}
+	return res
+}
+
+// gone notes that nothing listens on the address of a server.
+func (r *request) gone(choice place.Choice) {
+	r.tried = append(r.tried, choice.Server.ID)
+	if r.server.Breakers.Refused(choice.Server.Address) {
+		r.server.Metrics.Add(metrics.BreakersOpened, 1)
+	}
 }
 
 // noteTooLarge counts an answer that was given up because of its size.
@@ -188,10 +204,14 @@
 			return false
 		}
 	}
-	if r.sends >= r.route.MaxAttempts+maxUnrunSends {
+	if res.unsent {
+		r.unsent++
+	}
+	if r.sends-r.unsent >= r.route.MaxAttempts+maxUnrunSends || r.unsent > maxUnsent {
 		return false
 	}
-	if !r.server.Budget.Spend(r.service.Name) {
+	// What never arrived at a server loads none, so that its repeat is none for them.
+	if !res.unsent && !r.server.Budget.Spend(r.service.Name) {
 		return false
 	}
 	return !res.stillLoading || r.server.Clock.Sleep(r.ctx, loadingPauses[min(r.sends, len(loadingPauses))-1]) == nil
@@ -205,6 +225,9 @@
 // servers refuse to run it.
 const maxUnrunSends = 2
 
+// maxUnsent is how often a request is tried again that did not reach a server.
+const maxUnsent = 4
+
 // finalRefusal is the end of a request whose last attempt brought no answer.
 func (r *request) finalRefusal(res result) error {
 	if res.run == azurehitch.RunStateNotRun && r.unknown == 0 {
--- a/internal/forward/passthrough/passthrough_test.go
+++ b/internal/forward/passthrough/passthrough_test.go
@@ -98,6 +98,26 @@
 	}
 }
 
+// TestServerGone answers servers whose process has ended: the next request goes elsewhere, and the
+// repeat costs none of the budget, since nothing arrived.
+func TestServerGone(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	ended := &backend{address: listener.Addr().String()}
+	qt.New(t).Assert(listener.Close(), qt.IsNil)
+	withGateway(t, nonIdempotent, []*backend{ended, newBackend(t, whole, 0)}, func(g *gateway) {
+		g.budget.isSpent = true
+		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
+		g.Assert(g.server.Breakers.IsOpen(ended.address), qt.IsTrue)
+	})
+	t.Run("what a server has refused costs a part of it", func(t *testing.T) {
+		withGateway(t, nonIdempotent, []*backend{newBackend(t, notRun, 0), newBackend(t, whole, 0)}, func(g *gateway) {
+			g.budget.isSpent = true
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 503)
+		})
+	})
+}
+
 // TestRefusals holds the promise that a request was not run against what servers saw.
 func TestRefusals(t *testing.T) {
 	t.Run("all servers refuse: not run, with when to come back", func(t *testing.T) {
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -50,10 +50,12 @@
 	cancel context.CancelCauseFunc
 	unlink func()
 	// tried are the servers that failed the request, with sends the number of times that
-	// it was sent and unknown the number of those that may have run it.
+	// it was to be sent and unknown the number of those that may have run it.
 	tried   []string
 	sends   int
 	unknown int
+	// unsent is the number of sends of which no byte can have reached the server.
+	unsent int
 	trail   trail
 	// placed is how long the request has waited for servers, firstEvent when the first event
 	// of its stream came, and longestPause the longest time between two events.
--- a/internal/forward/passthrough/world_test.go
+++ b/internal/forward/passthrough/world_test.go
@@ -62,14 +62,14 @@
 	}
 }
 
-// unlimited is a budget without a bound.
-type unlimited struct{}
+// budget is a budget without a bound, until it is spent.
+type budget struct{ isSpent bool }
 
 // Earn implements passthrough.RetryBudget.
-func (unlimited) Earn(string) {}
+func (*budget) Earn(string) {}
 
 // Spend implements passthrough.RetryBudget.
-func (unlimited) Spend(string) bool { return true }
+func (b *budget) Spend(string) bool { return !b.isSpent }
 
 // rotation places each attempt on the next server.
 type rotation struct {
@@ -174,6 +174,7 @@
 type gateway struct {
 	*qt.C
 	placer  *rotation
+	budget  *budget
 	server  *passthrough.Server
 	address string
 	mu      sync.Mutex
@@ -217,13 +218,13 @@
 	limits := connpool.DefaultLimits()
 	limits.Memory = answerMemory
 	rests := rest.New("daemon-1", clock)
-	g := &gateway{C: c, placer: placer}
+	g := &gateway{C: c, placer: placer, budget: &budget{}}
 	noticed := func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) { g.note(server, notice) }
 	server := passthrough.NewServer(passthrough.Dependencies{
 		Routing: func() *router.PathIndex { return index }, Protocol: protocol{}, Placer: placer,
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
-		Breakers:        breaker.NewBreakers(clock), Rests: rests, Noticed: noticed, Budget: unlimited{}, Clock: clock,
+		Breakers:        breaker.NewBreakers(clock), Rests: rests, Noticed: noticed, Budget: g.budget, Clock: clock,
 		Logs: logging.Discard(), Metrics: metrics.New(),
 	}, passthrough.Settings{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -280,6 +280,10 @@
 			need.Left = append(need.Left, grant.Server)
 			continue
 		}
+		if err == nil && p.Breakers.IsOpen(grant.Server.Address) && !slices.Contains(need.Avoid, grant.Server.ID) {
+			need.Avoid = append(slices.Clone(need.Avoid), grant.Server.ID)
+			continue
+		}
 		if err == nil {
 			choice, ok := p.choice(grant.Server, "granted by the holder", p.beginAt(r))
 			if !ok {
