--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -56,7 +56,7 @@
 	unknown int
 	// unsent is the number of sends of which no byte can have reached the server.
 	unsent int
-	trail   trail
+	trail  trail
 	// placed is how long the request has waited for servers, firstEvent when the first event
 	// of its stream came, and longestPause the longest time between two events.
 	placed       time.Duration
