--- a/internal/forward/breaker/breaker.go
+++ b/internal/forward/breaker/breaker.go
@@ -73,16 +73,22 @@
 	delete(b.state, address)
 }
 
-// Refused notes that nothing listens on the address of a server: its process has ended. It reports
-// whether the breaker opened by it.
-func (b *Breakers) Refused(address string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// of returns the breaker of a server.
+func (b *Breakers) of(address string) *breaker {
 	s, ok := b.state[address]
 	if !ok {
 		s = &breaker{openTime: firstOpenTime}
 		b.state[address] = s
 	}
+	return s
+}
+
+// Refused notes that nothing listens on the address of a server: its process has ended. It reports
+// whether the breaker opened by it.
+func (b *Breakers) Refused(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(address)
 	wasOpen := s.failures >= failuresToOpen
 	s.failures = max(s.failures, failuresToOpen)
 	s.probing = false
@@ -94,11 +100,7 @@
 func (b *Breakers) Failed(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, ok := b.state[address]
-	if !ok {
-		s = &breaker{openTime: firstOpenTime}
-		b.state[address] = s
-	}
+	s := b.of(address)
 	s.failures++
 	s.probing = false
 	if s.failures < failuresToOpen {
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -131,23 +131,21 @@
 		res.run = azurehitch.RunStateNotRun
 		res.unsent = true
 	}
-	switch {
-	case r.isOver():
-	case errors.Is(err, syscall.ECONNREFUSED):
-		r.gone(choice)
-	default:
-		r.failed(choice)
-	}
-	r.noteTooLarge(err)
+	r.failedBy(choice, err)
 	return res
 }
 
-// gone notes that nothing listens on the address of a server.
-func (r *request) gone(choice place.Choice) {
-	r.tried = append(r.tried, choice.Server.ID)
-	if r.server.Breakers.Refused(choice.Server.Address) {
-		r.server.Metrics.Add(metrics.BreakersOpened, 1)
+// failedBy notes why a server brought no whole answer. Once the request is over, that says nothing
+// of the server.
+func (r *request) failedBy(choice place.Choice, err error) {
+	if !r.isOver() {
+		opens := r.server.Breakers.Failed
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			opens = r.server.Breakers.Refused
+		}
+		r.noteFailure(choice, opens)
 	}
+	r.noteTooLarge(err)
 }
 
 // noteTooLarge counts an answer that was given up because of its size.
@@ -163,9 +161,12 @@
 }
 
 // failed notes that a server brought no answer.
-func (r *request) failed(choice place.Choice) {
+func (r *request) failed(choice place.Choice) { r.noteFailure(choice, r.server.Breakers.Failed) }
+
+// noteFailure keeps the request, and others if its breaker opens, from a server.
+func (r *request) noteFailure(choice place.Choice, opens func(address string) bool) {
 	r.tried = append(r.tried, choice.Server.ID)
-	if r.server.Breakers.Failed(choice.Server.Address) {
+	if opens(choice.Server.Address) {
 		r.server.Metrics.Add(metrics.BreakersOpened, 1)
 	}
 }
--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -100,10 +100,7 @@
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(status, "answered")
 	case b.failure != nil:
-		r.noteTooLarge(b.failure)
-		if !r.isOver() {
-			r.failed(b.choice)
-		}
+		r.failedBy(b.choice, b.failure)
 		r.trail.add(b.choice, "cut after "+strconv.FormatInt(int64(b.size), 10)+" bytes: "+b.failure.Error())
 		r.server.Metrics.Add(metrics.StreamsCut, 1)
 		r.end(status, "answer cut: "+b.failure.Error())
--- a/internal/forward/passthrough/endless_test.go
+++ b/internal/forward/passthrough/endless_test.go
@@ -27,28 +27,10 @@
 
 func newEndless(t *testing.T, begin, again string) *endless {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.New(t).Assert(err, qt.IsNil)
-	e := &endless{backend: backend{address: listener.Addr().String()}}
-	var group errgroup.Group
-	t.Cleanup(func() {
-		listener.Close()
-		_ = group.Wait()
-	})
 	const pieceBytes = 32 << 10
 	piece := []byte(strings.Repeat(again, 1+pieceBytes/len(again)))
-	group.Go(func() error {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return nil
-			}
-			group.Go(func() error {
-				e.play(conn, begin, piece)
-				return nil
-			})
-		}
-	})
+	e := &endless{}
+	e.address = listen(t, func(conn net.Conn) { e.play(conn, begin, piece) })
 	return e
 }
 
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -51,21 +51,18 @@
 // relay answers with a stream, once its first event has come. An error before that is a
 // failed attempt.
 func (r *request) relay(choice place.Choice, exchange *connpool.Exchange) result {
-	stream := &relay{request: r, held: exchange.Hold()}
+	stream := &relay{request: r, held: r.server.Connections.Memory().Hold()}
 	stream.attach(choice, exchange)
 	if err := stream.readEvent(); err != nil && !stream.done {
 		stream.detach()
 		r.trail.add(choice, err.Error())
-		if !r.isOver() {
-			r.failed(choice)
-		}
-		r.noteTooLarge(err)
+		r.failedBy(choice, err)
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
 	r.firstEvent = r.server.Clock.Now().Sub(r.began)
 	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.firstEvent)
 	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
-	r.http.Response.SetBodyStream(stream, -1)
+	r.http.Response.SetBodyStream(stream, unknownLength)
 	return result{answered: true}
 }
 
@@ -143,10 +140,7 @@
 	r := s.request
 	r.trail.add(s.choice, "cut after "+strconv.Itoa(s.events)+" events: "+cause.Error())
 	s.detach()
-	if !r.isOver() {
-		r.failed(s.choice)
-	}
-	r.noteTooLarge(cause)
+	r.failedBy(s.choice, cause)
 	res := result{run: azurehitch.RunStateUnknown, cause: cause}
 	for s.lastEvent != "" && r.mayRetry(res) {
 		choice, err := r.place()
--- a/internal/forward/passthrough/world_test.go
+++ b/internal/forward/passthrough/world_test.go
@@ -112,10 +112,17 @@
 // newBackend starts a server that sends a text to each request and closes the connection.
 // %ID% is the id of the request.
 func newBackend(t *testing.T, text string, hold time.Duration) *backend {
+	t.Helper()
+	b := &backend{closed: make(chan struct{}, 10)}
+	b.address = listen(t, func(conn net.Conn) { b.play(conn, text, hold) })
+	return b
+}
+
+// listen serves each connection until the test ends, and returns the address.
+func listen(t *testing.T, serve func(conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
-	b := &backend{address: listener.Addr().String(), closed: make(chan struct{}, 10)}
 	var group errgroup.Group
 	t.Cleanup(func() {
 		listener.Close()
@@ -128,12 +135,12 @@
 				return nil
 			}
 			group.Go(func() error {
-				b.play(conn, text, hold)
+				serve(conn)
 				return nil
 			})
 		}
 	})
-	return b
+	return listener.Addr().String()
 }
 
 func (b *backend) play(conn net.Conn, text string, hold time.Duration) {
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -135,8 +135,9 @@
 // candidates returns the servers that take requests now, without those that were tried if
 // others are left.
 func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
+	resting := p.Rests.List()
 	servers := slices.DeleteFunc(p.serving(r.Service.Name), func(s azurehitch.FleetServer) bool {
-		return p.Rests.State(s.ServerIdentity) != rest.StateOpen
+		return slices.ContainsFunc(resting, func(other azurehitch.ServerRest) bool { return other.Server == s.ServerIdentity })
 	})
 	fresh := slices.DeleteFunc(slices.Clone(servers), func(s azurehitch.FleetServer) bool {
 		return slices.Contains(r.Tried, s.ID)
@@ -173,16 +174,12 @@
 
 // placeOn chooses among servers. It returns false if none takes the request.
 func (p *Placer) placeOn(servers []azurehitch.FleetServer, r Request, how selection) (Choice, bool) {
-	begin := func(azurehitch.ServerIdentity) func() { return func() {} }
-	if how.isReplica {
-		begin = p.beginAt(r)
-	}
 	if how.others == nil {
 		how.others = func(azurehitch.FleetServer) int { return 0 }
 	}
 	for len(servers) > 0 {
 		best := p.best(servers, r, how.others)
-		if choice, ok := p.choice(best.ServerIdentity, how.basis, begin); ok {
+		if choice, ok := p.choice(r, best.ServerIdentity, how.basis, how.isReplica); ok {
 			return choice, true
 		}
 		servers = slices.DeleteFunc(servers, func(s azurehitch.FleetServer) bool { return s.ID == best.ID })
@@ -190,8 +187,8 @@
 	return Choice{}, false
 }
 
-// isReturning reports whether a server of a service comes back from a rest, and none that takes
-// requests is left.
+// isReturning reports whether a server of a service comes back from a rest, and has as many requests
+// as it takes for now.
 func (p *Placer) isReturning(service string) bool {
 	return slices.ContainsFunc(p.serving(service), func(s azurehitch.FleetServer) bool {
 		return p.Rests.State(s.ServerIdentity) == rest.StateReturning
@@ -237,16 +234,18 @@
 // weight spreads requests over equal servers.
 func weight(server, request string) uint64 { return xxhash.Sum64String(server + "\x00" + request) }
 
-// choice books a request at a server, and returns false if that doesn't take it.
-func (p *Placer) choice(
-	server azurehitch.ServerIdentity, basis string, begin func(azurehitch.ServerIdentity) (end func()),
-) (Choice, bool) {
+// choice books a request at a server, and at the replica of its model if there is one. It returns
+// false if the server doesn't take it.
+func (p *Placer) choice(r Request, server azurehitch.ServerIdentity, basis string, isReplica bool) (Choice, bool) {
 	leave, ok := p.Rests.Begin(server)
 	if !ok {
 		return Choice{}, false
 	}
 	p.count(server.ID, 1)
-	end := begin(server)
+	end := func() {}
+	if isReplica {
+		end = p.Swaps.Begin(r.Service.Name, swap.Replica{Server: server.ID, Model: r.Model})
+	}
 	return Choice{
 		Server: server, Basis: basis, Age: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
@@ -276,20 +275,11 @@
 	for {
 		need.Resting = p.Rests.List()
 		grant, err := p.Swaps.Find(ctx, r.Service.Name, need)
-		if err == nil && p.Fleet().HasLeft(grant.Server) {
-			need.Left = append(need.Left, grant.Server)
-			continue
-		}
-		if err == nil && p.Breakers.IsOpen(grant.Server.Address) && !slices.Contains(need.Avoid, grant.Server.ID) {
-			need.Avoid = append(slices.Clone(need.Avoid), grant.Server.ID)
-			continue
-		}
 		if err == nil {
-			choice, ok := p.choice(grant.Server, "granted by the holder", p.beginAt(r))
+			choice, ok := p.takeGrant(r, grant, &need)
 			if !ok {
 				continue
 			}
-			choice.Tier = grant.Tier
 			return choice, nil
 		}
 		if !errors.Is(err, swappeer.ErrNoHolder) {
@@ -323,11 +313,20 @@
 	return now.Sub(s.began)
 }
 
-// beginAt counts a request at a replica once it is placed there.
-func (p *Placer) beginAt(r Request) func(azurehitch.ServerIdentity) (end func()) {
-	return func(server azurehitch.ServerIdentity) func() {
-		return p.Swaps.Begin(r.Service.Name, swap.Replica{Server: server.ID, Model: r.Model})
+// takeGrant books a request at the server that the holder granted. It returns false, and has the
+// need tell why, if this daemon knows better: the server leaves, fails, or rests.
+func (p *Placer) takeGrant(r Request, grant swap.Grant, need *swap.Need) (Choice, bool) {
+	if p.Fleet().HasLeft(grant.Server) {
+		need.Left = append(need.Left, grant.Server)
+		return Choice{}, false
+	}
+	if p.Breakers.IsOpen(grant.Server.Address) && !slices.Contains(need.Avoid, grant.Server.ID) {
+		need.Avoid = append(slices.Clone(need.Avoid), grant.Server.ID)
+		return Choice{}, false
 	}
+	choice, ok := p.choice(r, grant.Server, "granted by the holder", true)
+	choice.Tier = grant.Tier
+	return choice, ok
 }
 
 func (p *Placer) need(r Request) swap.Need {
--- a/internal/forward/rest/rest.go
+++ b/internal/forward/rest/rest.go
@@ -126,9 +126,11 @@
 	if !ok {
 		return 0
 	}
-	return max(s.until.Sub(r.clock.Now()), 0)
+	return r.left(s)
 }
 
+func (r *Rests) left(s *server) time.Duration { return max(s.until.Sub(r.clock.Now()), 0) }
+
 // List returns the servers that take no requests now.
 func (r *Rests) List() []azurehitch.ServerRest {
 	r.mu.Lock()
@@ -136,7 +138,7 @@
 	var list []azurehitch.ServerRest
 	for id, s := range r.servers {
 		if r.state(s) != StateOpen {
-			list = append(list, azurehitch.ServerRest{Server: id, Left: max(s.until.Sub(r.clock.Now()), 0)})
+			list = append(list, azurehitch.ServerRest{Server: id, Left: r.left(s)})
 		}
 	}
 	return list
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -238,8 +238,7 @@
 		return outlook{replicas: replicas}
 	}
 	if loaders := p.loaders(name); len(loaders) > 0 {
-		// A load that is overdue is expected to take as long again as it is late.
-		return outlook{wait: loaders[0].freeAt.Sub(now).Abs(), reason: "the model is being loaded"}
+		return outlook{wait: loaders[0].loadLeft(now), reason: "the model is being loaded"}
 	}
 	best, found := time.Duration(0), false
 	for _, s := range p.homesOf(name) {
@@ -274,7 +273,7 @@
 		rate := float64(len(o.replicas)*p.slots()) / p.settings.RunTime.Seconds()
 		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonFull
 	}
-	if p.isStuck(w.Need, now) {
+	if p.isStuck(w.Need, p.replicas(w.Model), now) {
 		return p.stuckWait(w, o, now), reasonStuck
 	}
 	// An adapter that was not loaded in time waits for a place: as long again as it has waited.
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -78,10 +78,10 @@
 	}
 	var wants []want
 	for model, waiters := range p.waiters.byModel {
-		isLoaded := len(p.replicas(model)) > 0
+		replicas := p.replicas(model)
 		w := want{model: model, busy: p.isBusy(model, now), unmet: p.model(model).unmet}
 		for _, waiter := range waiters {
-			if waiter.Adapter != "" && isLoaded && !p.isStuck(waiter.Need, now) {
+			if waiter.Adapter != "" && len(replicas) > 0 && !p.isStuck(waiter.Need, replicas, now) {
 				continue
 			}
 			w.onTime = w.onTime || now.Before(waiter.Objective)
@@ -136,12 +136,13 @@
 // being loaded in time. One that requests wait for needs one at least.
 func (p *Plan) missing(name string, now time.Time) int {
 	needed := max(p.replicasNeeded(name, now), 1)
-	isStuck := func(w *waiter) bool { return p.isStuck(w.Need, now) }
+	replicas := p.replicas(name)
+	isStuck := func(w *waiter) bool { return p.isStuck(w.Need, replicas, now) }
 	if slices.ContainsFunc(p.waiters.byModel[name], isStuck) {
-		needed = max(needed, len(p.replicas(name))+1)
+		needed = max(needed, len(replicas)+1)
 	}
 	inTime := slices.DeleteFunc(p.loaders(name), func(s *server) bool { return s.isOverdue(now) })
-	return max(needed-len(p.replicas(name))-len(inTime), 0)
+	return max(needed-len(replicas)-len(inTime), 0)
 }
 
 // replicasNeeded is the number of replicas that the demand for a model fills.
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -151,6 +151,10 @@
 	return now.Sub(s.unknownSince)
 }
 
+// loadLeft is how long the load under way will still take. One that is overdue is expected to take
+// as long again as it is late.
+func (s *server) loadLeft(now time.Time) time.Duration { return s.freeAt.Sub(now).Abs() }
+
 // takesRequests reports whether new requests may go to the server.
 func (s *server) takesRequests() bool { return !s.leaving && !s.missing }
 
--- a/internal/placement/swap/stuck.go
+++ b/internal/placement/swap/stuck.go
@@ -10,12 +10,11 @@
 // near copy.
 const stuckTime = 1500 * time.Millisecond
 
-// isStuck reports whether a model has replicas, and none of them can serve a request soon: they have
-// failed it, or its adapter is not there and their servers take no orders for some time. A server
+// isStuck reports whether there are replicas of a model, and none of them can serve a request soon:
+// they have failed it, or its adapter is not there and their servers take no orders for some time. A server
 // that carries out the order of a former holder is such a one, for as long as a load from the weight
 // store takes.
-func (p *Plan) isStuck(need Need, now time.Time) bool {
-	replicas := p.replicas(need.Model)
+func (p *Plan) isStuck(need Need, replicas []*server, now time.Time) bool {
 	return len(replicas) > 0 && p.waitForReplica(need, replicas, now) > stuckTime
 }
 
@@ -50,7 +49,7 @@
 	wait := min(p.waitForReplica(w.Need, o.replicas, now), max(p.settings.SwapTime, now.Sub(w.since)))
 	limits := p.limits.Models[w.Model]
 	if loaders := p.loaders(w.Model); len(loaders) > 0 {
-		return min(wait, loaders[0].freeAt.Sub(now).Abs()+p.settings.SwapTime)
+		return min(wait, loaders[0].loadLeft(now)+p.settings.SwapTime)
 	}
 	if s := p.bestHome(w.Model, now); s != nil {
 		return min(wait, limits.LoadTime(s.tier(w.Model))+p.settings.SwapTime)
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -37,9 +37,8 @@
 	address string
 	conn    *conn
 	body    io.Reader
-	// held is the memory of a body that was read whole, and maxBody its bound.
-	held    *membudget.Hold
-	maxBody azurehitch.ByteSize
+	// held is the memory of a body that was read whole.
+	held *membudget.Hold
 	// whole is true when the body has been read to its end.
 	whole bool
 	// readErr is the error that ended the body.
@@ -62,10 +61,7 @@
 	e := &Exchange{
 		pool: p, address: address, conn: c,
 		sending: &errgroup.Group{}, sent: make(chan struct{}),
-		held: p.memory.Hold(), maxBody: p.limits.Body,
-	}
-	if options.MaxAnswer > 0 {
-		e.maxBody = options.MaxAnswer
+		held: p.memory.Hold(),
 	}
 	if options.MaySend != nil && !options.MaySend() {
 		close(e.sent)
@@ -163,14 +159,14 @@
 // show that it is whole.
 func (e *Exchange) IsUnframed() bool { return e.Header.ContentLength() == untilClose }
 
-// ReadWhole reads the rest of the body, which must be whole. The body counts against the memory
+// ReadWhole reads the rest of the body, which must be whole and no longer than a size. The body counts against the memory
 // of the pool until the exchange is closed. The cause of the error may be an *ErrTooLarge.
-func (e *Exchange) ReadWhole() ([]byte, error) {
-	body, whole, err := e.ReadUpTo(e.maxBody)
+func (e *Exchange) ReadWhole(size azurehitch.ByteSize) ([]byte, error) {
+	body, whole, err := e.ReadUpTo(size)
 	switch {
 	case err != nil || whole:
-	case azurehitch.ByteSize(len(body)) > e.maxBody:
-		err = &ErrTooLarge{Part: PartBody, Bound: int64(e.maxBody)}
+	case azurehitch.ByteSize(len(body)) > size:
+		err = &ErrTooLarge{Part: PartBody, Bound: int64(size)}
 	default:
 		err = e.pool.memory.Exhausted()
 	}
@@ -214,9 +210,6 @@
 	}
 }
 
-// Hold returns a hold of the memory that the answers of the pool share.
-func (e *Exchange) Hold() *membudget.Hold { return e.pool.memory.Hold() }
-
 // SetReadDeadline bounds the wait for further bytes. The end of the context still breaks the
 // exchange off.
 func (e *Exchange) SetReadDeadline(ctx context.Context, t time.Time) {
--- a/internal/transport/connpool/fuzz_test.go
+++ b/internal/transport/connpool/fuzz_test.go
@@ -54,11 +54,11 @@
 		defer cancel()
 		answers <- answer
 		request := connpool.Request{Method: "GET", URI: "/x", Host: "h"}
-		exchange, err := pool.Do(ctx, listener.Addr().String(), request, connpool.Options{Fresh: true, MaxAnswer: bound})
+		exchange, err := pool.Do(ctx, listener.Addr().String(), request, connpool.Options{Fresh: true})
 		if err != nil {
 			return
 		}
-		body, err := exchange.ReadWhole()
+		body, err := exchange.ReadWhole(bound)
 		if err == nil {
 			c.Assert(len(body) <= bound, qt.IsTrue)
 			c.Assert(len(body) <= len(answer), qt.IsTrue)
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -6,7 +6,7 @@
 //	pool := connpool.New(clock, connpool.DefaultLimits())
 //	exchange, err := pool.Do(ctx, "10.0.0.7:8080", request, connpool.Options{})
 //	defer exchange.Close()
-//	body, err := exchange.ReadWhole()
+//	body, err := exchange.ReadWhole(1 << 20)
 //
 // A request is sent once. An *ErrExchange tells whether a byte of it may have reached
 // the server. A connection is used again only after a whole answer with nothing behind
@@ -99,15 +99,13 @@
 	InterimHeads int
 	// Trailers bounds all that follows the last chunk of a body.
 	Trailers azurehitch.ByteSize
-	// Body bounds a body that is read whole.
-	Body azurehitch.ByteSize
 	// Memory bounds the bodies that are held, of all answers together.
 	Memory azurehitch.ByteSize
 }
 
 // DefaultLimits returns the limits of a host with plenty of memory.
 func DefaultLimits() Limits {
-	return Limits{Head: 16 << 10, InterimHeads: 8, Trailers: 8 << 10, Body: 64 << 20, Memory: 256 << 20}
+	return Limits{Head: 16 << 10, InterimHeads: 8, Trailers: 8 << 10, Memory: 256 << 20}
 }
 
 // Options choose a connection.
@@ -118,8 +116,6 @@
 	MaxInUse int
 	// MaySend is asked right before the first byte goes out; nil is always yes.
 	MaySend func() bool
-	// MaxAnswer bounds an answer that is read whole; 0 is the bound of the pool.
-	MaxAnswer azurehitch.ByteSize
 }
 
 // Pool is the connections of one daemon to backend servers.
--- a/internal/transport/connpool/pool_test.go
+++ b/internal/transport/connpool/pool_test.go
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	defer exchange.Close()
-	return exchange.ReadWhole()
+	return exchange.ReadWhole(1 << 20)
 }
 
 func TestReuse(t *testing.T) {
