A release that did not arrive is due again

Cause, found in the last read: since a pool counts no longer as held from the decision to give it back, a release of a pool above a daemon's share that failed to be appended, with the share changed by then, left the pool renewed by a daemon that orders nothing there. Only daemons with several pools give some away, so the gateway on the users' sites was not concerned. Now it is due again after a second, as for pools that need no holder. TestYieldAgain failed before.

--- a/internal/lease/leaselog/leaselog_test.go
+++ b/internal/lease/leaselog/leaselog_test.go
@@ -360,3 +360,28 @@
 	c.Assert(m.OnClaim(4, daemon("a"), 4, claim(3), now), qt.IsTrue)
 	c.Assert(m.IsValid("llm", now), qt.IsTrue, qt.Commentf("claimed anew"))
 }
+
+// TestYieldAgain answers a release that did not arrive: it is due again, since the daemon orders
+// nothing in the pool and nobody else may.
+func TestYieldAgain(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	m := leaselog.NewManager(daemon("a"), leaselog.NewFold(), now)
+	m.Sending(1, now)
+	c.Assert(m.OnClaim(1, daemon("a"), 1, claim(0), now), qt.IsTrue)
+	environment := leaselog.Environment{Pools: []leaselog.PoolSetting{{Name: "llm", Duration: duration}}, Daemons: []string{"a", "b"}}
+	releases := func(at time.Time) int {
+		count := 0
+		for _, action := range m.Decide(at, environment) {
+			if action.Release != nil {
+				count++
+			}
+		}
+		return count
+	}
+	c.Assert(releases(now), qt.Equals, 0)
+	m.Yield("llm")
+	c.Assert(releases(now.Add(2*time.Second)), qt.Equals, 1)
+	c.Assert(releases(now.Add(2*time.Second)), qt.Equals, 0, qt.Commentf("one at a time"))
+	c.Assert(releases(now.Add(4*time.Second)), qt.Equals, 1)
+}
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -69,7 +69,7 @@
 	validFrom   map[string]time.Time
 	lastRenewal time.Time
 	lastClaim   map[string]time.Time
-	// lastRelease is when the release of a pool that needs no holder was last tried.
+	// lastRelease is when the release of a pool was last tried.
 	lastRelease map[string]time.Time
 	// yielding are the pools that this daemon gives back: it orders nothing there any more.
 	yielding map[string]bool
@@ -219,18 +219,21 @@
 	for _, lease := range m.fold.Leases() {
 		if lease.Holder == m.self && Rank(lease.Pool, environment.Daemons, load)[0] != m.self.Daemon {
 			m.lastRebalance = now
+			m.lastRelease[lease.Pool] = now
 			return &Release{Pool: lease.Pool, Token: lease.Token}
 		}
 	}
 	return nil
 }
 
-// releaseUnneeded returns the releases of pools that need no holder any more.
+// releaseUnneeded returns the releases of pools that need no holder any more, and those that are due
+// again since an earlier one did not arrive.
 func (m *Manager) releaseUnneeded(now time.Time, environment Environment) []Action {
 	var actions []Action
 	for _, lease := range m.fold.Leases() {
 		needed := slices.ContainsFunc(environment.Pools, func(p PoolSetting) bool { return p.Name == lease.Pool })
-		if lease.Holder == m.self && !needed && now.Sub(m.lastRelease[lease.Pool]) >= claimRetry {
+		isDue := !needed || m.yielding[lease.Pool]
+		if lease.Holder == m.self && isDue && now.Sub(m.lastRelease[lease.Pool]) >= claimRetry {
 			m.lastRelease[lease.Pool] = now
 			actions = append(actions, Action{Release: &Release{Pool: lease.Pool, Token: lease.Token}})
 		}
