Connections for one exchange are closed after it; idle ones count and give way

Cause: requests that may run once ask for a fresh connection and gave it back to the idle ones, where nothing took it for up to 10 s. At 7 a second a server's cap of 96 is full, it resets what comes next, and the caller gets 502 for a request that reached nobody. TestConnectionCap fails on the code before in all three cases.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -82,7 +82,7 @@
 	began := r.server.Clock.Now()
 	r.sends++
 	exchange, err := r.server.Connections.Do(r.ctx, choice.Server.Address, request, connpool.Options{
-		Fresh: !r.route.MayRepeat(), MaxInUse: r.server.ConnectionShare(r.service),
+		Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service),
 	})
 	if err != nil {
 		return nil, azurehitch.ServerAnswer{}, r.exchangeFailed(choice, err)
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -48,7 +48,9 @@
 	sent      chan struct{}
 	stop      func() bool
 	keepAlive time.Duration
-	closed    bool
+	// fresh is true when the connection is for this exchange alone.
+	fresh  bool
+	closed bool
 }
 
 // Do sends a request once and reads the head of the answer. The end of the context
@@ -61,7 +63,7 @@
 	e := &Exchange{
 		pool: p, address: address, conn: c,
 		sending: &errgroup.Group{}, sent: make(chan struct{}),
-		held: p.memory.Hold(),
+		held: p.memory.Hold(), fresh: options.Fresh,
 	}
 	if options.MaySend != nil && !options.MaySend() {
 		close(e.sent)
@@ -252,7 +254,7 @@
 	default:
 		return false
 	}
-	if !e.whole || e.IsUnframed() || e.Header.ConnectionClose() || e.conn.reader.Buffered() > 0 {
+	if e.fresh || !e.whole || e.IsUnframed() || e.Header.ConnectionClose() || e.conn.reader.Buffered() > 0 {
 		return false
 	}
 	return e.conn.tcp.SetDeadline(time.Time{}) == nil
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -19,6 +19,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 // errDenied says that the caller doesn't want the request to be sent any more.
 var errDenied = errors.New("the request may not be sent any more")
 
-// errTooManyConnections says that the cap of a server's connections is reached.
+// errTooManyConnections says that all connections to a server that may be open are in use.
 var errTooManyConnections = errors.New("too many connections in use")
 
 // AnswerPart is a part of an answer that has a bound.
@@ -110,10 +111,12 @@
 
 // Options choose a connection.
 type Options struct {
-	// Fresh asks for a connection that was never used.
+	// Fresh asks for a connection that is used for this exchange alone. It is closed afterwards:
+	// requests that ask for fresh ones would only add to the idle ones.
 	Fresh bool
-	// MaxInUse bounds the connections to the server that are in use; 0 doesn't.
-	MaxInUse int
+	// MaxOpen bounds the connections to the server that are open, idle ones included; 0 doesn't.
+	// Idle ones give way to new ones.
+	MaxOpen int
 	// MaySend is asked right before the first byte goes out; nil is always yes.
 	MaySend func() bool
 }
@@ -132,6 +135,8 @@
 type host struct {
 	inUse int
 	idle  []*conn
+	// maxOpen is the number of connections that may be open by the last request; 0 is any.
+	maxOpen int
 }
 
 // New returns a pool without connections.
@@ -205,23 +210,43 @@
 		h = &host{}
 		p.hosts[address] = h
 	}
-	if options.MaxInUse > 0 && h.inUse >= options.MaxInUse {
+	if options.MaxOpen > 0 && h.inUse >= options.MaxOpen {
 		return nil, errTooManyConnections
 	}
 	h.inUse++
-	if options.Fresh {
-		return nil, nil
+	h.maxOpen = options.MaxOpen
+	if !options.Fresh {
+		if c := h.takeIdle(p.clock.Now()); c != nil {
+			return c, nil
+		}
 	}
-	now := p.clock.Now()
+	h.keepIdle()
+	return nil, nil
+}
+
+// takeIdle returns the idle connection that was used last, if one can still be used.
+func (h *host) takeIdle(now time.Time) *conn {
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
 		if now.Before(c.expires) && c.isSilent() {
-			return c, nil
+			return c
 		}
 		c.close()
 	}
-	return nil, nil
+	return nil
+}
+
+// keepIdle closes the idle connections that were not used for longest where there are too many. One
+// more may be opened then before the server has seen another closed.
+func (h *host) keepIdle() {
+	if h.maxOpen == 0 {
+		return
+	}
+	if surplus := len(h.idle) - max(h.maxOpen-h.inUse-1, 0); surplus > 0 {
+		closeAll(h.idle[:surplus])
+		h.idle = slices.Delete(h.idle, 0, surplus)
+	}
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -256,4 +281,5 @@
 	}
 	c.expires = p.clock.Now().Add(idleTime)
 	h.idle = append(h.idle, c)
+	h.keepIdle()
 }
--- a/internal/transport/connpool/pool_test.go
+++ b/internal/transport/connpool/pool_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -161,16 +163,109 @@
 		pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		held, err := pool.Do(ctx, address, connpool.Request{Method: "GET", URI: "/", Host: "h"}, connpool.Options{MaxInUse: 1})
+		held, err := pool.Do(ctx, address, connpool.Request{Method: "GET", URI: "/", Host: "h"}, connpool.Options{MaxOpen: 1})
 		c.Assert(err, qt.IsNil)
-		_, err = get(t, pool, address, connpool.Options{MaxInUse: 1})
+		_, err = get(t, pool, address, connpool.Options{MaxOpen: 1})
 		assertNotSent(c, err)
 		held.Close()
-		_, err = get(t, pool, address, connpool.Options{MaxInUse: 1, Fresh: true})
+		_, err = get(t, pool, address, connpool.Options{MaxOpen: 1, Fresh: true})
 		c.Assert(err, qt.IsNil)
 	})
 }
 
+// serveCapped runs a fake server that takes a number of connections and resets those beyond. It
+// answers each request and keeps the connection.
+func serveCapped(t *testing.T, most int) (address string, resets func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	var group errgroup.Group
+	var open, reset atomic.Int64
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		listener.Close()
+		end()
+		_ = group.Wait()
+	})
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			if open.Add(1) > int64(most) {
+				reset.Add(1)
+				open.Add(-1)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				conn.Close()
+				continue
+			}
+			group.Go(func() error {
+				defer open.Add(-1)
+				defer context.AfterFunc(ctx, func() { conn.Close() })()
+				return play(conn, slices.Repeat(script{whole}, 2*most+10))
+			})
+		}
+	})
+	return listener.Addr().String(), func() int { return int(reset.Load()) }
+}
+
+// TestConnectionCap plays requests of both kinds at a server that takes few connections: those that
+// nobody will use again don't fill it.
+func TestConnectionCap(t *testing.T) {
+	const most, requests = 4, 40
+	for _, test := range []struct {
+		name    string
+		options func(i int) connpool.Options
+	}{
+		{"fresh ones", func(int) connpool.Options { return connpool.Options{Fresh: true, MaxOpen: most} }},
+		{"fresh and kept ones by turns", func(i int) connpool.Options {
+			return connpool.Options{Fresh: i%3 != 0, MaxOpen: most}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, resets := serveCapped(t, most)
+			pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
+			for i := range requests {
+				_, err := get(t, pool, address, test.options(i))
+				c.Assert(err, qt.IsNil, qt.Commentf("request %d", i))
+				// The server sees a closed connection a little later.
+				time.Sleep(time.Millisecond)
+			}
+			c.Assert(resets(), qt.Equals, 0)
+		})
+	}
+	t.Run("idle ones give way", func(t *testing.T) {
+		c := qt.New(t)
+		address, resets := serveCapped(t, most)
+		pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		request := connpool.Request{Method: "GET", URI: "/", Host: "h"}
+		hold := func(options connpool.Options) (held []*connpool.Exchange) {
+			for range most {
+				exchange, err := pool.Do(ctx, address, request, options)
+				c.Assert(err, qt.IsNil)
+				held = append(held, exchange)
+			}
+			return held
+		}
+		for _, exchange := range hold(connpool.Options{MaxOpen: most}) {
+			_, err := exchange.ReadWhole(1 << 10)
+			c.Assert(err, qt.IsNil)
+			exchange.Close()
+		}
+		for range most {
+			exchange, err := pool.Do(ctx, address, request, connpool.Options{Fresh: true, MaxOpen: most})
+			c.Assert(err, qt.IsNil)
+			defer exchange.Close()
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(resets(), qt.Equals, 0)
+	})
+}
+
 // TestIdleClose answers servers that close idle connections: the next request goes over a
 // new one.
 func TestIdleClose(t *testing.T) {
