--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -207,6 +207,10 @@
 	return []*compacted.Follower{d.routingFollower, d.fleetFollower}
 }
 
+// takeoverTime is about how long after the end of a lease the next holder answers: it reads the
+// lapse, claims and reads the reports of the engines.
+const takeoverTime = 1200 * time.Millisecond
+
 // successors is the number of daemons that follow the lease of a service closely beside its holder.
 const successors = 4
 
@@ -249,7 +253,7 @@
 		Protocol: d.Protocol,
 		Placer: place.New(place.Dependencies{
 			Self: s.Name, FailureDomain: s.FailureDomain, Fleet: d.fleet.View, Swaps: d.swaps, Breakers: breakers,
-			Rests: d.rests, Clock: d.Clock,
+			Rests: d.rests, HolderAbsence: s.LeaseDuration + takeoverTime, Clock: d.Clock,
 		}),
 		Connections:     d.Connections,
 		ConnectionShare: d.connectionShare,
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -36,8 +36,9 @@
 	// how often it looks.
 	listPatience = 400 * time.Millisecond
 	listPause    = 20 * time.Millisecond
-	// holderPatience is how long a request for a model that no listed server holds waits for a
-	// holder to answer, and holderRetry tells when to come back: others take over meanwhile.
+	// holderPatience is how long each request for a model that no listed server holds waits for a
+	// holder to answer. Those that the next holder can serve in time wait for it; others are
+	// told to come back then, or after holderRetry.
 	holderPatience = 600 * time.Millisecond
 	holderRetry    = 1500 * time.Millisecond
 	// silenceGap is the longest time between two questions without an answer of one silence.
@@ -83,6 +84,9 @@
 	Swaps         *swappeer.Client
 	Breakers      *breaker.Breakers
 	Rests         *rest.Rests
+	// HolderAbsence is how long a service may be without a holder when it has lost one: another
+	// claims its lease and learns what the engines hold.
+	HolderAbsence time.Duration
 	Clock         azurehitch.Clock
 }
 
@@ -288,13 +292,26 @@
 		if choice, ok := p.placeOnListed(r); ok {
 			return choice, nil
 		}
-		if silence.lasts() >= holderPatience {
+		if silence.lasts() >= holderPatience && !p.mayAwaitHolder(r) {
 			return Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no holder answers, and no listed server has %s", r.Model).
-				WithRetryAfter(holderRetry)
+				WithRetryAfter(max(p.holderWait(r.Service.Name), holderRetry))
 		}
 	}
 }
 
+// holderWait is how long it may still take until another daemon answers as the holder of a service;
+// 0 if it should have done so by now.
+func (p *Placer) holderWait(service string) time.Duration {
+	return max(p.HolderAbsence-p.Swaps.SilentFor(service), 0)
+}
+
+// mayAwaitHolder reports whether the next holder can still have the model of a request loaded in time.
+func (p *Placer) mayAwaitHolder(r Request) bool {
+	wait := p.holderWait(r.Service.Name)
+	loaded := p.Clock.Now().Add(wait + r.Service.Engine.Models[r.Model].DiskLoad)
+	return wait > 0 && loaded.Before(r.Deadline)
+}
+
 // silence is how long no holder has answered the questions of a request.
 type silence struct {
 	clock  azurehitch.Clock
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -150,6 +150,44 @@
 		c.Assert(err, qt.IsNotNil)
 		c.Assert(asked > 4, qt.IsTrue, qt.Commentf("asked %d times", asked))
 	})
+	// The load: a holder is lost, and 40 requests for models that sleep come in the 5 s until the next
+	// one answers.
+	t.Run("requests with time left wait for the next holder", func(t *testing.T) {
+		c := qt.New(t)
+		const absence, loadTime = 5 * time.Second, 2 * time.Second
+		placer := newPlacer(map[string]string{"s1": "a"})
+		clock := &steppedClock{now: time.Unix(1000, 0)}
+		began := clock.now
+		placer.Clock, placer.HolderAbsence = clock, absence
+		placer.Swaps = swappeer.NewClient(swappeer.Dependencies{
+			Self: "daemon-1", Holder: func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
+			Address: func(string) (string, bool) { return "", false }, Clock: clock, Metrics: metrics.New(),
+		})
+		for i := range 40 {
+			clock.now = began.Add(time.Duration(i) * absence / 40)
+			asked := clock.now
+			request := call(i)
+			request.Service.Engine = &azurehitch.EngineLimits{Models: map[string]azurehitch.ModelLimits{"m": {DiskLoad: loadTime}}}
+			request.Model = "m"
+			request.Deadline = asked.Add(4 * time.Second)
+			hasTime := i%2 == 0
+			if hasTime {
+				request.Deadline = asked.Add(16 * time.Second)
+			}
+			_, err := placer.Place(context.Background(), request)
+			var refused *azurehitch.ErrRefused
+			c.Assert(errors.As(err, &refused), qt.IsTrue, qt.Commentf("%v", err))
+			waited := clock.now.Sub(asked)
+			back := began.Add(absence)
+			if hasTime {
+				c.Assert(clock.now.Before(back), qt.IsFalse, qt.Commentf("request %d refused after %v", i, waited))
+				continue
+			}
+			isBack := !back.Add(loadTime).After(request.Deadline)
+			c.Assert(waited < time.Second || isBack, qt.IsTrue, qt.Commentf("request %d refused after %v", i, waited))
+			c.Assert(clock.now.Add(refused.RetryAfter).Before(back), qt.IsFalse, qt.Commentf("request %d told to come too early", i))
+		}
+	})
 	// The load: 24 calls at once, to four servers with six slots each.
 	t.Run("calls at once spread over all servers", func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -100,7 +100,7 @@
 		}
 		if err != nil {
 			c.Metrics.Add(metrics.PeerErrors, 1)
-			c.usage(service).setUnanswered()
+			c.usage(service).setUnanswered(c.Clock.Now())
 			if c.Clock.Now().Sub(answeredAt) >= holderPatience {
 				return swap.Grant{}, ErrNoHolder
 			}
@@ -110,6 +110,7 @@
 			continue
 		}
 		answeredAt = c.Clock.Now()
+		c.usage(service).setHeard()
 		switch verdict.Kind {
 		case swap.VerdictGranted:
 			c.granted(service, verdict.Grant)
@@ -169,7 +170,7 @@
 	kept, err := c.sendReport(ctx, service, demand, withdrawn)
 	if err != nil {
 		c.Metrics.Add(metrics.PeerErrors, 1)
-		c.usage(service).setUnanswered()
+		c.usage(service).setUnanswered(c.Clock.Now())
 		c.usage(service).returnDemand(demand)
 		return
 	}
@@ -179,7 +180,11 @@
 func (c *Client) sendReport(ctx context.Context, service string, demand swap.Demand, withdrawn []string) ([]swap.Kept, error) {
 	holder := c.Holder(service)
 	if holder.Daemon == c.Self {
-		return c.Held.Report(service, c.Self, demand, withdrawn)
+		kept, err := c.Held.Report(service, c.Self, demand, withdrawn)
+		if err == nil {
+			c.usage(service).setHeard()
+		}
+		return kept, err
 	}
 	askedAt := c.Clock.Now()
 	request := demandToProto(service, demand, withdrawn)
@@ -201,6 +206,11 @@
 	return keptFromProto(answer.SwapReport.Kept), nil
 }
 
+// SilentFor returns how long no daemon has answered this one as the holder of a service.
+func (c *Client) SilentFor(service string) time.Duration {
+	return c.usage(service).silentFor(c.Clock.Now())
+}
+
 // HolderAnswers reports whether other daemons have answered lately as the holders of all
 // services with model engines.
 func (c *Client) HolderAnswers() bool {
--- a/internal/placement/swappeer/usage.go
+++ b/internal/placement/swappeer/usage.go
@@ -20,6 +20,8 @@
 	kept       []swap.Kept
 	keptAt     time.Time
 	answeredAt time.Time
+	// silentSince is since when nobody has answered as the holder; zero while one answers.
+	silentSince time.Time
 	// vouched is true when the holder told how far it has read the streams that all follow:
 	// it is asked again before that is too old.
 	vouched bool
@@ -71,13 +73,34 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.answeredAt, u.vouched = at, vouched
+	u.silentSince = time.Time{}
+}
+
+// setHeard notes that the holder has answered a question.
+func (u *usage) setHeard() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.silentSince = time.Time{}
 }
 
 // setUnanswered notes that who was asked did not answer as the holder: the leases may have changed.
-func (u *usage) setUnanswered() {
+func (u *usage) setUnanswered(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.answeredAt = time.Time{}
+	if u.silentSince.IsZero() {
+		u.silentSince = now
+	}
+}
+
+// silentFor is how long nobody has answered as the holder.
+func (u *usage) silentFor(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.silentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(u.silentSince)
 }
 
 func (u *usage) lastAnswer() time.Time {
