--- a/internal/placement/swap/order.go
+++ b/internal/placement/swap/order.go
@@ -117,7 +117,7 @@
 	case isLoad && done:
 		r.state = stateReady
 		r.lastUsed = now
-		s.tiers[order.Model] = azurehitch.CacheTierMemory
+		s.loaded(order.Model, p.limits, now)
 		p.index.copiesStale = true
 	case isLoad, done:
 		delete(s.replicas, order.Model)
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -58,13 +58,15 @@
 	adapterOrders int
 	replicas      map[string]*replica
 	tiers         map[string]azurehitch.CacheTier
+	// copiedAt is when each copy of a checkpoint was last used by a load.
+	copiedAt map[string]time.Time
 	// remoteAt is when the last load from the weight store began.
 	remoteAt time.Time
 	failedAt time.Time
 }
 
 func newServer(listing int64) *server {
-	return &server{listing: listing, replicas: map[string]*replica{}, tiers: map[string]azurehitch.CacheTier{}}
+	return &server{listing: listing, replicas: map[string]*replica{}, tiers: map[string]azurehitch.CacheTier{}, copiedAt: map[string]time.Time{}}
 }
 
 // list takes in the description in the platform's list.
--- a/routing.go
+++ b/routing.go
@@ -76,6 +76,10 @@
 	Slots int
 	// Memory is the accelerator memory of a server for models and adapters.
 	Memory ByteSize
+	// HostMemory and Disk are what a server has for copies of checkpoints, in its own memory and on
+	// its disk; 0 is unknown. Those that were not used for longest give way.
+	HostMemory ByteSize
+	Disk       ByteSize
 	// AdapterSlots is the number of adapters that a server holds.
 	AdapterSlots int
 	// RemoteLoadsPerSecond is the rate at which loads from the weight store may begin
