--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -18,11 +18,6 @@
 )
 
 const (
-	// unconfiguredRetry tells when to come back to a daemon that knows no configuration. Some
-	// time after its start, the platform must be away, and will be for longer.
-	unconfiguredRetry     = 300 * time.Millisecond
-	longUnconfigured      = 400 * time.Millisecond
-	longUnconfiguredRetry = 2 * time.Second
 	// Callers of a stream leave after the longest of these without an event: a time, a number
 	// of objectives and a number of longest pauses.
 	shortestPatience   = 2 * time.Second
@@ -77,7 +72,7 @@
 	if s.isStopping() {
 		ctx.SetConnectionClose()
 	}
-	index := s.Routing()
+	index := r.awaitTable()
 	r.version = index.Table.Version
 	if err := r.match(index); err != nil {
 		r.cancel = func(error) {}
@@ -94,11 +89,7 @@
 		return azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetry)
 	}
 	if r.version == 0 {
-		retry := unconfiguredRetry
-		if r.began.Sub(r.server.began) > longUnconfigured {
-			retry = longUnconfiguredRetry
-		}
-		return azurehitch.Refuse(azurehitch.CodeNotConfigured, "no configuration is known").WithRetryAfter(retry)
+		return r.unconfigured()
 	}
 	path, _, _ := strings.Cut(string(r.http.Request.Header.RequestURI()), "?")
 	route, ok := index.Route(string(r.http.Request.Header.Host()), path)
--- a/internal/forward/passthrough/world_test.go
+++ b/internal/forward/passthrough/world_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -184,7 +185,9 @@
 	budget  *budget
 	server  *passthrough.Server
 	address string
-	mu      sync.Mutex
+	// table is what the gateway knows of the configuration.
+	table atomic.Pointer[router.PathIndex]
+	mu    sync.Mutex
 	// notices are what the servers said of themselves, by server.
 	notices map[string][]azurehitch.ServerNotice
 }
@@ -226,9 +229,10 @@
 	limits.Memory = answerMemory
 	rests := rest.New("daemon-1", clock)
 	g := &gateway{C: c, placer: placer, budget: &budget{}}
+	g.table.Store(index)
 	noticed := func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) { g.note(server, notice) }
 	server := passthrough.NewServer(passthrough.Dependencies{
-		Routing: func() *router.PathIndex { return index }, Protocol: protocol{}, Placer: placer,
+		Routing: g.table.Load, Protocol: protocol{}, Placer: placer,
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
 		Breakers:        breaker.NewBreakers(clock), Rests: rests, Noticed: noticed, Budget: g.budget, Clock: clock,
