Questions follow the lease: a holder that is gone without a word holds up nobody

Cause: a question to a holder whose host has lost its power waits for 1.2 s, also when another daemon has claimed the lease meanwhile.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -234,12 +234,13 @@
 		Fleet: d.fleet.View, Engines: d.Engines, Noticed: d.noticed, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
 	})
 	d.swaps = swappeer.NewClient(swappeer.Dependencies{
-		Self:     d.settings.Name,
-		Holder:   func(service string) leaselog.Holder { return d.store.Lease(service).Holder },
-		Address:  d.members.Address,
-		Services: d.engineServices,
-		Vouched:  d.vouched,
-		Leaving:  d.leaving, LearnLeaving: d.learnLeaving,
+		Self:         d.settings.Name,
+		Holder:       func(service string) leaselog.Holder { return d.store.Lease(service).Holder },
+		LeaseChanged: d.store.Changed,
+		Address:      d.members.Address,
+		Services:     d.engineServices,
+		Vouched:      d.vouched,
+		Leaving:      d.leaving, LearnLeaving: d.learnLeaving,
 		Held: d.held, Peers: d.peers, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics,
 	})
 }
--- a/internal/forward/place/notice_test.go
+++ b/internal/forward/place/notice_test.go
@@ -154,10 +154,11 @@
 	t.Run("without a holder", func(t *testing.T) {
 		w := newWorld(t, azurehitch.SystemClock{}, "s1", "s2")
 		w.placer.Swaps = swappeer.NewClient(swappeer.Dependencies{
-			Self:    "daemon-1",
-			Holder:  func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			Address: func(string) (string, bool) { return "", false },
-			Clock:   w.clock, Metrics: metrics.New(),
+			Self:         "daemon-1",
+			Holder:       func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
+			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
+			Address:      func(string) (string, bool) { return "", false },
+			Clock:        w.clock, Metrics: metrics.New(),
 		})
 		w.fold.LeaveSaid(start("s2"), fleet.SourceAnswer, w.clock.Now())
 		for i := range 5 {
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -107,10 +107,11 @@
 		placer := newPlacer(map[string]string{"s1": "a"})
 		clock := azurehitch.SystemClock{}
 		placer.Swaps = swappeer.NewClient(swappeer.Dependencies{
-			Self:    "daemon-1",
-			Holder:  func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			Address: func(string) (string, bool) { return "", false },
-			Clock:   clock, Metrics: metrics.New(),
+			Self:         "daemon-1",
+			Holder:       func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
+			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
+			Address:      func(string) (string, bool) { return "", false },
+			Clock:        clock, Metrics: metrics.New(),
 		})
 		request := call(1)
 		request.Service.Engine = &azurehitch.EngineLimits{}
@@ -140,8 +141,9 @@
 				}
 				return leaselog.Holder{Daemon: "daemon-2"}
 			},
-			Address: func(string) (string, bool) { return "", false },
-			Clock:   clock, Metrics: metrics.New(),
+			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
+			Address:      func(string) (string, bool) { return "", false },
+			Clock:        clock, Metrics: metrics.New(),
 		})
 		request := call(1)
 		request.Service.Engine = &azurehitch.EngineLimits{}
@@ -161,7 +163,8 @@
 		placer.Clock, placer.HolderAbsence = clock, absence
 		placer.Swaps = swappeer.NewClient(swappeer.Dependencies{
 			Self: "daemon-1", Holder: func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			Address: func(string) (string, bool) { return "", false }, Clock: clock, Metrics: metrics.New(),
+			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
+			Address:      func(string) (string, bool) { return "", false }, Clock: clock, Metrics: metrics.New(),
 		})
 		for i := range 40 {
 			clock.now = began.Add(time.Duration(i) * absence / 40)
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -27,6 +27,7 @@
 	"azurehitch/internal/telemetry/metrics"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -57,6 +58,8 @@
 	Self string
 	// Holder returns who holds a service as far as is known.
 	Holder func(service string) leaselog.Holder
+	// LeaseChanged returns a channel that is closed when a lease changes.
+	LeaseChanged func() <-chan struct{}
 	// Address returns where other daemons reach a daemon.
 	Address func(daemon string) (string, bool)
 	// Services returns the services with model engines.
@@ -128,7 +131,7 @@
 	if holder.Daemon == c.Self {
 		return c.Held.Ask(ctx, service, need)
 	}
-	response, err := c.call(ctx, holder.Daemon, askTimeout, &peerpb.Request{
+	response, err := c.callWhile(ctx, service, holder, &peerpb.Request{
 		Kind: &peerpb.Request_SwapAsk{SwapAsk: needToProto(service, need, c.Clock.Now())},
 	})
 	if err != nil {
@@ -141,6 +144,34 @@
 	return verdictFromProto(answer.SwapAsk), nil
 }
 
+// callWhile asks the holder of a service, and gives up as soon as another daemon holds it: the one
+// that is asked may be gone without a word.
+func (c *Client) callWhile(
+	ctx context.Context, service string, holder leaselog.Holder, request *peerpb.Request,
+) (*peerpb.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watch errgroup.Group
+	watch.Go(func() error {
+		defer cancel()
+		for ctx.Err() == nil {
+			changed := c.LeaseChanged()
+			if c.Holder(service) != holder {
+				return nil
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+		return nil
+	})
+	response, err := c.call(ctx, holder.Daemon, askTimeout, request)
+	cancel()
+	// The watch returns no error.
+	_ = watch.Wait()
+	return response, err
+}
+
 func (c *Client) call(ctx context.Context, daemon string, timeout time.Duration, request *peerpb.Request) (*peerpb.Response, error) {
 	address, ok := c.Address(daemon)
 	if !ok {
--- a/internal/placement/swappeer/leaving_test.go
+++ b/internal/placement/swappeer/leaving_test.go
@@ -74,9 +74,10 @@
 	c := qt.New(t)
 	reached := false
 	client := swappeer.NewClient(swappeer.Dependencies{
-		Self:     "daemon-1",
-		Services: func() []string { return []string{"llm"} },
-		Holder:   func(string) leaselog.Holder { return leaselog.Holder{Daemon: "holder"} },
+		Self:         "daemon-1",
+		Services:     func() []string { return []string{"llm"} },
+		Holder:       func(string) leaselog.Holder { return leaselog.Holder{Daemon: "holder"} },
+		LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
 		Address: func(string) (string, bool) {
 			reached = true
 			return "", false
