Long prompts are placed by the holder, one at a time at a server

Of those with a pause 95 % ran beside a request with a long prompt; beside none 0.3 % paused, beside one 4 %, two 13 %, three 37 %: prompts are read in pieces between the tokens of others. Daemons placed them by count alone. TestLongPrompts: 53 read together before, none after.

--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -349,7 +349,7 @@
 func (p *Placer) need(r Request) swap.Need {
 	return swap.Need{
 		ID: r.ID, Daemon: p.Self, FailureDomain: p.FailureDomain, Model: r.Model, Adapter: r.Adapter,
-		Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Avoid: r.Tried,
+		PromptTokens: r.PromptTokens, Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Avoid: r.Tried,
 	}
 }
 
@@ -368,10 +368,10 @@
 	})
 }
 
-// placeOnKept chooses among the replicas that stay and have free slots. Adapters come and go, so a request for
-// one asks the holder.
+// placeOnKept chooses among the replicas that stay and have free slots. Adapters come and go, and long
+// prompts should not be read together: requests for one and with one ask the holder.
 func (p *Placer) placeOnKept(r Request) (Choice, bool) {
-	if r.Adapter != "" {
+	if r.Adapter != "" || swap.IsLong(r.PromptTokens) {
 		return Choice{}, false
 	}
 	counts := map[string]int{}
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -24,7 +24,7 @@
 func (p *Plan) loadAdapters(now time.Time) []Order {
 	var orders []Order
 	for _, w := range p.waiters.sorted() {
-		if w.Adapter == "" || p.adapterUnderWay(w.Need) || p.choose(w.Need, p.replicas(w.Model)) != nil {
+		if w.Adapter == "" || p.adapterUnderWay(w.Need) || p.choose(w.Need, p.replicas(w.Model), now) != nil {
 			continue
 		}
 		if order, ok := p.loadAdapter(w.Need, now); ok {
--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -97,7 +97,7 @@
 	}
 	o.replicas = w.withoutResting(o.replicas)
 	if len(o.replicas) > 0 && p.waiters.ahead(w) < p.freeSlots(o.replicas) {
-		if s := p.choose(w.Need, o.replicas); s != nil {
+		if s := p.choose(w.Need, o.replicas, now); s != nil {
 			p.waiters.remove(w.ID)
 			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Need, s, w.tier, now), Reason: "replica is ready"}
 		}
@@ -149,6 +149,7 @@
 	replica := Replica{Server: s.ID, Model: need.Model}
 	d.grants = append(d.grants, issuedGrant{number: p.lastGrant, replica: replica, at: now})
 	p.progress.add(replica, 1)
+	s.read(need.PromptTokens, now)
 	r := s.replicas[need.Model]
 	r.lastUsed = now
 	if a, ok := r.adapters[need.Adapter]; ok {
@@ -159,7 +160,7 @@
 
 // choose returns the best of the replicas of a model on which the adapter, if any, takes
 // requests, and whose slots are not all taken.
-func (p *Plan) choose(need Need, replicas []*server) *server {
+func (p *Plan) choose(need Need, replicas []*server, now time.Time) *server {
 	var candidates []*server
 	for _, s := range replicas {
 		isFull := p.progress.servers[s.ID] >= s.slots
@@ -172,12 +173,12 @@
 		return nil
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
-		return cmp.Compare(p.cost(a, need.FailureDomain), p.cost(b, need.FailureDomain))
+		return cmp.Compare(p.cost(a, need.FailureDomain, now), p.cost(b, need.FailureDomain, now))
 	})
 }
 
-func (p *Plan) cost(s *server, domain string) float64 {
-	return Cost(p.progress.servers[s.ID], s.slots, s.domain != domain)
+func (p *Plan) cost(s *server, domain string, now time.Time) float64 {
+	return Cost(p.progress.servers[s.ID], s.slots, s.domain != domain) + readingLoad*float64(s.reading(now))
 }
 
 // foreignPenalty is the part of a server's slots by which servers in the failure domain of the
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -40,6 +40,8 @@
 	FailureDomain string
 	Model         string
 	Adapter       string
+	// PromptTokens is the length of the prompt; 0 is unknown.
+	PromptTokens int
 	// Objective is until when an answer is on time, and Deadline until when it is of use.
 	Objective time.Time
 	Deadline  time.Time
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -60,6 +60,8 @@
 	tiers         map[string]azurehitch.CacheTier
 	// copiedAt is when each copy of a checkpoint was last used by a load.
 	copiedAt map[string]time.Time
+	// readUntil are the ends of the long prompts that it reads.
+	readUntil []time.Time
 	// remoteAt is when the last load from the weight store began.
 	remoteAt time.Time
 	failedAt time.Time
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -15,7 +15,7 @@
 		Service: service, Id: need.ID, FailureDomain: need.FailureDomain, Model: need.Model, Adapter: need.Adapter,
 		ObjectiveMs: need.Objective.Sub(now).Milliseconds(), DeadlineMs: need.Deadline.Sub(now).Milliseconds(),
 		Urgency: int32(need.Urgency), Avoid: need.Avoid, Left: startsToProto(need.Left),
-		Resting: restsToProto(need.Resting),
+		Resting: restsToProto(need.Resting), PromptTokens: int32(need.PromptTokens),
 	}
 }
 
@@ -58,7 +58,7 @@
 		Objective: now.Add(time.Duration(r.ObjectiveMs) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(r.DeadlineMs) * time.Millisecond),
 		Urgency:   int(r.Urgency), Avoid: r.Avoid, Left: startsFromProto(r.Left),
-		Resting: restsFromProto(r.Resting),
+		Resting: restsFromProto(r.Resting), PromptTokens: int(r.PromptTokens),
 	}
 }
 
