--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -228,6 +228,7 @@
 		Int64("Configuration", r.version).Str("Model", r.Model).Str("Adapter", r.Adapter).Int("Status", status).
 		Str("Reason", reason).Dur("Placed", r.placed).Dur("FirstEvent", r.firstEvent).
 		Dur("LongestPause", r.longestPause).Dur("Took", took).Dur("Left", r.deadline.Sub(r.began)-took).
+		Dur("Objective", r.route.Objective).Dur("MaxPause", r.route.MaxPause).
 		Str("Attempts", r.trail.String()).Msg("request ended")
 }
 
--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -17,8 +17,9 @@
 
 // conn is one connection.
 type conn struct {
-	tcp     net.Conn
-	reader  *bufio.Reader
+	tcp    net.Conn
+	reader *bufio.Reader
+	// expires is until when it is kept idle; zero before its first stay among the idle ones.
 	expires time.Time
 }
 
@@ -27,6 +28,9 @@
 	return &conn{tcp: tcp, reader: bufio.NewReaderSize(tcp, headBytes)}
 }
 
+// isNew reports whether the connection was made for the first request on it.
+func (c *conn) isNew() bool { return c.expires.IsZero() }
+
 // setUnackedTimeout makes a connection fail when what was sent stays unacknowledged.
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -72,7 +72,7 @@
 	}
 	if err := e.start(ctx, request); err != nil {
 		e.Close()
-		return nil, &ErrExchange{Address: address, Sent: true, Cause: err}
+		return nil, &ErrExchange{Address: address, Sent: true, New: e.conn.isNew(), Cause: err}
 	}
 	return e, nil
 }
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -49,13 +49,15 @@
 type ErrExchange struct {
 	Address string
 	// Sent is false only when no byte of the request can have reached the server.
-	Sent  bool
+	Sent bool
+	// New is true when the connection had been made for the request.
+	New   bool
 	Cause error
 }
 
 // Error implements error.
 func (e *ErrExchange) Error() string {
-	return fmt.Sprintf("exchange with %s (sent: %t): %v", e.Address, e.Sent, e.Cause)
+	return fmt.Sprintf("exchange with %s (sent: %t, new connection: %t): %v", e.Address, e.Sent, e.New, e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/internal/transport/connpool/pool_test.go
+++ b/internal/transport/connpool/pool_test.go
@@ -173,14 +173,21 @@
 	})
 }
 
-// serveCapped runs a fake server that takes a number of connections and resets those beyond. It
-// answers each request and keeps the connection.
-func serveCapped(t *testing.T, most int) (address string, resets func() int) {
+// capped is a fake server that takes a number of connections and resets those beyond. It answers
+// each request and keeps the connection.
+type capped struct {
+	address string
+	most    int64
+	open    atomic.Int64
+	resets  atomic.Int64
+}
+
+func serveCapped(t *testing.T, most int64) *capped {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
+	s := &capped{address: listener.Addr().String(), most: most}
 	var group errgroup.Group
-	var open, reset atomic.Int64
 	ctx, end := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		listener.Close()
@@ -193,21 +200,33 @@
 			if err != nil {
 				return nil
 			}
-			if open.Add(1) > int64(most) {
-				reset.Add(1)
-				open.Add(-1)
+			if s.open.Add(1) > most {
+				s.resets.Add(1)
+				s.open.Add(-1)
 				_ = conn.(*net.TCPConn).SetLinger(0)
 				conn.Close()
 				continue
 			}
 			group.Go(func() error {
-				defer open.Add(-1)
+				defer s.open.Add(-1)
 				defer context.AfterFunc(ctx, func() { conn.Close() })()
-				return play(conn, slices.Repeat(script{whole}, 2*most+10))
+				return play(conn, slices.Repeat(script{whole}, 100))
 			})
 		}
 	})
-	return listener.Addr().String(), func() int { return int(reset.Load()) }
+	return s
+}
+
+// awaitRoom waits until the server has seen closed connections go, so that it takes one more.
+func (s *capped) awaitRoom(c *qt.C) {
+	c.Helper()
+	for range 5000 {
+		if s.open.Load() < s.most {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.Fatalf("the server has no room for a further connection")
 }
 
 // TestConnectionCap plays requests of both kinds at a server that takes few connections: those that
@@ -225,27 +244,26 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			address, resets := serveCapped(t, most)
+			server := serveCapped(t, most)
 			pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
 			for i := range requests {
-				_, err := get(t, pool, address, test.options(i))
+				server.awaitRoom(c)
+				_, err := get(t, pool, server.address, test.options(i))
 				c.Assert(err, qt.IsNil, qt.Commentf("request %d", i))
-				// The server sees a closed connection a little later.
-				time.Sleep(time.Millisecond)
 			}
-			c.Assert(resets(), qt.Equals, 0)
+			c.Assert(server.resets.Load(), qt.Equals, int64(0))
 		})
 	}
 	t.Run("idle ones give way", func(t *testing.T) {
 		c := qt.New(t)
-		address, resets := serveCapped(t, most)
+		server := serveCapped(t, most)
 		pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		request := connpool.Request{Method: "GET", URI: "/", Host: "h"}
 		hold := func(options connpool.Options) (held []*connpool.Exchange) {
 			for range most {
-				exchange, err := pool.Do(ctx, address, request, options)
+				exchange, err := pool.Do(ctx, server.address, request, options)
 				c.Assert(err, qt.IsNil)
 				held = append(held, exchange)
 			}
@@ -257,12 +275,12 @@
 			exchange.Close()
 		}
 		for range most {
-			exchange, err := pool.Do(ctx, address, request, connpool.Options{Fresh: true, MaxOpen: most})
+			server.awaitRoom(c)
+			exchange, err := pool.Do(ctx, server.address, request, connpool.Options{Fresh: true, MaxOpen: most})
 			c.Assert(err, qt.IsNil)
 			defer exchange.Close()
-			time.Sleep(time.Millisecond)
 		}
-		c.Assert(resets(), qt.Equals, 0)
+		c.Assert(server.resets.Load(), qt.Equals, int64(0))
 	})
 }
 
