--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -44,6 +44,8 @@
 	Need
 	since   time.Time
 	renewed time.Time
+	// late is true once it can't be on time any more.
+	late bool
 	// tier is where the checkpoint lay that is loaded for it.
 	tier azurehitch.CacheTier
 }
@@ -75,6 +77,7 @@
 // Settle goes once through the requests that wait and whose daemons are asking, and returns
 // the verdicts that end their wait.
 func (p *Plan) Settle(now time.Time, isAsking func(id string) bool) []Settlement {
+	p.waiters.demoteLate(now)
 	var settled []Settlement
 	for _, name := range p.waiters.models() {
 		outlook := p.outlook(name, now)
--- a/internal/placement/swap/queue.go
+++ b/internal/placement/swap/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // queue is the requests that wait, by id and by model. Those for a model are in the order in
@@ -49,8 +50,29 @@
 // sorted returns all requests in the order in which they are served.
 func (q queue) sorted() []*waiter { return slices.SortedFunc(maps.Values(q.byID), compareWaiters) }
 
-// compareWaiters orders requests: those of more urgent routes first, then those that wait
-// longer.
+// answerTime is about how long a request takes from its grant to its first event.
+const answerTime = 100 * time.Millisecond
+
+// compareWaiters orders requests: those of more urgent routes first, then those that can still be
+// on time, then those that wait longer.
 func compareWaiters(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(
+		cmp.Compare(a.Urgency, b.Urgency), compareBool(a.late, b.late), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// demoteLate lets requests that can't be on time any more go behind those that can: where a model is
+// asked for more than its servers can do, serving the longest waits first would make all late.
+func (q queue) demoteLate(now time.Time) {
+	for _, waiters := range q.byModel {
+		demoted := false
+		for _, w := range waiters {
+			if !w.late && now.Add(answerTime).After(w.Objective) {
+				w.late, demoted = true, true
+			}
+		}
+		if demoted {
+			slices.SortFunc(waiters, compareWaiters)
+		}
+	}
 }
