--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -137,7 +137,8 @@
 type host struct {
 	inUse int
 	idle  []*conn
-	// maxOpen is the number of connections that may be open by the last request; 0 is any.
+	// maxOpen is the number of connections that may be open by the last request that named it; 0 is
+	// any.
 	maxOpen int
 }
 
@@ -216,7 +217,9 @@
 		return nil, errTooManyConnections
 	}
 	h.inUse++
-	h.maxOpen = options.MaxOpen
+	if options.MaxOpen > 0 {
+		h.maxOpen = options.MaxOpen
+	}
 	if !options.Fresh {
 		if c := h.takeIdle(p.clock.Now()); c != nil {
 			return c, nil
