--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -152,6 +152,7 @@
 	replica := Replica{Server: s.ID, Model: need.Model}
 	d.grants = append(d.grants, issuedGrant{number: p.lastGrant, replica: replica, at: now})
 	p.progress.add(replica, 1)
+	p.model(need.Model).starts.add(1, now)
 	s.read(need.PromptTokens, now)
 	r := s.replicas[need.Model]
 	r.lastUsed = now
@@ -274,7 +275,7 @@
 		return o.wait, o.reason
 	}
 	if behind := p.waiters.ahead(w) - p.freeSlots(o.replicas); behind >= 0 {
-		rate := float64(len(o.replicas)*p.slots()) / p.settings.RunTime.Seconds()
+		rate := float64(len(o.replicas)*p.slots()) / p.runTime(w.Model, now).Seconds()
 		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonFull
 	}
 	if p.isStuck(w.Need, p.replicas(w.Model), now) {
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -131,6 +131,7 @@
 		m := p.model(name)
 		m.asks += n
 		m.rate.add(n, now)
+		m.starts.add(n, now)
 	}
 	for r, n := range demand.InProgress {
 		if n > 0 {
@@ -221,3 +222,22 @@
 func (p *Plan) requests(name string) int {
 	return p.progress.models[name] + len(p.waiters.byModel[name])
 }
+
+const (
+	// knownStarts is the rate of starts, a second, from which on the run time of a model is known.
+	knownStarts = 4
+	// shortestRun and longestRun bound what is learnt of run times.
+	shortestRun = 100 * time.Millisecond
+	longestRun  = 10 * time.Second
+)
+
+// runTime is about how long a request for a model runs: as many are in progress as begin within it. It
+// follows the last seconds.
+func (p *Plan) runTime(name string, now time.Time) time.Duration {
+	starts := p.model(name).starts.now(now)
+	if starts < knownStarts {
+		return p.settings.RunTime
+	}
+	took := time.Duration(float64(p.progress.models[name]) / starts * float64(time.Second))
+	return min(max(took, shortestRun), longestRun)
+}
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -128,6 +128,8 @@
 	// unmet is the number of them that found it loaded nowhere.
 	unmet int
 	rate  rate
+	// starts are the requests that began at its servers.
+	starts rate
 	// turnedAway are the requests that were refused because its servers were full.
 	turnedAway rate
 	// aloneAt is when its only replica last kept others from their home.
--- a/internal/placement/swap/queue.go
+++ b/internal/placement/swap/queue.go
@@ -53,11 +53,18 @@
 // answerTime is about how long a request takes from its grant to its first event.
 const answerTime = 100 * time.Millisecond
 
-// compareWaiters orders requests: those of more urgent routes first, then those that can still be
-// on time, then those that wait longer.
+// rankLead is by how much later a request may have come, for each rank that it is more urgent, and still
+// go first.
+const rankLead = 300 * time.Millisecond
+
+// turn is the time by which a request is served in order. The lead of urgent requests is bounded, so that
+// those of a busy model don't keep all others from its servers.
+func (w *waiter) turn() time.Time { return w.since.Add(time.Duration(w.Urgency) * rankLead) }
+
+// compareWaiters orders requests: those that can still be on time first, then by their turns.
 func compareWaiters(a, b *waiter) int {
 	return cmp.Or(
-		cmp.Compare(a.Urgency, b.Urgency), compareBool(a.late, b.late), a.since.Compare(b.since), cmp.Compare(a.ID, b.ID),
+		compareBool(a.late, b.late), a.turn().Compare(b.turn()), cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(a.ID, b.ID),
 	)
 }
 
