The reading of a prompt counts for no longer than its caller waits

Cause, found in a read of the change: callers state the length of their prompts, and a server counted as reading for 50 us a token without a bound: 15 hours for a stated 2^30 tokens, and lengths beyond 32 bits turned negative on their way to the holder. TestAbsurdPrompt fails before. Lengths that are read within the caller's time count as before; counting no longer changes the list that it counts.

--- a/internal/placement/swap/ask.go
+++ b/internal/placement/swap/ask.go
@@ -153,7 +153,7 @@
 	d.grants = append(d.grants, issuedGrant{number: p.lastGrant, replica: replica, at: now})
 	p.progress.add(replica, 1)
 	p.model(need.Model).starts.add(1, now)
-	s.read(need.PromptTokens, now)
+	s.read(need, now)
 	r := s.replicas[need.Model]
 	r.lastUsed = now
 	if a, ok := r.adapters[need.Adapter]; ok {
--- a/internal/placement/swap/reading.go
+++ b/internal/placement/swap/reading.go
@@ -19,15 +19,27 @@
 // at a time. Daemons let the holder place such requests, because it knows of all of them.
 func IsLong(promptTokens int) bool { return promptTokens >= longPrompt }
 
-// read notes that a server reads a long prompt from now on.
-func (s *server) read(promptTokens int, now time.Time) {
-	if IsLong(promptTokens) {
-		s.readUntil = append(s.readUntil, now.Add(time.Duration(promptTokens)*readTime))
+// read notes that a server reads the prompt of a request from now on, if it is a long one. Callers state
+// lengths as they like, so it counts for no longer than they wait.
+func (s *server) read(need Need, now time.Time) {
+	if !IsLong(need.PromptTokens) {
+		return
 	}
+	s.readUntil = slices.DeleteFunc(s.readUntil, func(until time.Time) bool { return !now.Before(until) })
+	until := need.Deadline
+	if left := until.Sub(now); int64(need.PromptTokens) < int64(left/readTime) {
+		until = now.Add(time.Duration(need.PromptTokens) * readTime)
+	}
+	s.readUntil = append(s.readUntil, until)
 }
 
 // reading is the number of long prompts that a server reads.
 func (s *server) reading(now time.Time) int {
-	s.readUntil = slices.DeleteFunc(s.readUntil, func(until time.Time) bool { return !now.Before(until) })
-	return len(s.readUntil)
+	count := 0
+	for _, until := range s.readUntil {
+		if now.Before(until) {
+			count++
+		}
+	}
+	return count
 }
--- a/internal/placement/swap/reading_test.go
+++ b/internal/placement/swap/reading_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -76,3 +77,24 @@
 	w.Assert(float64(besideLong) < evenShare/2, qt.IsTrue,
 		qt.Commentf("%d short requests went to a server that reads, an even share is %.0f", besideLong, evenShare))
 }
+
+// TestAbsurdPrompt answers callers that state prompts of any length: a server reads none for longer than
+// its caller waits.
+func TestAbsurdPrompt(t *testing.T) {
+	for _, tokens := range []int{1 << 30, math.MaxInt64 / 2, math.MaxInt64} {
+		w := newWorld(t, 1)
+		w.add("s0", []string{"m0"}, names("m", 0, 1))
+		w.add("s1", []string{"m0"}, names("m", 0, 1))
+		absurd := w.need("absurd", "m0")
+		absurd.PromptTokens = tokens
+		verdict := w.ask(absurd)
+		w.assertKind(verdict, swap.VerdictGranted)
+		w.pass(absurd.Deadline.Sub(w.now))
+		w.plan.Report("daemon-1", swap.Demand{LastGrant: verdict.Grant.Number}, w.now)
+		granted := map[string]bool{}
+		for i := range 2 {
+			granted[w.ask(w.need(fmt.Sprintf("r%d", i), "m0")).Grant.Server.ID] = true
+		}
+		w.Assert(granted, qt.HasLen, 2, qt.Commentf("%d tokens", tokens))
+	}
+}
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -1,6 +1,7 @@
 package swappeer
 
 import (
+	"math"
 	"time"
 
 	"azurehitch"
@@ -15,7 +16,7 @@
 		Service: service, Id: need.ID, FailureDomain: need.FailureDomain, Model: need.Model, Adapter: need.Adapter,
 		ObjectiveMs: need.Objective.Sub(now).Milliseconds(), DeadlineMs: need.Deadline.Sub(now).Milliseconds(),
 		Urgency: int32(need.Urgency), Avoid: need.Avoid, Left: startsToProto(need.Left),
-		Resting: restsToProto(need.Resting), PromptTokens: int32(need.PromptTokens),
+		Resting: restsToProto(need.Resting), PromptTokens: int32(min(need.PromptTokens, math.MaxInt32)),
 	}
 }
 
