One place ends the silence of a holder at reports; fields that explain never used are gone

Read of the change: an answered report cleared the silence in two places, one for each way to the holder; the table of kept replicas comes with both. Line kept five fields that nothing read, since a request's lines are found by their text. Behaviour as before.

--- a/cmd/azurehitch/cmds/explain.go
+++ b/cmd/azurehitch/cmds/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"time"
 
@@ -74,5 +73,5 @@
 			err = closed
 		}
 	}()
-	return explain.Read(io.Reader(file))
+	return explain.Read(file)
 }
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -211,11 +211,7 @@
 func (c *Client) sendReport(ctx context.Context, service string, demand swap.Demand, withdrawn []string) ([]swap.Kept, error) {
 	holder := c.Holder(service)
 	if holder.Daemon == c.Self {
-		kept, err := c.Held.Report(service, c.Self, demand, withdrawn)
-		if err == nil {
-			c.usage(service).setHeard()
-		}
-		return kept, err
+		return c.Held.Report(service, c.Self, demand, withdrawn)
 	}
 	askedAt := c.Clock.Now()
 	request := demandToProto(service, demand, withdrawn)
--- a/internal/placement/swappeer/usage.go
+++ b/internal/placement/swappeer/usage.go
@@ -67,13 +67,13 @@
 	defer u.mu.Unlock()
 	u.kept, u.keptAt = kept, now
 	u.sinceKept = map[string]int{}
+	u.silentSince = time.Time{}
 }
 
 func (u *usage) setAnswered(at time.Time, vouched bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.answeredAt, u.vouched = at, vouched
-	u.silentSince = time.Time{}
 }
 
 // setHeard notes that the holder has answered a question.
--- a/internal/telemetry/explain/explain.go
+++ b/internal/telemetry/explain/explain.go
@@ -29,13 +29,8 @@
 // Line is a line of a log. Times that the daemon logs are in milliseconds.
 type Line struct {
 	Time    time.Time `json:"time"`
-	Daemon  string
-	Layer   string
-	Message string `json:"message"`
-	Request string
+	Message string    `json:"message"`
 	Route   string
-	Model   string
-	Adapter string
 	Status  int
 	Reason  string
 	// Placed is how long the request waited for servers, and FirstEvent until its first event.
