Read and log the rate limits that servers name

Cause of this change: the logs could not tell three hypotheses apart: the header is not read at all; each daemon keeps to the limit alone and the sum exceeds it; the holder keeps to it and daemons bypass it with pinned replicas. Nothing said which daemon knew of a limit since when, nor by which decision a request was sent there.

Change: platform reads Server-Limit; serverlimit tracks it; a log line at each change of a limit; the attempts of a request and the counter RequestsToLimited give the limit and the reason for the placement. No decision uses it yet.

--- a/fleet.go
+++ b/fleet.go
@@ -41,6 +41,9 @@
 	// Backoff is how long the server asks this daemon to send it no requests; 0 means none. It comes
 	// from the server and may be absurdly long.
 	Backoff time.Duration
+	// RateLimit is the number of requests per second that the server accepts from all daemons
+	// together; 0 means that it names no limit.
+	RateLimit float64
 }
 
 // ServerBackoff is a backoff that a server has requested from a daemon. The daemon sends the server
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -24,6 +24,7 @@
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/retrybudget"
+	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/lease/leaserunner"
 	"azurehitch/internal/membership/fleet"
@@ -105,6 +106,7 @@
 	holderClient    *swappeer.Client
 	callers         *passthrough.Server
 	backoffs        *backoff.Tracker
+	limits          *serverlimit.Tracker
 	retryBudget     *retrybudget.Budget
 
 	listeners listeners
@@ -236,6 +238,7 @@
 func (d *Daemon) assemblePlacement() {
 	d.peers = mux.NewClient(d.settings.Name).WithMaxMessage(d.settings.MaxPeerMessage)
 	d.backoffs = backoff.New(d.settings.Name, d.Clock)
+	d.limits = serverlimit.New(d.Clock, d.observer)
 	d.heldServices = swapholder.NewSet(swapholder.Dependencies{
 		Self: d.settings.Name, Token: d.token, LeaseChanged: d.store.Changed, Routing: d.routing.Table,
 		Fleet: d.fleet.View, Engines: d.Engines, OnNotice: d.handleNotice, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
@@ -261,12 +264,13 @@
 		Protocol: d.Protocol,
 		Placer: place.New(place.Dependencies{
 			Self: s.Name, FailureDomain: s.FailureDomain, Fleet: d.fleet.View, Holders: d.holderClient, Breakers: breakers,
-			Backoffs: d.backoffs, MaxHolderAbsence: s.LeaseDuration + takeoverTime, Clock: d.Clock,
+			Backoffs: d.backoffs, Limits: d.limits, MaxHolderAbsence: s.LeaseDuration + takeoverTime, Clock: d.Clock,
 		}),
 		Connections:     d.Connections,
 		ConnectionShare: d.connectionShare,
 		Breakers:        breakers,
 		Backoffs:        d.backoffs,
+		Limits:          d.limits,
 		OnNotice:        d.handleNotice,
 		Budget:          d.retryBudget,
 		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
--- a/internal/daemon/gateway/notice.go
+++ b/internal/daemon/gateway/notice.go
@@ -14,6 +14,9 @@
 	if notice.ShuttingDown && d.fleet.AddShutdownNotice(server, fleet.SourceAnswer, d.Clock.Now()) {
 		d.holderClient.RequestReports()
 	}
+	if notice.RateLimit > 0 {
+		d.limits.Named(server, notice.RateLimit)
+	}
 	if notice.Backoff <= 0 {
 		return
 	}
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -46,6 +46,9 @@
 	if choice.Tier != "" {
 		l.text.WriteString(", from " + string(choice.Tier))
 	}
+	if choice.RateLimit > 0 {
+		l.text.WriteString(", limit " + strconv.FormatFloat(choice.RateLimit, 'g', 3, 64) + "/s")
+	}
 	l.text.WriteString(", age " + strconv.FormatInt(choice.ListAge.Milliseconds(), 10) + " ms): " + outcome)
 }
 
@@ -83,6 +86,9 @@
 	})
 	startedAt := r.server.Clock.Now()
 	r.sends++
+	if choice.RateLimit > 0 {
+		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
+	}
 	exchange, err := r.server.Connections.Do(r.ctx, choice.Server.Address, request, connpool.Options{
 		Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service),
 	})
@@ -91,7 +97,7 @@
 	}
 	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(startedAt))
 	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
-	r.applyNotice(choice, exchange.Header.StatusCode(), answer)
+	r.applyNotice(choice, exchange.Header.StatusCode(), answer, startedAt)
 	if res := r.checkAnswer(choice, exchange, answer); res.cause != nil {
 		exchange.Close()
 		return nil, answer, res
@@ -101,8 +107,8 @@
 
 // applyNotice processes the server's notice in a response. A 421 comes from another server that got
 // the same address, so its notice does not apply to the chosen server. A backoff counts only with a
-// 503.
-func (r *request) applyNotice(choice place.Choice, status int, answer azurehitch.ServerAnswer) {
+// 503. A response without a rate limit to a request sent at sentAt ends the limit.
+func (r *request) applyNotice(choice place.Choice, status int, answer azurehitch.ServerAnswer, sentAt time.Time) {
 	if status == fasthttp.StatusMisdirectedRequest {
 		return
 	}
@@ -114,6 +120,9 @@
 	if notice.Backoff == 0 {
 		r.server.Backoffs.Accepted(choice.Server)
 	}
+	if notice.RateLimit == 0 {
+		r.server.Limits.NotNamed(choice.Server, sentAt)
+	}
 }
 
 // urgency returns the rank of the request at a model engine, or -1 for other services.
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -20,6 +20,7 @@
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
@@ -51,9 +52,12 @@
 // ReadAnswer implements azurehitch.ExchangeProtocol.
 func (testProtocol) ReadAnswer(h azurehitch.Header) azurehitch.ServerAnswer {
 	backoff, _ := strconv.Atoi(h.Get("X-Rest"))
+	rateLimit, _ := strconv.ParseFloat(h.Get("X-Limit"), 64)
 	return azurehitch.ServerAnswer{
 		ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signature") != "", Encoded: h.Get("Content-Encoding") != "",
-		ServerNotice: azurehitch.ServerNotice{ShuttingDown: h.Get("X-Leaving") != "", Backoff: time.Duration(backoff) * time.Millisecond},
+		ServerNotice: azurehitch.ServerNotice{
+			ShuttingDown: h.Get("X-Leaving") != "", Backoff: time.Duration(backoff) * time.Millisecond, RateLimit: rateLimit,
+		},
 	}
 }
 
@@ -205,6 +209,12 @@
 	g.notices[server.ID] = append(g.notices[server.ID], notice)
 }
 
+// discardLimits is a serverlimit.Observer that ignores all events.
+type discardLimits struct{}
+
+// LimitChanged implements serverlimit.Observer.
+func (discardLimits) LimitChanged(azurehitch.ServerIdentity, float64) {}
+
 // Limits of the gateway under test.
 const (
 	maxBufferedAnswer = 64 << 10
@@ -239,7 +249,7 @@
 		Routing: g.routing.Load, Protocol: testProtocol{}, Placer: placer,
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
-		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, OnNotice: noticed, Budget: g.budget, Clock: clock,
+		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, Limits: serverlimit.New(clock, discardLimits{}), OnNotice: noticed, Budget: g.budget, Clock: clock,
 		Logs: logging.Discard(), Metrics: metrics.New(),
 	}, passthrough.Settings{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
--- a/internal/forward/passthrough/notice_test.go
+++ b/internal/forward/passthrough/notice_test.go
@@ -35,6 +35,7 @@
 		{"a cut stream", stream, withShutdown(streamHead + events), shuttingDown},
 		{"not run, with a backoff", nonIdempotent, withField(notRun, "X-Rest: 1500"), azurehitch.ServerNotice{Backoff: 1500 * time.Millisecond}},
 		{"backoff in another response is ignored", idempotent, withField(whole, "X-Rest: 1500"), noNotice},
+		{"rate limit", nonIdempotent, withField(whole, "X-Limit: 1.5"), azurehitch.ServerNotice{RateLimit: 1.5}},
 		{"no notice", idempotent, whole, noNotice},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -23,6 +23,7 @@
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
@@ -74,8 +75,9 @@
 	ConnectionShare func(service azurehitch.BackendService) int
 	Breakers        *breaker.Breakers
 	Backoffs        *backoff.Tracker
-	// OnNotice handles the notice in a response: the server is shutting down, or requests a
-	// backoff.
+	Limits          *serverlimit.Tracker
+	// OnNotice handles the notice in a response: the server is shutting down, requests a backoff or
+	// names a rate limit.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
 	Budget   RetryBudget
 	Clock    azurehitch.Clock
--- a/internal/forward/place/notice_test.go
+++ b/internal/forward/place/notice_test.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/placement/swap"
@@ -29,6 +30,7 @@
 	clock    azurehitch.Clock
 	fold     *fleet.Fold
 	backoffs *backoff.Tracker
+	limits   *serverlimit.Tracker
 	placer   *place.Placer
 }
 
@@ -43,8 +45,9 @@
 	}
 	h.fold.Replace(records, h.clock.Now())
 	h.backoffs = backoff.New("daemon-1", h.clock)
+	h.limits = serverlimit.New(h.clock, discardObserver{})
 	h.placer = place.New(place.Dependencies{
-		Self: "daemon-1", FailureDomain: "a", Fleet: h.fold.View, Breakers: breaker.NewBreakers(h.clock), Backoffs: h.backoffs,
+		Self: "daemon-1", FailureDomain: "a", Fleet: h.fold.View, Breakers: breaker.NewBreakers(h.clock), Backoffs: h.backoffs, Limits: h.limits,
 		Clock: h.clock,
 	})
 	return h
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -22,6 +22,7 @@
 	"azurehitch"
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/placement/swap"
 	"azurehitch/internal/placement/swappeer"
@@ -81,6 +82,8 @@
 	// list at that time. Both go into the log line of the request.
 	Reason  string
 	ListAge time.Duration
+	// RateLimit is the rate limit of the server in requests per second; 0 if it has none.
+	RateLimit float64
 	// End stops counting the request as in progress at the server. Further calls have no effect.
 	End func()
 }
@@ -94,6 +97,7 @@
 	Holders       *swappeer.Client
 	Breakers      *breaker.Breakers
 	Backoffs      *backoff.Tracker
+	Limits        *serverlimit.Tracker
 	// MaxHolderAbsence is the longest time from the loss of a holder until another daemon has
 	// claimed the lease, has learned which models the engines have loaded, and answers requests.
 	MaxHolderAbsence time.Duration
@@ -270,8 +274,9 @@
 	if isReplica {
 		releaseReplica = p.Holders.Begin(r.Service.Name, swap.Replica{Server: server.ID, Model: r.Model})
 	}
+	limit, _ := p.Limits.Limit(server)
 	return Choice{
-		Server: server, Reason: reason, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
+		Server: server, Reason: reason, RateLimit: limit, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
 			p.addInProgress(server.ID, -1)
 			releaseServer()
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -11,6 +11,7 @@
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/placement/swappeer"
@@ -20,7 +21,7 @@
 	"github.com/pkg/errors"
 )
 
-// discardObserver is a fleet.Observer that ignores all events.
+// discardObserver is a fleet.Observer and serverlimit.Observer that ignores all events.
 type discardObserver struct{}
 
 // ServerChanged implements fleet.Observer.
@@ -32,6 +33,9 @@
 // EntryUnreadable implements fleet.Observer.
 func (discardObserver) EntryUnreadable(string, error) {}
 
+// LimitChanged implements serverlimit.Observer.
+func (discardObserver) LimitChanged(azurehitch.ServerIdentity, float64) {}
+
 // decode decodes entries of the form DOMAIN or DOMAIN:leaving.
 func decode(id string, value []byte) (azurehitch.FleetServer, error) {
 	domain, state, _ := strings.Cut(string(value), ":")
@@ -68,7 +72,7 @@
 	clock := azurehitch.SystemClock{}
 	return place.New(place.Dependencies{
 		Self: "daemon-1", FailureDomain: "a", Fleet: fold.View, Breakers: breaker.NewBreakers(clock),
-		Backoffs: backoff.New("daemon-1", clock), Clock: clock,
+		Backoffs: backoff.New("daemon-1", clock), Limits: serverlimit.New(clock, discardObserver{}), Clock: clock,
 	})
 }
 
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -77,8 +77,13 @@
 	// LeavesSaid counts shutdown notices of servers, by their source.
 	LeavesSaid Name = "LeavesSaid"
 	// ServerRests counts the backoffs that servers requested from this daemon.
-	ServerRests     Name = "ServerRests"
-	AnswersTooLarge Name = "AnswersTooLarge"
+	ServerRests Name = "ServerRests"
+	// ServerLimits counts the rate limits that began, changed or ended.
+	ServerLimits Name = "ServerLimits"
+	// RequestsToLimited counts requests sent to servers with a rate limit, by the reason for their
+	// placement.
+	RequestsToLimited Name = "RequestsToLimited"
+	AnswersTooLarge   Name = "AnswersTooLarge"
 )
 
 // The gauges.
