--- a/internal/proof/soak/checker_cases_test.go
+++ b/internal/proof/soak/checker_cases_test.go
@@ -84,6 +84,20 @@
 	c.shutdownForwardedAt[daemonServer{server: server}] = c.shutdownForwardedAt[daemonServer{server: server}].Add(-ago)
 }
 
+// exceedRateLimit makes a server name a rate limit some time ago, and receive more requests than the
+// limit allows.
+func (c *checkerHarness) exceedRateLimit(route azurehitch.PathRoute, ago time.Duration) {
+	const perSecond = 1
+	x := c.request(route, 0)
+	c.beginRateLimit("a", perSecond)
+	c.Noticed(x.ID, azurehitch.ServerIdentity{ID: "a"}, azurehitch.ServerNotice{RateLimit: perSecond})
+	limit := c.rateLimits["a"]
+	limit.namedAt, limit.noticedAt[0] = limit.namedAt.Add(-ago), limit.noticedAt[0].Add(-ago)
+	for range int(limit.allowed()) + 1 {
+		c.Arrived(x.ID, azurehitch.ServerIdentity{ID: "a"}, deskService)
+	}
+}
+
 // TestChecker feeds the checker violations of the rules, and for most a similar case that is
 // allowed.
 func TestChecker(t *testing.T) {
@@ -147,6 +161,12 @@
 				c.Arrived(x.ID, azurehitch.ServerIdentity{ID: "a"}, deskService)
 			}
 		}, ""},
+		{"more requests than the rate limit of a server allows", func(c *checkerHarness) { c.exceedRateLimit(lookup, 2*rateLimitSettle) }, ruleRateLimit},
+		{"more requests soon after a server named a rate limit", func(c *checkerHarness) { c.exceedRateLimit(lookup, rateLimitNoticeTime/2) }, ""},
+		{"more requests by a daemon that restarted after it was told the rate limit", func(c *checkerHarness) {
+			c.disturbances.beginDaemonFault(0, "kill")()
+			c.exceedRateLimit(lookup, 2*rateLimitSettle)
+		}, ""},
 		{"request body changed", func(c *checkerHarness) { x := c.request(lookup, 0); x.Body = "other"; c.addRun(x, "a") }, ruleIntactRequest},
 		{"request lost by a planned stop", func(c *checkerHarness) {
 			c.disturbances.beginPlannedWork(0, "planned stop")
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -46,6 +46,15 @@
 	// and toleratedInBackoff how many may arrive later.
 	backoffSlack       = 500 * time.Millisecond
 	toleratedInBackoff = 2
+	// From rateLimitSettle after a server first named a rate limit, it may receive in each
+	// rateLimitWindow rateLimitBurst times the number of requests that the limit allows, plus
+	// rateLimitSlack. Requests from a daemon count from rateLimitNoticeTime after it has received an
+	// answer with the limit.
+	rateLimitSettle     = 3 * time.Second
+	rateLimitWindow     = 4 * time.Second
+	rateLimitNoticeTime = 500 * time.Millisecond
+	rateLimitBurst      = 1.5
+	rateLimitSlack      = 5
 	// toleratedCases is how many cases that may have another cause count as no violation.
 	toleratedCases = 3
 )
@@ -63,6 +72,7 @@
 	ruleNoLostRequest      rule = "no request is lost by planned work or without a fault"
 	ruleDrain              rule = "no requests to servers that shut down"
 	ruleBackoff            rule = "no requests to servers that requested a backoff"
+	ruleRateLimit          rule = "the daemons together keep to the rate limit of a server"
 	ruleConfiguration      rule = "requests follow the current configuration"
 	ruleSingleHolder       rule = "a service has at most one lease holder"
 	ruleMemory             rule = "server memory is not exceeded"
@@ -138,6 +148,8 @@
 	// shutdownForwardedAt is when a daemon forwarded an answer that announced a server's shutdown.
 	shutdownForwardedAt map[daemonServer]time.Time
 	backoffs            map[daemonServer]*backoff
+	// rateLimits holds the rate limits in force, by server id.
+	rateLimits map[string]*rateLimit
 	// acceptedOrders is keyed by server id, and each list is in the order of arrival.
 	acceptedOrders map[string][]acceptedOrder
 	holderByToken  map[int64]string
@@ -177,6 +189,7 @@
 	return &checker{
 		disturbances: disturbances, startedAt: time.Now(), services: services, records: map[string]*requestRecord{}, departingSince: map[string]time.Time{},
 		shutdownForwardedAt: map[daemonServer]time.Time{}, backoffs: map[daemonServer]*backoff{},
+		rateLimits:     map[string]*rateLimit{},
 		acceptedOrders: map[string][]acceptedOrder{}, holderByToken: map[int64]string{}, requests: map[string][]time.Time{},
 		retries: map[string][]time.Time{}, suspectCounts: map[rule]int{},
 	}
@@ -238,6 +251,7 @@
 		return
 	}
 	c.checkBackoff(daemonServer{daemon: r.exchange.daemon, server: server.ID})
+	c.checkRateLimit(r.exchange.daemon, server.ID)
 	if r.arrivals++; r.arrivals > 1 {
 		c.retries[service] = append(c.retries[service], time.Now())
 		c.checkBudget(service)
@@ -255,6 +269,9 @@
 	if notice.ShuttingDown {
 		r.shutdownServer = server.ID
 	}
+	if l, ok := c.rateLimits[server.ID]; ok && notice.RateLimit > 0 {
+		l.addNotice(r.exchange.daemon, c.isUninterrupted)
+	}
 	if notice.Backoff > 0 {
 		now := time.Now()
 		c.backoffs[daemonServer{daemon: r.exchange.daemon, server: server.ID}] = &backoff{requestedAt: now, until: now.Add(notice.Backoff)}
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -290,7 +290,7 @@
 // its list entry.
 func injectAnnouncedShutdown(cl *cluster, a action) {
 	cl.replaceServer(a, "server shutdown announced in answers", func(server *platformtest.Backend) {
-		server.SetNotice(azurehitch.ServerNotice{ShuttingDown: true})
+		server.ChangeNotice(func(n *azurehitch.ServerNotice) { n.ShuttingDown = true })
 		time.Sleep(drainTime + a.duration)
 	})
 }
@@ -298,9 +298,36 @@
 // injectBackoff makes a server reject requests and ask the daemons to back off.
 func injectBackoff(cl *cluster, a action) {
 	server := cl.targetServer(a).backend()
-	server.SetNotice(azurehitch.ServerNotice{Backoff: minBackoff + a.duration*time.Duration(a.variant)/variantCount})
+	backoff := minBackoff + a.duration*time.Duration(a.variant)/variantCount
+	server.ChangeNotice(func(n *azurehitch.ServerNotice) { n.Backoff = backoff })
 	time.Sleep(a.duration)
-	server.SetNotice(azurehitch.ServerNotice{})
+	server.ChangeNotice(func(n *azurehitch.ServerNotice) { n.Backoff = 0 })
+}
+
+// rateLimitFault makes a server name a rate limit.
+var rateLimitFault = fault{name: "server limits its rate", inject: injectRateLimit}
+
+const (
+	// limitedTime is how long a server names a rate limit: longer than the rule allows the daemons to
+	// take notice.
+	limitedTime = rateLimitSettle + 2*rateLimitWindow
+	// A server names a rate limit of at least minRateLimit requests per second, and up to
+	// maxExtraRateLimit more.
+	minRateLimit      = 0.5
+	maxExtraRateLimit = 3
+)
+
+func injectRateLimit(cl *cluster, a action) {
+	server := cl.targetServer(a).backend()
+	id := server.Identity().ID
+	perSecond := minRateLimit + maxExtraRateLimit*float64(a.variant)/variantCount
+	if !cl.checker.beginRateLimit(id, perSecond) {
+		return
+	}
+	server.ChangeNotice(func(n *azurehitch.ServerNotice) { n.RateLimit = perSecond })
+	time.Sleep(limitedTime)
+	server.ChangeNotice(func(n *azurehitch.ServerNotice) { n.RateLimit = 0 })
+	cl.checker.endRateLimit(id)
 }
 
 // shutDownServer makes a server announce its shutdown in its list entry, with the remaining time
