Keep the daemons together within the rate limit of a server

Cause: no decision used the limit. The class of fault is a limit on the sum over all daemons for which each daemon decides alone: for engines, pinned replicas are used without the holder; for plain services there is no holder at all. Reading the header at each daemon would not have been enough.

Change: for engines the holder counts grants in a token bucket for each limited server; nothing is pinned there, replicas there don't count as ready for further demand, loads go to other servers first. A daemon sends to a limited server only with a grant that says that it is counted; a grant of a holder that does not know the limit is not used. Plain services, and engines without a holder, use shares: the first three daemons in the ranking of the server share its limit, the others send nothing there; after 15 s without news of the limit three more take part, as the first ones may be gone. Daemons exchange limits and their ends with the reports to the holder; the newest knowledge wins. Buckets start empty, so that a change of holder or sharer does not allow two bursts.

--- a/fleet.go
+++ b/fleet.go
@@ -54,6 +54,15 @@
 	Remaining time.Duration
 }
 
+// ServerRateLimit is what a daemon knows of the rate limit of a server. Daemons exchange it.
+type ServerRateLimit struct {
+	Server ServerIdentity
+	// PerSecond is the limit in requests per second; 0 means that it has ended.
+	PerSecond float64
+	// Age is the time since a server's response last confirmed this.
+	Age time.Duration
+}
+
 // LoadedModel is a model that a server has loaded, with the adapters loaded for it.
 type LoadedModel struct {
 	Name     string
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -24,11 +24,11 @@
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/retrybudget"
-	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/lease/leaserunner"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/membership/members"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/oplog/breakerlog"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/oplog/control"
@@ -238,10 +238,10 @@
 func (d *Daemon) assemblePlacement() {
 	d.peers = mux.NewClient(d.settings.Name).WithMaxMessage(d.settings.MaxPeerMessage)
 	d.backoffs = backoff.New(d.settings.Name, d.Clock)
-	d.limits = serverlimit.New(d.Clock, d.observer)
+	d.limits = serverlimit.New(d.settings.Name, d.members.Names, d.Clock, d)
 	d.heldServices = swapholder.NewSet(swapholder.Dependencies{
 		Self: d.settings.Name, Token: d.token, LeaseChanged: d.store.Changed, Routing: d.routing.Table,
-		Fleet: d.fleet.View, Engines: d.Engines, OnNotice: d.handleNotice, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
+		Fleet: d.fleet.View, Limits: d.limits, Engines: d.Engines, OnNotice: d.handleNotice, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
 	})
 	d.holderClient = swappeer.NewClient(swappeer.Dependencies{
 		Self:              d.settings.Name,
@@ -251,7 +251,7 @@
 		Services:          d.engineServices,
 		ConfirmPositions:  d.recordPositions,
 		UnlistedShutdowns: d.unlistedShutdowns, RecordShutdowns: d.recordShutdowns,
-		Held: d.heldServices, Peers: d.peers, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics,
+		Limits: d.limits, Held: d.heldServices, Peers: d.peers, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics,
 	})
 }
 
--- a/internal/daemon/gateway/notice.go
+++ b/internal/daemon/gateway/notice.go
@@ -26,6 +26,15 @@
 		Dur("Asked", notice.Backoff).Dur("Rest", until.Sub(d.Clock.Now())).Msg("server rests")
 }
 
+// LimitChanged implements serverlimit.Observer. The next reports to the lease holders, which contain
+// the limit, are sent at once.
+func (d *Daemon) LimitChanged(server azurehitch.ServerIdentity, perSecond float64) {
+	d.Metrics.Add(metrics.ServerLimits, 1)
+	d.Logs.Layer(logging.LayerForward).Info().Str("Server", server.ID).Str("Address", server.Address).
+		Int64("Incarnation", server.Incarnation).Float64("RequestsPerSecond", perSecond).Msg("rate limit of a server changed")
+	d.holderClient.RequestReports()
+}
+
 // unlistedShutdowns returns the servers whose shutdown notices this daemon passes on to the other
 // daemons, because the list does not show them as shutting down yet.
 func (d *Daemon) unlistedShutdowns() []azurehitch.ServerIdentity {
--- a/internal/daemon/gateway/observer.go
+++ b/internal/daemon/gateway/observer.go
@@ -44,13 +44,6 @@
 		Int64("Incarnation", server.Incarnation).Str("Source", string(source)).Msg("server says that it leaves")
 }
 
-// LimitChanged implements serverlimit.Observer.
-func (o *observer) LimitChanged(server azurehitch.ServerIdentity, perSecond float64) {
-	o.Metrics.Add(metrics.ServerLimits, 1)
-	o.Logs.Layer(logging.LayerForward).Info().Str("Server", server.ID).Str("Address", server.Address).
-		Int64("Incarnation", server.Incarnation).Float64("RequestsPerSecond", perSecond).Msg("rate limit of a server changed")
-}
-
 // EntryUnreadable implements fleet.Observer.
 func (o *observer) EntryUnreadable(id string, err error) {
 	o.Metrics.Add(metrics.RecordsDamaged, 1)
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -146,7 +146,10 @@
 }
 
 func (d *Daemon) runPeers(ctx context.Context) error {
-	server := &swappeer.Server{Held: d.heldServices, Clock: d.Clock, ReadPositions: d.positionsToConfirm, UnlistedShutdowns: d.unlistedShutdowns, RecordShutdowns: d.recordShutdowns}
+	server := &swappeer.Server{
+		Held: d.heldServices, Limits: d.limits, Clock: d.Clock, ReadPositions: d.positionsToConfirm,
+		UnlistedShutdowns: d.unlistedShutdowns, RecordShutdowns: d.recordShutdowns,
+	}
 	return mux.NewServer(d.listeners.peers, server.Handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
 }
 
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -20,7 +20,7 @@
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
-	"azurehitch/internal/forward/serverlimit"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
@@ -249,7 +249,7 @@
 		Routing: g.routing.Load, Protocol: testProtocol{}, Placer: placer,
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
-		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, Limits: serverlimit.New(clock, discardLimits{}), OnNotice: noticed, Budget: g.budget, Clock: clock,
+		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, Limits: serverlimit.New("daemon-1", nil, clock, discardLimits{}), OnNotice: noticed, Budget: g.budget, Clock: clock,
 		Logs: logging.Discard(), Metrics: metrics.New(),
 	}, passthrough.Settings{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -23,7 +23,7 @@
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
-	"azurehitch/internal/forward/serverlimit"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
--- a/internal/forward/place/notice_test.go
+++ b/internal/forward/place/notice_test.go
@@ -9,9 +9,9 @@
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
-	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/placement/swap"
 	"azurehitch/internal/placement/swapholder"
 	"azurehitch/internal/placement/swappeer"
@@ -45,7 +45,7 @@
 	}
 	h.fold.Replace(records, h.clock.Now())
 	h.backoffs = backoff.New("daemon-1", h.clock)
-	h.limits = serverlimit.New(h.clock, discardObserver{})
+	h.limits = newLimits(h.clock)
 	h.placer = place.New(place.Dependencies{
 		Self: "daemon-1", FailureDomain: "a", Fleet: h.fold.View, Breakers: breaker.NewBreakers(h.clock), Backoffs: h.backoffs, Limits: h.limits,
 		Clock: h.clock,
@@ -79,7 +79,7 @@
 		Routing: func() azurehitch.RoutingTable {
 			return azurehitch.RoutingTable{Services: map[string]azurehitch.BackendService{"calls": {Name: "calls", Engine: limits}}}
 		},
-		Fleet: h.fold.View, Engines: silentEngines{}, Clock: h.clock, Logs: logging.Discard(), Metrics: metrics.New(),
+		Fleet: h.fold.View, Limits: h.limits, Engines: silentEngines{}, Clock: h.clock, Logs: logging.Discard(), Metrics: metrics.New(),
 		OnNotice: func(azurehitch.ServerIdentity, azurehitch.ServerNotice) {}, Settings: swap.DefaultSettings(),
 	})
 	h.placer.Holders = swappeer.NewClient(swappeer.Dependencies{
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -22,8 +22,8 @@
 	"azurehitch"
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
-	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/placement/swap"
 	"azurehitch/internal/placement/swappeer"
 
@@ -198,7 +198,8 @@
 }
 
 // placeOn chooses one of the servers and counts the request there. It returns false if each server
-// is in backoff, or in slow start with as many requests as its limit allows.
+// is in backoff, in slow start with as many requests as its limit allows, or has a rate limit of
+// which this daemon may use no more now.
 func (p *Placer) placeOn(servers []azurehitch.FleetServer, r Request, sel selection) (Choice, bool) {
 	if sel.otherRequests == nil {
 		sel.otherRequests = func(azurehitch.FleetServer) int { return 0 }
@@ -206,7 +207,10 @@
 	for len(servers) > 0 {
 		picked := p.pickOfTwo(servers, r, sel.otherRequests)
 		if choice, ok := p.book(r, picked.ServerIdentity, sel.reason, sel.isReplica); ok {
-			return choice, true
+			if p.Limits.Allow(picked.ServerIdentity) {
+				return choice, true
+			}
+			choice.End()
 		}
 		servers = slices.DeleteFunc(servers, func(s azurehitch.FleetServer) bool { return s.ID == picked.ID })
 	}
@@ -222,11 +226,11 @@
 }
 
 // refusal returns the error for a request when no server of its service takes requests. If servers
-// are in backoff, the retry delay ends with the first backoff.
+// are in backoff or have rate limits, the retry delay ends when the first of them takes requests.
 func (p *Placer) refusal(r Request) error {
 	shortest, found := time.Duration(0), false
 	for _, s := range p.available(r.Service.Name) {
-		wait := max(p.Backoffs.Remaining(s.ServerIdentity), minRetryAfter)
+		wait := max(p.Backoffs.Remaining(s.ServerIdentity), p.Limits.Wait(s.ServerIdentity), minRetryAfter)
 		if !found || wait < shortest {
 			shortest, found = wait, true
 		}
@@ -360,14 +364,19 @@
 
 // bookGrant counts a request at the server that the holder granted. It returns false if this daemon
 // knows that the server is shutting down, has an open breaker, is in backoff, or takes no more
-// requests in slow start. placeModel then asks the holder again. For a shutdown or an open breaker,
-// bookGrant adds the server to holderRequest, so that the holder can grant another one. If the
+// requests in slow start, or names a rate limit of which the holder does not know yet. placeModel
+// then asks the holder again. For a shutdown, a rate limit or an open breaker, bookGrant adds the
+// server to holderRequest, so that the holder can grant another one. If the
 // holder grants a server that is already in Avoid, the open breaker is ignored.
 func (p *Placer) bookGrant(r Request, grant swap.Grant, holderRequest *swap.Request) (Choice, bool) {
 	if p.Fleet().HasDeparted(grant.Server) {
 		holderRequest.ShuttingDown = append(holderRequest.ShuttingDown, grant.Server)
 		return Choice{}, false
 	}
+	if _, hasLimit := p.Limits.Limit(grant.Server); hasLimit && !grant.RateLimited {
+		holderRequest.Avoid = append(slices.Clone(holderRequest.Avoid), grant.Server.ID)
+		return Choice{}, false
+	}
 	if p.Breakers.IsOpen(grant.Server.Address) && !slices.Contains(holderRequest.Avoid, grant.Server.ID) {
 		holderRequest.Avoid = append(slices.Clone(holderRequest.Avoid), grant.Server.ID)
 		return Choice{}, false
@@ -402,7 +411,8 @@
 	})
 }
 
-// placeOnPinned places a request on a pinned replica with free slots. Requests with an adapter or a
+// placeOnPinned places a request on a pinned replica with free slots, on a server without a rate
+// limit: requests to limited servers have to be counted by the holder. Requests with an adapter or a
 // long prompt go to the holder instead: adapters are loaded and unloaded while a replica is pinned,
 // and a server should process one long prompt at a time, which only the holder can ensure.
 func (p *Placer) placeOnPinned(r Request) (Choice, bool) {
@@ -415,7 +425,8 @@
 	}
 	servers := slices.DeleteFunc(p.candidates(r), func(s azurehitch.FleetServer) bool {
 		requests, pinned := counts[s.ID]
-		return !pinned || slices.Contains(r.Avoid, s.ID) || float64(requests) >= maxPinnedLoad*float64(s.Slots)
+		_, hasLimit := p.Limits.Limit(s.ServerIdentity)
+		return !pinned || hasLimit || slices.Contains(r.Avoid, s.ID) || float64(requests) >= maxPinnedLoad*float64(s.Slots)
 	})
 	choice, ok := p.placeOn(servers, r, selection{
 		reason: "replica that stays", isReplica: true,
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -11,9 +11,9 @@
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
-	"azurehitch/internal/forward/serverlimit"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/placement/swappeer"
 	"azurehitch/internal/telemetry/metrics"
 
@@ -60,6 +60,11 @@
 	return ctx.Err()
 }
 
+// newLimits returns the rate limits of servers at the only daemon.
+func newLimits(clock azurehitch.Clock) *serverlimit.Tracker {
+	return serverlimit.New("daemon-1", func() []string { return []string{"daemon-1"} }, clock, discardObserver{})
+}
+
 // newPlacer returns a Placer in failure domain a. The keys of servers are ids, the values are
 // entries in the format of decode.
 func newPlacer(servers map[string]string) *place.Placer {
@@ -72,7 +77,7 @@
 	clock := azurehitch.SystemClock{}
 	return place.New(place.Dependencies{
 		Self: "daemon-1", FailureDomain: "a", Fleet: fold.View, Breakers: breaker.NewBreakers(clock),
-		Backoffs: backoff.New("daemon-1", clock), Limits: serverlimit.New(clock, discardObserver{}), Clock: clock,
+		Backoffs: backoff.New("daemon-1", clock), Limits: newLimits(clock), Clock: clock,
 	})
 }
 
--- a/internal/forward/serverlimit/serverlimit_test.go
+++ b/internal/membership/serverlimit/serverlimit_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/forward/serverlimit"
+	"azurehitch/internal/membership/serverlimit"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -42,7 +42,8 @@
 func newFixture(t *testing.T) fixture {
 	t.Helper()
 	clock, changes := &clock{now: time.Unix(1000, 0)}, &changes{}
-	return fixture{C: qt.New(t), clock: clock, Tracker: serverlimit.New(clock, changes), changes: changes}
+	daemons := func() []string { return []string{"daemon-1"} }
+	return fixture{C: qt.New(t), clock: clock, Tracker: serverlimit.New("daemon-1", daemons, clock, changes), changes: changes}
 }
 
 func (f fixture) assertLimit(id azurehitch.ServerIdentity, want float64) {
--- /dev/null
+++ b/internal/membership/serverlimit/share.go
@@ -0,0 +1,101 @@
+package serverlimit
+
+import (
+	"time"
+
+	"azurehitch"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// maxSharers is how many daemons share the limit of a server. Each may save up one request, so
+	// that the sum exceeds the limit by at most maxSharers requests.
+	maxSharers = 3
+	// silenceStep is how long there has to be no news of a limit until maxSharers more daemons use
+	// it: the daemons that share it may no longer run.
+	silenceStep = 15 * time.Second
+)
+
+// share is the part of a limit that one daemon may use.
+type share struct{ limiter *rate.Limiter }
+
+// newShare returns a share without a saved request: the daemon whose place this one takes may have
+// used its own just before.
+func newShare(perSecond rate.Limit, now time.Time) *share {
+	s := &share{limiter: rate.NewLimiter(perSecond, 1)}
+	s.limiter.AllowN(now, 1)
+	return s
+}
+
+// Allow reports whether this daemon may send a request to a server now without a grant by a holder,
+// and counts the request if the server has a limit. A limit is shared by the first maxSharers
+// daemons in the ranking of the server. All daemons rank in the same order, so that a daemon does
+// not depend on others to know its share.
+func (t *Tracker) Allow(server azurehitch.ServerIdentity) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.shareOf(server)
+	return ok && (s == nil || s.limiter.AllowN(t.clock.Now(), 1))
+}
+
+// Wait returns the time until a server may be sent a request without a grant by a holder. For a
+// daemon without a share of the limit, it is the mean time between two requests of all daemons.
+func (t *Tracker) Wait(server azurehitch.ServerIdentity) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.shareOf(server)
+	switch {
+	case !ok:
+		return interval(t.limits[server].perSecond)
+	case s == nil:
+		return 0
+	}
+	missing := 1 - s.limiter.TokensAt(t.clock.Now())
+	return max(time.Duration(missing*float64(interval(float64(s.limiter.Limit())))), 0)
+}
+
+// interval returns the time between two events at a rate.
+func interval(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
+// shareOf returns the share of this daemon in the limit of a server; nil if the server has no
+// limit. It returns false if this daemon has no share. The caller holds t.mu.
+func (t *Tracker) shareOf(server azurehitch.ServerIdentity) (*share, bool) {
+	l, ok := t.limits[server]
+	if !ok || l.perSecond == 0 {
+		return nil, true
+	}
+	daemons := t.daemons()
+	now := t.clock.Now()
+	sharers := maxSharers * (1 + int(now.Sub(l.knownAt)/silenceStep))
+	if t.rank(server, daemons) >= sharers {
+		return nil, false
+	}
+	perSecond := rate.Limit(l.perSecond / float64(min(maxSharers, len(daemons))))
+	switch {
+	case l.share == nil:
+		l.share = newShare(perSecond, now)
+		t.limits[server] = l
+	case l.share.limiter.Limit() != perSecond:
+		l.share.limiter.SetLimitAt(now, perSecond)
+	}
+	return l.share, true
+}
+
+// rank returns the index of this daemon in the ranking of a server by rendezvous hashing.
+func (t *Tracker) rank(server azurehitch.ServerIdentity, daemons []string) int {
+	own, rank := weight(server, t.self), 0
+	for _, d := range daemons {
+		if d != t.self && weight(server, d) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(server azurehitch.ServerIdentity, daemon string) uint64 {
+	return xxhash.Sum64String(server.ID + "\x00" + daemon)
+}
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -45,7 +45,7 @@
 }
 
 // loadAdapter books the load of an adapter at the replica ranked first, or the unload that frees an
-// adapter slot for it. Pinned replicas rank first, then servers with a free adapter slot;
+// adapter slot for it. Servers with a rate limit rank last, pinned replicas first, then servers with a free adapter slot;
 // rendezvous hashing ranks the rest.
 func (p *Plan) loadAdapter(request Request, now time.Time) (Order, bool) {
 	candidates := slices.DeleteFunc(p.readyServers(request.Model), func(s *server) bool {
@@ -55,6 +55,7 @@
 	})
 	slices.SortFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
+			compareBool(a.hasRateLimit(), b.hasRateLimit()),
 			compareBool(!p.isPinned(a.ID, request.Model), !p.isPinned(b.ID, request.Model)),
 			compareBool(a.adapterCount() >= p.limits.AdapterSlots, b.adapterCount() >= p.limits.AdapterSlots),
 			cmp.Compare(rendezvous(b.ID, request.Adapter), rendezvous(a.ID, request.Adapter)),
--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -23,7 +23,8 @@
 func (p *Plan) isLoading(name string) bool { return len(p.loadingServers(name)) > 0 }
 
 // bestCachedServer returns the server that can load a model from its cached checkpoint soonest, or
-// nil if no cached server accepts orders and can free enough memory.
+// nil if no cached server accepts orders and can free enough memory. Servers with a rate limit are
+// chosen last.
 func (p *Plan) bestCachedServer(name string, now time.Time) *server {
 	limits := p.limits.Models[name]
 	var best *server
@@ -39,7 +40,7 @@
 			}
 			loadTime += p.settings.SwapOverhead
 		}
-		if best == nil || loadTime < bestLoadTime {
+		if best == nil || cmp.Or(compareBool(s.hasRateLimit(), best.hasRateLimit()), cmp.Compare(loadTime, bestLoadTime)) < 0 {
 			best, bestLoadTime = s, loadTime
 		}
 	}
@@ -47,8 +48,8 @@
 }
 
 // bestRemoteTarget returns the server for a load from the weight store, or nil if no server can
-// free enough memory. It prefers servers with enough free memory, then those with the fewest cached
-// checkpoints, because the load blocks quick swaps on its server, then the server whose last load
+// free enough memory. It prefers servers without a rate limit, then those with enough free memory,
+// then those with the fewest cached checkpoints, because the load blocks quick swaps on its server, then the server whose last load
 // from the weight store was ordered longest ago.
 func (p *Plan) bestRemoteTarget(name string, now time.Time) *server {
 	memory := p.limits.Models[name].Memory
@@ -66,6 +67,7 @@
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
+			compareBool(a.hasRateLimit(), b.hasRateLimit()),
 			compareBool(a.freeMemory(p.limits) < memory, b.freeMemory(p.limits) < memory),
 			cmp.Compare(len(a.tiers), len(b.tiers)),
 			a.lastRemoteLoad.Compare(b.lastRemoteLoad),
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -11,20 +11,20 @@
 // rateWindow is the time constant of the moving averages.
 const rateWindow = 3 * time.Second
 
-// rate is an exponential moving average of events per second.
-type rate struct {
+// average is an exponential moving average of events per second.
+type average struct {
 	value     float64
 	updatedAt time.Time
 }
 
 // add counts n events.
-func (r *rate) add(n int, now time.Time) {
+func (r *average) add(n int, now time.Time) {
 	r.value = r.perSecond(now) + float64(n)/rateWindow.Seconds()
 	r.updatedAt = now
 }
 
 // perSecond returns the average, decayed to now.
-func (r *rate) perSecond(now time.Time) float64 {
+func (r *average) perSecond(now time.Time) float64 {
 	if r.updatedAt.IsZero() {
 		return 0
 	}
@@ -204,14 +204,16 @@
 	// Tier is the cache tier from which the model was loaded while the request waited; empty if it
 	// was loaded already.
 	Tier azurehitch.CacheTier
+	// RateLimited is true if the grant is counted in the rate limit of the server.
+	RateLimited bool
 }
 
 // isOverloaded reports whether the requests for a model take more than RemoteReplicaLoad of the
 // slots of its replicas, including those being loaded. This justifies another load from the weight
 // store.
 func (p *Plan) isOverloaded(name string, now time.Time) bool {
-	count := len(p.readyServers(name)) + len(p.loadingServers(name))
-	return count > 0 && p.offeredLoad(name, now) > p.settings.RemoteReplicaLoad*float64(p.slotsPerServer()*count)
+	servers := append(p.readyServers(name), p.loadingServers(name)...)
+	return len(servers) > 0 && p.offeredLoad(name, now) > p.settings.RemoteReplicaLoad*p.usableSlots(servers, name, now)
 }
 
 // offeredLoad estimates how many requests for a model would be in progress or waiting if none had
--- a/internal/placement/swap/pin.go
+++ b/internal/placement/swap/pin.go
@@ -42,10 +42,13 @@
 }
 
 // serversToPin returns the servers on which a busy model is pinned: one in each failure domain, and
-// as many as the demand requires. Servers where it was pinned before come first, then those with
+// as many as the demand requires. Requests for a server with a rate limit have to be counted by the
+// holder, so nothing is pinned there. Servers where it was pinned before come first, then those with
 // the most requests for it.
 func (p *Plan) serversToPin(name string, now time.Time) []*server {
-	ready := slices.DeleteFunc(p.readyServers(name), func(s *server) bool { return p.isDraining(s.ID, name) })
+	ready := slices.DeleteFunc(p.readyServers(name), func(s *server) bool {
+		return p.isDraining(s.ID, name) || s.hasRateLimit()
+	})
 	slices.SortStableFunc(ready, func(a, b *server) int {
 		return cmp.Or(
 			-compareBool(p.isPinned(a.ID, name), p.isPinned(b.ID, name)),
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -141,11 +141,11 @@
 	requests int
 	// misses is the number of requests that found no ready replica.
 	misses      int
-	requestRate rate
+	requestRate average
 	// startRate is the rate of requests started on its servers.
-	startRate rate
+	startRate average
 	// refusalRate is the rate of requests refused for lack of capacity.
-	refusalRate rate
+	refusalRate average
 	// lastBlockingAt is when a pinned replica of this model was last found to keep another model
 	// off a cached server.
 	lastBlockingAt time.Time
--- /dev/null
+++ b/internal/placement/swap/ratelimit.go
@@ -0,0 +1,75 @@
+package swap
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"azurehitch"
+
+	"golang.org/x/time/rate"
+)
+
+// SetRateLimits replaces the rate limits of servers, in requests per second. Grants at a server stay
+// within its limit.
+func (p *Plan) SetRateLimits(limits map[azurehitch.ServerIdentity]float64, now time.Time) {
+	for _, s := range p.sortedServers {
+		perSecond, ok := limits[s.ServerIdentity]
+		if !ok {
+			s.rateLimiter = nil
+			continue
+		}
+		s.setRateLimit(perSecond, now)
+	}
+}
+
+// setRateLimit sets a rate limit. Up to the requests of one second may be granted at once, but none
+// at first: a former holder may have granted that many just before.
+func (s *server) setRateLimit(perSecond float64, now time.Time) {
+	limit, burst := rate.Limit(perSecond), int(math.Ceil(perSecond))
+	switch {
+	case s.rateLimiter == nil:
+		s.rateLimiter = rate.NewLimiter(limit, burst)
+		s.rateLimiter.AllowN(now, burst)
+	case s.rateLimiter.Limit() != limit:
+		s.rateLimiter.SetLimitAt(now, limit)
+		s.rateLimiter.SetBurstAt(now, burst)
+	}
+}
+
+// hasRateLimit reports whether the server names a rate limit.
+func (s *server) hasRateLimit() bool { return s.rateLimiter != nil }
+
+// countGrant counts a grant in the rate limit of the server, and reports whether it names one.
+func (s *server) countGrant(now time.Time) bool {
+	return s.hasRateLimit() && s.rateLimiter.AllowN(now, 1)
+}
+
+// withoutRateLimit returns the servers that name no rate limit.
+func withoutRateLimit(servers []*server) []*server {
+	return slices.DeleteFunc(slices.Clone(servers), (*server).hasRateLimit)
+}
+
+// freeSlotsAt returns the number of further requests that a server can start now.
+func (p *Plan) freeSlotsAt(s *server, now time.Time) int {
+	free := max(s.slots-p.inProgress.servers[s.ID], 0)
+	if s.hasRateLimit() {
+		free = min(free, max(int(s.rateLimiter.TokensAt(now)), 0))
+	}
+	return free
+}
+
+// usableSlots returns the number of requests for a model that servers can run at once, also
+// considering their rate limits.
+func (p *Plan) usableSlots(servers []*server, name string, now time.Time) float64 {
+	runTime := p.runTime(name, now).Seconds()
+	sum := 0.0
+	for _, s := range servers {
+		usable := float64(p.slotsPerServer())
+		if s.hasRateLimit() {
+			usable = min(usable, float64(s.rateLimiter.Limit())*runTime)
+		}
+		sum += usable
+	}
+	return sum
+}
--- a/internal/placement/swap/replicawait.go
+++ b/internal/placement/swap/replicawait.go
@@ -48,12 +48,20 @@
 	// Without a better estimate, the remaining wait is assumed to equal the time that the request
 	// has waited.
 	wait := min(p.waitForReplica(w.Request, avail.ready, now), max(p.settings.SwapOverhead, now.Sub(w.arrivedAt)))
-	limits := p.limits.Models[w.Model]
-	if loading := p.loadingServers(w.Model); len(loading) > 0 {
-		return min(wait, loading[0].remainingLoadTime(now)+p.settings.SwapOverhead)
-	}
-	if s := p.bestCachedServer(w.Model, now); s != nil {
-		return min(wait, limits.LoadTime(s.tier(w.Model))+p.settings.SwapOverhead)
+	if next, ok := p.nextReplicaWait(w.Model, now); ok {
+		wait = min(wait, next)
 	}
 	return wait
 }
+
+// nextReplicaWait returns the expected time until a further replica of a model is ready. It returns
+// false if none is being loaded and none can be loaded from a cached checkpoint now.
+func (p *Plan) nextReplicaWait(name string, now time.Time) (time.Duration, bool) {
+	if loading := p.loadingServers(name); len(loading) > 0 {
+		return loading[0].remainingLoadTime(now) + p.settings.SwapOverhead, true
+	}
+	if s := p.bestCachedServer(name, now); s != nil {
+		return p.limits.Models[name].LoadTime(s.tier(name)) + p.settings.SwapOverhead, true
+	}
+	return 0, false
+}
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"azurehitch"
+
+	"golang.org/x/time/rate"
 )
 
 // replicaState is the lifecycle state of a model or an adapter on a server.
@@ -70,6 +72,8 @@
 	prefillEnds []time.Time
 	// lastRemoteLoad is when the last load from the weight store was ordered.
 	lastRemoteLoad time.Time
+	// rateLimiter counts the grants at a server that names a rate limit; nil if it names none.
+	rateLimiter *rate.Limiter
 	// lastFailure is when an order to the server or a read of its report last failed. The server
 	// gets no orders for failureBackoff after that.
 	lastFailure time.Time
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -21,12 +21,13 @@
 )
 
 // The reasons for refusing or delaying requests for a model whose replicas can't take more: all
-// slots are taken, the servers reject requests from the calling daemon, or no replica is usable
-// soon.
+// slots are taken, the servers reject requests from the calling daemon, no replica is usable soon,
+// or the servers name rate limits.
 const (
 	reasonServersFull      = "the servers are full"
 	reasonServersRejecting = "the servers turn requests away"
 	reasonNoUsableReplica  = "no replica can serve it soon"
+	reasonRateLimits       = "the servers limit their request rate"
 )
 
 // Verdict is the decision on a Request.
@@ -103,7 +104,7 @@
 		return p.refuse(w, backoff, reasonServersRejecting, now)
 	}
 	avail.ready = w.withoutBackoff(avail.ready)
-	if len(avail.ready) > 0 && p.waiters.ahead(w) < p.freeSlots(avail.ready) {
+	if len(avail.ready) > 0 && p.waiters.ahead(w) < p.freeSlots(avail.ready, now) {
 		if s := p.chooseServer(w.Request, avail.ready, now); s != nil {
 			p.waiters.remove(w.ID)
 			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Request, s, w.tier, now), Reason: "replica is ready"}
@@ -121,7 +122,8 @@
 // for further replicas.
 func (p *Plan) refuse(w *waiter, estimate time.Duration, reason string, now time.Time) Verdict {
 	p.waiters.remove(w.ID)
-	if reason == reasonServersFull || reason == reasonServersRejecting {
+	switch reason {
+	case reasonServersFull, reasonServersRejecting, reasonRateLimits:
 		p.model(w.Model).refusalRate.add(1, now)
 	}
 	return Verdict{Kind: VerdictRefused, Estimate: estimate, Reason: reason}
@@ -164,7 +166,7 @@
 	if a, ok := r.adapters[request.Adapter]; ok {
 		a.lastUsed = now
 	}
-	return Grant{Server: s.ServerIdentity, Number: p.lastGrant, Tier: tier}
+	return Grant{Server: s.ServerIdentity, Number: p.lastGrant, Tier: tier, RateLimited: s.countGrant(now)}
 }
 
 // chooseServer returns the server with the lowest cost among those of the ready servers that have a
@@ -173,7 +175,7 @@
 func (p *Plan) chooseServer(request Request, ready []*server, now time.Time) *server {
 	var candidates []*server
 	for _, s := range ready {
-		isFull := p.inProgress.servers[s.ID] >= s.slots
+		isFull := p.freeSlotsAt(s, now) == 0
 		hasAdapter := request.Adapter == "" || s.replicas[request.Model].hasAdapter(request.Adapter)
 		if !isFull && hasAdapter && !slices.Contains(request.Avoid, s.ID) {
 			candidates = append(candidates, s)
@@ -205,11 +207,11 @@
 	return cost
 }
 
-// freeSlots returns the number of further requests that the servers can run at once.
-func (p *Plan) freeSlots(ready []*server) int {
+// freeSlots returns the number of further requests that the servers can start now.
+func (p *Plan) freeSlots(ready []*server, now time.Time) int {
 	free := 0
 	for _, s := range ready {
-		free += max(s.slots-p.inProgress.servers[s.ID], 0)
+		free += p.freeSlotsAt(s, now)
 	}
 	return free
 }
@@ -282,9 +284,8 @@
 	if len(avail.ready) == 0 {
 		return avail.wait, avail.reason
 	}
-	if behind := p.waiters.ahead(w) - p.freeSlots(avail.ready); behind >= 0 {
-		rate := float64(len(avail.ready)*p.slotsPerServer()) / p.runTime(w.Model, now).Seconds()
-		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonServersFull
+	if behind := p.waiters.ahead(w) - p.freeSlots(avail.ready, now); behind >= 0 {
+		return p.estimateSlotWait(w.Model, behind, avail.ready, now)
 	}
 	if p.hasNoUsableReplica(w.Request, p.readyServers(w.Model), now) {
 		return p.estimateReplicaWait(w, avail, now), reasonNoUsableReplica
@@ -294,6 +295,23 @@
 	return max(p.settings.SwapOverhead, now.Sub(w.arrivedAt)), "the adapter is loaded"
 }
 
+// estimateSlotWait returns the expected wait for a free slot of a request behind others, and its
+// cause. If all servers name rate limits, a further replica may be ready earlier.
+func (p *Plan) estimateSlotWait(name string, behind int, ready []*server, now time.Time) (time.Duration, string) {
+	perSecond := p.usableSlots(ready, name, now) / p.runTime(name, now).Seconds()
+	wait := time.Duration(min(float64(behind+1)/perSecond, maxSlotWait.Seconds()) * float64(time.Second))
+	if len(withoutRateLimit(ready)) > 0 {
+		return wait, reasonServersFull
+	}
+	if next, ok := p.nextReplicaWait(name, now); ok {
+		wait = min(wait, next)
+	}
+	return wait, reasonRateLimits
+}
+
+// maxSlotWait caps the estimated wait for a free slot, so that it fits into a time.Duration.
+const maxSlotWait = time.Hour
+
 // estimateRemoteWait returns the expected wait until a model is loaded from the weight store, after
 // the loads in progress and those queued before it. It assumes that queued loads run in rounds of
 // maxLoads, each of which takes as long as the load of this model.
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -21,6 +21,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/placement/swap"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -59,6 +60,7 @@
 	LeaseChanged func() <-chan struct{}
 	Routing      func() azurehitch.RoutingTable
 	Fleet        func() *fleet.View
+	Limits       *serverlimit.Tracker
 	Engines      azurehitch.EngineControl
 	// OnNotice is called after each call of a server with the notice in its answer, if any.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
@@ -191,7 +193,8 @@
 	return lock
 }
 
-// refresh passes the configuration and the server list to the plan if they have changed.
+// refresh passes the configuration and the server list to the plan if they have changed, and the
+// rate limits of servers.
 func (h *holder) refresh() {
 	if table := h.Routing(); table.Version != h.version {
 		h.version = table.Version
@@ -204,6 +207,7 @@
 		h.plan.SetServers(view.Service(h.service))
 		h.plan.SetListComplete(view.Complete)
 	}
+	h.plan.SetRateLimits(h.Limits.InForce(), h.Clock.Now())
 }
 
 // step requests the reports of servers in unknown state, delivers verdicts, and starts the
--- a/internal/placement/swapholder/holder_test.go
+++ b/internal/placement/swapholder/holder_test.go
@@ -8,6 +8,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/placement/swap"
 	"azurehitch/internal/placement/swapholder"
 	"azurehitch/internal/telemetry/logging"
@@ -138,7 +139,7 @@
 		Routing: func() azurehitch.RoutingTable {
 			return azurehitch.RoutingTable{Services: map[string]azurehitch.BackendService{"llm": {Name: "llm", Engine: limits}}}
 		},
-		Fleet: servers.View, Engines: e, OnNotice: func(azurehitch.ServerIdentity, azurehitch.ServerNotice) {},
+		Fleet: servers.View, Engines: e, Limits: serverlimit.New("daemon-1", nil, azurehitch.SystemClock{}, noopObserver{}), OnNotice: func(azurehitch.ServerIdentity, azurehitch.ServerNotice) {},
 		Clock: azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(), Settings: swap.DefaultSettings(),
 	})
 }
@@ -203,3 +204,6 @@
 	defer e.mu.Unlock()
 	c.Assert(e.sent, qt.Equals, 1)
 }
+
+// LimitChanged implements serverlimit.Observer.
+func (noopObserver) LimitChanged(azurehitch.ServerIdentity, float64) {}
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -20,6 +20,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
@@ -75,6 +76,8 @@
 	// list doesn't show it yet. RecordShutdowns records such servers when the holder names them.
 	UnlistedShutdowns func() []azurehitch.ServerIdentity
 	RecordShutdowns   func(servers []azurehitch.ServerIdentity)
+	// Limits contains the rate limits of servers, which this daemon and the holder exchange.
+	Limits *serverlimit.Tracker
 	// ConfirmPositions records how far the holder has read the streams that all daemons follow. The
 	// report to the holder was sent at askedAt, from which the ages of the positions count back.
 	ConfirmPositions func(positions []compacted.Position, askedAt time.Time)
@@ -223,6 +226,7 @@
 	askedAt := c.Clock.Now()
 	request := demandToProto(service, demand, withdrawn)
 	request.Leaving = serversToProto(c.UnlistedShutdowns())
+	request.Limits = rateLimitsToProto(c.Limits.Known())
 	response, err := c.call(ctx, holder.Daemon, reportTimeout, &peerpb.Request{
 		Kind: &peerpb.Request_SwapReport{SwapReport: request},
 	})
@@ -237,6 +241,7 @@
 	c.usage(service).setReportAnswered(c.Clock.Now(), len(positions) > 0)
 	c.ConfirmPositions(positions, askedAt)
 	c.RecordShutdowns(serversFromProto(answer.SwapReport.Leaving))
+	c.Limits.Merge(rateLimitsFromProto(answer.SwapReport.Limits), askedAt)
 	return pinnedFromProto(answer.SwapReport.Kept), nil
 }
 
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -37,6 +37,30 @@
 	return servers
 }
 
+func rateLimitsToProto(limits []azurehitch.ServerRateLimit) []*peerpb.ServerLimit {
+	var list []*peerpb.ServerLimit
+	for _, l := range limits {
+		server := &peerpb.ServerStart{Id: l.Server.ID, Address: l.Server.Address, Incarnation: l.Server.Incarnation}
+		list = append(list, &peerpb.ServerLimit{Server: server, PerSecond: l.PerSecond, AgeMs: l.Age.Milliseconds()})
+	}
+	return list
+}
+
+// rateLimitsFromProto leaves out limits that are not a number of at least 0.
+func rateLimitsFromProto(list []*peerpb.ServerLimit) []azurehitch.ServerRateLimit {
+	var limits []azurehitch.ServerRateLimit
+	for _, l := range list {
+		if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 1) {
+			continue
+		}
+		server := azurehitch.ServerIdentity{ID: l.Server.GetId(), Address: l.Server.GetAddress(), Incarnation: l.Server.GetIncarnation()}
+		limits = append(limits, azurehitch.ServerRateLimit{
+			Server: server, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMs) * time.Millisecond,
+		})
+	}
+	return limits
+}
+
 func backoffsToProto(backoffs []azurehitch.ServerBackoff) []*peerpb.ServerRest {
 	var list []*peerpb.ServerRest
 	for _, b := range backoffs {
@@ -68,7 +92,7 @@
 	return &peerpb.SwapAskResponse{
 		Kind: string(v.Kind), Server: v.Grant.Server.ID, Address: v.Grant.Server.Address,
 		Incarnation: v.Grant.Server.Incarnation, Grant: v.Grant.Number, Tier: string(v.Grant.Tier),
-		EstimateMs: v.Estimate.Milliseconds(), Reason: v.Reason,
+		EstimateMs: v.Estimate.Milliseconds(), Reason: v.Reason, Limited: v.Grant.RateLimited,
 	}
 }
 
@@ -77,7 +101,7 @@
 		Kind: swap.VerdictKind(r.Kind),
 		Grant: swap.Grant{
 			Server: azurehitch.ServerIdentity{ID: r.Server, Address: r.Address, Incarnation: r.Incarnation},
-			Number: r.Grant, Tier: azurehitch.CacheTier(r.Tier),
+			Number: r.Grant, Tier: azurehitch.CacheTier(r.Tier), RateLimited: r.Limited,
 		},
 		Estimate: time.Duration(r.EstimateMs) * time.Millisecond,
 		Reason:   r.Reason,
--- a/internal/placement/swappeer/leaving_test.go
+++ b/internal/placement/swappeer/leaving_test.go
@@ -7,6 +7,7 @@
 	"azurehitch"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/swap"
@@ -19,6 +20,16 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// discardLimits is a serverlimit.Observer that ignores all events.
+type discardLimits struct{}
+
+// LimitChanged implements serverlimit.Observer.
+func (discardLimits) LimitChanged(azurehitch.ServerIdentity, float64) {}
+
+func newLimits(daemon string) *serverlimit.Tracker {
+	return serverlimit.New(daemon, func() []string { return []string{daemon} }, azurehitch.SystemClock{}, discardLimits{})
+}
+
 // newHeld returns the set of a daemon that holds the service llm.
 func newHeld() *swapholder.Set {
 	view := fleet.NewFold(nil, nil).View
@@ -29,7 +40,7 @@
 			engine := &azurehitch.EngineLimits{}
 			return azurehitch.RoutingTable{Services: map[string]azurehitch.BackendService{"llm": {Name: "llm", Engine: engine}}}
 		},
-		Fleet: view, Clock: azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(), Settings: swap.DefaultSettings(),
+		Fleet: view, Limits: newLimits("holder"), Clock: azurehitch.SystemClock{}, Logs: logging.Discard(), Metrics: metrics.New(), Settings: swap.DefaultSettings(),
 	})
 }
 
@@ -45,7 +56,7 @@
 	var recorded []azurehitch.ServerIdentity
 	known := azurehitch.ServerIdentity{ID: "s1", Address: "10.0.0.1:80", Incarnation: 4}
 	server := &swappeer.Server{
-		Held: held, Clock: azurehitch.SystemClock{}, ReadPositions: func() []compacted.Position { return nil },
+		Held: held, Limits: newLimits("holder"), Clock: azurehitch.SystemClock{}, ReadPositions: func() []compacted.Position { return nil },
 		UnlistedShutdowns: func() []azurehitch.ServerIdentity { return []azurehitch.ServerIdentity{known} },
 		RecordShutdowns:   func(servers []azurehitch.ServerIdentity) { recorded = servers },
 	}
--- a/internal/placement/swappeer/server.go
+++ b/internal/placement/swappeer/server.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"azurehitch"
+	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/swapholder"
@@ -21,6 +22,8 @@
 	// daemon reports as shutting down.
 	UnlistedShutdowns func() []azurehitch.ServerIdentity
 	RecordShutdowns   func(servers []azurehitch.ServerIdentity)
+	// Limits contains the rate limits of servers, which this daemon exchanges with the others.
+	Limits *serverlimit.Tracker
 }
 
 // Handle implements mux.Handler. It answers NotHeld if this daemon does not hold the service.
@@ -35,11 +38,13 @@
 	case *peerpb.Request_SwapReport:
 		report := kind.SwapReport
 		s.RecordShutdowns(serversFromProto(report.Leaving))
+		s.Limits.Merge(rateLimitsFromProto(report.Limits), s.Clock.Now())
 		pinned, err := s.Held.Report(report.Service, request.Daemon, demandFromProto(report), report.Withdrawn)
 		if err == nil {
 			return &peerpb.Response{Kind: &peerpb.Response_SwapReport{
 				SwapReport: &peerpb.SwapReportResponse{
 					Kept: pinnedToProto(pinned), Read: positionsToProto(s.ReadPositions()), Leaving: serversToProto(s.UnlistedShutdowns()),
+					Limits: rateLimitsToProto(s.Limits.Known()),
 				},
 			}}
 		}
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -1,8 +1,10 @@
 package soak_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -91,7 +93,20 @@
 			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
-	return plan
+	return append(plan, rateLimits(seed, duration)...)
+}
+
+// rateLimits returns the rate limits that servers name during a run. They come from a random
+// sequence of their own, so that they don't change the other faults of a seed.
+func rateLimits(seed uint64, duration time.Duration) []action {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var limits []action
+	for at := firstFaultDelay; at < duration; at += limitedTime/2 + time.Duration(random.Int64N(int64(limitedTime))) {
+		limits = append(limits, action{
+			fault: rateLimitFault, startsAt: at, duration: limitedTime, target: random.IntN(engineCount * deskCount), variant: random.IntN(variantCount),
+		})
+	}
+	return limits
 }
 
 func describePlan(plan []action) string {
@@ -106,6 +121,7 @@
 func (cl *cluster) execute(plan []action) {
 	var group errgroup.Group
 	startedAt := time.Now()
+	slices.SortStableFunc(plan, func(a, b action) int { return cmp.Compare(a.startsAt, b.startsAt) })
 	for _, a := range plan {
 		time.Sleep(a.startsAt - time.Since(startedAt))
 		group.Go(func() error {
