swap: use servers with a rate limit for rare models

Cause: servers with limits got loads last for every model, so that the rare models competed with the busy ones for the memory of the other servers, while the memory of the limited ones was idle. And a replica there never counted as ready, so that each request that waited for its turn loaded another one.

Change: a limited server is as good as any for a model that is not busy, if its expected wait, from the tokens and the requests that wait for its models, is short. It counts as unusable, and another replica is loaded, beyond the wait that was there for adapters already. Requests go to unlimited servers first, as the tokens may be all that other models have. For busy models nothing changes.

--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -23,24 +23,26 @@
 func (p *Plan) isLoading(name string) bool { return len(p.loadingServers(name)) > 0 }
 
 // bestCachedServer returns the server that can load a model from its cached checkpoint soonest, or
-// nil if no cached server accepts orders and can free enough memory. Servers with a rate limit are
-// chosen last.
+// nil if no cached server accepts orders and can free enough memory. For a busy model,
+// servers with a rate limit are chosen last.
 func (p *Plan) bestCachedServer(name string, now time.Time) *server {
 	limits := p.limits.Models[name]
+	isBusy := p.isBusy(name, now)
+	isUnfit := func(s *server) bool { return isBusy && s.hasRateLimit() }
 	var best *server
 	var bestLoadTime time.Duration
 	for _, s := range p.cachedServers(name) {
 		if _, loaded := s.replicas[name]; loaded || !s.acceptsModelOrders(now) || p.isDraining(s.ID, name) {
 			continue
 		}
-		loadTime := limits.LoadTime(s.tier(name))
+		loadTime := limits.LoadTime(s.tier(name)) + p.rateLimitWait(s, now)
 		if s.freeMemory(p.limits) < limits.Memory {
 			if p.victim(s, limits.Memory) == "" {
 				continue
 			}
 			loadTime += p.settings.SwapOverhead
 		}
-		if best == nil || cmp.Or(compareBool(s.hasRateLimit(), best.hasRateLimit()), cmp.Compare(loadTime, bestLoadTime)) < 0 {
+		if best == nil || cmp.Or(compareBool(isUnfit(s), isUnfit(best)), cmp.Compare(loadTime, bestLoadTime)) < 0 {
 			best, bestLoadTime = s, loadTime
 		}
 	}
@@ -48,11 +50,12 @@
 }
 
 // bestRemoteTarget returns the server for a load from the weight store, or nil if no server can
-// free enough memory. It prefers servers without a rate limit, then those with enough free memory,
-// then those with the fewest cached checkpoints, because the load blocks quick swaps on its server, then the server whose last load
+// free enough memory. It prefers servers with enough free memory, for a busy model those without a
+// rate limit, then those with the fewest cached checkpoints, because the load blocks quick swaps on its server, then the server whose last load
 // from the weight store was ordered longest ago.
 func (p *Plan) bestRemoteTarget(name string, now time.Time) *server {
 	memory := p.limits.Models[name].Memory
+	isBusy := p.isBusy(name, now)
 	var candidates []*server
 	for _, s := range p.sortedServers {
 		if _, loaded := s.replicas[name]; loaded || !s.acceptsModelOrders(now) {
@@ -67,7 +70,7 @@
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
-			compareBool(a.hasRateLimit(), b.hasRateLimit()),
+			compareBool(isBusy && a.hasRateLimit(), isBusy && b.hasRateLimit()),
 			compareBool(a.freeMemory(p.limits) < memory, b.freeMemory(p.limits) < memory),
 			cmp.Compare(len(a.tiers), len(b.tiers)),
 			a.lastRemoteLoad.Compare(b.lastRemoteLoad),
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -72,7 +72,7 @@
 // awaitedModels returns the models with waiting requests, highest priority first: busy models, then
 // the models most often requested while they had no ready replica, then those with requests that
 // can still be on time, then those whose requests have waited longest. Requests that only wait for
-// an adapter on a ready replica without a rate limit don't count.
+// an adapter on a ready replica don't count.
 func (p *Plan) awaitedModels(now time.Time) []string {
 	type candidate struct {
 		model  string
@@ -84,10 +84,9 @@
 	var candidates []candidate
 	for model, waiters := range p.waiters.byModel {
 		ready := p.readyServers(model)
-		hasUnlimited := len(withoutRateLimit(ready)) > 0
 		c := candidate{model: model, busy: p.isBusy(model, now), misses: p.model(model).misses}
 		for _, waiter := range waiters {
-			if waiter.Adapter != "" && hasUnlimited && !p.hasNoUsableReplica(waiter.Request, ready, now) {
+			if waiter.Adapter != "" && len(ready) > 0 && !p.hasNoUsableReplica(waiter.Request, ready, now) {
 				continue
 			}
 			c.onTime = c.onTime || now.Before(waiter.Objective)
@@ -142,17 +141,21 @@
 
 // missingReplicas returns the number of replicas to load beside those that are ready or loading on
 // schedule. It counts at least one replica as needed, and one more than are ready if none of them
-// can serve some waiting request soon. Replicas on servers with a rate limit don't count as ready.
+// can serve some waiting request soon. For a busy model, replicas on servers with a rate limit don't
+// count as ready.
 func (p *Plan) missingReplicas(name string, now time.Time) int {
 	needed := max(p.replicasNeeded(name, now), 1)
 	ready := p.readyServers(name)
-	unlimited := len(withoutRateLimit(ready))
+	count := len(ready)
+	if p.isBusy(name, now) {
+		count = len(withoutRateLimit(ready))
+	}
 	lacksReplica := func(w *waiter) bool { return p.hasNoUsableReplica(w.Request, ready, now) }
 	if slices.ContainsFunc(p.waiters.byModel[name], lacksReplica) {
-		needed = max(needed, unlimited+1)
+		needed = max(needed, count+1)
 	}
 	inTime := slices.DeleteFunc(p.loadingServers(name), func(s *server) bool { return s.isOverdue(now) })
-	return max(needed-unlimited-len(inTime), 0)
+	return max(needed-count-len(inTime), 0)
 }
 
 // replicasNeeded returns the number of replicas that the demand for a model requires.
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -124,6 +124,8 @@
 	// RemoteLoadWindow.
 	remoteStarts []time.Time
 	remoteLimit  remoteLimit
+	// hasRateLimits is true if any rate limits were set by the last call of SetRateLimits.
+	hasRateLimits bool
 	// lastListingID is the ID of the last entry added to the server list.
 	lastListingID int64
 	// lastGrant is the number of the last grant.
--- a/internal/placement/swap/ratelimit.go
+++ b/internal/placement/swap/ratelimit.go
@@ -13,6 +13,10 @@
 // SetRateLimits replaces the rate limits of servers, in requests per second. Grants at a server stay
 // within its limit.
 func (p *Plan) SetRateLimits(limits map[azurehitch.ServerIdentity]float64, now time.Time) {
+	if len(limits) == 0 && !p.hasRateLimits {
+		return
+	}
+	p.hasRateLimits = len(limits) > 0
 	for _, s := range p.sortedServers {
 		perSecond, ok := limits[s.ServerIdentity]
 		if !ok {
@@ -45,6 +49,20 @@
 	return s.hasRateLimit() && s.rateLimiter.AllowN(now, 1)
 }
 
+// rateLimitWait returns the expected time until a server with a rate limit can start a further
+// request, after those that wait for its models. It returns 0 for other servers.
+func (p *Plan) rateLimitWait(s *server, now time.Time) time.Duration {
+	if !s.hasRateLimit() {
+		return 0
+	}
+	ahead := 0
+	for name := range s.replicas {
+		ahead += len(p.waiters.byModel[name])
+	}
+	missing := float64(max(ahead, 1)) - s.rateLimiter.TokensAt(now)
+	return time.Duration(max(missing, 0) / float64(s.rateLimiter.Limit()) * float64(time.Second))
+}
+
 // withoutRateLimit returns the servers that name no rate limit.
 func withoutRateLimit(servers []*server) []*server {
 	return slices.DeleteFunc(slices.Clone(servers), (*server).hasRateLimit)
--- a/internal/placement/swap/ratelimit_test.go
+++ b/internal/placement/swap/ratelimit_test.go
@@ -13,11 +13,12 @@
 )
 
 // A server with a rate limit may receive, within any limitWindow, limitBurst times the requests that
-// the limit allows, plus limitSlack.
+// the limit allows, plus limitSlack. Requests count from limitNoticeTime after the server named it.
 const (
-	limitWindow = 4 * time.Second
-	limitBurst  = 1.5
-	limitSlack  = 5
+	limitNoticeTime = 500 * time.Millisecond
+	limitWindow     = 4 * time.Second
+	limitBurst      = 1.5
+	limitSlack      = 5
 )
 
 func maxInWindow(perSecond float64) int {
--- a/internal/placement/swap/replicawait.go
+++ b/internal/placement/swap/replicawait.go
@@ -11,8 +11,8 @@
 const maxReplicaWait = 1500 * time.Millisecond
 
 // hasNoUsableReplica reports whether a model has replicas but none can serve a request soon: each
-// has failed the request, or lacks its adapter and its server accepts no orders for some time. For
-// example, a server that carries out a former holder's order accepts none for as long as a load
+// has failed the request, is on a server whose rate limit is used up for some time, or lacks its
+// adapter and its server accepts no orders for some time. For example, a server that carries out a former holder's order accepts none for as long as a load
 // from the weight store takes.
 func (p *Plan) hasNoUsableReplica(request Request, ready []*server, now time.Time) bool {
 	return len(ready) > 0 && p.waitForReplica(request, ready, now) > maxReplicaWait
@@ -24,12 +24,18 @@
 	wait := time.Duration(math.MaxInt64)
 	for _, s := range ready {
 		if !slices.Contains(request.Avoid, s.ID) {
-			wait = min(wait, p.adapterWait(s, request, now))
+			wait = min(wait, p.usableWait(s, request, now))
 		}
 	}
 	return wait
 }
 
+// usableWait returns the time until a replica can serve a request or load its adapter, and the rate
+// limit of its server allows a further request.
+func (p *Plan) usableWait(s *server, request Request, now time.Time) time.Duration {
+	return max(p.adapterWait(s, request, now), p.rateLimitWait(s, now))
+}
+
 // adapterWait returns the time until a replica can serve a request or load its adapter.
 func (p *Plan) adapterWait(s *server, request Request, now time.Time) time.Duration {
 	switch {
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -170,8 +171,8 @@
 }
 
 // chooseServer returns the server with the lowest cost among those of the ready servers that have a
-// free slot and, if the request names an adapter, that adapter loaded. It returns nil if there is
-// none.
+// free slot and, if the request names an adapter, that adapter loaded. Servers with a rate limit are
+// chosen last: their limit may be all that other models have. It returns nil if there is none.
 func (p *Plan) chooseServer(request Request, ready []*server, now time.Time) *server {
 	var candidates []*server
 	for _, s := range ready {
@@ -185,7 +186,10 @@
 		return nil
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
-		return cmp.Compare(p.cost(a, request.FailureDomain, now), p.cost(b, request.FailureDomain, now))
+		return cmp.Or(
+			compareBool(a.hasRateLimit(), b.hasRateLimit()),
+			cmp.Compare(p.cost(a, request.FailureDomain, now), p.cost(b, request.FailureDomain, now)),
+		)
 	})
 }
 
@@ -298,10 +302,13 @@
 // estimateSlotWait returns the expected wait for a free slot of a request behind others, and its
 // cause. If all servers name rate limits, a further replica may be ready earlier.
 func (p *Plan) estimateSlotWait(name string, behind int, ready []*server, now time.Time) (time.Duration, string) {
-	perSecond := p.usableSlots(ready, name, now) / p.runTime(name, now).Seconds()
-	wait := time.Duration(min(float64(behind+1)/perSecond, maxSlotWait.Seconds()) * float64(time.Second))
-	if len(withoutRateLimit(ready)) > 0 {
-		return wait, reasonServersFull
+	if unlimited := withoutRateLimit(ready); len(unlimited) > 0 {
+		rate := p.usableSlots(ready, name, now) / p.runTime(name, now).Seconds()
+		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonServersFull
+	}
+	wait := time.Duration(math.MaxInt64)
+	for _, s := range ready {
+		wait = min(wait, p.rateLimitWait(s, now))
 	}
 	if next, ok := p.nextReplicaWait(name, now); ok {
 		wait = min(wait, next)
@@ -309,9 +316,6 @@
 	return wait, reasonRateLimits
 }
 
-// maxSlotWait caps the estimated wait for a free slot, so that it fits into a time.Duration.
-const maxSlotWait = time.Hour
-
 // estimateRemoteWait returns the expected wait until a model is loaded from the weight store, after
 // the loads in progress and those queued before it. It assumes that queued loads run in rounds of
 // maxLoads, each of which takes as long as the load of this model.
