operator: derive contexts from a request without its values

Cause: a context derived from a fasthttp request has a goroutine that, when the server shuts down, reads a value of the request to find the cause. The handler may have returned meanwhile, and fasthttp resets the values.

Change: jsonhttp.Context hides the values; the operators' API and the stand-ins of the engine, the weight store and the log, which had the same pattern, derive from it.

--- a/internal/admin/operator/handler.go
+++ b/internal/admin/operator/handler.go
@@ -85,7 +85,7 @@
 		case path == PathCheck && ctx.IsPost():
 			d.serveCheck(ctx)
 		case path == PathDaemons:
-			jsonhttp.Write(ctx, fasthttp.StatusOK, d.daemons(ctx))
+			jsonhttp.Write(ctx, fasthttp.StatusOK, d.daemons(jsonhttp.Context(ctx)))
 		case path == PathPools:
 			jsonhttp.Write(ctx, fasthttp.StatusOK, d.pools())
 		case path == PathDrain && ctx.IsPost():
@@ -127,7 +127,7 @@
 		return configlog.Publication{}, false
 	}
 	p.Base = baseOf(p)
-	timeoutCtx, cancel := context.WithTimeout(ctx, publishTimeout)
+	timeoutCtx, cancel := context.WithTimeout(jsonhttp.Context(ctx), publishTimeout)
 	defer cancel()
 	publication, err := d.edit(timeoutCtx, p)
 	if err != nil {
@@ -197,7 +197,7 @@
 	if !ok {
 		return
 	}
-	timeoutCtx, cancel := context.WithTimeout(ctx, publishTimeout)
+	timeoutCtx, cancel := context.WithTimeout(jsonhttp.Context(ctx), publishTimeout)
 	defer cancel()
 	verdict, err := d.Recorder.Append(timeoutCtx, control.Record{Publication: &publication})
 	if err != nil {
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -152,7 +152,7 @@
 	if !jsonhttp.Read(ctx, &order) {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, maxRequestTime)
+	limited, cancel := context.WithTimeout(jsonhttp.Context(ctx), maxRequestTime)
 	defer cancel()
 	err := e.Order(limited, "", order)
 	var failed *azurehitch.ErrOrder
@@ -187,7 +187,7 @@
 	if body.MaxTokens == 0 {
 		body.MaxTokens = defaultTokens
 	}
-	run, err := e.Begin(ctx, requestFrom(ctx, body))
+	run, err := e.Begin(jsonhttp.Context(ctx), requestFrom(ctx, body))
 	if err != nil {
 		writeNotRun(ctx, err)
 		return
--- a/internal/standin/platformlog/handler.go
+++ b/internal/standin/platformlog/handler.go
@@ -40,7 +40,7 @@
 }
 
 func serveAppend(ctx *fasthttp.RequestCtx, log *Log, name string) {
-	limited, cancel := context.WithTimeout(ctx, appendTimeout)
+	limited, cancel := context.WithTimeout(jsonhttp.Context(ctx), appendTimeout)
 	defer cancel()
 	offset, err := log.Append(limited, name, ctx.PostBody())
 	if err != nil {
--- a/internal/standin/weights/handler.go
+++ b/internal/standin/weights/handler.go
@@ -47,7 +47,7 @@
 	if !jsonhttp.Read(ctx, &artifact) {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, maxLoadTime)
+	limited, cancel := context.WithTimeout(jsonhttp.Context(ctx), maxLoadTime)
 	defer cancel()
 	if err := store.Load(limited, artifact); err != nil {
 		jsonhttp.WriteError(ctx, fasthttp.StatusServiceUnavailable, "Unavailable", err.Error())
--- a/internal/transport/jsonhttp/server.go
+++ b/internal/transport/jsonhttp/server.go
@@ -47,6 +47,17 @@
 	return true
 }
 
+// requestContext is the context of a request without its values.
+type requestContext struct{ *fasthttp.RequestCtx }
+
+// Value implements context.Context.
+func (requestContext) Value(any) any { return nil }
+
+// Context returns a context that ends when the server of a request is shut down. Contexts must be
+// derived from it and not from the request itself: at a shutdown, a goroutine of the derived context
+// reads values of its parent, and the server may already have reset those of the request.
+func Context(ctx *fasthttp.RequestCtx) context.Context { return requestContext{ctx} }
+
 // Serve runs a server on a listener until the context ends, and then shuts it down. Requests still
 // in progress after shutdownTimeout are not an error.
 func Serve(ctx context.Context, listener net.Listener, server *fasthttp.Server) error {
