swappeer: ask a new holder before giving up

What was seen: TestFollowLease, on the list of known failures: on a busy machine 6 of 80 runs refused a request with "no daemon answers as the holder of the service".

Cause: the 250 ms without an answer counted across holders. When the lease moved after 200 ms and the process was delayed by 50 ms, the new holder was never asked.

Change: the time counts for each holder; after a change of holder the request goes to the new one first.

--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -100,12 +100,13 @@
 }
 
 // Find returns the replica granted to a request, and waits for a load if necessary. The error is
-// an *azurehitch.ErrRefused, the error of the context, or ErrNoHolder if no holder has answered
-// for holderTimeout.
+// an *azurehitch.ErrRefused, the error of the context, or ErrNoHolder if the same holder has not
+// answered for holderTimeout.
 func (c *Client) Find(ctx context.Context, service string, request swap.Request) (swap.Grant, error) {
 	answeredAt := c.Clock.Now()
 	for {
-		verdict, err := c.requestVerdict(ctx, service, request)
+		holder := c.Holder(service)
+		verdict, err := c.requestVerdict(ctx, service, holder, request)
 		if ctx.Err() != nil {
 			c.withdraw(service, request.ID)
 			return swap.Grant{}, ctx.Err()
@@ -113,6 +114,11 @@
 		if err != nil {
 			c.Metrics.Add(metrics.PeerErrors, 1)
 			c.usage(service).setUnanswered(c.Clock.Now())
+			if c.Holder(service) != holder {
+				// The next holder has not been asked yet.
+				answeredAt = c.Clock.Now()
+				continue
+			}
 			if c.Clock.Now().Sub(answeredAt) >= holderTimeout {
 				return swap.Grant{}, ErrNoHolder
 			}
@@ -136,8 +142,9 @@
 
 // requestVerdict sends a request to the holder once, or decides it here if this daemon is the
 // holder.
-func (c *Client) requestVerdict(ctx context.Context, service string, request swap.Request) (swap.Verdict, error) {
-	holder := c.Holder(service)
+func (c *Client) requestVerdict(
+	ctx context.Context, service string, holder leaselog.Holder, request swap.Request,
+) (swap.Verdict, error) {
 	if holder.Daemon == c.Self {
 		return c.Held.RequestReplica(ctx, service, request)
 	}
--- a/internal/placement/swappeer/lease_test.go
+++ b/internal/placement/swappeer/lease_test.go
@@ -51,7 +51,16 @@
 // connections, such as a host that loses power, move to the next holder as soon as it holds the
 // lease.
 func TestFollowLease(t *testing.T) {
-	const requests, takeoverDelay = 30, 200 * time.Millisecond
+	// The second delay is longer than one holder may leave requests without an answer.
+	for _, takeoverDelay := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(takeoverDelay.String(), func(t *testing.T) { followLease(t, takeoverDelay) })
+	}
+}
+
+// followLease moves the lease to another daemon after takeoverDelay while requests are pending.
+func followLease(t *testing.T, takeoverDelay time.Duration) {
+	t.Helper()
+	const requests = 30
 	c := qt.New(t)
 	unresponsive, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
