--- a/internal/proof/soak/checker_cases_test.go
+++ b/internal/proof/soak/checker_cases_test.go
@@ -204,6 +204,12 @@
 		}, ""},
 		{"process exits unexpectedly", func(c *checkerHarness) { c.checkExit(exit{err: errors.New("exit status 2")}) }, ruleExit},
 		{"stop takes too long", func(c *checkerHarness) { c.checkExit(exit{signal: syscall.SIGTERM, took: stopTimeout + time.Second}) }, ruleExit},
+		{"stop with an error", func(c *checkerHarness) {
+			c.checkExit(exit{signal: syscall.SIGTERM, err: errors.New("signal: terminated")})
+		}, ruleExit},
+		{"stop of a process that has not started yet", func(c *checkerHarness) {
+			c.checkExit(exit{signal: syscall.SIGTERM, err: errors.New("signal: terminated"), beforeStart: true})
+		}, ""},
 		{"planned stop", func(c *checkerHarness) { c.checkExit(exit{signal: syscall.SIGTERM, took: time.Second}) }, ""},
 		{"retries exceed the budget", func(c *checkerHarness) {
 			x := c.request(lookup, 0)
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -582,7 +582,7 @@
 	switch {
 	case e.signal == 0:
 		c.addViolation(ruleExit, "daemon-%d exited unexpectedly: %v", e.daemon, e.err)
-	case e.signal.String() == "terminated" && e.err != nil:
+	case e.signal.String() == "terminated" && e.err != nil && !e.beforeStart:
 		c.addViolation(ruleExit, "daemon-%d exited with an error at its planned stop: %v", e.daemon, e.err)
 	case e.signal.String() == "terminated" && e.took > stopTimeout && c.disturbances.isDaemonHealthy(e.daemon, time.Now().Add(-e.took), time.Now()):
 		c.addViolation(ruleExit, "daemon-%d took %v for its planned stop", e.daemon, e.took)
--- a/internal/proof/soak/process_test.go
+++ b/internal/proof/soak/process_test.go
@@ -27,6 +27,9 @@
 	// took is the time from the first signal that ends the process to its exit.
 	took time.Duration
 	err  error
+	// beforeStart is true if the signal ended the process before it wrote a line: it had not begun to
+	// handle signals.
+	beforeStart bool
 }
 
 // process is a daemon that is restarted whenever its process exits.
@@ -62,11 +65,20 @@
 	p.group.Go(func() error {
 		defer logs.Close()
 		for {
+			before, err := logs.Stat()
+			if err != nil {
+				return err
+			}
 			cmd, err := p.start(logs)
 			if cmd == nil || err != nil {
 				return err
 			}
-			p.recordExit(cmd.Wait())
+			waitErr := cmd.Wait()
+			after, err := logs.Stat()
+			if err != nil {
+				return err
+			}
+			p.recordExit(waitErr, after.Size() == before.Size())
 		}
 	})
 	return nil
@@ -100,14 +112,26 @@
 	return cmd, nil
 }
 
-func (p *process) recordExit(err error) {
+func (p *process) recordExit(err error, silent bool) {
 	p.mu.Lock()
-	ended := exit{daemon: p.number, signal: p.endSignal, took: time.Since(p.signalledAt), err: err}
+	ended := exit{
+		daemon: p.number, signal: p.endSignal, took: time.Since(p.signalledAt), err: err, beforeStart: silent && isTerminated(err),
+	}
 	p.cmd = nil
 	p.mu.Unlock()
 	p.onExit(ended)
 }
 
+// isTerminated reports whether SIGTERM ended a process by its default action.
+func isTerminated(err error) bool {
+	var exited *exec.ExitError
+	if !errors.As(err, &exited) {
+		return false
+	}
+	status, ok := exited.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+}
+
 // signal sends a signal if a process runs, and records a signal that ends it. A pause above 0
 // delays the next restart. It returns false if no process runs or the signal can't be sent.
 func (p *process) signal(signal syscall.Signal, pause time.Duration) bool {
