--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -75,7 +75,8 @@
 	ConnectionShare func(service azurehitch.BackendService) int
 	Breakers        *breaker.Breakers
 	Backoffs        *backoff.Tracker
-	Limits          *serverlimit.Tracker
+	// Limits contains the rate limits of servers. OnNotice adds to them.
+	Limits *serverlimit.Tracker
 	// OnNotice handles the notice in a response: the server is shutting down, requests a backoff or
 	// names a rate limit.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -97,7 +97,8 @@
 	Holders       *swappeer.Client
 	Breakers      *breaker.Breakers
 	Backoffs      *backoff.Tracker
-	Limits        *serverlimit.Tracker
+	// Limits contains the rate limits of servers.
+	Limits *serverlimit.Tracker
 	// MaxHolderAbsence is the longest time from the loss of a holder until another daemon has
 	// claimed the lease, has learned which models the engines have loaded, and answers requests.
 	MaxHolderAbsence time.Duration
@@ -366,8 +367,8 @@
 // knows that the server is shutting down, has an open breaker, is in backoff, or takes no more
 // requests in slow start, or names a rate limit of which the holder does not know yet. placeModel
 // then asks the holder again. For a shutdown, a rate limit or an open breaker, bookGrant adds the
-// server to holderRequest, so that the holder can grant another one. If the
-// holder grants a server that is already in Avoid, the open breaker is ignored.
+// server to holderRequest, so that the holder can grant another one. If the holder grants a server
+// that is already in Avoid, the open breaker is ignored.
 func (p *Placer) bookGrant(r Request, grant swap.Grant, holderRequest *swap.Request) (Choice, bool) {
 	if p.Fleet().HasDeparted(grant.Server) {
 		holderRequest.ShuttingDown = append(holderRequest.ShuttingDown, grant.Server)
--- a/internal/placement/swap/limitedday_test.go
+++ b/internal/placement/swap/limitedday_test.go
@@ -49,14 +49,18 @@
 	deployment
 	random *rand.Rand
 
-	orders     []runningOrder
-	running    []runningRequest
-	waiting    map[string]dayRequest
+	orders  []runningOrder
+	running []runningRequest
+	// waiting holds the requests without a final verdict, by ID.
+	waiting map[string]dayRequest
+	// arrivals counts by daemon and model the requests placed without the holder since the last
+	// report, and lastGrant is the last grant of each daemon.
 	arrivals   []map[string]int
 	lastGrant  []int64
 	rateLimits map[azurehitch.ServerIdentity]float64
-	arrivedAt  map[string][]time.Time
-	result     dayResult
+	// arrivedAt are the times of the requests at each limited server that count in its limit.
+	arrivedAt map[string][]time.Time
+	result    dayResult
 }
 
 type runningOrder struct {
@@ -72,6 +76,7 @@
 
 type dayRequest struct {
 	swap.Request
+	daemon    int
 	arrivedAt time.Time
 	rare      bool
 }
@@ -101,6 +106,7 @@
 	return fmt.Sprintf("busy: %v; rare: %v; %d orders, %d loads from the weight store", r.busy, r.rare, r.orders, r.remote)
 }
 
+// newLimitedDay returns a day whose first servers name limits from dayLimitAt on.
 func newLimitedDay(t *testing.T, seed uint64, size deployment) *limitedDay {
 	t.Helper()
 	f := newFixture(t, size.models)
@@ -213,7 +219,7 @@
 	}
 }
 
-// arrive sends the requests of one step, by Poisson arrivals.
+// arrive sends the requests of one step. Their number has a geometric distribution.
 func (d *limitedDay) arrive(n int) {
 	for _, kind := range []struct {
 		rate float64
@@ -221,7 +227,10 @@
 	}{{d.busyRate, false}, {d.rareRate, true}} {
 		for k := 0; d.random.Float64() < kind.rate*dayStep.Seconds(); k++ {
 			daemon := d.random.IntN(dayDaemons)
-			r := dayRequest{Request: d.newRequest(fmt.Sprintf("%d-%d-%v", n, k, kind.rare), d.model(kind.rare)), arrivedAt: d.now, rare: kind.rare}
+			r := dayRequest{
+				Request: d.newRequest(fmt.Sprintf("%d-%d-%v", n, k, kind.rare), d.model(kind.rare)), daemon: daemon,
+				arrivedAt: d.now, rare: kind.rare,
+			}
 			r.Daemon, r.FailureDomain = fmt.Sprint(daemon), fmt.Sprint(daemon%dayDomains)
 			if !kind.rare {
 				r.Objective = d.now.Add(400 * time.Millisecond)
@@ -232,7 +241,7 @@
 			d.count(r).requested++
 			if replica, ok := d.pinnedReplica(r); ok && r.Adapter == "" {
 				d.arrivals[daemon][r.Model]++
-				d.begin(r, replica, daemon)
+				d.begin(r, replica)
 				continue
 			}
 			d.waiting[r.ID] = r
@@ -271,24 +280,33 @@
 	return best, best.Server != ""
 }
 
-func (d *limitedDay) begin(r dayRequest, replica swap.Replica, daemon int) {
-	d.running = append(d.running, runningRequest{replica: replica, daemon: daemon, endsAt: d.now.Add(time.Duration(d.random.ExpFloat64() * float64(dayRunTime)))})
+// begin starts to run a request at a replica.
+func (d *limitedDay) begin(r dayRequest, replica swap.Replica) {
+	runTime := time.Duration(d.random.ExpFloat64() * float64(dayRunTime))
+	d.running = append(d.running, runningRequest{replica: replica, daemon: r.daemon, endsAt: d.now.Add(runTime)})
 	if d.now.Before(r.Objective) {
 		d.count(r).onTime++
 	}
-	isLimited := slices.ContainsFunc(slices.Collect(maps.Keys(d.rateLimits)), func(id azurehitch.ServerIdentity) bool { return id.ID == replica.Server })
-	if isLimited && d.now.Sub(start) >= dayLimitAt+limitNoticeTime {
+	if d.isLimited(replica.Server) && d.now.Sub(start) >= dayLimitAt+limitNoticeTime {
 		d.arrivedAt[replica.Server] = append(d.arrivedAt[replica.Server], d.now)
 	}
 }
 
+func (d *limitedDay) isLimited(server string) bool {
+	for id := range d.rateLimits {
+		if id.ID == server {
+			return true
+		}
+	}
+	return false
+}
+
+// apply carries out the verdict on a request.
 func (d *limitedDay) apply(r dayRequest, v swap.Verdict) {
 	switch v.Kind {
 	case swap.VerdictGranted:
-		daemon := 0
-		_, _ = fmt.Sscan(r.Daemon, &daemon)
-		d.lastGrant[daemon] = max(d.lastGrant[daemon], v.Grant.Number)
-		d.begin(r, swap.Replica{Server: v.Grant.Server.ID, Model: r.Model}, daemon)
+		d.lastGrant[r.daemon] = max(d.lastGrant[r.daemon], v.Grant.Number)
+		d.begin(r, swap.Replica{Server: v.Grant.Server.ID, Model: r.Model})
 	case swap.VerdictRefused:
 		d.count(r).refused++
 	default:
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -60,8 +60,9 @@
 	LeaseChanged func() <-chan struct{}
 	Routing      func() azurehitch.RoutingTable
 	Fleet        func() *fleet.View
-	Limits       *serverlimit.Tracker
-	Engines      azurehitch.EngineControl
+	// Limits contains the rate limits of servers.
+	Limits  *serverlimit.Tracker
+	Engines azurehitch.EngineControl
 	// OnNotice is called after each call of a server with the notice in its answer, if any.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
 	Clock    azurehitch.Clock
