serverlimit: daemons that hear nothing take part one by one

Without a holder that passes news on, three daemons at once took the silence of 15 s for a failure of the three sharers, and with a low limit the sharers themselves are silent for longer than that.

Change: one more daemon takes part for each silence, which is at least three requests of a sharer; the sharers begin one after the other. Played for 30 daemons and limits of 0.1, 0.5, 1 and 4 a second: within the limit.

--- a/internal/membership/serverlimit/share.go
+++ b/internal/membership/serverlimit/share.go
@@ -13,19 +13,20 @@
 	// maxSharers is how many daemons share the limit of a server. Each may save up one request, so
 	// that the sum exceeds the limit by at most maxSharers requests.
 	maxSharers = 3
-	// silenceStep is how long there has to be no news of a limit until maxSharers more daemons use
-	// it: the daemons that share it may no longer run.
-	silenceStep = 15 * time.Second
+	// Each time that there was no news of a limit for silentRequests requests of a sharer, and for at
+	// least minSilence, one more daemon uses it: the daemons that share it may no longer run.
+	silentRequests = 3
+	minSilence     = 15 * time.Second
 )
 
 // share is the part of a limit that one daemon may use.
 type share struct{ limiter *rate.Limiter }
 
-// newShare returns a share without a saved request: the daemon whose place this one takes may have
-// used its own just before.
-func newShare(perSecond rate.Limit, now time.Time) *share {
+// newShare returns a share that saves its first request from a point of time on. It starts without
+// one: the daemon whose place this one takes may have used its own just before.
+func newShare(perSecond rate.Limit, from time.Time) *share {
 	s := &share{limiter: rate.NewLimiter(perSecond, 1)}
-	s.limiter.AllowN(now, 1)
+	s.limiter.AllowN(from, 1)
 	return s
 }
 
@@ -70,14 +71,17 @@
 	}
 	daemons := t.daemons()
 	now := t.clock.Now()
-	sharers := maxSharers * (1 + int(now.Sub(l.knownAt)/silenceStep))
-	if t.rank(server, daemons) >= sharers {
+	sharers := max(min(maxSharers, len(daemons)), 1)
+	perSecond := rate.Limit(l.perSecond / float64(sharers))
+	pause := interval(float64(perSecond))
+	rank := t.rank(server, daemons)
+	if late := int(now.Sub(l.knownAt) / max(silentRequests*pause, minSilence)); rank >= sharers+late {
 		return nil, false
 	}
-	perSecond := rate.Limit(l.perSecond / float64(min(maxSharers, len(daemons))))
 	switch {
 	case l.share == nil:
-		l.share = newShare(perSecond, now)
+		// The sharers begin one after the other.
+		l.share = newShare(perSecond, now.Add(-pause*time.Duration(rank%sharers)/time.Duration(sharers)))
 		t.limits[server] = l
 	case l.share.limiter.Limit() != perSecond:
 		l.share.limiter.SetLimitAt(now, perSecond)
--- a/internal/membership/serverlimit/share_test.go
+++ b/internal/membership/serverlimit/share_test.go
@@ -62,6 +62,17 @@
 	return true
 }
 
+// senders makes each daemon send a request if it may, and returns how many did.
+func (g *group) senders() int {
+	count := 0
+	for daemon := range g.trackers {
+		if g.send(daemon) {
+			count++
+		}
+	}
+	return count
+}
+
 // mostInWindow returns the highest number of requests within any limitWindow.
 func (g *group) mostInWindow() int {
 	most := 0
@@ -115,24 +126,31 @@
 			qt.New(t).Assert(g.send(daemon), qt.IsTrue)
 		}
 	})
-	t.Run("other daemons take part when there is no news", func(t *testing.T) {
-		g := newGroup(4)
+	t.Run("one more daemon takes part when there is no news", func(t *testing.T) {
+		c, g := qt.New(t), newGroup(9)
 		g.name(1, g.trackers...)
-		for daemon := range g.trackers {
-			g.send(daemon)
-		}
-		g.clock.advance(20 * time.Second)
-		for daemon := range g.trackers {
-			g.send(daemon)
-		}
+		c.Assert(g.senders(), qt.Equals, 0)
 		g.clock.advance(10 * time.Second)
-		senders := 0
-		for daemon := range g.trackers {
-			if g.send(daemon) {
-				senders++
+		c.Assert(g.senders(), qt.Equals, 3)
+		g.clock.advance(6 * time.Second)
+		g.senders()
+		g.clock.advance(10 * time.Second)
+		c.Assert(g.senders(), qt.Equals, 4)
+	})
+	// No holder passes news on: each daemon only hears of the limit when it sends a request itself.
+	t.Run("daemons that hear nothing of each other stay within the limit", func(t *testing.T) {
+		for _, perSecond := range []float64{0.1, 0.5, 1, 4} {
+			c, g := qt.New(t), newGroup(30)
+			g.name(perSecond, g.trackers...)
+			for end := g.clock.now.Add(3 * time.Minute); g.clock.now.Before(end); g.clock.advance(50 * time.Millisecond) {
+				for daemon, tracker := range g.trackers {
+					if g.send(daemon) {
+						g.name(perSecond, tracker)
+					}
+				}
 			}
+			c.Assert(g.mostInWindow() <= maxInWindow(perSecond), qt.IsTrue, qt.Commentf("%d requests for a limit of %g", g.mostInWindow(), perSecond))
 		}
-		qt.New(t).Assert(senders, qt.Equals, 4)
 	})
 	t.Run("waits for its share", func(t *testing.T) {
 		f := newFixture(t)
