One conversion of server identities, one run of a soak plan; comments

The conversion of limits wrote the fields of a server's identity again that serversToProto already had: serverToProto and serverFromProto serve both. TestRateLimitExceededByAllDaemons repeated the body of soak: both call runPlan.

No behaviour changes; the tests of swappeer, swap and the soak's checker and rate limit pass, the linters too.

--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -45,8 +45,8 @@
 }
 
 // loadAdapter books the load of an adapter at the replica ranked first, or the unload that frees an
-// adapter slot for it. Servers with a rate limit rank last, pinned replicas first, then servers with a free adapter slot;
-// rendezvous hashing ranks the rest.
+// adapter slot for it. Servers with a rate limit rank last, pinned replicas first, then servers with
+// a free adapter slot; rendezvous hashing ranks the rest.
 func (p *Plan) loadAdapter(request Request, now time.Time) (Order, bool) {
 	candidates := slices.DeleteFunc(p.readyServers(request.Model), func(s *server) bool {
 		// An adapter being unloaded still occupies its slot.
--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -23,8 +23,8 @@
 func (p *Plan) isLoading(name string) bool { return len(p.loadingServers(name)) > 0 }
 
 // bestCachedServer returns the server that can load a model from its cached checkpoint soonest, or
-// nil if no cached server accepts orders and can free enough memory. For a busy model,
-// servers with a rate limit are chosen last.
+// nil if no cached server accepts orders and can free enough memory. For a busy model, servers with a
+// rate limit are chosen last.
 func (p *Plan) bestCachedServer(name string, now time.Time) *server {
 	limits := p.limits.Models[name]
 	isBusy := p.isBusy(name, now)
@@ -50,9 +50,10 @@
 }
 
 // bestRemoteTarget returns the server for a load from the weight store, or nil if no server can
-// free enough memory. It prefers servers with enough free memory, for a busy model those without a
-// rate limit, then those with the fewest cached checkpoints, because the load blocks quick swaps on its server, then the server whose last load
-// from the weight store was ordered longest ago.
+// free enough memory. For a busy model, it first prefers servers without a rate limit. Then it prefers
+// servers with enough free memory, then those with the fewest cached checkpoints, because the load
+// blocks quick swaps on its server, then the server whose last load from the weight store was ordered
+// longest ago.
 func (p *Plan) bestRemoteTarget(name string, now time.Time) *server {
 	memory := p.limits.Models[name].Memory
 	isBusy := p.isBusy(name, now)
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -24,15 +24,24 @@
 func serversToProto(servers []azurehitch.ServerIdentity) []*peerpb.ServerStart {
 	var list []*peerpb.ServerStart
 	for _, s := range servers {
-		list = append(list, &peerpb.ServerStart{Id: s.ID, Address: s.Address, Incarnation: s.Incarnation})
+		list = append(list, serverToProto(s))
 	}
 	return list
 }
 
+func serverToProto(s azurehitch.ServerIdentity) *peerpb.ServerStart {
+	return &peerpb.ServerStart{Id: s.ID, Address: s.Address, Incarnation: s.Incarnation}
+}
+
+// serverFromProto returns the empty identity for nil.
+func serverFromProto(s *peerpb.ServerStart) azurehitch.ServerIdentity {
+	return azurehitch.ServerIdentity{ID: s.GetId(), Address: s.GetAddress(), Incarnation: s.GetIncarnation()}
+}
+
 func serversFromProto(list []*peerpb.ServerStart) []azurehitch.ServerIdentity {
 	var servers []azurehitch.ServerIdentity
 	for _, s := range list {
-		servers = append(servers, azurehitch.ServerIdentity{ID: s.Id, Address: s.Address, Incarnation: s.Incarnation})
+		servers = append(servers, serverFromProto(s))
 	}
 	return servers
 }
@@ -40,8 +49,7 @@
 func rateLimitsToProto(limits []azurehitch.ServerRateLimit) []*peerpb.ServerLimit {
 	var list []*peerpb.ServerLimit
 	for _, l := range limits {
-		server := &peerpb.ServerStart{Id: l.Server.ID, Address: l.Server.Address, Incarnation: l.Server.Incarnation}
-		list = append(list, &peerpb.ServerLimit{Server: server, PerSecond: l.PerSecond, AgeMs: l.Age.Milliseconds()})
+		list = append(list, &peerpb.ServerLimit{Server: serverToProto(l.Server), PerSecond: l.PerSecond, AgeMs: l.Age.Milliseconds()})
 	}
 	return list
 }
@@ -53,9 +61,8 @@
 		if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 1) {
 			continue
 		}
-		server := azurehitch.ServerIdentity{ID: l.Server.GetId(), Address: l.Server.GetAddress(), Incarnation: l.Server.GetIncarnation()}
 		limits = append(limits, azurehitch.ServerRateLimit{
-			Server: server, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMs) * time.Millisecond,
+			Server: serverFromProto(l.Server), PerSecond: l.PerSecond, Age: time.Duration(l.AgeMs) * time.Millisecond,
 		})
 	}
 	return limits
--- a/internal/proof/soak/ratelimit_test.go
+++ b/internal/proof/soak/ratelimit_test.go
@@ -4,8 +4,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // rateLimit is the rate limit that a server names, and the requests that count toward it.
@@ -76,17 +74,9 @@
 
 // TestRateLimitExceededByAllDaemons runs callers while an engine and a desk name rate limits, without other faults.
 func TestRateLimitExceededByAllDaemons(t *testing.T) {
-	path, err := daemonBinary()
-	qt.New(t).Assert(err, qt.IsNil)
-	cl := startCluster(t, path, shortSeed)
-	cl.startCallers()
 	var plan []action
 	for _, target := range []int{0, engineCount} {
 		plan = append(plan, action{fault: rateLimitFault, startsAt: time.Second, duration: limitedTime, target: target, variant: variantCount / 5})
 	}
-	cl.execute(plan)
-	cl.awaitRecovery()
-	cl.checker.finish()
-	cl.stop()
-	cl.report(plan)
+	runPlan(t, shortSeed, plan)
 }
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -108,12 +108,18 @@
 	}
 }
 
-// soak runs one seed and fails the test on any violation.
+// soak runs the faults of one seed and fails the test on any violation.
 func soak(t *testing.T, seed uint64, duration time.Duration) {
+	t.Helper()
+	runPlan(t, seed, newPlan(seed, duration))
+}
+
+// runPlan injects the faults of a plan while callers send the requests of a seed. It fails the test
+// on any violation.
+func runPlan(t *testing.T, seed uint64, plan []action) {
 	t.Helper()
 	path, err := daemonBinary()
 	qt.New(t).Assert(err, qt.IsNil)
-	plan := newPlan(seed, duration)
 	cl := startCluster(t, path, seed)
 	cl.startCallers()
 	cl.execute(plan)
