--- a/internal/forward/place/notice_test.go
+++ b/internal/forward/place/notice_test.go
@@ -164,13 +164,7 @@
 	})
 	t.Run("without a holder, a listed server is used", func(t *testing.T) {
 		h := newHarness(t, azurehitch.SystemClock{}, "s1", "s2")
-		h.placer.Holders = swappeer.NewClient(swappeer.Dependencies{
-			Self:         "daemon-1",
-			Holder:       func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
-			Address:      func(string) (string, bool) { return "", false },
-			Clock:        h.clock, Metrics: metrics.New(),
-		})
+		h.placer.Holders = newHolderless(h.clock)
 		h.fold.AddShutdownNotice(identity("s2"), fleet.SourceAnswer, h.clock.Now())
 		for i := range 5 {
 			h.assertPlacedOn(modelRequest(h, i), "s1")
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -81,6 +81,16 @@
 	})
 }
 
+// newHolderless returns a client of the holders for a daemon that reaches none of them.
+func newHolderless(clock azurehitch.Clock) *swappeer.Client {
+	return swappeer.NewClient(swappeer.Dependencies{
+		Self: "daemon-1", Holder: func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
+		LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
+		Address:      func(string) (string, bool) { return "", false },
+		Clock:        clock, Metrics: metrics.New(),
+	})
+}
+
 // plainRequest returns request number i, without a model. The servers in tried failed it before.
 func plainRequest(i int, tried ...string) place.Request {
 	return place.Request{
@@ -117,13 +127,7 @@
 		c := qt.New(t)
 		placer := newPlacer(map[string]string{"s1": "a"})
 		clock := azurehitch.SystemClock{}
-		placer.Holders = swappeer.NewClient(swappeer.Dependencies{
-			Self:         "daemon-1",
-			Holder:       func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
-			Address:      func(string) (string, bool) { return "", false },
-			Clock:        clock, Metrics: metrics.New(),
-		})
+		placer.Holders = newHolderless(clock)
 		request := plainRequest(1)
 		request.Service.Engine = &azurehitch.EngineLimits{}
 		request.Model = "m"
@@ -141,7 +145,7 @@
 		c := qt.New(t)
 		placer := newPlacer(map[string]string{"s1": "a"})
 		clock := &steppedClock{now: time.Unix(1000, 0)}
-		holderLookups := 0
+		holderLookups, attempts := 0, 0
 		placer.Clock = clock
 		placer.Holders = swappeer.NewClient(swappeer.Dependencies{
 			Self: "daemon-1",
@@ -154,15 +158,18 @@
 				return leaselog.Holder{Daemon: "daemon-2"}
 			},
 			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
-			Address:      func(string) (string, bool) { return "", false },
-			Clock:        clock, Metrics: metrics.New(),
+			Address: func(string) (string, bool) {
+				attempts++
+				return "", false
+			},
+			Clock: clock, Metrics: metrics.New(),
 		})
 		request := plainRequest(1)
 		request.Service.Engine = &azurehitch.EngineLimits{}
 		request.Model = "m"
 		_, err := placer.Place(context.Background(), request)
 		c.Assert(err, qt.IsNotNil)
-		c.Assert(holderLookups > 4, qt.IsTrue, qt.Commentf("%d lookups of the holder", holderLookups))
+		c.Assert(attempts > 4, qt.IsTrue, qt.Commentf("the holder was asked %d times", attempts))
 	})
 	// A service loses its holder, and 40 requests for unloaded models arrive during the 5 s until
 	// the next holder answers.
@@ -173,11 +180,7 @@
 		clock := &steppedClock{now: time.Unix(1000, 0)}
 		began := clock.now
 		placer.Clock, placer.MaxHolderAbsence = clock, absence
-		placer.Holders = swappeer.NewClient(swappeer.Dependencies{
-			Self: "daemon-1", Holder: func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
-			Address:      func(string) (string, bool) { return "", false }, Clock: clock, Metrics: metrics.New(),
-		})
+		placer.Holders = newHolderless(clock)
 		for i := range 40 {
 			clock.now = began.Add(time.Duration(i) * absence / 40)
 			arrivedAt := clock.now
--- a/internal/forward/place/ratelimit_test.go
+++ b/internal/forward/place/ratelimit_test.go
@@ -6,9 +6,6 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/lease/leaselog"
-	"azurehitch/internal/placement/swappeer"
-	"azurehitch/internal/telemetry/metrics"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -78,13 +75,7 @@
 	})
 	t.Run("without a holder, listed servers are used within the share of this daemon", func(t *testing.T) {
 		h := newHarness(t, azurehitch.SystemClock{}, "s1", "s2")
-		h.placer.Holders = swappeer.NewClient(swappeer.Dependencies{
-			Self:         "daemon-1",
-			Holder:       func(string) leaselog.Holder { return leaselog.Holder{Daemon: "daemon-2"} },
-			LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
-			Address:      func(string) (string, bool) { return "", false },
-			Clock:        h.clock, Metrics: metrics.New(),
-		})
+		h.placer.Holders = newHolderless(h.clock)
 		h.limits.Named(identity("s1"), 0.1)
 		h.Assert(h.countPlaced(4, h.placeModel), qt.DeepEquals, map[string]int{"s2": 4})
 	})
