--- a/internal/membership/serverlimit/serverlimit.go
+++ b/internal/membership/serverlimit/serverlimit.go
@@ -46,7 +46,7 @@
 	// knownAt is when a response of the server last confirmed this.
 	knownAt time.Time
 	// share is the part of the limit that this daemon may use; nil until it is first used.
-	share *share
+	share *Bucket
 }
 
 // Tracker holds the limits of servers. It is safe for concurrent use.
--- a/internal/membership/serverlimit/share.go
+++ b/internal/membership/serverlimit/share.go
@@ -6,7 +6,6 @@
 	"azurehitch"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -19,17 +18,6 @@
 	minSilence     = 15 * time.Second
 )
 
-// share is the part of a limit that one daemon may use.
-type share struct{ limiter *rate.Limiter }
-
-// newShare returns a share that saves its first request from a point of time on. It starts without
-// one: the daemon whose place this one takes may have used its own just before.
-func newShare(perSecond rate.Limit, from time.Time) *share {
-	s := &share{limiter: rate.NewLimiter(perSecond, 1)}
-	s.limiter.AllowN(from, 1)
-	return s
-}
-
 // Allow reports whether this daemon may send a request to a server now without a grant by a holder,
 // and counts the request if the server has a limit. A limit is shared by the first maxSharers
 // daemons in the ranking of the server. All daemons rank in the same order, so that a daemon does
@@ -38,7 +26,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.shareOf(server)
-	return ok && (s == nil || s.limiter.AllowN(t.clock.Now(), 1))
+	return ok && (s == nil || s.Take(t.clock.Now()))
 }
 
 // Wait returns the time until a server may be sent a request without a grant by a holder. For a
@@ -53,8 +41,7 @@
 	case s == nil:
 		return 0
 	}
-	missing := 1 - s.limiter.TokensAt(t.clock.Now())
-	return max(time.Duration(missing*float64(interval(float64(s.limiter.Limit())))), 0)
+	return s.Wait(1, t.clock.Now())
 }
 
 // interval returns the time between two events at a rate.
@@ -64,7 +51,7 @@
 
 // shareOf returns the share of this daemon in the limit of a server; nil if the server has no
 // limit. It returns false if this daemon has no share. The caller holds t.mu.
-func (t *Tracker) shareOf(server azurehitch.ServerIdentity) (*share, bool) {
+func (t *Tracker) shareOf(server azurehitch.ServerIdentity) (*Bucket, bool) {
 	l, ok := t.limits[server]
 	if !ok || l.perSecond == 0 {
 		return nil, true
@@ -72,20 +59,18 @@
 	daemons := t.daemons()
 	now := t.clock.Now()
 	sharers := max(min(maxSharers, len(daemons)), 1)
-	perSecond := rate.Limit(l.perSecond / float64(sharers))
-	pause := interval(float64(perSecond))
+	perSecond := l.perSecond / float64(sharers)
+	pause := interval(perSecond)
 	rank := t.rank(server, daemons)
 	if late := int(now.Sub(l.knownAt) / max(silentRequests*pause, minSilence)); rank >= sharers+late {
 		return nil, false
 	}
-	switch {
-	case l.share == nil:
+	if l.share == nil {
 		// The sharers begin one after the other.
-		l.share = newShare(perSecond, now.Add(-pause*time.Duration(rank%sharers)/time.Duration(sharers)))
+		l.share = NewBucket(perSecond, 1, now.Add(-pause*time.Duration(rank%sharers)/time.Duration(sharers)))
 		t.limits[server] = l
-	case l.share.limiter.Limit() != perSecond:
-		l.share.limiter.SetLimitAt(now, perSecond)
 	}
+	l.share.SetRate(perSecond, 1, now)
 	return l.share, true
 }
 
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -11,20 +11,20 @@
 // rateWindow is the time constant of the moving averages.
 const rateWindow = 3 * time.Second
 
-// average is an exponential moving average of events per second.
-type average struct {
+// rate is an exponential moving average of events per second.
+type rate struct {
 	value     float64
 	updatedAt time.Time
 }
 
 // add counts n events.
-func (r *average) add(n int, now time.Time) {
+func (r *rate) add(n int, now time.Time) {
 	r.value = r.perSecond(now) + float64(n)/rateWindow.Seconds()
 	r.updatedAt = now
 }
 
 // perSecond returns the average, decayed to now.
-func (r *average) perSecond(now time.Time) float64 {
+func (r *rate) perSecond(now time.Time) float64 {
 	if r.updatedAt.IsZero() {
 		return 0
 	}
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -143,11 +143,11 @@
 	requests int
 	// misses is the number of requests that found no ready replica.
 	misses      int
-	requestRate average
+	requestRate rate
 	// startRate is the rate of requests started on its servers.
-	startRate average
+	startRate rate
 	// refusalRate is the rate of requests refused for lack of capacity.
-	refusalRate average
+	refusalRate rate
 	// lastBlockingAt is when a pinned replica of this model was last found to keep another model
 	// off a cached server.
 	lastBlockingAt time.Time
--- a/internal/placement/swap/ratelimit.go
+++ b/internal/placement/swap/ratelimit.go
@@ -6,8 +6,7 @@
 	"time"
 
 	"azurehitch"
-
-	"golang.org/x/time/rate"
+	"azurehitch/internal/membership/serverlimit"
 )
 
 // SetRateLimits replaces the rate limits of servers, in requests per second. Grants at a server stay
@@ -20,33 +19,28 @@
 	for _, s := range p.sortedServers {
 		perSecond, ok := limits[s.ServerIdentity]
 		if !ok {
-			s.rateLimiter = nil
+			s.rateLimit = nil
 			continue
 		}
 		s.setRateLimit(perSecond, now)
 	}
 }
 
-// setRateLimit sets a rate limit. Up to the requests of one second may be granted at once, but none
-// at first: a former holder may have granted that many just before.
+// setRateLimit sets a rate limit. Up to the requests of one second may be granted at once.
 func (s *server) setRateLimit(perSecond float64, now time.Time) {
-	limit, burst := rate.Limit(perSecond), int(math.Ceil(perSecond))
-	switch {
-	case s.rateLimiter == nil:
-		s.rateLimiter = rate.NewLimiter(limit, burst)
-		s.rateLimiter.AllowN(now, burst)
-	case s.rateLimiter.Limit() != limit:
-		s.rateLimiter.SetLimitAt(now, limit)
-		s.rateLimiter.SetBurstAt(now, burst)
+	burst := int(math.Ceil(perSecond))
+	if s.rateLimit == nil {
+		s.rateLimit = serverlimit.NewBucket(perSecond, burst, now)
 	}
+	s.rateLimit.SetRate(perSecond, burst, now)
 }
 
 // hasRateLimit reports whether the server names a rate limit.
-func (s *server) hasRateLimit() bool { return s.rateLimiter != nil }
+func (s *server) hasRateLimit() bool { return s.rateLimit != nil }
 
 // countGrant counts a grant in the rate limit of the server, and reports whether it names one.
 func (s *server) countGrant(now time.Time) bool {
-	return s.hasRateLimit() && s.rateLimiter.AllowN(now, 1)
+	return s.hasRateLimit() && s.rateLimit.Take(now)
 }
 
 // rateLimitWait returns the expected time until a server with a rate limit can start a further
@@ -59,8 +53,7 @@
 	for name := range s.replicas {
 		ahead += len(p.waiters.byModel[name])
 	}
-	missing := float64(max(ahead, 1)) - s.rateLimiter.TokensAt(now)
-	return time.Duration(max(missing, 0) / float64(s.rateLimiter.Limit()) * float64(time.Second))
+	return s.rateLimit.Wait(float64(max(ahead, 1)), now)
 }
 
 // withoutRateLimit returns the servers that name no rate limit.
@@ -72,7 +65,7 @@
 func (p *Plan) freeSlotsAt(s *server, now time.Time) int {
 	free := max(s.slots-p.inProgress.servers[s.ID], 0)
 	if s.hasRateLimit() {
-		free = min(free, max(int(s.rateLimiter.TokensAt(now)), 0))
+		free = min(free, max(int(s.rateLimit.Tokens(now)), 0))
 	}
 	return free
 }
@@ -85,7 +78,7 @@
 	for _, s := range servers {
 		usable := float64(p.slotsPerServer())
 		if s.hasRateLimit() {
-			usable = min(usable, float64(s.rateLimiter.Limit())*runTime)
+			usable = min(usable, s.rateLimit.PerSecond()*runTime)
 		}
 		sum += usable
 	}
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -6,8 +6,7 @@
 	"time"
 
 	"azurehitch"
-
-	"golang.org/x/time/rate"
+	"azurehitch/internal/membership/serverlimit"
 )
 
 // replicaState is the lifecycle state of a model or an adapter on a server.
@@ -72,8 +71,8 @@
 	prefillEnds []time.Time
 	// lastRemoteLoad is when the last load from the weight store was ordered.
 	lastRemoteLoad time.Time
-	// rateLimiter counts the grants at a server that names a rate limit; nil if it names none.
-	rateLimiter *rate.Limiter
+	// rateLimit counts the grants at a server that names a rate limit; nil if it names none.
+	rateLimit *serverlimit.Bucket
 	// lastFailure is when an order to the server or a read of its report last failed. The server
 	// gets no orders for failureBackoff after that.
 	lastFailure time.Time
