jsonhttp: contexts of requests derive from that of their server

It would end the daemon during a planned stop.

The goroutine also asks its parent for the error, and fasthttp forgets that a server is shut down as soon as the shutdown is complete: the channel is closed and the error is nil.

Change: Serve gives each request the context of its server, which ends when the server is shut down, and Context returns it. Nothing refers to the request any more.

Evidence: the test runs its servers by Serve now, with the same assertions.

--- a/internal/admin/operator/handler_test.go
+++ b/internal/admin/operator/handler_test.go
@@ -8,6 +8,7 @@
 	"azurehitch/internal/admin/operator"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/jsonhttp"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
@@ -33,16 +34,17 @@
 // stopDuringRequest shuts a server down just before it answers a request.
 func stopDuringRequest(c *qt.C) {
 	listener := fasthttputil.NewInmemoryListener()
+	lifetime, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	server := &fasthttp.Server{Logger: discardLogger{}}
 	server.Handler = operator.NewHandler(operator.Dependencies{
 		Metrics: metrics.New(), Daemons: func() []string { return []string{"daemon-1"} },
 		Status: func(context.Context, string) (*peerpb.StatusResponse, error) {
-			group.Go(server.Shutdown)
+			stop()
 			return &peerpb.StatusResponse{}, nil
 		},
 	})
-	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return jsonhttp.Serve(lifetime, listener, server) })
 	client := &fasthttp.HostClient{Addr: "daemon-1", Dial: func(string) (net.Conn, error) { return listener.Dial() }}
 	status, _, err := client.Get(nil, "http://daemon-1"+operator.PathDaemons)
 	c.Check(err, qt.IsNil)
--- a/internal/transport/jsonhttp/server.go
+++ b/internal/transport/jsonhttp/server.go
@@ -47,21 +47,28 @@
 	return true
 }
 
-// requestContext is the context of a request without its values.
-type requestContext struct{ *fasthttp.RequestCtx }
+// lifetimeKey is the key of the user value of a request that holds the context of its server.
+type lifetimeKey struct{}
 
-// Value implements context.Context.
-func (requestContext) Value(any) any { return nil }
-
-// Context returns a context that ends when the server of a request is shut down. Contexts must be
-// derived from it and not from the request itself: at a shutdown, a goroutine of the derived context
-// reads values of its parent, and the server may already have reset those of the request.
-func Context(ctx *fasthttp.RequestCtx) context.Context { return requestContext{ctx} }
+// Context returns a context that ends when the server of a request, which Serve runs, is shut down.
+// Contexts must be derived from it and not from the request itself: a goroutine of a derived context
+// reads its parent when the server is shut down, and the server may already have reset the request.
+func Context(ctx *fasthttp.RequestCtx) context.Context {
+	if lifetime, ok := ctx.UserValue(lifetimeKey{}).(context.Context); ok {
+		return lifetime
+	}
+	return context.Background()
+}
 
 // Serve runs a server on a listener until the context ends, and then shuts it down. Requests still
 // in progress after shutdownTimeout are not an error.
 func Serve(ctx context.Context, listener net.Listener, server *fasthttp.Server) error {
 	group, ctx := errgroup.WithContext(ctx)
+	handle := server.Handler
+	server.Handler = func(request *fasthttp.RequestCtx) {
+		request.SetUserValue(lifetimeKey{}, ctx)
+		handle(request)
+	}
 	group.Go(func() error {
 		return errors.Wrap(server.Serve(listener), "serve HTTP")
 	})
