Log the shared parts of a request's prompt

Three hypotheses: a part of the prompt crashes whichever engine begins to write, and nothing relates the ends of engines to what they ran; azurehitch itself carries one request from engine to engine with its retries; engines end because of what we load or send (memory), and the prompt is a coincidence. The log lines of requests name the engines and how each attempt ended, but not the prompt, so which requests the ended engines had in common could not be told.

Change: the shared parts of the prompt are decoded and logged, 16 of them at most. No decision uses them.

--- a/exchange.go
+++ b/exchange.go
@@ -19,6 +19,9 @@
 	Model    string
 	// Adapter is empty if the request is for the model itself.
 	Adapter string
+	// SharedParts identify the parts of the prompt before the last one, in order. Other requests have
+	// them in their prompts too.
+	SharedParts []string
 	// Session identifies the last part of the prompt, which belongs to one session or subject of the
 	// caller.
 	Session string
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -28,6 +28,8 @@
 	drainingRetryAfter = 50 * time.Millisecond
 	// failureRetryAfter is the retry delay after failures without an estimate.
 	failureRetryAfter = 300 * time.Millisecond
+	// maxLoggedParts limits the parts of a prompt in the log line of a request.
+	maxLoggedParts = 16
 )
 
 // request is one request in progress.
@@ -230,7 +232,8 @@
 	took := r.server.Clock.Now().Sub(r.startedAt)
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
 	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).Str("Route", r.route.Name).
-		Int64("Configuration", r.configurationVersion).Str("Model", r.Model).Str("Adapter", r.Adapter).Int("Status", status).
+		Int64("Configuration", r.configurationVersion).Str("Model", r.Model).Str("Adapter", r.Adapter).
+		Strs("SharedParts", r.SharedParts[:min(len(r.SharedParts), maxLoggedParts)]).Int("Status", status).
 		Str("Reason", reason).Dur("Placed", r.placementTime).Dur("FirstEvent", r.timeToFirstEvent).
 		Dur("LongestPause", r.longestPause).Dur("Took", took).Dur("Left", r.deadline.Sub(r.startedAt)-took).
 		Dur("Objective", r.route.Objective).Dur("MaxPause", r.route.MaxPause).
