fleet: a server that was never listed has not departed

Cause: the holder of a service read the entry of a new engine up to 0.85 s before other daemons did. A daemon that got a grant at an engine which it had not yet read took it for gone, and told the holder, which marks such an engine as shutting down for the rest of its incarnation. With five engines back within a second, all were marked. The class: an unknown state is taken for a known one.

Change: only a server that was listed and removed counts as gone, by its incarnation; removals are remembered for a minute. The same cause was looked for where daemons report shutdowns, backoffs and limits: those rest on answers of the server itself.

--- a/internal/membership/fleet/fold.go
+++ b/internal/membership/fleet/fold.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +16,17 @@
 	// outageGrace is the time after a failed read in which an entry may have been removed because
 	// of an outage of the platform.
 	outageGrace = 3 * time.Second
+	// removalTTL is how long a removed server is remembered. Other daemons that still grant requests
+	// to it learn of its removal much earlier.
+	removalTTL = time.Minute
 )
 
+// removal is the removal of a server from the list.
+type removal struct {
+	incarnation int64
+	at          time.Time
+}
+
 // Observer receives the changes of a fold.
 type Observer interface {
 	// ServerChanged is called for each change of a server.
@@ -59,6 +69,8 @@
 	missing map[string]time.Time
 	// notices are the shutdown notices of servers, by ID.
 	notices map[string]shutdownNotice
+	// removed are the servers that were removed within removalTTL, by ID.
+	removed map[string]removal
 	// failedAt is when a read of the list last failed; zero if none has.
 	failedAt time.Time
 	// version increases with each change that requires a new view.
@@ -73,7 +85,7 @@
 	f := &Fold{
 		decode: decode, observer: observer,
 		servers: map[string]azurehitch.FleetServer{}, missing: map[string]time.Time{},
-		notices: map[string]shutdownNotice{},
+		notices: map[string]shutdownNotice{}, removed: map[string]removal{},
 	}
 	f.view.Store(newView(f, time.Time{}))
 	return f
@@ -141,6 +153,7 @@
 	}
 	f.servers[s.ID] = s
 	delete(f.missing, s.ID)
+	delete(f.removed, s.ID)
 	f.version++
 	switch {
 	case !known:
@@ -161,7 +174,7 @@
 		return
 	}
 	if f.failedAt.IsZero() || readAt.Sub(f.failedAt) >= outageGrace {
-		f.drop(s)
+		f.drop(s, readAt)
 		return
 	}
 	if _, isMissing := f.missing[id]; !isMissing {
@@ -171,9 +184,10 @@
 	}
 }
 
-func (f *Fold) drop(s azurehitch.FleetServer) {
+func (f *Fold) drop(s azurehitch.FleetServer, at time.Time) {
 	delete(f.servers, s.ID)
 	delete(f.missing, s.ID)
+	f.removed[s.ID] = removal{incarnation: s.Incarnation, at: at}
 	f.version++
 	f.changed(s, ChangeRemoved)
 }
@@ -181,9 +195,10 @@
 func (f *Fold) publish(readAt time.Time) {
 	for id, until := range f.missing {
 		if !readAt.Before(until) {
-			f.drop(f.servers[id])
+			f.drop(f.servers[id], readAt)
 		}
 	}
+	maps.DeleteFunc(f.removed, func(_ string, r removal) bool { return readAt.Sub(r.at) >= removalTTL })
 	f.expireNotices(readAt)
 	view := f.view.Load()
 	next := *view
--- a/internal/membership/fleet/shutdown_test.go
+++ b/internal/membership/fleet/shutdown_test.go
@@ -23,6 +23,26 @@
 	c.Assert(f.View().HasDeparted(s.ServerIdentity), qt.Equals, want)
 }
 
+// TestServerNotYetListedCountsAsDeparted checks a server that another daemon lists before this one.
+func TestServerNotYetListedCountsAsDeparted(t *testing.T) {
+	t.Run("a server that was never listed has not departed", func(t *testing.T) {
+		c, f, _ := newFold(t)
+		c.Assert(f.View().HasDeparted(identity("new", '1')), qt.IsFalse)
+	})
+	t.Run("a server whose entry was removed has departed", func(t *testing.T) {
+		c, f, _ := newFold(t)
+		f.Apply(entry("a", ""), start)
+		c.Assert(f.View().HasDeparted(identity("a", '1')), qt.IsTrue)
+		c.Assert(f.View().HasDeparted(identity("a", '2')), qt.IsFalse)
+	})
+	t.Run("a server whose entry has returned has not departed", func(t *testing.T) {
+		c, f, _ := newFold(t)
+		f.Apply(entry("a", ""), start)
+		f.Apply(entry("a", "ready:1"), start.Add(time.Second))
+		assertShuttingDown(c, f, "a", false)
+	})
+}
+
 // TestShutdownNotice checks servers that announce their shutdown themselves.
 func TestShutdownNotice(t *testing.T) {
 	t.Run("a notice applies at once and takes precedence over the list", func(t *testing.T) {
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -31,15 +31,16 @@
 	Version int64
 	// services holds the servers of each service, sorted by ID.
 	services map[string][]azurehitch.FleetServer
-	// servers and notices are keyed by the ID of the server.
+	// servers, notices and removed are keyed by the ID of the server.
 	servers map[string]azurehitch.FleetServer
 	notices map[string]shutdownNotice
+	removed map[string]removal
 }
 
 // newView returns a view of a fold. The caller holds f.mu unless the fold is new.
 func newView(f *Fold, readAt time.Time) *View {
 	view := &View{
-		ReadAt: readAt, Version: f.version, notices: maps.Clone(f.notices),
+		ReadAt: readAt, Version: f.version, notices: maps.Clone(f.notices), removed: maps.Clone(f.removed),
 		services: map[string][]azurehitch.FleetServer{}, servers: map[string]azurehitch.FleetServer{},
 	}
 	listed := map[string]bool{}
@@ -68,14 +69,16 @@
 }
 
 // HasDeparted reports whether an incarnation of a server is shutting down or no longer exists,
-// according to the list or its shutdown notice.
+// according to the list or its shutdown notice. A server that was never listed has not departed: it
+// may have started since this daemon last read the list.
 func (v *View) HasDeparted(server azurehitch.ServerIdentity) bool {
 	if v.hasNotice(server) {
 		return true
 	}
 	listed, ok := v.servers[server.ID]
 	if !ok {
-		return v.Complete && !v.ReadAt.IsZero()
+		removed, wasListed := v.removed[server.ID]
+		return wasListed && server.Incarnation <= removed.incarnation
 	}
 	return server.Incarnation < listed.Incarnation || server.Incarnation == listed.Incarnation && listed.ShuttingDown
 }
