soak: test that requests which crash servers stop reaching them; it fails

The checker has two rules: at most three such requests after that time, and sound requests begin at least half as often as before. Prompts of all requests have shared parts now; the other requests of a seed are unchanged.

--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -32,9 +32,14 @@
 	sent   int
 }
 
+// newRandom returns the random sequence with a number within those of a seed.
+func newRandom(seed uint64, number int) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, uint64(number)))
+}
+
 func (cl *cluster) startCallers() {
 	for i := range callerCount {
-		c := &caller{cluster: cl, number: i, random: rand.New(rand.NewPCG(cl.seed, uint64(100+i)))}
+		c := &caller{cluster: cl, number: i, random: newRandom(cl.seed, 100+i)}
 		cl.group.Go(func() error {
 			defer c.disconnect()
 			for cl.sleep(time.Duration(c.random.Int64N(int64(2 * meanCallerPause)))) {
@@ -118,7 +123,8 @@
 func (c *caller) nextExchange() exchange {
 	cl := c.cluster
 	x := exchange{daemon: c.daemon, sentAt: time.Now()}
-	x.ID = fmt.Sprintf("%d-%d", cl.seed, cl.nextID.Add(1))
+	number := cl.nextID.Add(1)
+	x.ID = fmt.Sprintf("%d-%d", cl.seed, number)
 	x.Method, x.Host, x.Body = "POST", callerHost, "body of "+x.ID
 	all := routes()
 	switch n := c.random.IntN(20); {
@@ -140,6 +146,9 @@
 		}
 	}
 	x.URI, x.TimeLeft = x.route.PathPrefix+"x?n=1", x.route.Timeout
+	if x.Model != "" {
+		x.SharedParts = sharedParts(c.number, number)
+	}
 	return x
 }
 
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -66,6 +66,8 @@
 	ruleDrain              rule = "no requests to servers that shut down"
 	ruleBackoff            rule = "no requests to servers that requested a backoff"
 	ruleRateLimit          rule = "the daemons together keep to the rate limit of a server"
+	ruleCrashingPart       rule = "requests with a part that crashes servers reach no further servers"
+	ruleSoundRequests      rule = "sound requests are served beside those that crash servers"
 	ruleConfiguration      rule = "requests follow the current configuration"
 	ruleSingleHolder       rule = "a service has at most one lease holder"
 	ruleMemory             rule = "server memory is not exceeded"
@@ -142,7 +144,8 @@
 	shutdownForwardedAt map[daemonServer]time.Time
 	backoffs            map[daemonServer]*backoff
 	// rateLimits holds the rate limits in force, by server id.
-	rateLimits map[string]*rateLimit
+	rateLimits    map[string]*rateLimit
+	crashingParts []*crashingPart
 	// acceptedOrders is keyed by server id, and each list is in the order of arrival.
 	acceptedOrders map[string][]acceptedOrder
 	holderByToken  map[int64]string
@@ -245,6 +248,7 @@
 	}
 	c.checkBackoff(daemonServer{daemon: r.exchange.daemon, server: server.ID})
 	c.checkRateLimit(r.exchange.daemon, server.ID)
+	c.checkCrashingParts(r.exchange, server.ID)
 	if r.arrivals++; r.arrivals > 1 {
 		c.retries[service] = append(c.retries[service], time.Now())
 		c.checkBudget(service)
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -295,7 +295,8 @@
 	options := platformtest.BackendOptions{
 		ID: fmt.Sprintf("%s-%d", s.name, s.generation), Address: s.link.address(), Service: s.service, FailureDomain: "domain-0",
 		Slots: 16, Incarnation: time.Now().UnixMilli(), Engine: services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
-		Work: platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: 12},
+		Crashes: func(request azurehitch.CallerRequest) bool { return cl.crash(s, request) },
+		Work:    platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: 12},
 	}
 	s.current, s.listed = platformtest.NewBackend(options), true
 	s.link.retarget(listener.Addr().String())
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -362,7 +362,12 @@
 // replaceServer removes a server and starts the next at the same address under another id, with
 // an empty disk or with the cached checkpoints of the old one.
 func (cl *cluster) replaceServer(a action, name string, remove func(old *platformtest.Backend)) {
-	s := cl.targetServer(a)
+	cl.replace(cl.targetServer(a), name, a.variant%2 != 0, remove)
+}
+
+// replace replaces a server like replaceServer, with the cached checkpoints of the old one if
+// keepsDisk is true. It does nothing while another fault replaces the server.
+func (cl *cluster) replace(s *backendServer, name string, keepsDisk bool, remove func(old *platformtest.Backend)) {
 	if !s.replacing.TryLock() {
 		return
 	}
@@ -376,7 +381,7 @@
 	cl.checker.recordDeparture(entry.ID)
 	old.Kill()
 	cached := azurehitch.CachedModels{OnDisk: entry.Cached.OnDisk}
-	if a.variant%2 == 0 {
+	if !keepsDisk {
 		cached = azurehitch.CachedModels{}
 	}
 	cl.startServer(s, cached)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -123,6 +123,7 @@
 	cl := startCluster(t, path, seed)
 	cl.startCallers()
 	cl.execute(plan)
+	cl.checker.checkSoundRequests()
 	cl.awaitRecovery()
 	cl.checker.finish()
 	cl.stop()
