Keep requests that crash servers away from them

Cause: nothing related the end of an engine to the requests that it ran. Each request was sent as if it were the first, at any daemon, and a resumable one was sent to a second engine after it had crashed the first. The class: a fault that travels with the request, for which every defense (breaker, backoff, other server) looks at the server.

Change: internal/forward/quarantine finds the part that the crashes have in common. A server that breaks off requests and has ended makes their parts suspects; answers anywhere clear them; the part that is left after three crashes is held, and each send checks it. Daemons tell each other what they see (quarantinepeer) without store or holder, and keep the holds in a keyed stream (quarantinelog) for the restart of all. A single request as a trial, from time to time, finds out when the part can be released.

--- a/fleet.go
+++ b/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // FleetServer is a backend server as the platform lists it, from the entry that the server itself
@@ -136,9 +138,13 @@
 	Notice ServerNotice
 }
 
+// ErrOtherServer reports that a server has rejected a call because it isn't the one that was called.
+var ErrOtherServer = errors.New("another server has the address")
+
 // EngineControl reads the reports of model engines and sends them orders.
 type EngineControl interface {
-	// Report reads the report of a server. The notice is valid even if the error is not nil.
+	// Report reads the report of a server. The notice is valid even if the error is not nil. The error
+	// wraps ErrOtherServer if another server has the address now.
 	Report(ctx context.Context, server ServerIdentity) (ServerReport, error)
 	// Order sends an order once. It calls mayOrder right before it would send the first byte, and
 	// sends nothing if mayOrder returns false. The error is the reason for a missing answer; the
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -23,6 +23,9 @@
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/quarantine"
+	"azurehitch/internal/forward/quarantinelog"
+	"azurehitch/internal/forward/quarantinepeer"
 	"azurehitch/internal/forward/retrybudget"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/lease/leaserunner"
@@ -44,8 +47,9 @@
 )
 
 const (
-	controlStream = "control"
-	memberStream  = "members"
+	controlStream    = "control"
+	memberStream     = "members"
+	quarantineStream = "quarantine"
 	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of Settings.Memory.
 	memoryLimitRatio = 0.6
 	// snapshotRecords is the number of records after which a snapshot of the leases is due.
@@ -108,6 +112,9 @@
 	backoffs        *backoff.Tracker
 	limits          *serverlimit.Tracker
 	retryBudget     *retrybudget.Budget
+	quarantine      *quarantine.Tracker
+	quarantinePeers *quarantinepeer.Client
+	quarantineLog   *quarantinelog.Log
 
 	listeners listeners
 	stopping  atomic.Bool
@@ -139,6 +146,7 @@
 	d.breakerLog = breakerlog.New(platform.Log, platform.Keyed, platform.Clock)
 	d.assembleState()
 	d.assemblePlacement()
+	d.assembleQuarantine()
 	d.assembleForwarding()
 	return d, d.listen()
 }
@@ -255,6 +263,19 @@
 	})
 }
 
+func (d *Daemon) assembleQuarantine() {
+	name, daemons := d.settings.Name, d.members.Names
+	d.quarantine = quarantine.New(quarantine.Dependencies{
+		Self: name, Daemons: daemons, HasEnded: d.hasEnded, Clock: d.Clock, Observer: d.observer,
+	})
+	d.quarantinePeers = quarantinepeer.NewClient(quarantinepeer.Dependencies{
+		Self: name, Daemons: daemons, Address: d.members.Address, Tracker: d.quarantine, Peers: d.peers, Clock: d.Clock, Metrics: d.Metrics,
+	})
+	d.quarantineLog = quarantinelog.New(quarantinelog.Dependencies{
+		Keyed: d.breakerLog, Stream: quarantineStream, Self: name, Daemons: daemons, Tracker: d.quarantine, Clock: d.Clock, Observer: d.observer,
+	})
+}
+
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
 	breakers := breaker.NewBreakers(d.Clock)
@@ -271,6 +292,7 @@
 		Breakers:        breakers,
 		Backoffs:        d.backoffs,
 		Limits:          d.limits,
+		Quarantine:      d.quarantine,
 		OnNotice:        d.handleNotice,
 		Budget:          d.retryBudget,
 		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
--- a/internal/daemon/gateway/observer.go
+++ b/internal/daemon/gateway/observer.go
@@ -3,6 +3,7 @@
 import (
 	"azurehitch"
 	"azurehitch/internal/daemon/observe"
+	"azurehitch/internal/forward/quarantine"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -49,3 +50,36 @@
 	o.Metrics.Add(metrics.RecordsDamaged, 1)
 	o.Logs.Layer(logging.LayerMembership).Warn().Str("Server", id).Err(err).Msg("entry names no server")
 }
+
+// ServerCrashed implements quarantine.Observer.
+func (o *observer) ServerCrashed(crash quarantine.Crash) {
+	o.Metrics.Add(metrics.ServerCrashes, 1)
+	var parts []string
+	for _, s := range crash.Suspects[:min(len(crash.Suspects), maxLoggedSuspects)] {
+		parts = append(parts, s.ID)
+	}
+	o.Logs.Layer(logging.LayerForward).Warn().Str("Server", crash.Server.ID).Str("Service", crash.Service).
+		Int64("Incarnation", crash.Server.Incarnation).Dur("Age", crash.Age).Strs("SuspectParts", parts).Msg("server crashed")
+}
+
+// maxLoggedSuspects limits the parts in the log line of a crash.
+const maxLoggedSuspects = 32
+
+// PartHeld implements quarantine.Observer.
+func (o *observer) PartHeld(part quarantine.Part, source quarantine.Source) {
+	o.Logs.Layer(logging.LayerForward).Warn().Str("Service", part.Service).Str("Part", part.ID).
+		Str("Source", string(source)).Msg("prompt part held: requests with it crash servers")
+}
+
+// PartReleased implements quarantine.Observer.
+func (o *observer) PartReleased(part quarantine.Part, source quarantine.Source) {
+	o.Logs.Layer(logging.LayerForward).Warn().Str("Service", part.Service).Str("Part", part.ID).
+		Str("Source", string(source)).Msg("prompt part released")
+}
+
+// PartTried implements quarantine.Observer.
+func (o *observer) PartTried(part quarantine.Part, trials int) {
+	o.Metrics.Add(metrics.PartTrials, 1)
+	o.Logs.Layer(logging.LayerForward).Warn().Str("Service", part.Service).Str("Part", part.ID).
+		Int("Trials", trials).Msg("request with a held prompt part sent as a trial")
+}
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/placement/swappeer"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -36,7 +37,7 @@
 	group, running := errgroup.WithContext(running)
 	for _, loop := range []func(context.Context) error{
 		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.heldServices.Run, d.holderClient.Run,
-		d.Connections.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers,
+		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.Connections.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers,
 	} {
 		group.Go(func() error { return loop(running) })
 	}
@@ -150,7 +151,13 @@
 		Held: d.heldServices, Limits: d.limits, Clock: d.Clock, ReadPositions: d.positionsToConfirm,
 		UnlistedShutdowns: d.unlistedShutdowns, RecordShutdowns: d.recordShutdowns,
 	}
-	return mux.NewServer(d.listeners.peers, server.Handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
+	handle := func(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+		if evidence := request.GetCrashEvidence(); evidence != nil {
+			return d.quarantinePeers.Handle(evidence)
+		}
+		return server.Handle(ctx, request)
+	}
+	return mux.NewServer(d.listeners.peers, handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
 }
 
 // runReady serves the readiness checks of the load balancer.
@@ -166,6 +173,7 @@
 	text := d.Metrics.TextHandler()
 	return serveHTTP(ctx, d.listeners.metrics, func(request *fasthttp.RequestCtx) {
 		d.Metrics.Set(metrics.LogLinesDropped, d.Logs.Dropped())
+		d.Metrics.Set(metrics.PartsHeld, d.quarantine.HeldParts())
 		text(request)
 	})
 }
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -32,7 +32,9 @@
 	// rejected the request. The load then takes longer than expected, and the server may soon
 	// accept the request.
 	stillLoading bool
-	cause        error
+	// isQuarantined is true when the request was not sent because its prompt crashes servers.
+	isQuarantined bool
+	cause         error
 }
 
 // attemptLog lists the attempts of a request for its log line.
@@ -79,12 +81,16 @@
 // exchange and a result with the cause. If lastEventID is not empty, the server is asked to resume
 // the stream after that event.
 func (r *request) exchange(choice place.Choice, lastEventID string) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
+	if refused := r.server.Quarantine.Begin(r.service.Name, r.SharedParts); refused != nil {
+		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isQuarantined: true, cause: refused}
+	}
 	request := attemptRequest(&r.http.Request)
 	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
 		Server: choice.Server, TimeLeft: r.deadline.Sub(r.server.Clock.Now()),
 		Urgency: r.urgency(), LastEvent: lastEventID,
 	})
 	startedAt := r.server.Clock.Now()
+	r.firstEventAt = time.Time{}
 	r.sends++
 	if choice.RateLimit > 0 {
 		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
@@ -153,6 +159,7 @@
 // breaker counts no failure.
 func (r *request) recordError(choice place.Choice, err error) {
 	if !r.isOver() {
+		r.recordBrokenOff(choice, err)
 		record := r.server.Breakers.Failed
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			record = r.server.Breakers.ConnectionRefused
@@ -162,6 +169,43 @@
 	r.countTooLarge(err)
 }
 
+// crashTime is the time from the first event of an answer after which the request is no longer
+// suspected of crashing its server.
+const crashTime = 300 * time.Millisecond
+
+// recordBrokenOff records that a server broke off the request, which may have crashed it. A server
+// that has sent events for a while did not crash because of this request.
+func (r *request) recordBrokenOff(choice place.Choice, err error) {
+	var failed *connpool.ErrExchange
+	isUnsent := errors.As(err, &failed) && !failed.Sent
+	if !isUnsent && !r.hasStreamedSince(r.server.Clock.Now().Add(-crashTime)) {
+		r.server.Quarantine.BrokenOff(r.service.Name, choice.Server, r.SharedParts)
+	}
+}
+
+// hasStreamedSince reports whether the first event of the current attempt came at the given time or
+// before.
+func (r *request) hasStreamedSince(at time.Time) bool {
+	return !r.firstEventAt.IsZero() && !r.firstEventAt.After(at)
+}
+
+// recordEvent records an event of the current attempt. Once events have come for a while, the prompt
+// does not crash servers; the end of the stream may come much later.
+func (r *request) recordEvent(now time.Time) {
+	if r.firstEventAt.IsZero() {
+		r.firstEventAt = now
+	}
+	if !r.isKnownSound && r.hasStreamedSince(now.Add(-crashTime)) {
+		r.recordSound()
+	}
+}
+
+// recordSound records that a server has answered the request.
+func (r *request) recordSound() {
+	r.isKnownSound = true
+	r.server.Quarantine.Answered(r.service.Name, r.SharedParts)
+}
+
 // countTooLarge adds to the metric AnswersTooLarge if err says that the response exceeded a size
 // limit or the shared memory budget. Other errors are ignored.
 func (r *request) countTooLarge(err error) {
@@ -217,7 +261,7 @@
 // request never reached the server. If the server still loads the model, mayRetry waits for one of
 // the loadingRetryDelays first.
 func (r *request) mayRetry(res result) bool {
-	if r.isOver() {
+	if r.isOver() || res.isQuarantined {
 		return false
 	}
 	if res.run != azurehitch.RunStateNotRun {
@@ -253,6 +297,10 @@
 
 // finalRefusal returns the refusal for a request whose last attempt failed.
 func (r *request) finalRefusal(res result) error {
+	var refused *azurehitch.ErrRefused
+	if res.isQuarantined && r.unknownOutcomes == 0 && errors.As(res.cause, &refused) {
+		return refused
+	}
 	if res.run == azurehitch.RunStateNotRun && r.unknownOutcomes == 0 {
 		return azurehitch.Refuse(azurehitch.CodeNoCapacity, "%v", res.cause).WithRetryAfter(failureRetryAfter)
 	}
--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -8,6 +8,8 @@
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
+
+	"github.com/valyala/fasthttp"
 )
 
 // maxInlineBodyBytes is the size up to which a body is written together with the head of its
@@ -25,6 +27,7 @@
 		exchange.Close()
 		choice.End()
 		r.recordBadAnswer(choice)
+		r.recordBrokenOff(choice, err)
 		r.countTooLarge(err)
 		r.attempts.add(choice, err.Error())
 		return result{run: azurehitch.RunStateUnknown, cause: err}
@@ -98,6 +101,9 @@
 	switch {
 	case b.complete && len(b.buffered) == 0:
 		r.server.Breakers.Succeeded(b.choice.Server.Address)
+		if status == fasthttp.StatusOK {
+			r.recordSound()
+		}
 		r.attempts.add(b.choice, strconv.Itoa(status))
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(status, "answered")
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -37,7 +37,7 @@
 // ReadRequest implements azurehitch.ExchangeProtocol.
 func (testProtocol) ReadRequest(h azurehitch.Header) azurehitch.CallerRequest {
 	ms, _ := strconv.Atoi(h.Get("X-Left"))
-	return azurehitch.CallerRequest{ID: h.Get("X-Id"), TimeLeft: time.Duration(ms) * time.Millisecond}
+	return azurehitch.CallerRequest{ID: h.Get("X-Id"), TimeLeft: time.Duration(ms) * time.Millisecond, SharedParts: []string{"part"}}
 }
 
 // WriteAttempt implements azurehitch.ExchangeProtocol.
@@ -189,10 +189,11 @@
 // gateway is a passthrough.Server under test.
 type gateway struct {
 	*qt.C
-	placer  *sequencePlacer
-	budget  *testBudget
-	server  *passthrough.Server
-	address string
+	placer     *sequencePlacer
+	budget     *testBudget
+	quarantine *testQuarantine
+	server     *passthrough.Server
+	address    string
 	// routing is the configuration that the gateway has read.
 	routing atomic.Pointer[router.PathIndex]
 	mu      sync.Mutex
@@ -242,7 +243,7 @@
 	limits := connpool.DefaultLimits()
 	limits.Memory = answerMemory
 	backoffs := backoff.New("daemon-1", clock)
-	g := &gateway{C: c, placer: placer, budget: &testBudget{}}
+	g := &gateway{C: c, placer: placer, budget: &testBudget{}, quarantine: &testQuarantine{}}
 	g.routing.Store(index)
 	noticed := func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) { g.recordNotice(server, notice) }
 	server := passthrough.NewServer(passthrough.Dependencies{
@@ -250,7 +251,8 @@
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
 		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, Limits: serverlimit.New("daemon-1", nil, clock, discardLimits{}), OnNotice: noticed, Budget: g.budget, Clock: clock,
-		Logs: logging.Discard(), Metrics: metrics.New(),
+		Quarantine: g.quarantine,
+		Logs:       logging.Discard(), Metrics: metrics.New(),
 	}, passthrough.Settings{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
 		MaxBufferedAnswer: maxBufferedAnswer, MaxAnswer: maxAnswer, MaxEvent: maxEvent,
--- /dev/null
+++ b/internal/forward/passthrough/quarantine_test.go
@@ -0,0 +1,151 @@
+package passthrough_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"azurehitch"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// testQuarantine is a Quarantine that refuses requests after a number of sends, and records what it
+// is told.
+type testQuarantine struct {
+	mu sync.Mutex
+	// isClosed makes Check and Begin refuse. closesAfter is the number of sends after which Begin
+	// refuses; 0 means never.
+	isClosed    bool
+	closesAfter int
+	sends       int
+	// brokenOff are the ids of the servers that broke off requests, and answered is the number of
+	// answered requests.
+	brokenOff []string
+	answered  int
+}
+
+// Check implements passthrough.Quarantine.
+func (q *testQuarantine) Check(string, []string) *azurehitch.ErrRefused {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.isClosed {
+		return nil
+	}
+	return azurehitch.Refuse(azurehitch.CodeQuarantined, "held").WithRetryAfter(time.Second)
+}
+
+// Begin implements passthrough.Quarantine.
+func (q *testQuarantine) Begin(service string, parts []string) *azurehitch.ErrRefused {
+	q.mu.Lock()
+	q.isClosed = q.isClosed || q.closesAfter > 0 && q.sends >= q.closesAfter
+	q.sends++
+	q.mu.Unlock()
+	return q.Check(service, parts)
+}
+
+// BrokenOff implements passthrough.Quarantine.
+func (q *testQuarantine) BrokenOff(_ string, server azurehitch.ServerIdentity, _ []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.brokenOff = append(q.brokenOff, server.ID)
+}
+
+// Answered implements passthrough.Quarantine.
+func (q *testQuarantine) Answered(string, []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answered++
+}
+
+// assertEvidence checks what the quarantine was told. An answer is recorded after the caller has
+// received it.
+func (g *gateway) assertEvidence(answered int, brokenOff ...string) {
+	g.Helper()
+	for end := time.Now().Add(time.Second); g.quarantine.answers() < answered && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	g.quarantine.mu.Lock()
+	defer g.quarantine.mu.Unlock()
+	g.Assert(g.quarantine.answered, qt.Equals, answered)
+	g.Assert(g.quarantine.brokenOff, qt.DeepEquals, brokenOff)
+}
+
+func (q *testQuarantine) answers() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.answered
+}
+
+func TestQuarantinedRequests(t *testing.T) {
+	t.Run("a held prompt is refused as not run and reaches no server", func(t *testing.T) {
+		server := newBackend(t, whole, 0)
+		withGateway(t, resumable, []*backend{server}, func(g *gateway) {
+			g.quarantine.isClosed = true
+			got := g.send("POST", "/x/y", "")
+			g.Assert(got.status, qt.Equals, 503)
+			g.Assert(got.header.Get("Retry-After"), qt.Equals, "1")
+			g.Assert(server.requests(), qt.HasLen, 0)
+		})
+	})
+	t.Run("a prompt that is held while the request waits for a server", func(t *testing.T) {
+		server := newBackend(t, whole, 0)
+		withGateway(t, resumable, []*backend{server}, func(g *gateway) {
+			g.quarantine.closesAfter = 1
+			g.quarantine.sends = 1
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 503)
+			g.Assert(server.requests(), qt.HasLen, 0)
+		})
+	})
+	t.Run("a request that may have run is not sent again", func(t *testing.T) {
+		servers := []*backend{newBackend(t, silent, 0), newBackend(t, whole, 0)}
+		withGateway(t, resumable, servers, func(g *gateway) {
+			g.quarantine.closesAfter = 1
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 502)
+			g.Assert(servers[1].requests(), qt.HasLen, 0)
+			g.assertEvidence(0, "s0")
+		})
+	})
+	t.Run("a stream that breaks off is not resumed", func(t *testing.T) {
+		servers := []*backend{newBackend(t, streamHead+events, 0), newBackend(t, streamHead+resumed+streamEnd, 0)}
+		withGateway(t, resumable, servers, func(g *gateway) {
+			g.quarantine.closesAfter = 1
+			got := g.send("POST", "/x/y", "")
+			g.Assert(got.cut, qt.IsTrue)
+			g.Assert(servers[1].requests(), qt.HasLen, 0)
+		})
+	})
+}
+
+func TestCrashEvidence(t *testing.T) {
+	t.Run("no answer", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, silent, 0)}, func(g *gateway) {
+			g.send("POST", "/x/y", "")
+			g.assertEvidence(0, "s0")
+		})
+	})
+	t.Run("broken off before the first event", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, streamHead, 0)}, func(g *gateway) {
+			g.send("POST", "/x/y", "")
+			g.assertEvidence(0, "s0")
+		})
+	})
+	t.Run("broken off long after the first event", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, streamHead+events, 400*time.Millisecond)}, func(g *gateway) {
+			g.send("POST", "/x/y", "")
+			g.assertEvidence(0)
+		})
+	})
+	t.Run("complete", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, streamHead+events+lastEvents+streamEnd, 0)}, func(g *gateway) {
+			g.send("POST", "/x/y", "")
+			g.assertEvidence(1)
+		})
+	})
+	t.Run("rejected without a run", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, notRun, 0)}, func(g *gateway) {
+			g.send("POST", "/x/y", "")
+			g.assertEvidence(0)
+		})
+	})
+}
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -130,6 +130,7 @@
 		s.request.longestPause = max(s.request.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.request.recordEvent(now)
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			s.lastEventID = string(bytes.TrimSpace(id))
@@ -183,6 +184,7 @@
 	switch {
 	case s.done && s.pending.Len() == 0:
 		r.server.Breakers.Succeeded(s.choice.Server.Address)
+		r.recordSound()
 		r.attempts.add(s.choice, strconv.Itoa(s.events)+" events")
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(s.status(), "answered")
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -62,6 +62,10 @@
 	placementTime    time.Duration
 	timeToFirstEvent time.Duration
 	longestPause     time.Duration
+	// firstEventAt is when the first event of the current attempt came; zero before.
+	firstEventAt time.Time
+	// isKnownSound is true once an attempt has shown that the prompt does not crash servers.
+	isKnownSound bool
 }
 
 // errCallerDisconnected is the cancellation cause of a request whose caller closed the connection.
@@ -154,6 +158,10 @@
 
 // run sends the request until it has a response or may not be sent again.
 func (r *request) run() {
+	if refused := r.server.Quarantine.Check(r.service.Name, r.SharedParts); refused != nil {
+		r.refuse(refused)
+		return
+	}
 	for {
 		choice, err := r.place()
 		if err != nil {
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -59,6 +59,18 @@
 	Spend(service string) bool
 }
 
+// Quarantine finds the parts of prompts that crash model engines, and refuses requests that have them.
+type Quarantine interface {
+	// Check returns the refusal of a request that must not be sent, or nil. Begin does so right before
+	// the request is sent.
+	Check(service string, parts []string) *azurehitch.ErrRefused
+	Begin(service string, parts []string) *azurehitch.ErrRefused
+	// BrokenOff records that a server broke off a request which it may just have begun to answer.
+	BrokenOff(service string, server azurehitch.ServerIdentity, parts []string)
+	// Answered records that a server has answered a request.
+	Answered(service string, parts []string)
+}
+
 // Placer chooses the backend server of an attempt.
 type Placer interface {
 	Place(ctx context.Context, request place.Request) (place.Choice, error)
@@ -77,6 +89,8 @@
 	Backoffs        *backoff.Tracker
 	// Limits contains the rate limits of servers. OnNotice adds to them.
 	Limits *serverlimit.Tracker
+	// Quarantine refuses requests that crash servers.
+	Quarantine Quarantine
 	// OnNotice handles the notice in a response: the server is shutting down, requests a backoff or
 	// names a rate limit.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
--- /dev/null
+++ b/internal/forward/quarantinelog/quarantinelog.go
@@ -0,0 +1,194 @@
+// Package quarantinelog keeps the held parts of prompts in a keyed stream of the platform, so that they
+// stay held when all daemons restart.
+//
+// # Usage
+//
+//	log := quarantinelog.New(dependencies)
+//	group.Go(func() error { return log.Run(ctx) })
+package quarantinelog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/quarantine"
+	"azurehitch/internal/oplog/compacted"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// readWait is how long a read of the stream waits for changes. Daemons learn of a hold from each
+	// other first.
+	readWait = 25 * time.Second
+	// writeInterval is the interval at which the holds are compared with the stream. A daemon waits
+	// rankDelay for each daemon before it in the ranking of a part, which then writes its record.
+	writeInterval = 200 * time.Millisecond
+	rankDelay     = time.Second
+)
+
+// record is the value of a held part in the stream.
+type record struct {
+	Service     string
+	Part        string
+	LastCrashAt time.Time
+	Trials      int
+	TrialAt     time.Time
+	WasAnswered bool
+}
+
+// Dependencies holds what a Log uses.
+type Dependencies struct {
+	Keyed  azurehitch.KeyedLog
+	Stream string
+	// Self is the name of this daemon, and Daemons returns those of all known daemons.
+	Self     string
+	Daemons  func() []string
+	Tracker  *quarantine.Tracker
+	Clock    azurehitch.Clock
+	Observer compacted.Observer
+}
+
+// Log reads and writes the stream. It implements compacted.Fold.
+type Log struct {
+	Dependencies
+
+	mu sync.Mutex
+	// records are the records of the stream, by key. isListed is true once they have been read.
+	records  map[string]record
+	isListed bool
+	// differsSince is when this daemon noticed that the record of a key is missing or out of date.
+	differsSince map[string]time.Time
+}
+
+// New returns a Log.
+func New(dependencies Dependencies) *Log {
+	return &Log{Dependencies: dependencies, records: map[string]record{}, differsSince: map[string]time.Time{}}
+}
+
+// Run reads the stream, and writes the holds that it lacks, until the context ends.
+func (l *Log) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	follower := compacted.NewFollower(l.Keyed, l.Stream, l, l.Clock, l.Observer, compacted.Pace{Wait: readWait})
+	group.Go(func() error { return follower.Run(ctx) })
+	group.Go(func() error {
+		for l.Clock.Sleep(ctx, writeInterval) == nil {
+			for _, r := range l.due() {
+				// A record that could not be written is due again.
+				_ = l.Keyed.Put(ctx, l.Stream, r)
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// due returns the records that this daemon has to write now: those of new holds and trials, and
+// records without a value for parts that are held no more.
+func (l *Log) due() []azurehitch.KeyedRecord {
+	holds := l.Tracker.Holds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	wanted := map[string]record{}
+	for _, h := range holds {
+		r := record{Service: h.Service, Part: h.ID, LastCrashAt: now.Add(-h.Age), Trials: h.Trials, WasAnswered: h.WasAnswered}
+		if h.Trials > 0 {
+			r.TrialAt = now.Add(-h.TrialAge)
+		}
+		wanted[key(h.Part)] = r
+	}
+	var due []azurehitch.KeyedRecord
+	for k, r := range wanted {
+		known, ok := l.records[k]
+		if l.isDue(k, ok && known.Trials >= r.Trials, now) {
+			value, err := json.Marshal(r)
+			if err != nil {
+				continue
+			}
+			due = append(due, azurehitch.KeyedRecord{Key: k, Value: value})
+		}
+	}
+	for k := range l.records {
+		if _, ok := wanted[k]; !ok && l.isDue(k, false, now) {
+			due = append(due, azurehitch.KeyedRecord{Key: k})
+		}
+	}
+	return due
+}
+
+// isDue reports whether this daemon has to write a record now. The caller holds l.mu.
+func (l *Log) isDue(key string, isCurrent bool, now time.Time) bool {
+	if isCurrent || !l.isListed {
+		delete(l.differsSince, key)
+		return false
+	}
+	since, ok := l.differsSince[key]
+	if !ok {
+		since = now
+		l.differsSince[key] = now
+	}
+	return now.Sub(since) >= time.Duration(l.rank(key))*rankDelay
+}
+
+// rank returns the index of this daemon in the ranking of a key by rendezvous hashing.
+func (l *Log) rank(key string) int {
+	own, rank := xxhash.Sum64String(key+"\x00"+l.Self), 0
+	for _, daemon := range l.Daemons() {
+		if daemon != l.Self && xxhash.Sum64String(key+"\x00"+daemon) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// key returns the key of a part. Keys of the platform are short, and parts may be long.
+func key(part quarantine.Part) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(part.Service+"\x00"+part.ID))
+}
+
+// Replace implements compacted.Fold.
+func (l *Log) Replace(records []azurehitch.KeyedRecord, readAt time.Time) {
+	l.mu.Lock()
+	l.records = map[string]record{}
+	l.mu.Unlock()
+	l.Apply(records, readAt)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isListed = true
+}
+
+// Apply implements compacted.Fold. Records that can't be decoded are ignored.
+func (l *Log) Apply(records []azurehitch.KeyedRecord, _ time.Time) {
+	var evidence quarantine.Evidence
+	l.mu.Lock()
+	now := l.Clock.Now()
+	for _, r := range records {
+		delete(l.records, r.Key)
+		var held record
+		if len(r.Value) == 0 || json.Unmarshal(r.Value, &held) != nil {
+			continue
+		}
+		l.records[r.Key] = held
+		evidence.Holds = append(evidence.Holds, quarantine.Hold{
+			Part: quarantine.Part{Service: held.Service, ID: held.Part}, Age: max(now.Sub(held.LastCrashAt), 0),
+			Trials: held.Trials, TrialAge: max(now.Sub(held.TrialAt), 0), WasAnswered: held.WasAnswered,
+		})
+	}
+	l.mu.Unlock()
+	if len(evidence.Holds) > 0 {
+		l.Tracker.Merge(evidence, quarantine.SourceLog)
+	}
+}
+
+// ReadFailed implements compacted.Fold. The known records are kept.
+func (l *Log) ReadFailed(time.Time) {}
+
+// UrgentChanges implements compacted.Fold. It is always 0, since no daemon confirms read positions of
+// this stream to others.
+func (l *Log) UrgentChanges() int64 { return 0 }
--- a/internal/forward/refusal/refusal.go
+++ b/internal/forward/refusal/refusal.go
@@ -44,6 +44,7 @@
 	azurehitch.CodeLogUnavailable:     fasthttp.StatusServiceUnavailable,
 	azurehitch.CodeNotConfigured:      fasthttp.StatusServiceUnavailable,
 	azurehitch.CodeDraining:           fasthttp.StatusServiceUnavailable,
+	azurehitch.CodeQuarantined:        fasthttp.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of a refusal code, and 0 for an unknown code.
--- a/internal/proof/soak/crashingpart_test.go
+++ b/internal/proof/soak/crashingpart_test.go
@@ -184,3 +184,23 @@
 func TestPromptPartCrashesServerAfterServer(t *testing.T) {
 	runPlan(t, shortSeed, []action{{fault: crashingPartFault, startsAt: 5 * time.Second, duration: 15 * time.Second}})
 }
+
+// TestHeldPartForgottenByRestartOfAllDaemons kills all daemons while requests that crash servers come.
+func TestHeldPartForgottenByRestartOfAllDaemons(t *testing.T) {
+	runPlan(t, shortSeed, []action{
+		{fault: crashingPartFault, startsAt: 5 * time.Second, duration: 15 * time.Second},
+		{fault: fault{name: "kill of all daemons", inject: injectKillAll}, startsAt: 9 * time.Second, duration: time.Second},
+	})
+}
+
+// TestTwoCrashingPartsWithoutStoreAndHolder lets requests with two crashing parts come while no lease holder runs and the store rejects all calls.
+func TestTwoCrashingPartsWithoutStoreAndHolder(t *testing.T) {
+	plan := []action{{fault: fault{name: "store malfunction", inject: injectStoreFault}, startsAt: 4500 * time.Millisecond, duration: 8 * time.Second}}
+	for i := range largeHostCount {
+		plan = append(plan, action{fault: fault{name: "kill", inject: injectKill}, startsAt: 4600 * time.Millisecond, duration: 3 * time.Second, target: i})
+	}
+	for variant := range 2 {
+		plan = append(plan, action{fault: crashingPartFault, startsAt: 5 * time.Second, duration: 15 * time.Second, variant: variant})
+	}
+	runPlan(t, shortSeed, plan)
+}
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -153,6 +153,9 @@
 func (cl *cluster) report(plan []action) {
 	requests, answered := len(cl.checker.records), cl.checker.answered
 	cl.Logf("seed %d: %d requests, %d answered with success, %d faults", cl.seed, requests, answered, len(plan))
+	for _, part := range cl.checker.crashingParts {
+		cl.Logf("%s: %d servers crashed, %d requests too late", part.id, part.crashes, part.lateSends)
+	}
 	if float64(answered) < minAnsweredShare*float64(requests) {
 		cl.Errorf("only %d of %d requests were answered", answered, requests)
 	}
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -84,6 +84,11 @@
 	// placement.
 	RequestsToLimited Name = "RequestsToLimited"
 	AnswersTooLarge   Name = "AnswersTooLarge"
+	// ServerCrashes counts the crashes of servers that this daemon found because they broke off its
+	// requests.
+	ServerCrashes Name = "ServerCrashes"
+	// PartTrials counts the requests with a held part that were sent as a trial.
+	PartTrials Name = "PartTrials"
 )
 
 // The gauges.
@@ -95,6 +100,8 @@
 	ControlBytesWritten  Name = "ControlBytesWritten"
 	RequestsInProgress   Name = "RequestsInProgress"
 	RequestsWaiting      Name = "RequestsWaiting"
+	// PartsHeld is the number of parts of prompts with which no requests are sent.
+	PartsHeld Name = "PartsHeld"
 	// ConfigurationUnreadable is 1 while this release can't read the configuration in force, else 0.
 	ConfigurationUnreadable Name = "ConfigurationUnreadable"
 	RecordsDamaged          Name = "RecordsDamaged"
--- a/refusal.go
+++ b/refusal.go
@@ -33,6 +33,7 @@
 	CodeLogUnavailable     RefusalCode = "log_unavailable"
 	CodeNotConfigured      RefusalCode = "not_configured"
 	CodeDraining           RefusalCode = "draining"
+	CodeQuarantined        RefusalCode = "quarantined"
 )
 
 // ErrRefused is the daemon's final answer to a request that no backend server has answered.
