passthrough: an unframed stream without events is no answer

Cause: such a stream whose connection ends before the first event, which is what a crash looks like, was passed on as a complete, empty stream. It also counted as an answer to the request, and so would have cleared the part of the prompt that crashes servers. The class: an end that proves nothing is taken for a proof.

Change: without an event, such an end fails the attempt. After events, the caller still gets the end as the server sent it, but it clears the parts of the prompt only if the server is not found to have crashed within 0.25 s.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -81,8 +81,8 @@
 // exchange and a result with the cause. If lastEventID is not empty, the server is asked to resume
 // the stream after that event.
 func (r *request) exchange(choice place.Choice, lastEventID string) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
-	if refused := r.server.Quarantine.Begin(r.service.Name, r.SharedParts); refused != nil {
-		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isQuarantined: true, cause: refused}
+	if err := r.server.Quarantine.Begin(r.service.Name, r.SharedParts); err != nil {
+		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isQuarantined: true, cause: err}
 	}
 	request := attemptRequest(&r.http.Request)
 	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
@@ -200,6 +200,16 @@
 	}
 }
 
+// recordComplete records that a server has answered the request. If only the close of the connection
+// shows the end of the answer, the server may have crashed instead.
+func (r *request) recordComplete(choice place.Choice, exchange *connpool.Exchange) {
+	if exchange.IsCloseDelimited() {
+		r.server.Quarantine.ProbablyAnswered(r.service.Name, choice.Server, r.SharedParts)
+		return
+	}
+	r.recordSound()
+}
+
 // recordSound records that a server has answered the request.
 func (r *request) recordSound() {
 	r.isKnownSound = true
@@ -297,9 +307,8 @@
 
 // finalRefusal returns the refusal for a request whose last attempt failed.
 func (r *request) finalRefusal(res result) error {
-	var refused *azurehitch.ErrRefused
-	if res.isQuarantined && r.unknownOutcomes == 0 && errors.As(res.cause, &refused) {
-		return refused
+	if res.isQuarantined && r.unknownOutcomes == 0 {
+		return res.cause
 	}
 	if res.run == azurehitch.RunStateNotRun && r.unknownOutcomes == 0 {
 		return azurehitch.Refuse(azurehitch.CodeNoCapacity, "%v", res.cause).WithRetryAfter(failureRetryAfter)
--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -102,7 +102,7 @@
 	case b.complete && len(b.buffered) == 0:
 		r.server.Breakers.Succeeded(b.choice.Server.Address)
 		if status == fasthttp.StatusOK {
-			r.recordSound()
+			r.recordComplete(b.choice, b.exchange)
 		}
 		r.attempts.add(b.choice, strconv.Itoa(status))
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
--- a/internal/forward/passthrough/quarantine_test.go
+++ b/internal/forward/passthrough/quarantine_test.go
@@ -21,12 +21,13 @@
 	sends       int
 	// brokenOff are the ids of the servers that broke off requests, and answered is the number of
 	// answered requests.
-	brokenOff []string
-	answered  int
+	brokenOff        []string
+	answered         int
+	probablyAnswered int
 }
 
 // Check implements passthrough.Quarantine.
-func (q *testQuarantine) Check(string, []string) *azurehitch.ErrRefused {
+func (q *testQuarantine) Check(string, []string) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.isClosed {
@@ -36,7 +37,7 @@
 }
 
 // Begin implements passthrough.Quarantine.
-func (q *testQuarantine) Begin(service string, parts []string) *azurehitch.ErrRefused {
+func (q *testQuarantine) Begin(service string, parts []string) error {
 	q.mu.Lock()
 	q.isClosed = q.isClosed || q.closesAfter > 0 && q.sends >= q.closesAfter
 	q.sends++
@@ -58,6 +59,15 @@
 	q.answered++
 }
 
+// assertEvidence checks what the quarantine was told. An answer is recorded after the caller has
+// received it.
+// ProbablyAnswered implements passthrough.Quarantine.
+func (q *testQuarantine) ProbablyAnswered(string, azurehitch.ServerIdentity, []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.probablyAnswered++
+}
+
 // assertEvidence checks what the quarantine was told. An answer is recorded after the caller has
 // received it.
 func (g *gateway) assertEvidence(answered int, brokenOff ...string) {
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -99,9 +99,7 @@
 	}
 	event, err := s.reader.next()
 	if err != nil {
-		if err == io.EOF && len(event) == 0 {
-			s.done = true
-		}
+		s.done = err == io.EOF && len(event) == 0 && !s.isUnframedAndEmpty()
 		return err
 	}
 	s.queue(event)
@@ -115,6 +113,12 @@
 	return nil
 }
 
+// isUnframedAndEmpty reports whether the source has sent no event yet and its stream ends with its
+// connection. Such an end is that of a server which has crashed as it began to answer.
+func (s *relay) isUnframedAndEmpty() bool {
+	return s.request.firstEventAt.IsZero() && s.exchange.IsCloseDelimited()
+}
+
 // releaseMemory returns the memory of long events to the budget once they are passed on.
 func (s *relay) releaseMemory() {
 	s.memory.Release()
@@ -184,7 +188,7 @@
 	switch {
 	case s.done && s.pending.Len() == 0:
 		r.server.Breakers.Succeeded(s.choice.Server.Address)
-		r.recordSound()
+		r.recordComplete(s.choice, s.exchange)
 		r.attempts.add(s.choice, strconv.Itoa(s.events)+" events")
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(s.status(), "answered")
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -158,8 +158,8 @@
 
 // run sends the request until it has a response or may not be sent again.
 func (r *request) run() {
-	if refused := r.server.Quarantine.Check(r.service.Name, r.SharedParts); refused != nil {
-		r.refuse(refused)
+	if err := r.server.Quarantine.Check(r.service.Name, r.SharedParts); err != nil {
+		r.refuse(err)
 		return
 	}
 	for {
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -61,14 +61,16 @@
 
 // Quarantine finds the parts of prompts that crash model engines, and refuses requests that have them.
 type Quarantine interface {
-	// Check returns the refusal of a request that must not be sent, or nil. Begin does so right before
+	// Check returns an *azurehitch.ErrRefused if a request must not be sent. Begin does so right before
 	// the request is sent.
-	Check(service string, parts []string) *azurehitch.ErrRefused
-	Begin(service string, parts []string) *azurehitch.ErrRefused
+	Check(service string, parts []string) error
+	Begin(service string, parts []string) error
 	// BrokenOff records that a server broke off a request which it may just have begun to answer.
 	BrokenOff(service string, server azurehitch.ServerIdentity, parts []string)
-	// Answered records that a server has answered a request.
+	// Answered records that a server has answered a request. ProbablyAnswered is for an answer that
+	// ended with its connection: it counts unless the server turns out to have crashed.
 	Answered(service string, parts []string)
+	ProbablyAnswered(service string, server azurehitch.ServerIdentity, parts []string)
 }
 
 // Placer chooses the backend server of an attempt.
--- a/internal/forward/quarantine/simulation_test.go
+++ b/internal/forward/quarantine/simulation_test.go
@@ -185,9 +185,9 @@
 			s.run()
 			if step%int(evidenceTime/tick) == 0 {
 				s.exchange()
-			}
-			for _, d := range s.daemons {
-				d.evaluate(s.now)
+				for _, d := range s.daemons {
+					d.evaluate(s.now)
+				}
 			}
 		}
 		for _, id := range bad {
--- a/internal/forward/quarantine/tracker.go
+++ b/internal/forward/quarantine/tracker.go
@@ -6,7 +6,7 @@
 //
 //	tracker := quarantine.New(dependencies)
 //	group.Go(func() error { return tracker.Run(ctx) })
-//	if refusal := tracker.Begin(service, parts); refusal != nil { ... }
+//	err := tracker.Begin(service, parts)
 //	tracker.BrokenOff(service, server, parts)
 //	tracker.Answered(service, parts)
 //	tracker.Merge(evidence, quarantine.SourcePeer)
@@ -37,6 +37,10 @@
 	checkDelay = 30 * time.Millisecond
 	// maxChecks limits the servers that are checked at the same time.
 	maxChecks = 128
+	// probableDelay is how long after the end of an answer other connections would show that the server
+	// has crashed. maxProbable limits the answers that wait for it.
+	probableDelay = 250 * time.Millisecond
+	maxProbable   = 256
 	// maxEvaluationPause is the longest time between two evaluations.
 	maxEvaluationPause = time.Minute
 	// minRetryAfter is the shortest retry delay of a request with a held part.
@@ -91,12 +95,22 @@
 	// unchecked are the broken exchanges of servers whose check is pending.
 	unchecked map[azurehitch.ServerIdentity]*Crash
 	brokenAt  map[azurehitch.ServerIdentity]time.Time
+	// probable are answers that count once their servers are likely to have survived them.
+	probable []probableAnswer
 	// changed is closed and replaced at each change of the ledger.
 	changed chan struct{}
 	// due wakes Run for the next evaluation.
 	due chan struct{}
 }
 
+// probableAnswer is an answer that ended with its connection.
+type probableAnswer struct {
+	service string
+	server  azurehitch.ServerIdentity
+	parts   []string
+	at      time.Time
+}
+
 // New returns a tracker without evidence.
 func New(dependencies Dependencies) *Tracker {
 	return &Tracker{
@@ -145,7 +159,9 @@
 func (t *Tracker) evaluate() (next time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	result := t.ledger.evaluate(t.Clock.Now())
+	now := t.Clock.Now()
+	probableAt := t.countProbable(now)
+	result := t.ledger.evaluate(now)
 	for _, part := range result.held {
 		t.Observer.PartHeld(part, SourceOwn)
 	}
@@ -155,6 +171,9 @@
 	if len(result.held) > 0 {
 		t.changedLocked()
 	}
+	if result.next.IsZero() || !probableAt.IsZero() && probableAt.Before(result.next) {
+		return probableAt
+	}
 	return result.next
 }
 
@@ -163,24 +182,29 @@
 	t.heldCount.Store(int64(len(t.ledger.holds)))
 	close(t.changed)
 	t.changed = make(chan struct{})
+	t.wakeLocked()
+}
+
+// wakeLocked makes Run evaluate the ledger. The caller holds t.mu.
+func (t *Tracker) wakeLocked() {
 	select {
 	case t.due <- struct{}{}:
 	default:
 	}
 }
 
-// Check returns the refusal of a request that has a held part in its prompt, or nil if it may be
-// sent or be a trial.
-func (t *Tracker) Check(service string, parts []string) *azurehitch.ErrRefused {
+// Check returns an *azurehitch.ErrRefused for a request that has a held part in its prompt, or nil if
+// it may be sent or be a trial.
+func (t *Tracker) Check(service string, parts []string) error {
 	return t.decide(service, parts, false)
 }
 
 // Begin is like Check for a request that is sent right after it. If it is a trial, Begin counts it.
-func (t *Tracker) Begin(service string, parts []string) *azurehitch.ErrRefused {
+func (t *Tracker) Begin(service string, parts []string) error {
 	return t.decide(service, parts, true)
 }
 
-func (t *Tracker) decide(service string, parts []string, isSent bool) *azurehitch.ErrRefused {
+func (t *Tracker) decide(service string, parts []string, isSent bool) error {
 	if t.heldCount.Load() == 0 {
 		return nil
 	}
@@ -277,9 +301,14 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, before := t.Clock.Now(), t.ledger.version
+	t.countAnswer(service, parts, t.Clock.Now())
+}
+
+// countAnswer records an answer. The caller holds t.mu.
+func (t *Tracker) countAnswer(service string, parts []string, at time.Time) {
+	before := t.ledger.version
 	for _, id := range parts[:min(len(parts), maxPartsOfRequest)] {
-		if part := (Part{Service: service, ID: id}); t.ledger.addAnswer(part, now, true) {
+		if part := (Part{Service: service, ID: id}); t.ledger.addAnswer(part, at, true) {
 			t.Observer.PartReleased(part, SourceOwn)
 		}
 	}
@@ -288,6 +317,36 @@
 	}
 }
 
+// ProbablyAnswered records that a server has answered a request with these parts in its prompt, or has
+// crashed: the answer ended with its connection. It counts unless the server is found to have crashed.
+func (t *Tracker) ProbablyAnswered(service string, server azurehitch.ServerIdentity, parts []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(parts) == 0 || len(t.probable) >= maxProbable {
+		return
+	}
+	t.probable = append(t.probable, probableAnswer{service: service, server: server, parts: parts, at: t.Clock.Now()})
+	t.wakeLocked()
+}
+
+// countProbable counts the answers whose probableDelay has passed, and returns when the next of them
+// is due; zero if there is none. The caller holds t.mu.
+func (t *Tracker) countProbable(now time.Time) (next time.Time) {
+	for i, answer := range t.probable {
+		if due := answer.at.Add(probableDelay); now.Before(due) {
+			t.probable = t.probable[i:]
+			return due
+		}
+		_, isChecked := t.unchecked[answer.server]
+		_, hasCrashed := t.ledger.crashes[answer.server]
+		if !isChecked && !hasCrashed {
+			t.countAnswer(answer.service, answer.parts, answer.at)
+		}
+	}
+	t.probable = nil
+	return time.Time{}
+}
+
 // Merge records evidence that another daemon has told, or that was read from the platform's log.
 func (t *Tracker) Merge(evidence Evidence, source Source) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/forward/quarantine/tracker_test.go
@@ -0,0 +1,157 @@
+package quarantine_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/quarantine"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const service = "llm"
+
+// events is a quarantine.Observer that records the held and the released parts.
+type events struct {
+	mu       sync.Mutex
+	crashes  int
+	held     []string
+	released []string
+}
+
+// ServerCrashed implements quarantine.Observer.
+func (e *events) ServerCrashed(quarantine.Crash) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes++
+}
+
+// PartHeld implements quarantine.Observer.
+func (e *events) PartHeld(part quarantine.Part, _ quarantine.Source) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = append(e.held, part.ID)
+}
+
+// PartReleased implements quarantine.Observer.
+func (e *events) PartReleased(part quarantine.Part, _ quarantine.Source) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.released = append(e.released, part.ID)
+}
+
+// PartTried implements quarantine.Observer.
+func (e *events) PartTried(quarantine.Part, int) {}
+
+func (e *events) crashed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// running is a tracker that runs.
+type running struct {
+	*qt.C
+	tracker *quarantine.Tracker
+	events  *events
+	// alive are the servers that have not ended.
+	alive map[string]bool
+}
+
+func withTracker(t *testing.T, run func(r *running)) {
+	t.Helper()
+	r := &running{C: qt.New(t), events: &events{}, alive: map[string]bool{}}
+	r.tracker = quarantine.New(quarantine.Dependencies{
+		Self: "daemon-1", Daemons: func() []string { return []string{"daemon-1"} }, Clock: azurehitch.SystemClock{}, Observer: r.events,
+		HasEnded: func(_ context.Context, s azurehitch.ServerIdentity) bool { return !r.alive[s.ID] },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return r.tracker.Run(ctx) })
+	run(r)
+	cancel()
+	r.Assert(group.Wait(), qt.IsNil)
+}
+
+func server(i int) azurehitch.ServerIdentity { return azurehitch.ServerIdentity{ID: fmt.Sprint(i)} }
+
+// breakOff makes servers break off a request, one after the other.
+func (r *running) breakOff(servers int, parts ...string) {
+	for i := range servers {
+		r.tracker.BrokenOff(service, server(i), parts)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (r *running) await(what string, condition func() bool) {
+	r.Helper()
+	for end := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		r.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("%s", what))
+	}
+}
+
+func TestTracker(t *testing.T) {
+	t.Run("a part that crashes servers is refused, and no other", func(t *testing.T) {
+		withTracker(t, func(r *running) {
+			r.breakOff(4, "first", "bad")
+			r.tracker.Answered(service, []string{"first"})
+			r.await("a part is held", func() bool { return r.tracker.HeldParts() > 0 })
+			var refused *azurehitch.ErrRefused
+			r.Assert(errors.As(r.tracker.Check(service, []string{"first", "bad"}), &refused), qt.IsTrue)
+			r.Assert(refused.Code, qt.Equals, azurehitch.CodeQuarantined)
+			r.Assert(refused.Run, qt.Equals, azurehitch.RunStateNotRun)
+			r.Assert(refused.RetryAfter > 0, qt.IsTrue)
+			r.Assert(r.tracker.Begin(service, []string{"first", "other"}), qt.IsNil)
+			r.Assert(r.tracker.Begin("other service", []string{"bad"}), qt.IsNil)
+		})
+	})
+	t.Run("servers that still run have not crashed", func(t *testing.T) {
+		withTracker(t, func(r *running) {
+			for i := range 5 {
+				r.alive[fmt.Sprint(i)] = true
+			}
+			r.breakOff(5, "sound")
+			time.Sleep(500 * time.Millisecond)
+			r.Assert(r.events.crashed(), qt.Equals, 0)
+			r.Assert(r.tracker.HeldParts(), qt.Equals, int64(0))
+		})
+	})
+	t.Run("requests broken off later by a server that has crashed", func(t *testing.T) {
+		withTracker(t, func(r *running) {
+			r.breakOff(4, "first")
+			r.await("the crashes are found", func() bool { return r.events.crashed() == 4 })
+			r.breakOff(4, "first", "bad")
+			r.tracker.Answered(service, []string{"first"})
+			r.await("the part is held", func() bool { return r.tracker.Check(service, []string{"bad"}) != nil })
+		})
+	})
+}
+
+func TestProbableAnswers(t *testing.T) {
+	answered := func(r *running) bool {
+		evidence, _, _ := r.tracker.Changes(0, false)
+		return len(evidence.Clearances) > 0
+	}
+	t.Run("an answer counts if its server lives on", func(t *testing.T) {
+		withTracker(t, func(r *running) {
+			r.breakOff(1, "part")
+			r.await("the crash is found", func() bool { return r.events.crashed() == 1 })
+			r.tracker.ProbablyAnswered(service, server(7), []string{"part"})
+			r.await("the answer counts", func() bool { return answered(r) })
+		})
+	})
+	t.Run("it does not if its server has crashed", func(t *testing.T) {
+		withTracker(t, func(r *running) {
+			r.breakOff(1, "part")
+			r.tracker.ProbablyAnswered(service, server(0), []string{"part"})
+			time.Sleep(400 * time.Millisecond)
+			r.Assert(answered(r), qt.IsFalse)
+		})
+	})
+}
