--- a/internal/proof/soak/crashingpart_test.go
+++ b/internal/proof/soak/crashingpart_test.go
@@ -30,6 +30,15 @@
 	minSoundRequests = 20
 )
 
+// crashByRequest is the disturbance name of a crash that a request has caused.
+const crashByRequest = "crash by a request"
+
+// hasOtherServerFault reports whether a server had a fault that no request has caused in a period or
+// in the settleTime before it.
+func (l *disturbanceLog) hasOtherServerFault(from, to time.Time) bool {
+	return l.firstOverlapping(&l.servers, from.Add(-settleTime), to, func(d *disturbance) bool { return d.name != crashByRequest }) != nil
+}
+
 // crashingPart is a part of prompts that crashes each server which begins to answer a request with
 // it.
 type crashingPart struct {
@@ -120,7 +129,8 @@
 	for _, r := range c.records {
 		x := r.exchange
 		isCrashing := slices.ContainsFunc(c.crashingParts, func(p *crashingPart) bool { return slices.Contains(x.SharedParts, p.id) })
-		isDisturbed := !x.disconnectedAt.IsZero() || !c.disturbances.isDaemonHealthy(x.daemon, x.sentAt, x.endedAt)
+		isDisturbed := !x.disconnectedAt.IsZero() || !c.disturbances.isDaemonHealthy(x.daemon, x.sentAt, x.endedAt) ||
+			!c.disturbances.isStoreHealthy(x.sentAt, x.endedAt) || c.disturbances.hasOtherServerFault(x.sentAt, x.endedAt)
 		if len(x.SharedParts) == 0 || isCrashing || !r.ended || isDisturbed || x.sentAt.Before(from) || !x.sentAt.Before(to) {
 			continue
 		}
@@ -132,6 +142,22 @@
 	return total, began
 }
 
+// crashingPartTime is how long requests with a crashing part come in a random plan.
+const crashingPartTime = 10 * time.Second
+
+// crashingParts returns the crashing parts of a run. They come from a random sequence of their own, so
+// that they don't change the other faults of a seed.
+func crashingParts(seed uint64, duration time.Duration) []action {
+	random := newRandom(seed, 4)
+	var parts []action
+	for variant := range random.IntN(3) {
+		parts = append(parts, action{
+			fault: crashingPartFault, startsAt: firstFaultDelay + time.Duration(random.Int64N(int64(duration))), duration: crashingPartTime, variant: variant,
+		})
+	}
+	return parts
+}
+
 // crashingPartFault makes callers send requests with a crashing part.
 var crashingPartFault = fault{name: "requests crash servers", inject: injectCrashingPart}
 
@@ -174,7 +200,7 @@
 		return false
 	}
 	cl.group.Go(func() error {
-		cl.replace(s, "crash by a request", true, func(*platformtest.Backend) { time.Sleep(restartTime) })
+		cl.replace(s, crashByRequest, true, func(*platformtest.Backend) { time.Sleep(restartTime) })
 		return nil
 	})
 	return true
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -94,7 +94,8 @@
 			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
-	return append(plan, rateLimits(seed, duration)...)
+	plan = append(plan, rateLimits(seed, duration)...)
+	return append(plan, crashingParts(seed, duration)...)
 }
 
 // rateLimits returns the rate limits that servers name during a run. They come from a random
