Log the software versions of servers and the streams that callers take up again

Three hypotheses: a stream that a daemon resumes inside an answer goes to any server; one that its caller takes up at another daemon does, since that daemon knows nothing of the first; a daemon that has started again has forgotten what it knew. The logs named neither the version of a server nor that a request takes up a stream.

No decision uses them yet.

--- a/exchange.go
+++ b/exchange.go
@@ -14,6 +14,11 @@
 type CallerRequest struct {
 	// ID identifies this attempt of the caller.
 	ID string
+	// LastEvent is the ID of the last event that the caller has of a stream which it takes up again;
+	// empty for a new request. Resumes is the ID of the request that brought the first event of that
+	// stream.
+	LastEvent string
+	Resumes   string
 	// TimeLeft is how long the caller still waits; 0 means unknown.
 	TimeLeft time.Duration
 	Model    string
--- a/fleet.go
+++ b/fleet.go
@@ -15,6 +15,9 @@
 	FailureDomain string
 	// Slots is the number of requests that the server runs at once.
 	Slots int
+	// SoftwareVersion is the version of the server's software; empty means unknown. Versions have no
+	// order. What two versions write does not fit together in one stream.
+	SoftwareVersion string
 	// ShuttingDown is true while the server is shutting down.
 	ShuttingDown bool
 	// Missing is true while the server has no entry in the list and may have been removed, although
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -48,6 +48,9 @@
 	if choice.Tier != "" {
 		l.text.WriteString(", from " + string(choice.Tier))
 	}
+	if choice.SoftwareVersion != "" {
+		l.text.WriteString(", software " + choice.SoftwareVersion)
+	}
 	if choice.RateLimit > 0 {
 		l.text.WriteString(", limit " + strconv.FormatFloat(choice.RateLimit, 'g', 3, 64) + "/s")
 	}
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -72,6 +72,8 @@
 	ListAge time.Duration
 	// RateLimit is the rate limit of the server in requests per second; 0 if it has none.
 	RateLimit float64
+	// SoftwareVersion is that of the server; empty if this daemon has not read it yet.
+	SoftwareVersion string
 	// End stops counting the request as in progress at the server. Further calls have no effect.
 	End func()
 }
@@ -272,8 +274,9 @@
 		releaseReplica = p.Holders.Begin(r.Service.Name, swap.Replica{Server: server.ID, Model: r.Model})
 	}
 	limit, _ := p.Limits.Limit(server)
+	listed, _ := p.Fleet().Server(server.ID)
 	return Choice{
-		Server: server, Reason: sel.reason, RateLimit: limit, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
+		Server: server, SoftwareVersion: listed.SoftwareVersion, Reason: sel.reason, RateLimit: limit, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
 			p.addInProgress(server.ID, -1)
 			releaseServer()
