--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -84,6 +84,8 @@
 	next    int
 	// tier is the CacheTier of all choices; empty means that no load was needed.
 	tier azurehitch.CacheTier
+	// versions are the software versions of the servers; empty means unknown versions.
+	versions []string
 	// avoided is place.Request.Avoid of the last call of Place.
 	avoided []string
 }
@@ -102,8 +104,12 @@
 	p.next++
 	p.avoided = request.Avoid
 	id := fmt.Sprintf("s%d", p.next-1)
+	version := ""
+	if len(p.versions) > 0 {
+		version = p.versions[p.next-1]
+	}
 	return place.Choice{
-		Server: azurehitch.ServerIdentity{ID: id, Address: p.servers[p.next-1]}, Tier: p.tier, End: func() {},
+		SoftwareVersion: version, Server: azurehitch.ServerIdentity{ID: id, Address: p.servers[p.next-1]}, Tier: p.tier, End: func() {},
 	}, ctx.Err()
 }
 
--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -94,6 +94,7 @@
 	c.cluster.checker.recordRequest(x)
 	x = c.perform(x)
 	c.cluster.checker.checkEnded(x)
+	c.resume(x)
 }
 
 // perform sends a request and reads the answer.
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -66,6 +66,8 @@
 	ruleDrain              rule = "no requests to servers that shut down"
 	ruleBackoff            rule = "no requests to servers that requested a backoff"
 	ruleRateLimit          rule = "the daemons together keep to the rate limit of a server"
+	ruleSoftwareVersion    rule = "a stream goes on only at the software version that began it"
+	ruleResumedStreams     rule = "streams that callers take up again go on"
 	ruleCrashingPart       rule = "requests with a part that crashes servers reach no further servers"
 	ruleSoundRequests      rule = "sound requests are served beside those that crash servers"
 	ruleConfiguration      rule = "requests follow the current configuration"
@@ -97,7 +99,10 @@
 	endedAt time.Time
 	// disconnectedAt is when the caller disconnected early; zero if it didn't.
 	disconnectedAt time.Time
-	answer         platformtest.Answer
+	// mayGoOn is true for a stream that is taken up again while two servers of the version that began it
+	// run.
+	mayGoOn bool
+	answer  platformtest.Answer
 	// err is set when no answer came.
 	err error
 }
@@ -146,6 +151,10 @@
 	// rateLimits holds the rate limits in force, by server id.
 	rateLimits    map[string]*rateLimit
 	crashingParts []*crashingPart
+	// serving is the number of servers that run, by the version of their software, and mixedStreams
+	// are the streams that went on at another version.
+	serving      map[string]int
+	mixedStreams map[string]bool
 	// acceptedOrders is keyed by server id, and each list is in the order of arrival.
 	acceptedOrders map[string][]acceptedOrder
 	holderByToken  map[int64]string
@@ -185,7 +194,7 @@
 	return &checker{
 		disturbances: disturbances, startedAt: time.Now(), services: services, records: map[string]*requestRecord{}, departingSince: map[string]time.Time{},
 		shutdownForwardedAt: map[daemonServer]time.Time{}, backoffs: map[daemonServer]*backoff{},
-		rateLimits:     map[string]*rateLimit{},
+		rateLimits: map[string]*rateLimit{}, serving: map[string]int{}, mixedStreams: map[string]bool{},
 		acceptedOrders: map[string][]acceptedOrder{}, holderByToken: map[int64]string{}, requests: map[string][]time.Time{},
 		retries: map[string][]time.Time{}, suspectCounts: map[rule]int{},
 	}
@@ -330,6 +339,7 @@
 		return
 	}
 	r.runs = append(r.runs, run)
+	c.checkSoftwareVersion(r, run)
 	r.runsAt = append(r.runsAt, now)
 	x := r.exchange
 	if run.Method != x.Method || run.URI != x.URI || run.Body != x.Body || run.Model != x.Model || len(run.ForgedHeaders) > 0 || !run.NamesServer {
@@ -482,13 +492,14 @@
 		return
 	}
 	for i, n := range numbers {
-		if n != i+1 {
+		if n != x.LastEvent+i+1 {
 			c.addViolation(ruleIntactAnswer, "%s received events out of sequence: %v", x.ID, numbers)
 			return
 		}
 	}
-	if x.answer.Whole && len(numbers) != total {
-		c.addViolation(ruleIntactAnswer, "%s received %d of %d events before the end of the stream", x.ID, len(numbers), total)
+	isWhole := len(numbers) > 0 && x.LastEvent+len(numbers) == total || len(numbers) == 0 && x.LastEvent == streamEvents
+	if x.answer.Whole && !isWhole {
+		c.addViolation(ruleIntactAnswer, "%s received %d of %d events after event %d before the end of the stream", x.ID, len(numbers), total, x.LastEvent)
 	}
 }
 
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -39,6 +39,8 @@
 	// peers and callers have the next two ports.
 	linkPort          = 9000
 	readyPollInterval = 250 * time.Millisecond
+	// streamEvents is the number of events of a stream.
+	streamEvents = 12
 )
 
 // clusterCount counts the clusters of this test process: each has loopback addresses of its own.
@@ -48,6 +50,7 @@
 // address.
 type backendServer struct {
 	name    string
+	index   int
 	ip      string
 	service string
 	link    *link
@@ -267,7 +270,7 @@
 // addServer adds a backend server behind a link, and starts its first generation.
 func (cl *cluster) addServer(name, service string, index int) {
 	ip := cl.ip(100 + index)
-	s := &backendServer{name: name, ip: ip, service: service, link: cl.newLink(ip, "", linkPort)}
+	s := &backendServer{name: name, index: index, ip: ip, service: service, link: cl.newLink(ip, "", linkPort)}
 	cl.servers = append(cl.servers, s)
 	var cached azurehitch.CachedModels
 	if service == engineService {
@@ -282,11 +285,22 @@
 	})
 }
 
+// softwareVersion returns the version of the software of a server. In each third seed, all servers have
+// the same.
+func (cl *cluster) softwareVersion(s *backendServer) string {
+	if cl.seed%3 == 0 {
+		return softwareVersions[0]
+	}
+	return softwareVersions[s.index%len(softwareVersions)]
+}
+
 // startServer starts the next generation of a server, under another id at the same address.
 func (cl *cluster) startServer(s *backendServer, cached azurehitch.CachedModels) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.generation++
+	version := cl.softwareVersion(s)
+	cl.checker.recordStart(version)
 	listener, err := net.Listen("tcp", s.ip+":0")
 	cl.Check(err, qt.IsNil)
 	if err != nil {
@@ -295,8 +309,9 @@
 	options := platformtest.BackendOptions{
 		ID: fmt.Sprintf("%s-%d", s.name, s.generation), Address: s.link.address(), Service: s.service, FailureDomain: "domain-0",
 		Slots: 16, Incarnation: time.Now().UnixMilli(), Engine: services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
-		Crashes: func(request azurehitch.CallerRequest) bool { return cl.crash(s, request) },
-		Work:    platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: 12},
+		SoftwareVersion: version,
+		Crashes:         func(request azurehitch.CallerRequest) bool { return cl.crash(s, request) },
+		Work:            platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: streamEvents},
 	}
 	s.current, s.listed = platformtest.NewBackend(options), true
 	s.link.retarget(listener.Addr().String())
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -380,6 +380,7 @@
 	remove(old)
 	cl.store.RemoveServer(entry.ID)
 	cl.checker.recordDeparture(entry.ID)
+	cl.checker.recordEnd(entry.SoftwareVersion)
 	old.Kill()
 	cached := azurehitch.CachedModels{OnDisk: entry.Cached.OnDisk}
 	if !keepsDisk {
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -124,6 +124,7 @@
 	cl.startCallers()
 	cl.execute(plan)
 	cl.checker.checkSoundRequests()
+	cl.checker.checkResumedStreams()
 	cl.awaitRecovery()
 	cl.checker.finish()
 	cl.stop()
@@ -156,6 +157,7 @@
 	for _, part := range cl.checker.crashingParts {
 		cl.Logf("%s: %d servers crashed, %d requests too late", part.id, part.crashes, part.lateSends)
 	}
+	cl.Logf("%d streams mixed, %s", len(cl.checker.mixedStreams), cl.checker.resumedStreams())
 	if float64(answered) < minAnsweredShare*float64(requests) {
 		cl.Errorf("only %d of %d requests were answered", answered, requests)
 	}
--- /dev/null
+++ b/internal/proof/soak/softwareversion_test.go
@@ -0,0 +1,175 @@
+package soak_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"azurehitch/platform/platformtest"
+)
+
+const (
+	// maxResumes is how often a caller takes up a stream again.
+	maxResumes = 2
+	// toleratedMixedStreams is how many streams may go on at another version, and minResumed how many
+	// must be taken up again to compare their share with that of new streams.
+	toleratedMixedStreams = 2
+	minResumed            = 12
+)
+
+// softwareVersions are the versions of the software of servers, which run side by side.
+var softwareVersions = []string{"v1", "v1.1"}
+
+// recordStart records that a server with a version of the software starts.
+func (c *checker) recordStart(version string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving[version]++
+}
+
+// recordEnd records that a server with a version of the software ends.
+func (c *checker) recordEnd(version string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving[version]--
+}
+
+// beganAt returns the software version of the server that sent the first event of a stream, and false
+// if none did. Runs before the last one that began with the first event brought no event.
+func (r *requestRecord) beganAt() (version string, ok bool) {
+	for _, run := range r.runs {
+		if run.LastEvent == 0 {
+			version, ok = run.SoftwareVersion, true
+		}
+	}
+	return version, ok
+}
+
+// origin returns the record of the request that brought the first event of a stream.
+func (c *checker) origin(r *requestRecord) *requestRecord {
+	if first, ok := c.records[r.exchange.Resumes]; ok {
+		return first
+	}
+	return r
+}
+
+// checkSoftwareVersion checks that a run that goes on with a stream is at the version that began it.
+// The caller holds the mutex.
+func (c *checker) checkSoftwareVersion(r *requestRecord, run platformtest.Run) {
+	first := c.origin(r)
+	began, ok := first.beganAt()
+	if run.LastEvent == 0 || !ok || began == run.SoftwareVersion || c.mixedStreams[first.exchange.ID] {
+		return
+	}
+	c.mixedStreams[first.exchange.ID] = true
+	if len(c.mixedStreams) > toleratedMixedStreams {
+		c.addViolation(ruleSoftwareVersion, "%s began at %s and went on as %s after event %d at %s, which has %s",
+			first.exchange.ID, began, r.exchange.ID, run.LastEvent, run.Server.ID, run.SoftwareVersion)
+	}
+}
+
+// resume takes up a stream again that was cut after its first event.
+func (c *caller) resume(x exchange) {
+	for range maxResumes {
+		numbers, _, _ := x.answer.Events(x.ID)
+		isCut := x.err == nil && x.answer.IsStream && !x.answer.Whole && len(numbers) > 0 || x.err != nil && x.LastEvent > 0
+		if !isCut || !x.route.Resumable || c.cluster.checker.isDisconnected(x.ID) || !c.connect() {
+			return
+		}
+		next := exchange{CallerRequest: x.CallerRequest, route: x.route, daemon: c.daemon, sentAt: time.Now()}
+		next.ID = fmt.Sprintf("%d-%d", c.cluster.seed, c.cluster.nextID.Add(1))
+		next.Body, next.LastEvent = "body of "+next.ID, x.LastEvent+len(numbers)
+		if next.Resumes == "" {
+			next.Resumes = x.ID
+		}
+		c.sent++
+		x = c.perform(c.cluster.checker.recordResumed(next))
+		c.cluster.checker.checkEnded(x)
+	}
+}
+
+// isDisconnected reports whether the caller of a request has disconnected early.
+func (c *checker) isDisconnected(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.records[id].exchange.disconnectedAt.IsZero()
+}
+
+// recordResumed records a request that takes up a stream again. It returns the request with mayGoOn.
+func (c *checker) recordResumed(x exchange) exchange {
+	c.mu.Lock()
+	if first, ok := c.records[x.Resumes]; ok {
+		began, _ := first.beganAt()
+		x.mayGoOn = c.serving[began] >= 2
+	}
+	c.mu.Unlock()
+	c.recordRequest(x)
+	return x
+}
+
+// streamCount is how many streams of a kind were asked for, and how many of them began.
+type streamCount struct{ total, began int }
+
+func (s streamCount) share() float64 { return float64(s.began) / float64(max(s.total, 1)) }
+
+// countStreams counts the requests for resumable streams at healthy daemons: the new ones, and those
+// that take up a stream which may go on. The caller holds the mutex.
+func (c *checker) countStreams() (begun, resumed streamCount) {
+	for _, r := range c.records {
+		x := r.exchange
+		isDisturbed := !x.disconnectedAt.IsZero() || !c.disturbances.isDaemonHealthy(x.daemon, x.sentAt, x.endedAt)
+		if !r.ended || !x.route.Resumable || isDisturbed {
+			continue
+		}
+		count := &begun
+		if x.LastEvent > 0 {
+			if !x.mayGoOn {
+				continue
+			}
+			count = &resumed
+		}
+		count.total++
+		if x.err == nil && x.answer.Status == http.StatusOK {
+			count.began++
+		}
+	}
+	return begun, resumed
+}
+
+// checkResumedStreams checks that streams that callers take up again go on at least half as often as
+// new ones begin.
+func (c *checker) checkResumedStreams() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun, resumed := c.countStreams()
+	if resumed.total >= minResumed && 2*resumed.share() < begun.share() {
+		c.addViolation(ruleResumedStreams, "%d of %d streams went on when they were taken up again, %d of %d new ones began", resumed.began, resumed.total, begun.began, begun.total)
+	}
+}
+
+// resumedStreams describes the streams that callers took up again.
+func (c *checker) resumedStreams() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun, resumed := c.countStreams()
+	return fmt.Sprintf("%d of %d taken up again, %d of %d new", resumed.began, resumed.total, begun.began, begun.total)
+}
+
+// TestStreamsGoOnAtAnotherSoftwareVersion cuts streams by kills of daemons, resets of connections and crashes of servers while two versions run.
+func TestStreamsGoOnAtAnotherSoftwareVersion(t *testing.T) {
+	kill, crash := fault{name: "kill", inject: injectKill}, fault{name: "server crashes", inject: injectCrash}
+	reset := fault{name: "reset of caller connections", inject: injectCallerReset}
+	var plan []action
+	for i := range 6 {
+		at := 3*time.Second + time.Duration(i)*2500*time.Millisecond
+		// Daemons 0 and 1 have no fault.
+		daemon := largeHostCount + i%largeHostCount
+		plan = append(plan,
+			action{fault: kill, startsAt: at, duration: time.Second, target: daemon},
+			action{fault: reset, startsAt: at + 800*time.Millisecond, target: largeHostCount + (i+1)%largeHostCount},
+			action{fault: reset, startsAt: at + 1600*time.Millisecond, target: largeHostCount + (i+1)%largeHostCount},
+			action{fault: crash, startsAt: at + 1200*time.Millisecond, duration: time.Second, target: i % engineCount, variant: 1})
+	}
+	runPlan(t, shortSeed, plan)
+}
