--- a/fleet.go
+++ b/fleet.go
@@ -31,6 +31,18 @@
 	Cached CachedModels
 }
 
+// VersionBound restricts a request to the servers of one software version: a stream goes on only where
+// it began. The zero value allows all servers.
+type VersionBound struct {
+	IsSet bool
+	// Version is a FleetServer.SoftwareVersion. If it is empty, only servers of unknown version are
+	// allowed.
+	Version string
+}
+
+// Allows reports whether a server of a software version may get the request.
+func (b VersionBound) Allows(version string) bool { return !b.IsSet || version == b.Version }
+
 // ServerIdentity identifies one start of a backend server.
 type ServerIdentity struct {
 	ID      string
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -27,6 +27,8 @@
 	"azurehitch/internal/forward/quarantinelog"
 	"azurehitch/internal/forward/quarantinepeer"
 	"azurehitch/internal/forward/retrybudget"
+	"azurehitch/internal/forward/streampeer"
+	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/lease/leaserunner"
 	"azurehitch/internal/membership/fleet"
@@ -115,6 +117,8 @@
 	quarantine      *quarantine.Tracker
 	quarantinePeers *quarantinepeer.Client
 	quarantineLog   *quarantinelog.Log
+	streams         *streams.Registry
+	streamPeers     *streampeer.Client
 
 	listeners listeners
 	stopping  atomic.Bool
@@ -147,6 +151,7 @@
 	d.assembleState()
 	d.assemblePlacement()
 	d.assembleQuarantine()
+	d.assembleStreams()
 	d.assembleForwarding()
 	return d, d.listen()
 }
@@ -293,6 +298,7 @@
 		Backoffs:        d.backoffs,
 		Limits:          d.limits,
 		Quarantine:      d.quarantine,
+		Streams:         streamVersions{d.streams, d.streamPeers},
 		OnNotice:        d.handleNotice,
 		Budget:          d.retryBudget,
 		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -9,6 +9,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
 	"azurehitch/internal/transport/membudget"
@@ -32,9 +33,10 @@
 	// rejected the request. The load then takes longer than expected, and the server may soon
 	// accept the request.
 	stillLoading bool
-	// isQuarantined is true when the request was not sent because its prompt crashes servers.
-	isQuarantined bool
-	cause         error
+	// isBarred is true when the request was not sent and must not be: its prompt crashes servers, or the
+	// server has not the software version of its stream.
+	isBarred bool
+	cause    error
 }
 
 // attemptLog lists the attempts of a request for its log line.
@@ -85,7 +87,11 @@
 // the stream after that event.
 func (r *request) exchange(choice place.Choice, lastEventID string) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
 	if err := r.server.Quarantine.Begin(r.service.Name, r.SharedParts); err != nil {
-		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isQuarantined: true, cause: err}
+		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: err}
+	}
+	if !r.bound.Allows(choice.SoftwareVersion) {
+		refused := azurehitch.Refuse(azurehitch.CodeNoCapacity, "%s has the software version %q, not %q", choice.Server.ID, choice.SoftwareVersion, r.bound.Version)
+		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: refused}
 	}
 	request := attemptRequest(&r.http.Request)
 	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
@@ -95,6 +101,9 @@
 	startedAt := r.server.Clock.Now()
 	r.firstEventAt = time.Time{}
 	r.sends++
+	if r.isNewStream() && lastEventID == "" {
+		r.server.Streams.Began(streams.Stream{Service: r.service.Name, ID: r.ID}, choice.SoftwareVersion, r.sends)
+	}
 	if choice.RateLimit > 0 {
 		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
 	}
@@ -274,7 +283,7 @@
 // request never reached the server. If the server still loads the model, mayRetry waits for one of
 // the loadingRetryDelays first.
 func (r *request) mayRetry(res result) bool {
-	if r.isOver() || res.isQuarantined {
+	if r.isOver() || res.isBarred {
 		return false
 	}
 	if res.run != azurehitch.RunStateNotRun {
@@ -310,7 +319,7 @@
 
 // finalRefusal returns the refusal for a request whose last attempt failed.
 func (r *request) finalRefusal(res result) error {
-	if res.isQuarantined && r.unknownOutcomes == 0 {
+	if res.isBarred && r.unknownOutcomes == 0 {
 		return res.cause
 	}
 	if res.run == azurehitch.RunStateNotRun && r.unknownOutcomes == 0 {
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -37,7 +37,7 @@
 // ReadRequest implements azurehitch.ExchangeProtocol.
 func (testProtocol) ReadRequest(h azurehitch.Header) azurehitch.CallerRequest {
 	ms, _ := strconv.Atoi(h.Get("X-Left"))
-	return azurehitch.CallerRequest{ID: h.Get("X-Id"), TimeLeft: time.Duration(ms) * time.Millisecond, SharedParts: []string{"part"}}
+	return azurehitch.CallerRequest{ID: h.Get("X-Id"), Resumes: h.Get("X-Resumes"), LastEvent: h.Get("X-Last"), TimeLeft: time.Duration(ms) * time.Millisecond, SharedParts: []string{"part"}}
 }
 
 // WriteAttempt implements azurehitch.ExchangeProtocol.
@@ -88,6 +88,8 @@
 	versions []string
 	// avoided is place.Request.Avoid of the last call of Place.
 	avoided []string
+	// bound is place.Request.SoftwareVersion of the last call of Place.
+	bound azurehitch.VersionBound
 }
 
 // Place implements passthrough.Placer. Without any servers, it waits for the context to end.
@@ -102,7 +104,7 @@
 		return place.Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no more servers").WithRetryAfter(time.Second)
 	}
 	p.next++
-	p.avoided = request.Avoid
+	p.avoided, p.bound = request.Avoid, request.SoftwareVersion
 	id := fmt.Sprintf("s%d", p.next-1)
 	version := ""
 	if len(p.versions) > 0 {
@@ -198,6 +200,7 @@
 	placer     *sequencePlacer
 	budget     *testBudget
 	quarantine *testQuarantine
+	streams    *testStreams
 	server     *passthrough.Server
 	address    string
 	// routing is the configuration that the gateway has read.
@@ -249,7 +252,7 @@
 	limits := connpool.DefaultLimits()
 	limits.Memory = answerMemory
 	backoffs := backoff.New("daemon-1", clock)
-	g := &gateway{C: c, placer: placer, budget: &testBudget{}, quarantine: &testQuarantine{}}
+	g := &gateway{C: c, placer: placer, budget: &testBudget{}, quarantine: &testQuarantine{}, streams: &testStreams{}}
 	g.routing.Store(index)
 	noticed := func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) { g.recordNotice(server, notice) }
 	server := passthrough.NewServer(passthrough.Dependencies{
@@ -257,8 +260,8 @@
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
 		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, Limits: serverlimit.New("daemon-1", nil, clock, discardLimits{}), OnNotice: noticed, Budget: g.budget, Clock: clock,
-		Quarantine: g.quarantine,
-		Logs:       logging.Discard(), Metrics: metrics.New(),
+		Quarantine: g.quarantine, Streams: g.streams,
+		Logs: logging.Discard(), Metrics: metrics.New(),
 	}, passthrough.Settings{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
 		MaxBufferedAnswer: maxBufferedAnswer, MaxAnswer: maxAnswer, MaxEvent: maxEvent,
@@ -286,12 +289,21 @@
 
 // send sends a request to the gateway. The X-Ours field must not reach a backend.
 func (g *gateway) send(method, path, body string) answer {
+	g.Helper()
+	return g.sendWith(method, path, body, nil)
+}
+
+// sendWith sends a request with further header fields.
+func (g *gateway) sendWith(method, path, body string, fields map[string]string) answer {
 	g.Helper()
 	request, err := http.NewRequest(method, "http://"+g.address+path, strings.NewReader(body))
 	g.Assert(err, qt.IsNil)
 	request.Host = "a.example"
 	request.Header.Set("X-Id", "id-1")
 	request.Header.Set("X-Ours", "smuggled")
+	for name, value := range fields {
+		request.Header.Set(name, value)
+	}
 	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	g.Assert(err, qt.IsNil)
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -60,6 +60,7 @@
 		r.recordError(choice, err)
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
+	r.bound = azurehitch.VersionBound{IsSet: true, Version: choice.SoftwareVersion}
 	r.timeToFirstEvent = r.server.Clock.Now().Sub(r.startedAt)
 	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.timeToFirstEvent)
 	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/refusal"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
@@ -62,6 +63,8 @@
 	placementTime    time.Duration
 	timeToFirstEvent time.Duration
 	longestPause     time.Duration
+	// bound restricts the attempts to the software version that began the stream.
+	bound azurehitch.VersionBound
 	// firstEventAt is when the first event of the current attempt came; zero before.
 	firstEventAt time.Time
 	// isKnownSound is true once an attempt has shown that the prompt does not crash servers.
@@ -140,6 +143,7 @@
 	return place.Request{
 		CallerRequest: r.CallerRequest, Service: r.service, Avoid: r.serversToAvoid,
 		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(), Urgency: r.route.Priority,
+		SoftwareVersion: r.bound,
 	}
 }
 
@@ -162,6 +166,10 @@
 		r.refuse(err)
 		return
 	}
+	if err := r.bindToVersion(); err != nil {
+		r.refuse(err)
+		return
+	}
 	for {
 		choice, err := r.place()
 		if err != nil {
@@ -180,6 +188,23 @@
 	}
 }
 
+// isNewStream reports whether the request asks for a stream from its first event on that its caller may
+// take up again.
+func (r *request) isNewStream() bool {
+	return r.route.Kind == azurehitch.RequestKindStream && r.route.MayRepeat() && r.LastEvent == ""
+}
+
+// bindToVersion binds a request that takes up a stream again to the software version that began the
+// stream.
+func (r *request) bindToVersion() error {
+	if r.route.Kind != azurehitch.RequestKindStream || r.LastEvent == "" {
+		return nil
+	}
+	bound, err := r.server.Streams.Bound(r.ctx, streams.Stream{Service: r.service.Name, ID: r.Resumes})
+	r.bound = bound
+	return err
+}
+
 // place chooses the server of the next attempt.
 func (r *request) place() (place.Choice, error) {
 	startedAt := r.server.Clock.Now()
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -23,6 +23,7 @@
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -73,6 +74,16 @@
 	ProbablyAnswered(service string, server azurehitch.ServerIdentity, parts []string)
 }
 
+// Streams knows at which software version each stream began.
+type Streams interface {
+	// Began records that a stream is about to begin at a server of a version. The attempt counts the
+	// servers that its request was sent to.
+	Began(stream streams.Stream, version string, attempt int)
+	// Bound returns the servers at which a stream may go on that its caller takes up again. The error is
+	// an *azurehitch.ErrRefused if that is not known.
+	Bound(ctx context.Context, stream streams.Stream) (azurehitch.VersionBound, error)
+}
+
 // Placer chooses the backend server of an attempt.
 type Placer interface {
 	Place(ctx context.Context, request place.Request) (place.Choice, error)
@@ -93,6 +104,8 @@
 	Limits *serverlimit.Tracker
 	// Quarantine refuses requests that crash servers.
 	Quarantine Quarantine
+	// Streams knows the software versions that began streams.
+	Streams Streams
 	// OnNotice handles the notice in a response: the server is shutting down, requests a backoff or
 	// names a rate limit.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
--- a/internal/forward/passthrough/softwareversion_test.go
+++ b/internal/forward/passthrough/softwareversion_test.go
@@ -1,17 +1,48 @@
 package passthrough_test
 
 import (
+	"context"
+	"sync"
 	"testing"
 
+	"azurehitch"
+	"azurehitch/internal/forward/streams"
+
 	qt "github.com/frankban/quicktest"
 )
 
+// testStreams is a Streams that returns fixed results, and records what began.
+type testStreams struct {
+	mu    sync.Mutex
+	bound azurehitch.VersionBound
+	err   error
+	// began are the versions with which streams began, and asked are the IDs passed to Bound.
+	began []string
+	asked []string
+}
+
+// Began implements passthrough.Streams.
+func (s *testStreams) Began(stream streams.Stream, version string, _ int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began = append(s.began, stream.ID+" "+version)
+}
+
+// Bound implements passthrough.Streams.
+func (s *testStreams) Bound(_ context.Context, stream streams.Stream) (azurehitch.VersionBound, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, stream.ID)
+	return s.bound, s.err
+}
+
 func TestStreamResumedAtAnotherSoftwareVersion(t *testing.T) {
 	run := func(t *testing.T, versions []string, check func(got answer, c *qt.C)) []*backend {
 		servers := []*backend{newBackend(t, streamHead+events, 0), newBackend(t, streamHead+resumed+streamEnd, 0)}
 		withGateway(t, resumable, servers, func(g *gateway) {
 			g.placer.versions = versions
 			check(g.send("POST", "/x/y", ""), g.C)
+			g.Assert(g.placer.bound, qt.Equals, azurehitch.VersionBound{IsSet: true, Version: versions[0]})
 		})
 		return servers
 	}
@@ -23,3 +54,43 @@
 		run(t, []string{"v2", "v2"}, func(got answer, c *qt.C) { c.Assert(got.cut, qt.IsFalse) })
 	})
 }
+
+// TestStreamsTakenUpAgain checks requests whose callers take up a stream that another attempt began.
+func TestStreamsTakenUpAgain(t *testing.T) {
+	v1 := azurehitch.VersionBound{IsSet: true, Version: "v1"}
+	taken := map[string]string{"X-Last": "2", "X-Resumes": "first"}
+	t.Run("goes on at the version that began it", func(t *testing.T) {
+		withGateway(t, resumable, []*backend{newBackend(t, streamHead+resumed+streamEnd, 0)}, func(g *gateway) {
+			g.streams.bound, g.placer.versions = v1, []string{"v1"}
+			g.Assert(g.sendWith("POST", "/x/y", "", taken).status, qt.Equals, 200)
+			g.Assert(g.streams.asked, qt.DeepEquals, []string{"first"})
+			g.Assert(g.streams.began, qt.HasLen, 0)
+			g.Assert(g.placer.bound, qt.Equals, v1)
+		})
+	})
+	t.Run("reaches no server of another version", func(t *testing.T) {
+		server := newBackend(t, streamHead+resumed+streamEnd, 0)
+		withGateway(t, resumable, []*backend{server}, func(g *gateway) {
+			g.streams.bound, g.placer.versions = v1, []string{"v2"}
+			g.Assert(g.sendWith("POST", "/x/y", "", taken).status, qt.Equals, 503)
+			g.Assert(server.requests(), qt.HasLen, 0)
+		})
+	})
+	t.Run("is refused if the version is not known", func(t *testing.T) {
+		server := newBackend(t, streamHead+resumed+streamEnd, 0)
+		withGateway(t, resumable, []*backend{server}, func(g *gateway) {
+			g.streams.err = azurehitch.Refuse(azurehitch.CodeNoCapacity, "unknown")
+			g.Assert(g.sendWith("POST", "/x/y", "", taken).status, qt.Equals, 503)
+			g.Assert(server.requests(), qt.HasLen, 0)
+		})
+	})
+	t.Run("a new stream is recorded with each server it is sent to", func(t *testing.T) {
+		servers := []*backend{newBackend(t, silent, 0), newBackend(t, streamHead+events+lastEvents+streamEnd, 0)}
+		withGateway(t, resumable, servers, func(g *gateway) {
+			g.placer.versions = []string{"v1", "v2"}
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
+			g.Assert(g.streams.began, qt.DeepEquals, []string{"id-1 v1", "id-1 v2"})
+			g.Assert(g.streams.asked, qt.HasLen, 0)
+		})
+	})
+}
--- a/internal/forward/place/model.go
+++ b/internal/forward/place/model.go
@@ -92,8 +92,9 @@
 
 // bookGrant counts a request at the server that the holder granted. It returns false if this daemon
 // knows that the server is shutting down, has an open breaker, is in backoff, or takes no more
-// requests in slow start, or names a rate limit of which the holder does not know yet. placeModel
-// then asks the holder again. For a shutdown, a rate limit or an open breaker, bookGrant adds the
+// requests in slow start, has another software version than the request needs (a holder of an earlier
+// release does not heed it), or names a rate limit of which the holder does not know yet. placeModel
+// then asks the holder again. But for a backoff or a slow start, bookGrant adds the
 // server to holderRequest, so that the holder can grant another one. If the holder grants a server
 // that is already in Avoid, the open breaker is ignored.
 func (p *Placer) bookGrant(r Request, grant swap.Grant, holderRequest *swap.Request) (Choice, bool) {
@@ -103,12 +104,13 @@
 	}
 	_, hasLimit := p.Limits.Limit(grant.Server)
 	isUncounted := hasLimit && !grant.RateLimited
+	isOtherVersion := !r.SoftwareVersion.Allows(grant.SoftwareVersion)
 	isBroken := p.Breakers.IsOpen(grant.Server.Address) && !slices.Contains(holderRequest.Avoid, grant.Server.ID)
-	if isUncounted || isBroken {
+	if isUncounted || isBroken || isOtherVersion {
 		holderRequest.Avoid = append(slices.Clone(holderRequest.Avoid), grant.Server.ID)
 		return Choice{}, false
 	}
-	choice, ok := p.book(r, grant.Server, selection{reason: "granted by the holder", isReplica: true, isGranted: true})
+	choice, ok := p.book(r, grant.Server, selection{reason: "granted by the holder", isReplica: true, isGranted: true, softwareVersion: grant.SoftwareVersion})
 	choice.Tier = grant.Tier
 	return choice, ok
 }
@@ -118,6 +120,7 @@
 	return swap.Request{
 		ID: r.ID, Daemon: p.Self, FailureDomain: p.FailureDomain, Model: r.Model, Adapter: r.Adapter,
 		PromptTokens: r.PromptTokens, Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Avoid: r.Avoid,
+		SoftwareVersion: r.SoftwareVersion,
 	}
 }
 
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -59,6 +59,8 @@
 	Deadline  time.Time
 	// Urgency is the rank of the request's route; 0 is the most urgent.
 	Urgency int
+	// SoftwareVersion restricts the request to the servers of a version.
+	SoftwareVersion azurehitch.VersionBound
 }
 
 // Choice is the server chosen for one attempt.
@@ -114,6 +116,9 @@
 	if err := p.awaitList(ctx, r.Service.Name); err != nil {
 		return Choice{}, errors.Wrap(err, "wait for the list of servers")
 	}
+	if err := p.checkVersion(r); err != nil {
+		return Choice{}, err
+	}
 	if r.Service.Engine == nil || r.Model == "" {
 		return p.placePlain(ctx, r)
 	}
@@ -143,12 +148,26 @@
 	})
 }
 
+// checkVersion refuses a request at once if its stream can't go on, because no listed server has the
+// software version that began it. While the list may lack servers, it refuses nothing.
+func (p *Placer) checkVersion(r Request) error {
+	view := p.Fleet()
+	isServed := slices.ContainsFunc(view.Service(r.Service.Name), func(s azurehitch.FleetServer) bool {
+		return r.SoftwareVersion.Allows(s.SoftwareVersion) && !s.ShuttingDown && !s.Missing
+	})
+	if isServed || !r.SoftwareVersion.IsSet || !view.Complete {
+		return nil
+	}
+	return azurehitch.Refuse(azurehitch.CodeNoCapacity, "no server of %s has the software version %q", r.Service.Name, r.SoftwareVersion.Version).
+		WithRetryAfter(emptyRetryAfter)
+}
+
 // candidates returns the available servers that are not in backoff. Servers that failed the request
 // are included only if there are no others.
 func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
 	backedOff := p.Backoffs.List()
 	servers := slices.DeleteFunc(p.available(r.Service.Name), func(s azurehitch.FleetServer) bool {
-		return slices.ContainsFunc(backedOff, func(backoff azurehitch.ServerBackoff) bool { return backoff.Server == s.ServerIdentity })
+		return !r.SoftwareVersion.Allows(s.SoftwareVersion) || slices.ContainsFunc(backedOff, func(backoff azurehitch.ServerBackoff) bool { return backoff.Server == s.ServerIdentity })
 	})
 	untried := slices.DeleteFunc(slices.Clone(servers), func(s azurehitch.FleetServer) bool {
 		return slices.Contains(r.Avoid, s.ID)
@@ -189,6 +208,8 @@
 	// isGranted is true if the holder has chosen the server, and has counted the request in the rate
 	// limit of the server if it has one.
 	isGranted bool
+	// softwareVersion is that of a granted server.
+	softwareVersion string
 }
 
 // placeOn chooses one of the servers and counts the request there. It returns false if each server
@@ -274,9 +295,8 @@
 		releaseReplica = p.Holders.Begin(r.Service.Name, swap.Replica{Server: server.ID, Model: r.Model})
 	}
 	limit, _ := p.Limits.Limit(server)
-	listed, _ := p.Fleet().Server(server.ID)
 	return Choice{
-		Server: server, SoftwareVersion: listed.SoftwareVersion, Reason: sel.reason, RateLimit: limit, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
+		Server: server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
 			p.addInProgress(server.ID, -1)
 			releaseServer()
@@ -285,6 +305,18 @@
 	}, true
 }
 
+// softwareVersion returns the software version of a server as the holder has told it, or else as it is
+// listed.
+func (p *Placer) softwareVersion(server azurehitch.ServerIdentity, sel selection) string {
+	if sel.isGranted {
+		return sel.softwareVersion
+	}
+	if listed, ok := p.Fleet().Server(server.ID); ok && listed.ServerIdentity == server {
+		return listed.SoftwareVersion
+	}
+	return ""
+}
+
 // addInProgress adds n to the requests of this daemon in progress at a server.
 func (p *Placer) addInProgress(server string, n int) {
 	p.mu.Lock()
--- a/internal/forward/place/placer_test.go
+++ b/internal/forward/place/placer_test.go
@@ -36,12 +36,13 @@
 // LimitChanged implements serverlimit.Observer.
 func (discardObserver) LimitChanged(azurehitch.ServerIdentity, float64) {}
 
-// decode decodes entries of the form DOMAIN or DOMAIN:leaving.
+// decode decodes entries of the form DOMAIN, DOMAIN:leaving or DOMAIN@VERSION.
 func decode(id string, value []byte) (azurehitch.FleetServer, error) {
 	domain, state, _ := strings.Cut(string(value), ":")
+	domain, version, _ := strings.Cut(domain, "@")
 	return azurehitch.FleetServer{
 		ServerIdentity: azurehitch.ServerIdentity{ID: id, Address: id}, Service: "calls", FailureDomain: domain,
-		Slots: 6, ShuttingDown: state == "leaving",
+		Slots: 6, SoftwareVersion: version, ShuttingDown: state == "leaving",
 	}, nil
 }
 
--- /dev/null
+++ b/internal/forward/streampeer/client.go
@@ -0,0 +1,259 @@
+// Package streampeer tells other daemons at which software version streams began, and asks them, over the
+// connections between daemons.
+//
+// # Usage
+//
+//	client := streampeer.NewClient(dependencies)
+//	group.Go(func() error { return client.Run(ctx) })
+//	bound, err := client.Bound(ctx, stream)
+//	response := client.Handle(request)
+//
+// Each stream is told to a few daemons that a hash of its key chooses, so that another daemon finds its
+// version after the one that served it has ended. Nothing is told while all servers of the service have
+// the same version.
+package streampeer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/telemetry/metrics"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// keepers is how many other daemons are told of a stream, and maxAsked how many are asked: the
+	// daemons that are known may differ between the two moments.
+	keepers  = 4
+	maxAsked = 8
+	// batchTime is the time in which records are collected before they are told.
+	batchTime = 15 * time.Millisecond
+	// tellTimeout and askTimeout limit the calls of another daemon.
+	tellTimeout = 300 * time.Millisecond
+	askTimeout  = 150 * time.Millisecond
+	// avoidTime is how long a daemon that did not answer is passed over.
+	avoidTime = 3 * time.Second
+	// maxTells is how often a record is told, with others in place of the daemons that don't answer.
+	maxTells = 3
+)
+
+// Dependencies holds what a Client uses.
+type Dependencies struct {
+	// Self is the name of this daemon, and Daemons returns the names of all known daemons.
+	Self    string
+	Daemons func() []string
+	// Address returns the peer address of a daemon, and false if it is not known.
+	Address  func(daemon string) (string, bool)
+	Registry *streams.Registry
+	Peers    *mux.Client
+	Clock    azurehitch.Clock
+	Metrics  *metrics.Metrics
+}
+
+// Client exchanges records with other daemons.
+type Client struct {
+	Dependencies
+	mu sync.Mutex
+	// avoidUntil is until when a daemon is passed over.
+	avoidUntil map[string]time.Time
+}
+
+// NewClient returns a client.
+func NewClient(dependencies Dependencies) *Client {
+	return &Client{Dependencies: dependencies, avoidUntil: map[string]time.Time{}}
+}
+
+// Handle handles a request of another daemon.
+func (c *Client) Handle(request *peerpb.Request) *peerpb.Response {
+	if told := request.GetStreamsBegan(); told != nil {
+		c.Registry.Merge(recordsFromProto(told))
+		return &peerpb.Response{Kind: &peerpb.Response_StreamVersion{StreamVersion: &peerpb.StreamVersionResponse{}}}
+	}
+	asked := request.GetStreamVersion()
+	version, ok := c.Registry.Version(streams.Key(asked.GetKey()))
+	return &peerpb.Response{Kind: &peerpb.Response_StreamVersion{StreamVersion: &peerpb.StreamVersionResponse{
+		Known: ok, Version: version, Mixed: c.Registry.IsMixed(asked.GetService()),
+	}}}
+}
+
+// Run tells other daemons the streams of this daemon until the context ends.
+func (c *Client) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-c.Registry.Wake():
+		}
+		if c.Clock.Sleep(ctx, batchTime) != nil {
+			break
+		}
+		records := c.Registry.TakeUntold()
+		group.Go(func() error {
+			c.tell(ctx, records)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// tell tells records to their keepers. Daemons that don't answer are replaced by the next ones.
+func (c *Client) tell(ctx context.Context, records []streams.Record) {
+	told := make([]map[string]bool, len(records))
+	for i := range told {
+		told[i] = map[string]bool{}
+	}
+	for range maxTells {
+		batches := map[string][]int{}
+		for i, record := range records {
+			for _, name := range c.ranking(record.Key, keepers) {
+				if !told[i][name] {
+					batches[name] = append(batches[name], i)
+				}
+			}
+		}
+		if len(batches) == 0 || ctx.Err() != nil {
+			return
+		}
+		for name := range c.tellBatches(ctx, records, batches) {
+			for _, i := range batches[name] {
+				told[i][name] = true
+			}
+		}
+	}
+}
+
+// tellBatches tells each daemon the records with the given indexes, and returns the daemons that have
+// answered.
+func (c *Client) tellBatches(ctx context.Context, records []streams.Record, batches map[string][]int) map[string]bool {
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	var group errgroup.Group
+	for name, indexes := range batches {
+		message := &peerpb.StreamsBegan{}
+		for _, i := range indexes {
+			message.Streams = append(message.Streams, recordToProto(records[i]))
+		}
+		group.Go(func() error {
+			_, err := c.call(ctx, name, tellTimeout, &peerpb.Request{Kind: &peerpb.Request_StreamsBegan{StreamsBegan: message}})
+			if err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answered[name] = true
+			}
+			return nil
+		})
+	}
+	// The calls return no errors.
+	_ = group.Wait()
+	return answered
+}
+
+// Bound returns the servers at which a stream that its caller takes up again may go on. The error is an
+// *azurehitch.ErrRefused if servers of several versions run and no daemon knows which of them began it.
+func (c *Client) Bound(ctx context.Context, stream streams.Stream) (azurehitch.VersionBound, error) {
+	key := streams.KeyOf(stream)
+	if version, ok := c.Registry.Version(key); ok {
+		return azurehitch.VersionBound{IsSet: true, Version: version}, nil
+	}
+	answer := c.ask(ctx, stream.Service, key)
+	switch {
+	case answer.GetKnown():
+		return azurehitch.VersionBound{IsSet: true, Version: answer.GetVersion()}, nil
+	case answer.GetMixed() || c.Registry.IsMixed(stream.Service):
+		return azurehitch.VersionBound{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no daemon knows the software version that began stream %s", stream.ID)
+	}
+	return azurehitch.VersionBound{}, nil
+}
+
+// ask asks other daemons for the version of a stream. It returns the first answer that knows it, or
+// else one that says whether any of them knows of several versions.
+func (c *Client) ask(ctx context.Context, service string, key streams.Key) *peerpb.StreamVersionResponse {
+	names := c.ranking(key, maxAsked)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan *peerpb.StreamVersionResponse, len(names))
+	var group errgroup.Group
+	for _, name := range names {
+		group.Go(func() error {
+			response, err := c.call(ctx, name, askTimeout, &peerpb.Request{Kind: &peerpb.Request_StreamVersion{
+				StreamVersion: &peerpb.StreamVersionRequest{Key: uint64(key), Service: service},
+			}})
+			if err != nil {
+				answers <- nil
+				return nil
+			}
+			answers <- response.GetStreamVersion()
+			return nil
+		})
+	}
+	unknown := &peerpb.StreamVersionResponse{}
+	for range names {
+		answer := <-answers
+		if answer.GetKnown() {
+			return answer
+		}
+		unknown.Mixed = unknown.Mixed || answer.GetMixed()
+	}
+	return unknown
+}
+
+// call calls another daemon, and passes it over for a while if it does not answer.
+func (c *Client) call(ctx context.Context, name string, timeout time.Duration, request *peerpb.Request) (*peerpb.Response, error) {
+	address, ok := c.Address(name)
+	if !ok {
+		return nil, errors.Errorf("no address of %s is known", name)
+	}
+	called, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.Metrics.Add(metrics.PeerCalls, 1)
+	response, err := c.Peers.Call(called, address, request)
+	if err != nil && ctx.Err() == nil {
+		c.Metrics.Add(metrics.PeerErrors, 1)
+		c.avoid(name)
+	}
+	return response, err
+}
+
+func (c *Client) avoid(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoidUntil[name] = c.Clock.Now().Add(avoidTime)
+}
+
+// ranking returns the first daemons in the ranking of a stream by rendezvous hashing, without this one
+// and without those that are passed over.
+func (c *Client) ranking(key streams.Key, count int) []string {
+	c.mu.Lock()
+	now := c.Clock.Now()
+	names := slices.DeleteFunc(slices.Clone(c.Daemons()), func(name string) bool {
+		return name == c.Self || now.Before(c.avoidUntil[name])
+	})
+	c.mu.Unlock()
+	prefix := strconv.FormatUint(uint64(key), 16) + "\x00"
+	weight := func(name string) uint64 { return xxhash.Sum64String(prefix + name) }
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	return names[:min(count, len(names))]
+}
+
+func recordToProto(r streams.Record) *peerpb.StreamBegan {
+	return &peerpb.StreamBegan{Key: uint64(r.Key), Service: r.Service, Version: r.Version, Attempt: int32(r.Attempt)}
+}
+
+func recordsFromProto(message *peerpb.StreamsBegan) []streams.Record {
+	var records []streams.Record
+	for _, s := range message.GetStreams() {
+		records = append(records, streams.Record{Key: streams.Key(s.GetKey()), Service: s.GetService(), Version: s.GetVersion(), Attempt: int(s.GetAttempt())})
+	}
+	return records
+}
--- /dev/null
+++ b/internal/forward/streampeer/client_test.go
@@ -0,0 +1,186 @@
+package streampeer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/streampeer"
+	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/telemetry/metrics"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const service = "llm"
+
+// member is a daemon of a deployment.
+type member struct {
+	name     string
+	address  string
+	registry *streams.Registry
+	client   *streampeer.Client
+	stop     context.CancelFunc
+}
+
+// deployment is daemons that are connected to each other.
+type deployment struct {
+	*qt.C
+	names   []string
+	members []*member
+	group   errgroup.Group
+}
+
+func withDeployment(t *testing.T, daemons int, run func(d *deployment)) {
+	t.Helper()
+	d := &deployment{C: qt.New(t)}
+	var listeners []net.Listener
+	for i := range daemons {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		d.Assert(err, qt.IsNil)
+		listeners = append(listeners, listener)
+		d.names = append(d.names, fmt.Sprintf("daemon-%d", i))
+		d.members = append(d.members, &member{name: d.names[i], address: listener.Addr().String()})
+	}
+	for i := range d.members {
+		d.start(i, listeners[i])
+	}
+	run(d)
+	for _, m := range d.members {
+		m.stop()
+	}
+	d.Assert(d.group.Wait(), qt.IsNil)
+}
+
+// start starts a daemon without any records.
+func (d *deployment) start(i int, listener net.Listener) {
+	m, clock := d.members[i], azurehitch.SystemClock{}
+	m.registry = streams.NewRegistry(clock)
+	m.client = streampeer.NewClient(streampeer.Dependencies{
+		Self: m.name, Daemons: func() []string { return d.names }, Address: d.address, Registry: m.registry,
+		Peers: mux.NewClient(m.name), Clock: clock, Metrics: metrics.New(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	client := m.client
+	server := mux.NewServer(listener, func(_ context.Context, request *peerpb.Request) *peerpb.Response { return client.Handle(request) })
+	d.group.Go(func() error { return server.Run(ctx) })
+	d.group.Go(func() error { return client.Run(ctx) })
+}
+
+func (d *deployment) address(name string) (string, bool) {
+	for _, m := range d.members {
+		if m.name == name {
+			return m.address, true
+		}
+	}
+	return "", false
+}
+
+// sawVersions makes all daemons see the software versions of the servers.
+func (d *deployment) sawVersions(versions ...string) {
+	for _, m := range d.members {
+		m.registry.SawVersions(service, versions)
+	}
+}
+
+func stream(i int) streams.Stream { return streams.Stream{Service: service, ID: fmt.Sprint(i)} }
+
+// began makes a daemon begin streams at a version, and gives it time to tell others.
+func (d *deployment) began(daemon, count int, version string) {
+	for i := range count {
+		d.members[daemon].registry.Began(stream(i), version, 1)
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// bound returns to which version a daemon binds a stream that is taken up there; empty if to none.
+func (d *deployment) bound(daemon, i int) (string, error) {
+	bound, err := d.members[daemon].client.Bound(context.Background(), stream(i))
+	d.Assert(err == nil || !bound.IsSet, qt.IsTrue)
+	return bound.Version, err
+}
+
+const streamCount = 60
+
+func TestVersionIsFoundAtAnyDaemon(t *testing.T) {
+	for _, daemons := range []int{1, 2, 9, 40} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			withDeployment(t, daemons, func(d *deployment) {
+				d.sawVersions("v1", "v2")
+				d.began(0, streamCount, "v2")
+				for i := range streamCount {
+					version, err := d.bound(i%daemons, i)
+					d.Assert(err, qt.IsNil)
+					d.Assert(version, qt.Equals, "v2")
+				}
+			})
+		})
+	}
+}
+
+func TestVersionIsFoundAfterItsDaemonHasEnded(t *testing.T) {
+	withDeployment(t, 9, func(d *deployment) {
+		d.sawVersions("v1", "v2")
+		d.began(0, streamCount, "v1")
+		for i := range 3 {
+			d.members[i].stop()
+		}
+		time.Sleep(50 * time.Millisecond)
+		for i := range streamCount {
+			version, err := d.bound(3+i%6, i)
+			d.Assert(err, qt.IsNil)
+			d.Assert(version, qt.Equals, "v1")
+		}
+	})
+}
+
+func TestStreamsOfTheTimeBeforeTheSecondVersion(t *testing.T) {
+	withDeployment(t, 4, func(d *deployment) {
+		d.sawVersions("v1")
+		d.began(0, streamCount, "v1")
+		d.sawVersions("v1", "v2")
+		time.Sleep(300 * time.Millisecond)
+		version, err := d.bound(3, 0)
+		d.Assert(err, qt.IsNil)
+		d.Assert(version, qt.Equals, "v1")
+	})
+}
+
+func TestUnknownStreams(t *testing.T) {
+	assertRefused := func(d *deployment, err error) {
+		var refused *azurehitch.ErrRefused
+		d.Assert(errors.As(err, &refused), qt.IsTrue)
+		d.Assert(refused.Run, qt.Equals, azurehitch.RunStateNotRun)
+	}
+	t.Run("go on anywhere while there is one version", func(t *testing.T) {
+		withDeployment(t, 3, func(d *deployment) {
+			d.sawVersions("v1")
+			version, err := d.bound(0, 1)
+			d.Assert(err, qt.IsNil)
+			d.Assert(version, qt.Equals, "")
+		})
+	})
+	t.Run("are refused while there are several", func(t *testing.T) {
+		withDeployment(t, 3, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			_, err := d.bound(0, 1)
+			assertRefused(d, err)
+		})
+	})
+	t.Run("are refused by a daemon that has just started, if another has seen several", func(t *testing.T) {
+		withDeployment(t, 3, func(d *deployment) {
+			d.members[1].registry.SawVersions(service, []string{"v1", "v2"})
+			d.members[0].registry.SawVersions(service, []string{"v2"})
+			_, err := d.bound(0, 1)
+			assertRefused(d, err)
+		})
+	})
+}
--- /dev/null
+++ b/internal/forward/streams/streams_test.go
@@ -0,0 +1,121 @@
+package streams_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/forward/streams"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const service = "llm"
+
+// clock is a clock that only advance moves.
+type clock struct {
+	azurehitch.SystemClock
+	now time.Time
+}
+
+// Now implements azurehitch.Clock.
+func (c *clock) Now() time.Time { return c.now }
+
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+// fixture is a registry with a manual clock.
+type fixture struct {
+	*qt.C
+	*clock
+	*streams.Registry
+}
+
+func newFixture(t *testing.T) fixture {
+	t.Helper()
+	clock := &clock{now: time.Unix(1000, 0)}
+	return fixture{C: qt.New(t), clock: clock, Registry: streams.NewRegistry(clock)}
+}
+
+func stream(id string) streams.Stream { return streams.Stream{Service: service, ID: id} }
+
+// assertVersion checks the version of a stream; empty means that it is not known.
+func (f fixture) assertVersion(id, want string) {
+	f.Helper()
+	got, ok := f.Version(streams.KeyOf(stream(id)))
+	f.Assert(got, qt.Equals, want)
+	f.Assert(ok, qt.Equals, want != "")
+}
+
+func TestRecords(t *testing.T) {
+	t.Run("the last attempt began the stream", func(t *testing.T) {
+		f := newFixture(t)
+		f.Began(stream("a"), "v1", 1)
+		f.Began(stream("a"), "v2", 2)
+		f.assertVersion("a", "v2")
+		f.Merge([]streams.Record{{Key: streams.KeyOf(stream("a")), Service: service, Version: "v1", Attempt: 1}})
+		f.assertVersion("a", "v2")
+		f.assertVersion("b", "")
+	})
+	t.Run("are kept for at least their time, and not for ever", func(t *testing.T) {
+		f := newFixture(t)
+		f.advance(streams.TTL - time.Second)
+		f.Began(stream("a"), "v1", 1)
+		f.advance(streams.TTL)
+		f.Began(stream("b"), "v1", 1)
+		f.assertVersion("a", "v1")
+		f.advance(streams.TTL)
+		f.Began(stream("c"), "v1", 1)
+		f.assertVersion("a", "")
+		f.assertVersion("b", "v1")
+	})
+	t.Run("their number is bounded", func(t *testing.T) {
+		f := newFixture(t)
+		f.Began(stream("first"), "v1", 1)
+		for i := range 100_000 {
+			f.Began(stream(fmt.Sprint(i)), "v1", 1)
+		}
+		f.assertVersion("first", "")
+		f.assertVersion("99999", "v1")
+	})
+}
+
+func TestTold(t *testing.T) {
+	t.Run("nothing while all servers have one version", func(t *testing.T) {
+		f := newFixture(t)
+		f.SawVersions(service, []string{"v1", "v1"})
+		f.Began(stream("a"), "v1", 1)
+		f.Assert(f.TakeUntold(), qt.HasLen, 0)
+		f.Assert(f.IsMixed(service), qt.IsFalse)
+	})
+	t.Run("recent streams once there are several", func(t *testing.T) {
+		f := newFixture(t)
+		f.SawVersions(service, []string{"v1"})
+		f.Began(stream("old"), "v1", 1)
+		f.advance(streams.TTL)
+		f.Began(stream("a"), "v1", 1)
+		f.SawVersions(service, []string{"v1", "v2"})
+		f.Began(stream("b"), "v2", 1)
+		var versions []string
+		for _, r := range f.TakeUntold() {
+			versions = append(versions, r.Version)
+		}
+		f.Assert(versions, qt.DeepEquals, []string{"v1", "v2"})
+		f.Assert(f.TakeUntold(), qt.HasLen, 0)
+	})
+	t.Run("for some time after the last server of the other version", func(t *testing.T) {
+		f := newFixture(t)
+		f.SawVersions(service, []string{"v1", "v2"})
+		f.advance(streams.TTL / 2)
+		f.SawVersions(service, []string{"v2"})
+		f.Assert(f.IsMixed(service), qt.IsTrue)
+		f.advance(streams.TTL / 2)
+		f.Assert(f.IsMixed(service), qt.IsFalse)
+	})
+	t.Run("not for another service", func(t *testing.T) {
+		f := newFixture(t)
+		f.SawVersions("other", []string{"v1", "v2"})
+		f.Began(stream("a"), "v1", 1)
+		f.Assert(f.TakeUntold(), qt.HasLen, 0)
+	})
+}
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -51,7 +51,7 @@
 	candidates := slices.DeleteFunc(p.readyServers(request.Model), func(s *server) bool {
 		// An adapter being unloaded still occupies its slot.
 		_, placed := s.replicas[request.Model].adapters[request.Adapter]
-		return placed || !s.acceptsAdapterOrders(now) || s.adapterOrders >= maxAdapterOrders || slices.Contains(request.Avoid, s.ID)
+		return placed || !s.acceptsAdapterOrders(now) || s.adapterOrders >= maxAdapterOrders || !request.accepts(s)
 	})
 	slices.SortFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"azurehitch"
 )
 
 // hasCachedServer reports whether cachedServers returns any server for a model.
@@ -22,17 +24,17 @@
 
 func (p *Plan) isLoading(name string) bool { return len(p.loadingServers(name)) > 0 }
 
-// bestCachedServer returns the server that can load a model from its cached checkpoint soonest, or
+// bestCachedServer returns the server of the right software version that can load a model from its cached checkpoint soonest, or
 // nil if no cached server accepts orders and can free enough memory. For a busy model, servers with a
 // rate limit are chosen last.
-func (p *Plan) bestCachedServer(name string, now time.Time) *server {
+func (p *Plan) bestCachedServer(name string, version azurehitch.VersionBound, now time.Time) *server {
 	limits := p.limits.Models[name]
 	isBusy := p.isBusy(name, now)
 	isUnfit := func(s *server) bool { return isBusy && s.hasRateLimit() }
 	var best *server
 	var bestLoadTime time.Duration
 	for _, s := range p.cachedServers(name) {
-		if _, loaded := s.replicas[name]; loaded || !s.acceptsModelOrders(now) || p.isDraining(s.ID, name) {
+		if _, loaded := s.replicas[name]; loaded || !version.Allows(s.softwareVersion) || !s.acceptsModelOrders(now) || p.isDraining(s.ID, name) {
 			continue
 		}
 		loadTime := limits.LoadTime(s.tier(name)) + p.rateLimitWait(s, now)
@@ -49,17 +51,17 @@
 	return best
 }
 
-// bestRemoteTarget returns the server for a load from the weight store, or nil if no server can
+// bestRemoteTarget returns the server of the right software version for a load from the weight store, or nil if no server can
 // free enough memory. For a busy model, it first prefers servers without a rate limit. Then it prefers
 // servers with enough free memory, then those with the fewest cached checkpoints, because the load
 // blocks quick swaps on its server, then the server whose last load from the weight store was ordered
 // longest ago.
-func (p *Plan) bestRemoteTarget(name string, now time.Time) *server {
+func (p *Plan) bestRemoteTarget(name string, version azurehitch.VersionBound, now time.Time) *server {
 	memory := p.limits.Models[name].Memory
 	isBusy := p.isBusy(name, now)
 	var candidates []*server
 	for _, s := range p.sortedServers {
-		if _, loaded := s.replicas[name]; loaded || !s.acceptsModelOrders(now) {
+		if _, loaded := s.replicas[name]; loaded || !version.Allows(s.softwareVersion) || !s.acceptsModelOrders(now) {
 			continue
 		}
 		if s.freeMemory(p.limits) >= memory || p.victim(s, memory) != "" {
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -18,8 +18,9 @@
 	var orders []Order
 	allowance := p.remoteAllowance(now)
 	for _, name := range p.modelsToLoad(now) {
+		version := p.neededVersion(name, now)
 		for range p.missingReplicas(name, now) {
-			order, ok := p.nextOrder(name, now, &allowance)
+			order, ok := p.nextOrder(name, version, now, &allowance)
 			if !ok {
 				break
 			}
@@ -158,6 +159,18 @@
 	return max(needed-count-len(inTime), 0)
 }
 
+// neededVersion returns the software version that a further replica of a model must have: that of the
+// first waiting request that no replica can serve soon. The zero value means any.
+func (p *Plan) neededVersion(name string, now time.Time) azurehitch.VersionBound {
+	ready := p.readyServers(name)
+	for _, w := range p.waiters.byModel[name] {
+		if len(ready) == 0 || p.hasNoUsableReplica(w.Request, ready, now) {
+			return w.SoftwareVersion
+		}
+	}
+	return azurehitch.VersionBound{}
+}
+
 // replicasNeeded returns the number of replicas that the demand for a model requires.
 func (p *Plan) replicasNeeded(name string, now time.Time) int {
 	perReplica := p.settings.ReplicaLoad * float64(p.slotsPerServer())
@@ -176,11 +189,12 @@
 	return 1
 }
 
-// nextOrder returns the next order on the way to a further replica of a model: its load, or an
+// nextOrder returns the next order on the way to a further replica of a model at a server of the right
+// software version: its load, or an
 // unload that frees memory for it. It returns false if no order is possible now. A load from the
 // weight store reduces allowance by one.
-func (p *Plan) nextOrder(name string, now time.Time, allowance *int) (Order, bool) {
-	if s := p.bestCachedServer(name, now); s != nil {
+func (p *Plan) nextOrder(name string, version azurehitch.VersionBound, now time.Time, allowance *int) (Order, bool) {
+	if s := p.bestCachedServer(name, version, now); s != nil {
 		return p.loadOrEvict(s, name, "requests wait, a copy is near", now)
 	}
 	if p.hasCachedServer(name) && len(p.readyServers(name)) == 0 && !p.isLoading(name) {
@@ -191,7 +205,7 @@
 	if *allowance <= 0 || p.hasCachedServer(name) && !p.isOverloaded(name, now) && !p.isSoleReplicaBlocking(name, now) {
 		return Order{}, false
 	}
-	s := p.bestRemoteTarget(name, now)
+	s := p.bestRemoteTarget(name, version, now)
 	if s == nil {
 		return Order{}, false
 	}
@@ -214,7 +228,7 @@
 		if allowance <= 0 {
 			break
 		}
-		s := p.bestRemoteTarget(name, now)
+		s := p.bestRemoteTarget(name, azurehitch.VersionBound{}, now)
 		if s == nil {
 			break
 		}
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -50,6 +50,8 @@
 	Urgency int
 	// Avoid are the servers on which the request has failed.
 	Avoid []string
+	// SoftwareVersion restricts the request to the servers of a version.
+	SoftwareVersion azurehitch.VersionBound
 	// ShuttingDown are the servers that the daemon knows to be shutting down or removed. The daemon
 	// may know this before the holder does.
 	ShuttingDown []azurehitch.ServerIdentity
@@ -57,6 +59,12 @@
 	Backoffs []azurehitch.ServerBackoff
 }
 
+// accepts reports whether the request may be granted a server: it has not failed there, and the server
+// has the right software version.
+func (n Request) accepts(s *server) bool {
+	return n.SoftwareVersion.Allows(s.softwareVersion) && !slices.Contains(n.Avoid, s.ID)
+}
+
 // backoffAt returns the remaining backoff of the daemon at a server, and false if there is none.
 func (n Request) backoffAt(server *server) (time.Duration, bool) {
 	for _, b := range n.Backoffs {
@@ -199,6 +207,8 @@
 // Grant permits a daemon to send a request to a server.
 type Grant struct {
 	Server azurehitch.ServerIdentity
+	// SoftwareVersion is that of the server.
+	SoftwareVersion string
 	// Number identifies the grant in demand reports.
 	Number int64
 	// Tier is the cache tier from which the model was loaded while the request waited; empty if it
--- a/internal/placement/swap/replicawait.go
+++ b/internal/placement/swap/replicawait.go
@@ -2,8 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
+
+	"azurehitch"
 )
 
 // maxReplicaWait is the wait for a replica beyond which another one is loaded from a cached
@@ -11,7 +12,7 @@
 const maxReplicaWait = 1500 * time.Millisecond
 
 // hasNoUsableReplica reports whether a model has replicas but none can serve a request soon: each
-// has failed the request, is on a server whose rate limit is used up for some time, or lacks its
+// has failed the request, has another software version, is on a server whose rate limit is used up for some time, or lacks its
 // adapter and its server accepts no orders for some time. For example, a server that carries out a
 // former holder's order accepts none for as long as a load from the weight store takes.
 func (p *Plan) hasNoUsableReplica(request Request, ready []*server, now time.Time) bool {
@@ -19,11 +20,11 @@
 }
 
 // waitForReplica returns the time until the first of the replicas can serve a request or load its
-// adapter. It returns the maximum duration if the request has failed on all of them.
+// adapter. It returns the maximum duration if the request may use none of them.
 func (p *Plan) waitForReplica(request Request, ready []*server, now time.Time) time.Duration {
 	wait := time.Duration(math.MaxInt64)
 	for _, s := range ready {
-		if !slices.Contains(request.Avoid, s.ID) {
+		if request.accepts(s) {
 			wait = min(wait, p.usableWait(s, request, now))
 		}
 	}
@@ -54,19 +55,22 @@
 	// Without a better estimate, the remaining wait is assumed to equal the time that the request
 	// has waited.
 	wait := min(p.waitForReplica(w.Request, avail.ready, now), max(p.settings.SwapOverhead, now.Sub(w.arrivedAt)))
-	if next, ok := p.nextReplicaWait(w.Model, now); ok {
+	if next, ok := p.nextReplicaWait(w.Model, w.SoftwareVersion, now); ok {
 		wait = min(wait, next)
 	}
 	return wait
 }
 
-// nextReplicaWait returns the expected time until a further replica of a model is ready. It returns
-// false if none is being loaded and none can be loaded from a cached checkpoint now.
-func (p *Plan) nextReplicaWait(name string, now time.Time) (time.Duration, bool) {
-	if loading := p.loadingServers(name); len(loading) > 0 {
-		return loading[0].remainingLoadTime(now) + p.settings.SwapOverhead, true
+// nextReplicaWait returns the expected time until a further replica of a model is ready at a server of
+// the right software version. It returns false if none is being loaded and none can be loaded from a
+// cached checkpoint now.
+func (p *Plan) nextReplicaWait(name string, version azurehitch.VersionBound, now time.Time) (time.Duration, bool) {
+	for _, s := range p.loadingServers(name) {
+		if version.Allows(s.softwareVersion) {
+			return s.remainingLoadTime(now) + p.settings.SwapOverhead, true
+		}
 	}
-	if s := p.bestCachedServer(name, now); s != nil {
+	if s := p.bestCachedServer(name, version, now); s != nil {
 		return p.limits.Models[name].LoadTime(s.tier(name)) + p.settings.SwapOverhead, true
 	}
 	return 0, false
--- a/internal/placement/swap/server.go
+++ b/internal/placement/swap/server.go
@@ -37,10 +37,11 @@
 	azurehitch.ServerIdentity
 	// listingID identifies the entry in the server list. A server that is removed and listed again
 	// gets a new listingID.
-	listingID    int64
-	domain       string
-	slots        int
-	shuttingDown bool
+	listingID       int64
+	domain          string
+	slots           int
+	softwareVersion string
+	shuttingDown    bool
 	// missing is true while the server has no entry in the list and may have been removed.
 	missing bool
 	// shutdownReported is set once a daemon reports that the server is shutting down.
@@ -87,6 +88,7 @@
 	s.ServerIdentity = l.ServerIdentity
 	s.domain = l.FailureDomain
 	s.slots = l.Slots
+	s.softwareVersion = l.SoftwareVersion
 	s.shuttingDown = l.ShuttingDown || s.shutdownReported
 	s.missing = l.Missing
 	if !s.known && s.modelOrder == nil {
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -23,12 +23,13 @@
 
 // The reasons for refusing or delaying requests for a model whose replicas can't take more: all
 // slots are taken, the servers reject requests from the calling daemon, no replica is usable soon,
-// or the servers name rate limits.
+// the servers name rate limits, or none has the right software version.
 const (
 	reasonServersFull      = "the servers are full"
 	reasonServersRejecting = "the servers turn requests away"
 	reasonNoUsableReplica  = "no replica can serve it soon"
 	reasonRateLimits       = "the servers limit their request rate"
+	reasonNoServer         = "no server has the software version of the stream"
 )
 
 // Verdict is the decision on a Request.
@@ -101,6 +102,9 @@
 
 // evaluate decides on a request. A request that is granted or refused is removed from the queue.
 func (p *Plan) evaluate(w *waiter, avail availability, now time.Time) Verdict {
+	if !p.hasServerOf(w.SoftwareVersion) {
+		return p.refuse(w, noServerRetryAfter, reasonNoServer, now)
+	}
 	if backoff, ok := w.minBackoff(avail.ready); ok {
 		return p.refuse(w, backoff, reasonServersRejecting, now)
 	}
@@ -119,6 +123,18 @@
 	return Verdict{Kind: VerdictWaiting, Estimate: estimate, Reason: reason}
 }
 
+// noServerRetryAfter is the retry delay of a request that is bound to a software version of which no
+// server runs.
+const noServerRetryAfter = time.Second
+
+// hasServerOf reports whether any server of a software version accepts requests. While the list may
+// lack servers, it returns true.
+func (p *Plan) hasServerOf(version azurehitch.VersionBound) bool {
+	return !version.IsSet || !p.listComplete || slices.ContainsFunc(p.sortedServers, func(s *server) bool {
+		return version.Allows(s.softwareVersion) && s.acceptsRequests()
+	})
+}
+
 // refuse removes a request from the queue. Requests refused for lack of capacity count as demand
 // for further replicas.
 func (p *Plan) refuse(w *waiter, estimate time.Duration, reason string, now time.Time) Verdict {
@@ -167,7 +183,7 @@
 	if a, ok := r.adapters[request.Adapter]; ok {
 		a.lastUsed = now
 	}
-	return Grant{Server: s.ServerIdentity, Number: p.lastGrant, Tier: tier, RateLimited: s.countGrant(now)}
+	return Grant{Server: s.ServerIdentity, SoftwareVersion: s.softwareVersion, Number: p.lastGrant, Tier: tier, RateLimited: s.countGrant(now)}
 }
 
 // chooseServer returns the server with the lowest cost among those of the ready servers that have a
@@ -178,7 +194,7 @@
 	for _, s := range ready {
 		isFull := p.freeSlotsAt(s, now) == 0
 		hasAdapter := request.Adapter == "" || s.replicas[request.Model].hasAdapter(request.Adapter)
-		if !isFull && hasAdapter && !slices.Contains(request.Avoid, s.ID) {
+		if !isFull && hasAdapter && request.accepts(s) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -310,7 +326,7 @@
 	for _, s := range ready {
 		wait = min(wait, p.rateLimitWait(s, now))
 	}
-	if next, ok := p.nextReplicaWait(name, now); ok {
+	if next, ok := p.nextReplicaWait(name, azurehitch.VersionBound{}, now); ok {
 		wait = min(wait, next)
 	}
 	return wait, reasonRateLimits
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -13,8 +13,12 @@
 // modelRequestToProto encodes times as the time remaining until them, because clocks differ between
 // hosts.
 func modelRequestToProto(service string, request swap.Request, now time.Time) *peerpb.SwapAskRequest {
+	var version *string
+	if request.SoftwareVersion.IsSet {
+		version = &request.SoftwareVersion.Version
+	}
 	return &peerpb.SwapAskRequest{
-		Service: service, Id: request.ID, FailureDomain: request.FailureDomain, Model: request.Model, Adapter: request.Adapter,
+		SoftwareVersion: version, Service: service, Id: request.ID, FailureDomain: request.FailureDomain, Model: request.Model, Adapter: request.Adapter,
 		ObjectiveMs: request.Objective.Sub(now).Milliseconds(), DeadlineMs: request.Deadline.Sub(now).Milliseconds(),
 		Urgency: int32(request.Urgency), Avoid: request.Avoid, Left: serversToProto(request.ShuttingDown),
 		Resting: backoffsToProto(request.Backoffs), PromptTokens: int32(min(request.PromptTokens, math.MaxInt32)),
@@ -92,6 +96,7 @@
 		Deadline:  now.Add(time.Duration(r.DeadlineMs) * time.Millisecond),
 		Urgency:   int(r.Urgency), Avoid: r.Avoid, ShuttingDown: serversFromProto(r.Left),
 		Backoffs: backoffsFromProto(r.Resting), PromptTokens: int(r.PromptTokens),
+		SoftwareVersion: azurehitch.VersionBound{IsSet: r.SoftwareVersion != nil, Version: r.GetSoftwareVersion()},
 	}
 }
 
@@ -100,6 +105,7 @@
 		Kind: string(v.Kind), Server: v.Grant.Server.ID, Address: v.Grant.Server.Address,
 		Incarnation: v.Grant.Server.Incarnation, Grant: v.Grant.Number, Tier: string(v.Grant.Tier),
 		EstimateMs: v.Estimate.Milliseconds(), Reason: v.Reason, Limited: v.Grant.RateLimited,
+		SoftwareVersion: v.Grant.SoftwareVersion,
 	}
 }
 
@@ -109,6 +115,7 @@
 		Grant: swap.Grant{
 			Server: azurehitch.ServerIdentity{ID: r.Server, Address: r.Address, Incarnation: r.Incarnation},
 			Number: r.Grant, Tier: azurehitch.CacheTier(r.Tier), RateLimited: r.Limited,
+			SoftwareVersion: r.SoftwareVersion,
 		},
 		Estimate: time.Duration(r.EstimateMs) * time.Millisecond,
 		Reason:   r.Reason,
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -151,7 +151,7 @@
 	// rateLimits holds the rate limits in force, by server id.
 	rateLimits    map[string]*rateLimit
 	crashingParts []*crashingPart
-	// serving is the number of servers that run, by the version of their software, and mixedStreams
+	// serving is the number of engines that run, by the version of their software, and mixedStreams
 	// are the streams that went on at another version.
 	serving      map[string]int
 	mixedStreams map[string]bool
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -300,7 +300,7 @@
 	defer s.mu.Unlock()
 	s.generation++
 	version := cl.softwareVersion(s)
-	cl.checker.recordStart(version)
+	cl.checker.recordServing(s.service, version, 1)
 	listener, err := net.Listen("tcp", s.ip+":0")
 	cl.Check(err, qt.IsNil)
 	if err != nil {
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -380,7 +380,7 @@
 	remove(old)
 	cl.store.RemoveServer(entry.ID)
 	cl.checker.recordDeparture(entry.ID)
-	cl.checker.recordEnd(entry.SoftwareVersion)
+	cl.checker.recordServing(entry.Service, entry.SoftwareVersion, -1)
 	old.Kill()
 	cached := azurehitch.CachedModels{OnDisk: entry.Cached.OnDisk}
 	if !keepsDisk {
--- a/internal/proof/soak/softwareversion_test.go
+++ b/internal/proof/soak/softwareversion_test.go
@@ -21,18 +21,13 @@
 // softwareVersions are the versions of the software of servers, which run side by side.
 var softwareVersions = []string{"v1", "v1.1"}
 
-// recordStart records that a server with a version of the software starts.
-func (c *checker) recordStart(version string) {
+// recordServing records that an engine with a version of the software starts, or ends if change is -1.
+func (c *checker) recordServing(service, version string, change int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving[version]++
-}
-
-// recordEnd records that a server with a version of the software ends.
-func (c *checker) recordEnd(version string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving[version]--
+	if service == engineService {
+		c.serving[version] += change
+	}
 }
 
 // beganAt returns the software version of the server that sent the first event of a stream, and false
@@ -74,7 +69,7 @@
 	for range maxResumes {
 		numbers, _, _ := x.answer.Events(x.ID)
 		isCut := x.err == nil && x.answer.IsStream && !x.answer.Whole && len(numbers) > 0 || x.err != nil && x.LastEvent > 0
-		if !isCut || !x.route.Resumable || c.cluster.checker.isDisconnected(x.ID) || !c.connect() {
+		if !isCut || !x.route.Resumable || c.cluster.checker.isDisconnected(x.ID) || c.cluster.isDone() || !c.connect() {
 			return
 		}
 		next := exchange{CallerRequest: x.CallerRequest, route: x.route, daemon: c.daemon, sentAt: time.Now()}
@@ -89,6 +84,16 @@
 	}
 }
 
+// isDone reports whether the run has ended.
+func (cl *cluster) isDone() bool {
+	select {
+	case <-cl.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // isDisconnected reports whether the caller of a request has disconnected early.
 func (c *checker) isDisconnected(id string) bool {
 	c.mu.Lock()
