streampeer: a daemon that has not read the list of servers knows no version

What callers saw: none reported it; found by reading. A daemon that has just started took an unknown stream for one of the only version until it had looked at the list of servers (0.1 s), and callers come back to it first of all after a kill of all daemons.

Cause: the same class as before: the absence of news was taken for news.

Change: a request that takes up an unknown stream waits for the list, for at most 0.4 s, and is refused as not run while the list shows several versions, or may lack entries that this daemon has not seen since its start. A daemon that has run for a minute knows better than an incomplete list.

Evidence: the new case of TestUnknownStreams fails without the check.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -120,6 +120,7 @@
 	streams         *streams.Registry
 	streamPeers     *streampeer.Client
 
+	startedAt time.Time
 	listeners listeners
 	stopping  atomic.Bool
 	// stopTimeout is Settings.StopTimeout of the last reload, in nanoseconds.
@@ -140,7 +141,7 @@
 	d := &Daemon{
 		Platform: platform,
 		settings: s,
-		self:     leaselog.NewHolder(s.Name),
+		self:     leaselog.NewHolder(s.Name), startedAt: platform.Clock.Now(),
 	}
 	d.stopTimeout.Store(int64(s.StopTimeout))
 	d.observer = newObserver(platform.Metrics, platform.Logs)
--- a/internal/daemon/gateway/streams.go
+++ b/internal/daemon/gateway/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"azurehitch/internal/forward/streampeer"
@@ -9,8 +10,14 @@
 	"azurehitch/internal/membership/fleet"
 )
 
-// versionInterval is how often the software versions in the list of servers are looked at.
-const versionInterval = 100 * time.Millisecond
+const (
+	// versionInterval is how often the software versions in the list of servers are looked at.
+	versionInterval = 100 * time.Millisecond
+	// listTimeout is how long a request that takes up a stream waits for the first read of the list of
+	// servers, which is looked at every listPollInterval.
+	listTimeout      = 400 * time.Millisecond
+	listPollInterval = 20 * time.Millisecond
+)
 
 // streamVersions implements passthrough.Streams.
 type streamVersions struct {
@@ -21,8 +28,8 @@
 func (d *Daemon) assembleStreams() {
 	d.streams = streams.NewRegistry(d.Clock)
 	d.streamPeers = streampeer.NewClient(streampeer.Dependencies{
-		Self: d.settings.Name, Daemons: d.members.Names, Address: d.members.Address, Registry: d.streams, Peers: d.peers,
-		Clock: d.Clock, Metrics: d.Metrics,
+		Self: d.settings.Name, Daemons: d.members.Names, Address: d.members.Address, Registry: d.streams, MayBeMixed: d.mayBeMixed,
+		Peers: d.peers, Clock: d.Clock, Metrics: d.Metrics,
 	})
 }
 
@@ -38,12 +45,32 @@
 		}
 		recorded, recordedAt = view, now
 		for _, service := range d.engineServices() {
-			var versions []string
-			for _, s := range view.Service(service) {
-				versions = append(versions, s.SoftwareVersion)
-			}
-			d.streams.SawVersions(service, versions)
+			d.streams.SawVersions(service, versionsOf(view, service))
 		}
 	}
 	return nil
 }
+
+// versionsOf returns the software versions of the listed servers of a service.
+func versionsOf(view *fleet.View, service string) []string {
+	var versions []string
+	for _, s := range view.Service(service) {
+		versions = append(versions, s.SoftwareVersion)
+	}
+	return versions
+}
+
+// mayBeMixed reports whether servers of several software versions may run now: the list shows them, it
+// has not been read, or it may lack servers that this daemon has not seen since its start.
+func (d *Daemon) mayBeMixed(ctx context.Context, service string) bool {
+	for waited := time.Duration(0); d.fleet.View().ReadAt.IsZero() && waited < listTimeout; waited += listPollInterval {
+		if d.Clock.Sleep(ctx, listPollInterval) != nil {
+			return true
+		}
+	}
+	view := d.fleet.View()
+	versions := versionsOf(view, service)
+	slices.Sort(versions)
+	mayLackServers := !view.Complete && d.Clock.Now().Sub(d.startedAt) < streams.TTL
+	return view.ReadAt.IsZero() || mayLackServers || len(slices.Compact(versions)) > 1
+}
--- a/internal/forward/streampeer/client.go
+++ b/internal/forward/streampeer/client.go
@@ -56,9 +56,12 @@
 	// Address returns the peer address of a daemon, and false if it is not known.
 	Address  func(daemon string) (string, bool)
 	Registry *streams.Registry
-	Peers    *mux.Client
-	Clock    azurehitch.Clock
-	Metrics  *metrics.Metrics
+	// MayBeMixed reports whether servers of several software versions of a service may run now, by the
+	// list of servers. It may wait for the list.
+	MayBeMixed func(ctx context.Context, service string) bool
+	Peers      *mux.Client
+	Clock      azurehitch.Clock
+	Metrics    *metrics.Metrics
 }
 
 // Client exchanges records with other daemons.
@@ -170,7 +173,7 @@
 	switch {
 	case answer.GetKnown():
 		return azurehitch.VersionBound{IsSet: true, Version: answer.GetVersion()}, nil
-	case answer.GetMixed() || c.Registry.IsMixed(stream.Service):
+	case answer.GetMixed() || c.MayBeMixed(ctx, stream.Service) || c.Registry.IsMixed(stream.Service):
 		return azurehitch.VersionBound{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no daemon knows the software version that began stream %s", stream.ID)
 	}
 	return azurehitch.VersionBound{}, nil
--- a/internal/forward/streampeer/client_test.go
+++ b/internal/forward/streampeer/client_test.go
@@ -28,6 +28,8 @@
 	registry *streams.Registry
 	client   *streampeer.Client
 	stop     context.CancelFunc
+	// isListed is false while the daemon has not read the list of servers.
+	isListed bool
 }
 
 // deployment is daemons that are connected to each other.
@@ -63,9 +65,11 @@
 func (d *deployment) start(i int, listener net.Listener) {
 	m, clock := d.members[i], azurehitch.SystemClock{}
 	m.registry = streams.NewRegistry(clock)
+	m.isListed = true
 	m.client = streampeer.NewClient(streampeer.Dependencies{
 		Self: m.name, Daemons: func() []string { return d.names }, Address: d.address, Registry: m.registry,
-		Peers: mux.NewClient(m.name), Clock: clock, Metrics: metrics.New(),
+		MayBeMixed: func(context.Context, string) bool { return !m.isListed },
+		Peers:      mux.NewClient(m.name), Clock: clock, Metrics: metrics.New(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
@@ -175,6 +179,13 @@
 			assertRefused(d, err)
 		})
 	})
+	t.Run("are refused by a daemon that has not read the list of servers", func(t *testing.T) {
+		withDeployment(t, 1, func(d *deployment) {
+			d.members[0].isListed = false
+			_, err := d.bound(0, 1)
+			assertRefused(d, err)
+		})
+	})
 	t.Run("are refused by a daemon that has just started, if another has seen several", func(t *testing.T) {
 		withDeployment(t, 3, func(d *deployment) {
 			d.members[1].registry.SawVersions(service, []string{"v1", "v2"})
