--- a/internal/daemon/gateway/crash.go
+++ b/internal/daemon/gateway/crash.go
@@ -14,9 +14,8 @@
 // crashCheckTimeout limits the wait for the report of a server that broke off requests.
 const crashCheckTimeout = 500 * time.Millisecond
 
-// hasEnded reports whether a server that broke off a request has ended: nothing answers at its
-// address, or another server does. A server that keeps silent may be cut off, and one that is
-// shutting down ends as planned; neither counts as ended.
+// hasEnded reports whether a server that broke off a request has ended. One that is shutting down ends
+// as planned, which does not count.
 func (d *Daemon) hasEnded(ctx context.Context, server azurehitch.ServerIdentity) bool {
 	if listed, ok := d.fleet.View().Server(server.ID); ok && listed.ShuttingDown {
 		return false
@@ -24,11 +23,18 @@
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	report, err := d.Engines.Report(ctx, server)
+	return showsEnd(server, report, err) && ctx.Err() == nil
+}
+
+// showsEnd reports whether the result of a call for the report of a server shows that the server has
+// ended: nothing answers at its address, or another server does. A server that keeps silent may be cut
+// off instead.
+func showsEnd(server azurehitch.ServerIdentity, report azurehitch.ServerReport, err error) bool {
 	if err == nil {
 		return report.Incarnation != 0 && report.Incarnation != server.Incarnation
 	}
 	var failed *connpool.ErrExchange
 	var netErr net.Error
-	isSilent := ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
+	isSilent := errors.As(err, &netErr) && netErr.Timeout()
 	return errors.Is(err, azurehitch.ErrOtherServer) || errors.As(err, &failed) && !isSilent
 }
--- a/internal/forward/quarantine/ledger_test.go
+++ b/internal/forward/quarantine/ledger_test.go
@@ -182,6 +182,15 @@
 		f.advance(settleTime)
 		f.assertHeld()
 	})
+	t.Run("a daemon tells that a suspect was answered before", func(t *testing.T) {
+		f, other := newFixture(t), newFixture(t)
+		other.answer("template")
+		f.crashEachSecond(crashesToHold, []string{"template", "bad"})
+		other.merge(f.changesSince(0, true, f.now), f.now)
+		f.merge(other.changesSince(0, true, f.now), f.now)
+		f.Assert(f.wasAnswered(part("template")), qt.IsTrue)
+		f.Assert(f.wasAnswered(part("bad")), qt.IsFalse)
+	})
 	t.Run("a hold reaches a daemon that knows nothing", func(t *testing.T) {
 		f, other := newFixture(t), newFixture(t)
 		f.crashEachSecond(crashesToHold, []string{"bad"})
