gateway: a server that keeps silent has not crashed

What callers saw: none reported it; found by a test with real connections. A server that answers nothing in time, such as one that is cut off, could count as crashed, and the parts of the prompts that it broke off as suspects.

Cause: a read that times out gives an error of the HTTP library, which is no net.Error, so it was taken for a closed connection. Only the end of the call's context, which comes about the same moment, spoke against it.

Change: any error that says it is a timeout counts as one.

Evidence: TestReportsOfEndedServers fails before (keeps silent) and passes now.

--- a/internal/daemon/gateway/crash.go
+++ b/internal/daemon/gateway/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"azurehitch"
@@ -34,7 +33,7 @@
 		return report.Incarnation != 0 && report.Incarnation != server.Incarnation
 	}
 	var failed *connpool.ErrExchange
-	var netErr net.Error
-	isSilent := errors.As(err, &netErr) && netErr.Timeout()
+	var timeout interface{ Timeout() bool }
+	isSilent := errors.As(err, &timeout) && timeout.Timeout()
 	return errors.Is(err, azurehitch.ErrOtherServer) || errors.As(err, &failed) && !isSilent
 }
--- a/internal/daemon/gateway/crash_test.go
+++ b/internal/daemon/gateway/crash_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"azurehitch"
 	"azurehitch/internal/transport/connpool"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 func TestShowsEnd(t *testing.T) {
@@ -33,3 +35,39 @@
 		})
 	}
 }
+
+// TestReportsOfEndedServers checks showsEnd with the errors that real connections give.
+func TestReportsOfEndedServers(t *testing.T) {
+	for name, test := range map[string]struct {
+		accept func(conn net.Conn)
+		want   bool
+	}{
+		"nothing listens":          {nil, true},
+		"closes without an answer": {func(conn net.Conn) { conn.Close() }, true},
+		"keeps silent":             {func(conn net.Conn) { time.Sleep(time.Second); conn.Close() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			var group errgroup.Group
+			if test.accept == nil {
+				listener.Close()
+			} else {
+				group.Go(func() error {
+					if conn, err := listener.Accept(); err == nil {
+						test.accept(conn)
+					}
+					return nil
+				})
+			}
+			server := azurehitch.ServerIdentity{ID: "s", Address: listener.Addr().String()}
+			pool := connpool.New(azurehitch.SystemClock{}, connpool.DefaultLimits())
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			_, err = pool.Do(ctx, server.Address, connpool.Request{Method: "GET", URI: "/report", Host: server.Address}, connpool.Options{})
+			qt.Assert(t, showsEnd(server, azurehitch.ServerReport{}, err), qt.Equals, test.want, qt.Commentf("%v", err))
+			listener.Close()
+			qt.Assert(t, group.Wait(), qt.IsNil)
+		})
+	}
+}
