--- a/internal/forward/passthrough/quarantine_test.go
+++ b/internal/forward/passthrough/quarantine_test.go
@@ -81,6 +81,20 @@
 	g.Assert(g.quarantine.brokenOff, qt.DeepEquals, brokenOff)
 }
 
+// awaitProbableAnswer waits until the quarantine was told of an answer that ended with its connection.
+func (g *gateway) awaitProbableAnswer() {
+	g.Helper()
+	for end := time.Now().Add(time.Second); g.quarantine.probableAnswers() == 0; time.Sleep(time.Millisecond) {
+		g.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
+
+func (q *testQuarantine) probableAnswers() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.probablyAnswered
+}
+
 func (q *testQuarantine) answers() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
