Refusals of streams that can't go on say when to retry; a cheaper wait for evidence

A stream whose version no daemon knows, or whose server has another one, was refused without Retry-After. The client that tells evidence built all of it to wait for the next change.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -90,7 +90,8 @@
 		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: err}
 	}
 	if !r.bound.Allows(choice.SoftwareVersion) {
-		refused := azurehitch.Refuse(azurehitch.CodeNoCapacity, "%s has the software version %q, not %q", choice.Server.ID, choice.SoftwareVersion, r.bound.Version)
+		refused := azurehitch.Refuse(azurehitch.CodeNoCapacity, "%s has the software version %q, not %q", choice.Server.ID, choice.SoftwareVersion, r.bound.Version).
+			WithRetryAfter(failureRetryAfter)
 		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: refused}
 	}
 	request := attemptRequest(&r.http.Request)
--- a/internal/forward/quarantine/tracker.go
+++ b/internal/forward/quarantine/tracker.go
@@ -364,13 +364,19 @@
 	}
 }
 
-// Changes returns the evidence that has changed since a version, the current version, and a channel
-// that is closed at the next change. If ownOnly is true, it leaves out what other daemons have told,
-// but for the holds.
-func (t *Tracker) Changes(since int64, ownOnly bool) (Evidence, int64, <-chan struct{}) {
+// Changes returns the evidence that has changed since a version, and the current version. If ownOnly is
+// true, it leaves out what other daemons have told, but for the holds.
+func (t *Tracker) Changes(since int64, ownOnly bool) (evidence Evidence, version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ledger.changesSince(since, ownOnly, t.Clock.Now()), t.ledger.version, t.changed
+	return t.ledger.changesSince(since, ownOnly, t.Clock.Now()), t.ledger.version
+}
+
+// Changed returns a channel that is closed at the next change of the evidence.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
 }
 
 // Holds returns the holds.
--- a/internal/forward/quarantine/tracker_test.go
+++ b/internal/forward/quarantine/tracker_test.go
@@ -135,7 +135,7 @@
 
 func TestProbableAnswers(t *testing.T) {
 	answered := func(r *running) bool {
-		evidence, _, _ := r.tracker.Changes(0, false)
+		evidence, _ := r.tracker.Changes(0, false)
 		return len(evidence.Clearances) > 0
 	}
 	t.Run("an answer counts if its server lives on", func(t *testing.T) {
--- a/internal/forward/quarantinepeer/client.go
+++ b/internal/forward/quarantinepeer/client.go
@@ -97,7 +97,7 @@
 	c.Tracker.Merge(evidenceFromProto(request), quarantine.SourcePeer)
 	known := quarantine.Evidence{}
 	if request.GetWantsAll() {
-		known, _, _ = c.Tracker.Changes(0, false)
+		known, _ = c.Tracker.Changes(0, false)
 	}
 	return &peerpb.Response{Kind: &peerpb.Response_CrashEvidence{CrashEvidence: evidenceToProto(known)}}
 }
@@ -106,7 +106,7 @@
 func (c *Client) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for ctx.Err() == nil {
-		_, _, changed := c.Tracker.Changes(0, true)
+		changed := c.Tracker.Changed()
 		timer := time.NewTimer(c.tellAll(ctx, group))
 		select {
 		case <-ctx.Done():
@@ -136,7 +136,7 @@
 			pause = min(pause, wait)
 			continue
 		}
-		evidence, version, _ := c.Tracker.Changes(p.version, isMesh)
+		evidence, version := c.Tracker.Changes(p.version, isMesh)
 		wantsAll := !p.hasTold && now.Sub(c.startedAt) < startTime
 		if p.isCalled || evidence.IsEmpty() && !wantsAll {
 			continue
--- a/internal/forward/streampeer/client.go
+++ b/internal/forward/streampeer/client.go
@@ -42,6 +42,8 @@
 	// tellTimeout and askTimeout limit the calls of another daemon.
 	tellTimeout = 300 * time.Millisecond
 	askTimeout  = 150 * time.Millisecond
+	// unknownRetryAfter is the retry delay of a request that takes up a stream which no daemon knows.
+	unknownRetryAfter = time.Second
 	// avoidTime is how long a daemon that did not answer is passed over.
 	avoidTime = 3 * time.Second
 	// maxTells is how often a record is told, with others in place of the daemons that don't answer.
@@ -174,7 +176,8 @@
 	case answer.GetKnown():
 		return azurehitch.VersionBound{IsSet: true, Version: answer.GetVersion()}, nil
 	case answer.GetMixed() || c.MayBeMixed(ctx, stream.Service) || c.Registry.IsMixed(stream.Service):
-		return azurehitch.VersionBound{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no daemon knows the software version that began stream %s", stream.ID)
+		return azurehitch.VersionBound{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no daemon knows the software version that began stream %s", stream.ID).
+			WithRetryAfter(unknownRetryAfter)
 	}
 	return azurehitch.VersionBound{}, nil
 }
