soak: count as serving only servers that serve

The check counted a server as serving until the next one took its place, 1.2 s or more after its crash, and counted faulty ones. The rule is for streams of which two servers serve.

--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -100,7 +100,7 @@
 	// disconnectedAt is when the caller disconnected early; zero if it didn't.
 	disconnectedAt time.Time
 	// mayGoOn is true for a stream that is taken up again while two servers of the version that began it
-	// run.
+	// serve, until it ends.
 	mayGoOn bool
 	answer  platformtest.Answer
 	// err is set when no answer came.
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -377,10 +377,10 @@
 	defer end()
 	old := s.unlist()
 	entry := old.Entry()
+	cl.checker.recordServing(entry.Service, entry.SoftwareVersion, -1)
 	remove(old)
 	cl.store.RemoveServer(entry.ID)
 	cl.checker.recordDeparture(entry.ID)
-	cl.checker.recordServing(entry.Service, entry.SoftwareVersion, -1)
 	old.Kill()
 	cached := azurehitch.CachedModels{OnDisk: entry.Cached.OnDisk}
 	if !keepsDisk {
