--- a/internal/daemon/gateway/observer.go
+++ b/internal/daemon/gateway/observer.go
@@ -34,7 +34,8 @@
 func (o *observer) ServerChanged(server azurehitch.FleetServer, change fleet.Change) {
 	o.Logs.Layer(logging.LayerMembership).Info().Str("Server", server.ID).Str("Service", server.Service).
 		Str("Address", server.Address).Str("FailureDomain", server.FailureDomain).Int64("Incarnation", server.Incarnation).
-		Str("SoftwareVersion", server.SoftwareVersion).Str("Change", string(change)).Dur("Remaining", server.RemainingTime).Int("Models", len(server.Loaded)).
+		Str("SoftwareVersion", server.SoftwareVersion).Str("Change", string(change)).Dur("Remaining", server.RemainingTime).
+		Int("Models", len(server.Loaded)).
 		Int("OnDisk", len(server.Cached.OnDisk)).Int("InMemory", len(server.Cached.InMemory)).Msg("server changed")
 }
 
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -86,14 +86,9 @@
 // exchange and a result with the cause. If lastEventID is not empty, the server is asked to resume
 // the stream after that event.
 func (r *request) exchange(choice place.Choice, lastEventID string) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
-	if err := r.server.Quarantine.Begin(r.service.Name, r.SharedParts); err != nil {
+	if err := r.checkSend(choice); err != nil {
 		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: err}
 	}
-	if !r.bound.Allows(choice.SoftwareVersion) {
-		refused := azurehitch.Refuse(azurehitch.CodeNoCapacity, "%s has the software version %q, not %q", choice.Server.ID, choice.SoftwareVersion, r.bound.Version).
-			WithRetryAfter(failureRetryAfter)
-		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: refused}
-	}
 	request := attemptRequest(&r.http.Request)
 	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
 		Server: choice.Server, TimeLeft: r.deadline.Sub(r.server.Clock.Now()),
@@ -124,6 +119,15 @@
 	return exchange, answer, result{}
 }
 
+// checkSend returns an *azurehitch.ErrRefused if the request must not be sent to the chosen server.
+func (r *request) checkSend(choice place.Choice) error {
+	if !r.bound.Allows(choice.SoftwareVersion) {
+		return azurehitch.Refuse(azurehitch.CodeNoCapacity, "%s has the software version %q, not %q",
+			choice.Server.ID, choice.SoftwareVersion, r.bound.Version).WithRetryAfter(failureRetryAfter)
+	}
+	return r.server.Quarantine.Begin(r.service.Name, r.SharedParts)
+}
+
 // applyNotice processes the server's notice in a response. A 421 comes from another server that got
 // the same address, so its notice does not apply to the chosen server. A backoff counts only with a
 // 503. A response without a rate limit to a request sent at sentAt ends the limit.
--- a/internal/forward/passthrough/quarantine_test.go
+++ b/internal/forward/passthrough/quarantine_test.go
@@ -45,6 +45,13 @@
 	return q.Check(service, parts)
 }
 
+// begun returns the number of calls of Begin.
+func (q *testQuarantine) begun() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.sends
+}
+
 // BrokenOff implements passthrough.Quarantine.
 func (q *testQuarantine) BrokenOff(_ string, server azurehitch.ServerIdentity, _ []string) {
 	q.mu.Lock()
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -264,7 +264,8 @@
 	r.server.requestEnded()
 	took := r.server.Clock.Now().Sub(r.startedAt)
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
-	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).Str("Resumes", r.Resumes).Str("LastEvent", r.LastEvent).Str("Route", r.route.Name).
+	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).
+		Str("Resumes", r.Resumes).Str("LastEvent", r.LastEvent).Str("Route", r.route.Name).
 		Int64("Configuration", r.configurationVersion).Str("Model", r.Model).Str("Adapter", r.Adapter).
 		Strs("SharedParts", r.SharedParts[:min(len(r.SharedParts), maxLoggedParts)]).Int("Status", status).
 		Str("Reason", reason).Dur("Placed", r.placementTime).Dur("FirstEvent", r.timeToFirstEvent).
--- a/internal/forward/passthrough/softwareversion_test.go
+++ b/internal/forward/passthrough/softwareversion_test.go
@@ -90,6 +90,8 @@
 			g.streams.bound, g.placer.versions = v1, []string{"v2"}
 			g.Assert(g.sendWith("POST", "/x/y", "", taken).status, qt.Equals, 503)
 			g.Assert(server.requests(), qt.HasLen, 0)
+			// A request that is not sent is no trial of a held part.
+			g.Assert(g.quarantine.begun(), qt.Equals, 0)
 		})
 	})
 	t.Run("is refused if the version is not known", func(t *testing.T) {
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -167,7 +167,8 @@
 func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
 	backedOff := p.Backoffs.List()
 	servers := slices.DeleteFunc(p.available(r.Service.Name), func(s azurehitch.FleetServer) bool {
-		return !r.SoftwareVersion.Allows(s.SoftwareVersion) || slices.ContainsFunc(backedOff, func(backoff azurehitch.ServerBackoff) bool { return backoff.Server == s.ServerIdentity })
+		isOtherVersion := !r.SoftwareVersion.Allows(s.SoftwareVersion)
+		return isOtherVersion || slices.ContainsFunc(backedOff, func(backoff azurehitch.ServerBackoff) bool { return backoff.Server == s.ServerIdentity })
 	})
 	untried := slices.DeleteFunc(slices.Clone(servers), func(s azurehitch.FleetServer) bool {
 		return slices.Contains(r.Avoid, s.ID)
@@ -296,7 +297,8 @@
 	}
 	limit, _ := p.Limits.Limit(server)
 	return Choice{
-		Server: server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit, ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
+		Server: server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit,
+		ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
 			p.addInProgress(server.ID, -1)
 			releaseServer()
--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -24,9 +24,9 @@
 
 func (p *Plan) isLoading(name string) bool { return len(p.loadingServers(name)) > 0 }
 
-// bestCachedServer returns the server of the right software version that can load a model from its cached checkpoint soonest, or
-// nil if no cached server accepts orders and can free enough memory. For a busy model, servers with a
-// rate limit are chosen last.
+// bestCachedServer returns the server of the right software version that can load a model from its
+// cached checkpoint soonest, or nil if no cached server accepts orders and can free enough memory. For a
+// busy model, servers with a rate limit are chosen last.
 func (p *Plan) bestCachedServer(name string, version azurehitch.VersionBound, now time.Time) *server {
 	limits := p.limits.Models[name]
 	isBusy := p.isBusy(name, now)
@@ -34,7 +34,8 @@
 	var best *server
 	var bestLoadTime time.Duration
 	for _, s := range p.cachedServers(name) {
-		if _, loaded := s.replicas[name]; loaded || !version.Allows(s.softwareVersion) || !s.acceptsModelOrders(now) || p.isDraining(s.ID, name) {
+		_, loaded := s.replicas[name]
+		if loaded || !version.Allows(s.softwareVersion) || !s.acceptsModelOrders(now) || p.isDraining(s.ID, name) {
 			continue
 		}
 		loadTime := limits.LoadTime(s.tier(name)) + p.rateLimitWait(s, now)
@@ -51,8 +52,8 @@
 	return best
 }
 
-// bestRemoteTarget returns the server of the right software version for a load from the weight store, or nil if no server can
-// free enough memory. For a busy model, it first prefers servers without a rate limit. Then it prefers
+// bestRemoteTarget returns the server of the right software version for a load from the weight store, or
+// nil if no server can free enough memory. For a busy model, it first prefers servers without a rate limit. Then it prefers
 // servers with enough free memory, then those with the fewest cached checkpoints, because the load
 // blocks quick swaps on its server, then the server whose last load from the weight store was ordered
 // longest ago.
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -190,9 +190,8 @@
 }
 
 // nextOrder returns the next order on the way to a further replica of a model at a server of the right
-// software version: its load, or an
-// unload that frees memory for it. It returns false if no order is possible now. A load from the
-// weight store reduces allowance by one.
+// software version: its load, or an unload that frees memory for it. It returns false if no order is
+// possible now. A load from the weight store reduces allowance by one.
 func (p *Plan) nextOrder(name string, version azurehitch.VersionBound, now time.Time, allowance *int) (Order, bool) {
 	if s := p.bestCachedServer(name, version, now); s != nil {
 		return p.loadOrEvict(s, name, "requests wait, a copy is near", now)
--- a/internal/placement/swap/replicawait.go
+++ b/internal/placement/swap/replicawait.go
@@ -12,8 +12,8 @@
 const maxReplicaWait = 1500 * time.Millisecond
 
 // hasNoUsableReplica reports whether a model has replicas but none can serve a request soon: each
-// has failed the request, has another software version, is on a server whose rate limit is used up for some time, or lacks its
-// adapter and its server accepts no orders for some time. For example, a server that carries out a
+// has failed the request, has another software version, is on a server whose rate limit is used up for
+// some time, or lacks its adapter and its server accepts no orders for some time. For example, a server that carries out a
 // former holder's order accepts none for as long as a load from the weight store takes.
 func (p *Plan) hasNoUsableReplica(request Request, ready []*server, now time.Time) bool {
 	return len(ready) > 0 && p.waitForReplica(request, ready, now) > maxReplicaWait
