--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -269,19 +269,6 @@
 	})
 }
 
-func (d *Daemon) assembleQuarantine() {
-	name, daemons := d.settings.Name, d.members.Names
-	d.quarantine = quarantine.New(quarantine.Dependencies{
-		Self: name, Daemons: daemons, HasEnded: d.hasEnded, Clock: d.Clock, Observer: d.observer,
-	})
-	d.quarantinePeers = quarantinepeer.NewClient(quarantinepeer.Dependencies{
-		Self: name, Daemons: daemons, Address: d.members.Address, Tracker: d.quarantine, Peers: d.peers, Clock: d.Clock, Metrics: d.Metrics,
-	})
-	d.quarantineLog = quarantinelog.New(quarantinelog.Dependencies{
-		Keyed: d.breakerLog, Stream: quarantineStream, Self: name, Daemons: daemons, Tracker: d.quarantine, Clock: d.Clock, Observer: d.observer,
-	})
-}
-
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
 	breakers := breaker.NewBreakers(d.Clock)
--- a/internal/daemon/gateway/crash.go
+++ b/internal/daemon/gateway/quarantine.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/quarantine"
+	"azurehitch/internal/forward/quarantinelog"
+	"azurehitch/internal/forward/quarantinepeer"
 	"azurehitch/internal/transport/connpool"
 
 	"github.com/pkg/errors"
@@ -13,6 +16,19 @@
 // crashCheckTimeout limits the wait for the report of a server that broke off requests.
 const crashCheckTimeout = 500 * time.Millisecond
 
+func (d *Daemon) assembleQuarantine() {
+	name, daemons := d.settings.Name, d.members.Names
+	d.quarantine = quarantine.New(quarantine.Dependencies{
+		Self: name, Daemons: daemons, HasEnded: d.hasEnded, Clock: d.Clock, Observer: d.observer,
+	})
+	d.quarantinePeers = quarantinepeer.NewClient(quarantinepeer.Dependencies{
+		Self: name, Daemons: daemons, Address: d.members.Address, Tracker: d.quarantine, Peers: d.peers, Clock: d.Clock, Metrics: d.Metrics,
+	})
+	d.quarantineLog = quarantinelog.New(quarantinelog.Dependencies{
+		Keyed: d.breakerLog, Stream: quarantineStream, Self: name, Daemons: daemons, Tracker: d.quarantine, Clock: d.Clock, Observer: d.observer,
+	})
+}
+
 // hasEnded reports whether a server that broke off a request has ended. One that is shutting down ends
 // as planned, which does not count.
 func (d *Daemon) hasEnded(ctx context.Context, server azurehitch.ServerIdentity) bool {
