soak: compare sound requests that share the first part with those that crash servers

Cause: the check counted all sound requests, though the rule, and its own comment, are about those with the same first part. A daemon that held one caller's part, a third of the requests, would have passed.

Change: only requests with a first part that was in a crashing prompt are compared. A new case of made-up events shows the difference: it fails on the check before. The test of the cases is named for its rules.

--- a/internal/proof/soak/incident_cases_test.go
+++ b/internal/proof/soak/checker_stream_cases_test.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// TestIncidentRules feeds the checker violations of the rules that came from incidents, and similar
+// TestStreamRules feeds the checker violations of the rules on crashing parts and software versions, and similar
 // cases that are allowed.
-func TestIncidentRules(t *testing.T) {
+func TestStreamRules(t *testing.T) {
 	unchanged := func(*exchange) {}
 	resumed := func(mayGoOn bool) func(x *exchange) {
 		return func(x *exchange) { x.LastEvent, x.mayGoOn = 3, mayGoOn }
@@ -100,6 +100,13 @@
 			c.addEnded(minSoundRequests, settleTime, http.StatusServiceUnavailable, unchanged)
 			c.checkSoundRequests()
 		}, ruleSoundRequests},
+		"sound requests with the same first part refused, others served": {func(c *checkerHarness) {
+			c.addEnded(minSoundRequests, time.Minute, http.StatusOK, unchanged)
+			c.addCrashes(crashesKnown, 4*settleTime)
+			c.addEnded(minSoundRequests, settleTime, http.StatusServiceUnavailable, unchanged)
+			c.addEnded(3*minSoundRequests, settleTime, http.StatusOK, func(x *exchange) { x.SharedParts = []string{"other caller", soundPart} })
+			c.checkSoundRequests()
+		}, ruleSoundRequests},
 		"sound requests refused before the part must be known": {func(c *checkerHarness) {
 			c.addEnded(minSoundRequests, time.Minute, http.StatusOK, unchanged)
 			c.addCrashes(crashesKnown, 4*settleTime)
--- a/internal/proof/soak/crashingpart_test.go
+++ b/internal/proof/soak/crashingpart_test.go
@@ -43,6 +43,8 @@
 // it.
 type crashingPart struct {
 	id string
+	// firstParts are the first parts of the prompts that crashed servers.
+	firstParts map[string]bool
 	// inUseSince is when callers began to send requests with the part.
 	inUseSince time.Time
 	crashes    int
@@ -62,7 +64,7 @@
 func (c *checker) beginCrashingPart(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashingParts = append(c.crashingParts, &crashingPart{id: id, inUseSince: time.Now()})
+	c.crashingParts = append(c.crashingParts, &crashingPart{id: id, firstParts: map[string]bool{}, inUseSince: time.Now()})
 }
 
 // recordCrash records that a server crashes if a prompt has a crashing part, and returns whether it
@@ -75,6 +77,7 @@
 			continue
 		}
 		part.crashes++
+		part.firstParts[request.SharedParts[0]] = true
 		part.lastCrashAt = time.Now()
 		if part.crashes == crashesKnown {
 			part.knownAt = part.lastCrashAt
@@ -112,8 +115,8 @@
 		if !part.knownAt.IsZero() {
 			from = part.knownAt
 		}
-		before, beganBefore := c.soundRequests(time.Time{}, part.inUseSince)
-		after, beganAfter := c.soundRequests(from.Add(2*settleTime), time.Now())
+		before, beganBefore := c.soundRequests(part.firstParts, time.Time{}, part.inUseSince)
+		after, beganAfter := c.soundRequests(part.firstParts, from.Add(2*settleTime), time.Now())
 		if before < minSoundRequests || after < minSoundRequests {
 			continue
 		}
@@ -123,15 +126,15 @@
 	}
 }
 
-// soundRequests counts the requests for models without a crashing part that healthy daemons accepted
-// within a period, and how many of them began. The caller holds the mutex.
-func (c *checker) soundRequests(from, to time.Time) (total, began int) {
+// soundRequests counts the requests for models with one of some first parts and without a crashing part
+// that healthy daemons accepted within a period, and how many of them began. The caller holds the mutex.
+func (c *checker) soundRequests(firstParts map[string]bool, from, to time.Time) (total, began int) {
 	for _, r := range c.records {
 		x := r.exchange
 		isCrashing := slices.ContainsFunc(c.crashingParts, func(p *crashingPart) bool { return slices.Contains(x.SharedParts, p.id) })
 		isDisturbed := !x.disconnectedAt.IsZero() || !c.disturbances.isDaemonHealthy(x.daemon, x.sentAt, x.endedAt) ||
 			!c.disturbances.isStoreHealthy(x.sentAt, x.endedAt) || c.disturbances.hasOtherServerFault(x.sentAt, x.endedAt)
-		if len(x.SharedParts) == 0 || isCrashing || !r.ended || isDisturbed || x.sentAt.Before(from) || !x.sentAt.Before(to) {
+		if len(x.SharedParts) == 0 || !firstParts[x.SharedParts[0]] || isCrashing || !r.ended || isDisturbed || x.sentAt.Before(from) || !x.sentAt.Before(to) {
 			continue
 		}
 		total++
