daemonrank: one ranking of daemons by rendezvous hashing

Cause: found while reading the change again. The loop that ranks daemons for a key stood in serverlimit and again in quarantinelog, a variant of it in the trials of held parts, and its weight in leaselog and streampeer.

Change: one package, which these five call. The orders stay as they were, but for whose turn a trial is, which no release has fixed yet. Besides, in the quarantine: a result that nobody read, and a map that ran beside another with the same keys.

--- a/internal/forward/quarantine/ledger.go
+++ b/internal/forward/quarantine/ledger.go
@@ -90,9 +90,9 @@
 	return l.version
 }
 
-// addCrash records a crash, or further suspects of a known one. It reports whether the crash is new.
-// Parts that were answered since the crash are no suspects.
-func (l *ledger) addCrash(service string, server azurehitch.ServerIdentity, suspects []Suspect, at time.Time, isOwn bool) bool {
+// addCrash records a crash, or further suspects of a known one. Parts that were answered since the crash
+// are no suspects.
+func (l *ledger) addCrash(service string, server azurehitch.ServerIdentity, suspects []Suspect, at time.Time, isOwn bool) {
 	known, ok := l.crashes[server]
 	if !ok {
 		l.makeRoomForCrash()
@@ -102,7 +102,6 @@
 	for _, s := range suspects {
 		l.addSuspect(known, s, isOwn)
 	}
-	return !ok
 }
 
 func (l *ledger) makeRoomForCrash() {
--- a/internal/forward/quarantine/tracker.go
+++ b/internal/forward/quarantine/tracker.go
@@ -93,8 +93,7 @@
 	mu     sync.Mutex
 	ledger *ledger
 	// unchecked are the broken exchanges of servers whose check is pending.
-	unchecked map[azurehitch.ServerIdentity]*Crash
-	brokenAt  map[azurehitch.ServerIdentity]time.Time
+	unchecked map[azurehitch.ServerIdentity]*brokenOff
 	// probable are answers that count once their servers are likely to have survived them.
 	probable []probableAnswer
 	// changed is closed and replaced at each change of the ledger.
@@ -103,6 +102,13 @@
 	due chan struct{}
 }
 
+// brokenOff are the requests that a server has broken off since the first of them.
+type brokenOff struct {
+	service  string
+	suspects []Suspect
+	at       time.Time
+}
+
 // probableAnswer is an answer that ended with its connection.
 type probableAnswer struct {
 	service string
@@ -115,8 +121,7 @@
 func New(dependencies Dependencies) *Tracker {
 	return &Tracker{
 		Dependencies: dependencies, checks: make(chan azurehitch.ServerIdentity, maxChecks), ledger: newLedger(),
-		unchecked: map[azurehitch.ServerIdentity]*Crash{}, brokenAt: map[azurehitch.ServerIdentity]time.Time{},
-		changed: make(chan struct{}), due: make(chan struct{}, 1),
+		unchecked: map[azurehitch.ServerIdentity]*brokenOff{}, changed: make(chan struct{}), due: make(chan struct{}, 1),
 	}
 }
 
@@ -255,15 +260,14 @@
 		return
 	}
 	if pending, ok := t.unchecked[server]; ok {
-		if len(pending.Suspects) < maxSuspects {
-			pending.Suspects = append(pending.Suspects, suspects...)
+		if len(pending.suspects) < maxSuspects {
+			pending.suspects = append(pending.suspects, suspects...)
 		}
 		return
 	}
 	select {
 	case t.checks <- server:
-		t.unchecked[server] = &Crash{Server: server, Service: service, Suspects: suspects}
-		t.brokenAt[server] = t.Clock.Now()
+		t.unchecked[server] = &brokenOff{service: service, suspects: suspects, at: t.Clock.Now()}
 	default:
 		// So many servers break off requests at once that their requests have no part in common.
 	}
@@ -282,15 +286,13 @@
 	hasEnded := t.Clock.Sleep(ctx, checkDelay) == nil && t.HasEnded(ctx, server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	crash, at := *t.unchecked[server], t.brokenAt[server]
+	broken := t.unchecked[server]
 	delete(t.unchecked, server)
-	delete(t.brokenAt, server)
 	if !hasEnded {
 		return
 	}
-	t.ledger.addCrash(crash.Service, server, crash.Suspects, at, true)
-	crash.Age = t.Clock.Now().Sub(at)
-	t.Observer.ServerCrashed(crash)
+	t.ledger.addCrash(broken.service, server, broken.suspects, broken.at, true)
+	t.Observer.ServerCrashed(Crash{Server: server, Service: broken.service, Age: t.Clock.Now().Sub(broken.at), Suspects: broken.suspects})
 	t.changedLocked()
 }
 
--- a/internal/forward/quarantine/trial.go
+++ b/internal/forward/quarantine/trial.go
@@ -1,9 +1,10 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"azurehitch/internal/membership/daemonrank"
 )
 
 const (
@@ -44,14 +45,8 @@
 	if late < 0 || late%trialPeriod >= trialWindow {
 		return false
 	}
-	period := int64(late / trialPeriod)
-	own := trialWeight(part, self, h.trials, period)
-	for _, daemon := range daemons {
-		if daemon != self && trialWeight(part, daemon, h.trials, period) > own {
-			return false
-		}
-	}
-	return true
+	key := fmt.Sprintf("%s\x00%s\x00%d\x00%d", part.Service, part.ID, h.trials, late/trialPeriod)
+	return daemonrank.Index(key, self, daemons) == 0
 }
 
 // countTrial counts a trial.
@@ -59,14 +54,3 @@
 	h.trials++
 	h.trialAt, h.version = now, version
 }
-
-// trialWeight is the weight of a daemon in the rendezvous hashing that chooses who makes a trial.
-func trialWeight(part Part, daemon string, trials int, period int64) uint64 {
-	hash := xxhash.New()
-	// A hash never returns an error.
-	for _, field := range []string{part.Service, part.ID, daemon} {
-		_, _ = hash.WriteString(field + "\x00")
-	}
-	_, _ = hash.Write([]byte{byte(trials), byte(period), byte(period >> 8), byte(period >> 16)})
-	return hash.Sum64()
-}
--- a/internal/forward/quarantinelog/quarantinelog.go
+++ b/internal/forward/quarantinelog/quarantinelog.go
@@ -16,6 +16,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/quarantine"
+	"azurehitch/internal/membership/daemonrank"
 	"azurehitch/internal/oplog/compacted"
 
 	"github.com/cespare/xxhash/v2"
@@ -133,18 +134,7 @@
 		since = now
 		l.differsSince[key] = now
 	}
-	return now.Sub(since) >= time.Duration(l.rank(key))*rankDelay
-}
-
-// rank returns the index of this daemon in the ranking of a key by rendezvous hashing.
-func (l *Log) rank(key string) int {
-	own, rank := xxhash.Sum64String(key+"\x00"+l.Self), 0
-	for _, daemon := range l.Daemons() {
-		if daemon != l.Self && xxhash.Sum64String(key+"\x00"+daemon) > own {
-			rank++
-		}
-	}
-	return rank
+	return now.Sub(since) >= time.Duration(daemonrank.Index(key, l.Self, l.Daemons()))*rankDelay
 }
 
 // key returns the key of a part. Keys of the platform are short, and parts may be long.
--- a/internal/forward/streampeer/client.go
+++ b/internal/forward/streampeer/client.go
@@ -23,11 +23,11 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/membership/daemonrank"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
 	"azurehitch/internal/telemetry/metrics"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
@@ -246,9 +246,8 @@
 		return name == c.Self || now.Before(c.avoidUntil[name])
 	})
 	c.mu.Unlock()
-	prefix := strconv.FormatUint(uint64(key), 16) + "\x00"
-	weight := func(name string) uint64 { return xxhash.Sum64String(prefix + name) }
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	text := strconv.FormatUint(uint64(key), 16)
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(daemonrank.Weight(text, b), daemonrank.Weight(text, a)) })
 	return names[:min(count, len(names))]
 }
 
--- a/internal/lease/leaselog/rank.go
+++ b/internal/lease/leaselog/rank.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"azurehitch/internal/membership/daemonrank"
 )
 
 // A daemon counts as full when it holds 5/4 (loadSlackNumerator / loadSlackDenominator) of the mean
@@ -42,11 +42,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(weight(pool, b), weight(pool, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(daemonrank.Weight(pool, b), daemonrank.Weight(pool, a)), cmp.Compare(a, b))
 	})
 	return ranking
 }
-
-func weight(pool, daemon string) uint64 {
-	return xxhash.Sum64String(pool + "\x00" + daemon)
-}
--- a/internal/membership/serverlimit/share.go
+++ b/internal/membership/serverlimit/share.go
@@ -4,8 +4,7 @@
 	"time"
 
 	"azurehitch"
-
-	"github.com/cespare/xxhash/v2"
+	"azurehitch/internal/membership/daemonrank"
 )
 
 const (
@@ -61,7 +60,7 @@
 	sharers := max(min(maxSharers, len(daemons)), 1)
 	perSecond := l.perSecond / float64(sharers)
 	pause := interval(perSecond)
-	rank := t.rank(server, daemons)
+	rank := daemonrank.Index(server.ID, t.self, daemons)
 	if late := int(now.Sub(l.knownAt) / max(silentRequests*pause, minSilence)); rank >= sharers+late {
 		return nil, false
 	}
@@ -73,18 +72,3 @@
 	l.share.SetRate(perSecond, 1, now)
 	return l.share, true
 }
-
-// rank returns the index of this daemon in the ranking of a server by rendezvous hashing.
-func (t *Tracker) rank(server azurehitch.ServerIdentity, daemons []string) int {
-	own, rank := weight(server, t.self), 0
-	for _, d := range daemons {
-		if d != t.self && weight(server, d) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-func weight(server azurehitch.ServerIdentity, daemon string) uint64 {
-	return xxhash.Sum64String(server.ID + "\x00" + daemon)
-}
