logging: a line after the end of the logs ends no process

Requests that were still in progress at such a daemon ended without an answer.

Cause: the daemon gives up the wait for its background loops after 300 ms, since one may be blocked in a call, and then closes the logs. A loop that goes on and logs meanwhile writes to the closed queue of the log library. The class: something shared is closed while others may still use it, on the word that they don't.

Fix: the writer drops and counts lines after Close; a lock held for reading while a line is queued makes Close wait for lines on their way.

--- a/internal/telemetry/logging/async.go
+++ b/internal/telemetry/logging/async.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/phuslu/log"
@@ -23,6 +24,10 @@
 	limit *rate.Limiter
 	// dropped is the number of dropped lines.
 	dropped atomic.Int64
+
+	// mu is held for reading while a line is queued, and for writing by Close.
+	mu     sync.RWMutex
+	closed bool
 }
 
 func newAsyncWriter(output io.Writer) *asyncWriter {
@@ -38,6 +43,12 @@
 		w.dropped.Add(1)
 		return 0, nil
 	}
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return 0, nil
+	}
 	n, err := w.queue.WriteEntry(e)
 	if err != nil {
 		w.dropped.Add(1)
@@ -45,5 +56,10 @@
 	return n, nil
 }
 
-// Close writes the queued lines.
-func (w *asyncWriter) Close() error { return w.queue.Close() }
+// Close writes the queued lines. Later lines are dropped.
+func (w *asyncWriter) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	return w.queue.Close()
+}
--- a/internal/telemetry/logging/logging.go
+++ b/internal/telemetry/logging/logging.go
@@ -92,7 +92,7 @@
 	return l.async.dropped.Load()
 }
 
-// Close writes the queued lines. Nothing may be logged after Close.
+// Close writes the queued lines. Lines of non-blocking logs are dropped after Close.
 func (l *Logs) Close() {
 	if l.async != nil {
 		// There is no other destination for lines that can't be written.
