proof: the former holder of LogCutForHolder reaches all engines first

Cause: the test cut the first holder off right after it held the lease. A holder counts a replica at an engine that it has not reached yet, so in these runs it ordered nothing, with or without the fence. Two other things depended on the order of goroutines: whether the next holder used engine-1, and whether the first had seen its replica.

Now the first holder has time to reach all engines, is cut off from all of them until the next holder has a replica, and then only from the engine of that replica. The check is the same.

--- a/internal/proof/points/outage_test.go
+++ b/internal/proof/points/outage_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,9 +16,15 @@
 	"azurehitch/internal/placement/planner"
 	"azurehitch/internal/proof/poolsim"
 	"azurehitch/internal/standin/platformlog"
+
+	"github.com/pkg/errors"
 )
 
-const outage = 10 * time.Minute
+const (
+	outage = 10 * time.Minute
+	// reachTime is enough for a new holder to reach all engines.
+	reachTime = 2 * time.Second
+)
 
 // outageCase says how the engines treat fencing tokens and what must be served while the log is
 // down.
@@ -96,9 +104,34 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	// A daemon that does not hold the pool refuses.
-	_, _ = sim.Daemon(daemon).Set.Acquire(ctx, enginepool.Request{
-		Pool: poolsim.PoolName, Daemon: "caller", Artifact: testArtifact, Demand: planner.Demand{Waiting: 1},
-	})
+	_, _ = sim.Daemon(daemon).Set.Acquire(ctx, acquireRequest())
+}
+
+func acquireRequest() enginepool.Request {
+	return enginepool.Request{Pool: poolsim.PoolName, Daemon: "caller", Artifact: testArtifact, Demand: planner.Demand{Waiting: 1}}
+}
+
+// mustAcquireFrom acquires a replica from one daemon, once that daemon holds the pool.
+func mustAcquireFrom(t *testing.T, sim *poolsim.Simulation, daemon string) enginepool.Grant {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for {
+		grant, err := sim.Daemon(daemon).Set.Acquire(ctx, acquireRequest())
+		var notHeld *enginepool.ErrNotHeld
+		if err == nil {
+			return grant
+		}
+		if !errors.As(err, &notHeld) {
+			t.Fatalf("%s grants no replica: %v", daemon, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// engineNames returns the names of all engines of a simulation.
+func engineNames(sim *poolsim.Simulation) []string {
+	return slices.Collect(maps.Keys(sim.Engines))
 }
 
 func assertLimits(t *testing.T, sim *poolsim.Simulation, models ...tables.Model) {
@@ -110,8 +143,9 @@
 	}
 }
 
-// TestProveLogCutForHolder makes the log, and the engine that the next holder uses first,
-// unreachable for the holder only. The replica limit must hold while both daemons get requests.
+// TestProveLogCutForHolder makes the log unreachable for the holder only, and all engines until the
+// next holder has loaded a replica, then only the engine of that replica. The replica limit must hold
+// while both daemons get requests.
 func TestProveLogCutForHolder(t *testing.T) {
 	for _, test := range outageCases() {
 		t.Run(test.name, func(t *testing.T) {
@@ -122,8 +156,12 @@
 				defer sim.Stop()
 				publish(t, sim, sim.Pool(leaseDuration, singleReplicaModel()))
 				firstHolder := awaitHolder(t, sim, "")
-				sim.SetFault(firstHolder, poolsim.Fault{LogUnreachable: true, UnreachableEngines: []string{poolsim.EngineName(0)}})
+				// A holder that has not reached an engine yet counts a replica there, and orders none.
+				time.Sleep(reachTime)
+				sim.SetFault(firstHolder, poolsim.Fault{LogUnreachable: true, UnreachableEngines: engineNames(sim)})
 				secondHolder := awaitHolder(t, sim, firstHolder)
+				replica := mustAcquireFrom(t, sim, secondHolder).Servers[0].Name
+				sim.SetFault(firstHolder, poolsim.Fault{LogUnreachable: true, UnreachableEngines: []string{replica}})
 				for range 30 {
 					sendAcquire(sim, secondHolder)
 					sendAcquire(sim, firstHolder)
