--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"azurehitch"
@@ -30,6 +31,8 @@
 	client *platformtest.Caller
 	daemon int
 	sent   int
+	// avoid are the daemons to which the caller opens no connection.
+	avoid []int
 }
 
 // newRandom returns the random sequence with a number within those of a seed.
@@ -38,11 +41,11 @@
 }
 
 func (cl *cluster) startCallers() {
-	for i := range callerCount {
+	for i := range cl.setup.callerCount {
 		c := &caller{cluster: cl, number: i, random: newRandom(cl.seed, 100+i)}
 		cl.group.Go(func() error {
 			defer c.disconnect()
-			for cl.sleep(time.Duration(c.random.Int64N(int64(2 * meanCallerPause)))) {
+			for cl.sleep(time.Duration(c.random.Int64N(int64(2*meanCallerPause)))) && !cl.isCalm.Load() {
 				c.call()
 			}
 			return nil
@@ -60,23 +63,29 @@
 // connect reuses the connection, or opens one to a daemon that is ready. It returns false if no
 // daemon is ready or the connection fails.
 func (c *caller) connect() bool {
-	if c.conn != nil && c.sent < maxRequestsPerConnection {
+	if c.conn != nil && c.sent < c.cluster.setup.maxRequests {
 		return true
 	}
 	c.disconnect()
-	firstDaemon := c.random.IntN(daemonCount)
-	for k := range daemonCount {
-		daemon := (firstDaemon + k) % daemonCount
-		if !c.cluster.isReady(daemon) {
+	firstDaemon := c.random.IntN(len(c.cluster.daemons))
+	for k := range c.cluster.daemons {
+		daemon := (firstDaemon + k) % len(c.cluster.daemons)
+		if !c.cluster.isReady(daemon) || slices.Contains(c.avoid, daemon) {
 			continue
 		}
-		return c.dial(daemon) == nil
+		if c.dial(daemon) == nil {
+			return true
+		}
 	}
 	return false
 }
 
 func (c *caller) dial(daemon int) error {
-	conn, err := net.DialTimeout("tcp", c.cluster.callerLinks[daemon].address(), dialTimeout)
+	address := c.cluster.callerLinks[daemon].address()
+	if c.cluster.setup.plannedOnly {
+		address = c.cluster.daemons[daemon].settings.Callers()
+	}
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return err
 	}
@@ -94,6 +103,10 @@
 	c.cluster.checker.recordRequest(x)
 	x = c.perform(x)
 	c.cluster.checker.checkEnded(x)
+	if c.cluster.setup.plannedOnly {
+		c.followUp(x)
+		return
+	}
 	c.resume(x)
 }
 
@@ -127,14 +140,14 @@
 	number := cl.nextID.Add(1)
 	x.ID = fmt.Sprintf("%d-%d", cl.seed, number)
 	x.Method, x.Host, x.Body = "POST", callerHost, "body of "+x.ID
-	all := routes()
+	all := cl.setup.routes
 	switch n := c.random.IntN(20); {
 	case n < 6:
 		x.route = all[0]
 		x.Model, x.Session = modelName(c.random.IntN(busyModelCount)), fmt.Sprint(c.number)
 	case n < 10:
 		x.route = all[1]
-		x.Model, x.Session = modelName(busyModelCount+c.random.IntN(modelCount-busyModelCount)), fmt.Sprint(c.number)
+		x.Model, x.Session = modelName(busyModelCount+c.random.IntN(cl.setup.modelCount-busyModelCount)), fmt.Sprint(c.number)
 	case n < 14:
 		x.route = all[2]
 	case n < 18:
--- a/internal/proof/soak/checker_cases_test.go
+++ b/internal/proof/soak/checker_cases_test.go
@@ -22,7 +22,7 @@
 
 func newCheckerHarness() *checkerHarness {
 	disturbances := &disturbanceLog{}
-	c := &checkerHarness{checker: newChecker(disturbances, services()), disturbances: disturbances}
+	c := &checkerHarness{checker: newChecker(disturbances, defaultSetup()), disturbances: disturbances}
 	c.recordPublication(azurehitch.RoutingTable{Routes: routes()})()
 	return c
 }
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -99,6 +100,10 @@
 	endedAt time.Time
 	// disconnectedAt is when the caller disconnected early; zero if it didn't.
 	disconnectedAt time.Time
+	// follows is the id of the refused or cut request after which the caller sent this one; isReturn is
+	// set if it was refused.
+	follows  string
+	isReturn bool
 	// mayGoOn is true for a stream that is taken up again while two servers of the version that began it
 	// serve, until it ends.
 	mayGoOn bool
@@ -114,6 +119,8 @@
 	arrivals int
 	runs     []platformtest.Run
 	runsAt   []time.Time
+	// progress holds for each of the runs how far the server has come.
+	progress []progress
 	// shutdownServer is the server whose answer announced its shutdown.
 	shutdownServer string
 }
@@ -136,13 +143,15 @@
 type checker struct {
 	disturbances *disturbanceLog
 	startedAt    time.Time
-	services     map[string]azurehitch.BackendService
+	setup        setup
 
 	mu         sync.Mutex
 	violations []violation
-	// finished is set at the end of a run: requests that its shutdown cuts off are no violations.
-	finished bool
-	records  map[string]*requestRecord
+	// finished is set at the end of a run, finishedAt: requests that its shutdown cuts off are no
+	// violations.
+	finished   bool
+	finishedAt time.Time
+	records    map[string]*requestRecord
 	// departingSince holds by server id when the store was told of its shutdown or removal.
 	departingSince map[string]time.Time
 	// shutdownForwardedAt is when a daemon forwarded an answer that announced a server's shutdown.
@@ -173,6 +182,8 @@
 	late    int
 	// answered counts complete answers with a success status.
 	answered int
+	// stops are the planned stops of runs with planned work only, which checkStops checks.
+	stops []*stopRecord
 }
 
 // acceptedOrder is an order that a server accepted.
@@ -190,9 +201,9 @@
 	ackedAt time.Time
 }
 
-func newChecker(disturbances *disturbanceLog, services map[string]azurehitch.BackendService) *checker {
+func newChecker(disturbances *disturbanceLog, s setup) *checker {
 	return &checker{
-		disturbances: disturbances, startedAt: time.Now(), services: services, records: map[string]*requestRecord{}, departingSince: map[string]time.Time{},
+		disturbances: disturbances, startedAt: time.Now(), setup: s, records: map[string]*requestRecord{}, departingSince: map[string]time.Time{},
 		shutdownForwardedAt: map[daemonServer]time.Time{}, backoffs: map[daemonServer]*backoff{},
 		rateLimits: map[string]*rateLimit{}, serving: map[string]int{}, mixedStreams: map[string]bool{},
 		acceptedOrders: map[string][]acceptedOrder{}, holderByToken: map[int64]string{}, requests: map[string][]time.Time{},
@@ -227,7 +238,7 @@
 func (c *checker) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.finished = true
+	c.finished, c.finishedAt = true, time.Now()
 }
 
 // recordRequest records a request that is about to be sent.
@@ -323,7 +334,7 @@
 	for _, shift := range []time.Duration{0, retryWindow / 2, retryWindow} {
 		requests = max(requests, count(c.requests[service], now.Add(-retryWindow-shift), now.Add(-shift)))
 	}
-	if float64(retries) > retryRatio*float64(requests)+retrySlack {
+	if float64(retries) > retryRatio*float64(requests)+float64(c.setup.retrySlack) {
 		c.addViolation(ruleRetryBudget, "%d retries for %d requests to %s in %v", retries, requests, service, retryWindow)
 	}
 }
@@ -341,6 +352,7 @@
 	r.runs = append(r.runs, run)
 	c.checkSoftwareVersion(r, run)
 	r.runsAt = append(r.runsAt, now)
+	r.progress = append(r.progress, progress{})
 	x := r.exchange
 	if run.Method != x.Method || run.URI != x.URI || run.Body != x.Body || run.Model != x.Model || len(run.ForgedHeaders) > 0 || !run.NamesServer {
 		c.addViolation(ruleIntactRequest, "%s ran %+v for %+v", run.Server.ID, run, x.CallerRequest)
@@ -445,12 +457,12 @@
 // checkLost checks a request that got no answer or a cut one although its daemon had no unplanned
 // disturbance. It isn't lost if it reached the timeout of its route, if it failed within lossSlack
 // without a run, or if a server had a fault. A loss during planned work is always a violation;
-// otherwise only losses beyond toleratedCases are.
+// otherwise only losses beyond toleratedCases are. With planned work only, checkStops checks instead.
 func (c *checker) checkLost(r *requestRecord) {
 	x := r.exchange
 	wasRun := len(r.runs) > 0
 	took := x.endedAt.Sub(x.sentAt)
-	if took >= x.route.Timeout || !wasRun && took <= lossSlack || !c.disturbances.areServersHealthy(x.sentAt, x.endedAt) {
+	if c.setup.plannedOnly || took >= x.route.Timeout || !wasRun && took <= lossSlack || !c.disturbances.areServersHealthy(x.sentAt, x.endedAt) {
 		return
 	}
 	if work := c.disturbances.plannedWork(x.daemon, x.sentAt, x.endedAt); work != nil {
@@ -497,7 +509,7 @@
 			return
 		}
 	}
-	isWhole := len(numbers) > 0 && x.LastEvent+len(numbers) == total || len(numbers) == 0 && x.LastEvent == streamEvents
+	isWhole := len(numbers) > 0 && x.LastEvent+len(numbers) == total || len(numbers) == 0 && x.LastEvent == c.setup.work(cmp.Or(x.Resumes, x.ID), "").Events
 	if x.answer.Whole && !isWhole {
 		c.addViolation(ruleIntactAnswer, "%s received %d of %d events after event %d before the end of the stream", x.ID, len(numbers), total, x.LastEvent)
 	}
@@ -566,7 +578,7 @@
 // checkLoads checks the number of loads from the weight store within the loadWindow that ends now.
 func (c *checker) checkLoads(now time.Time) {
 	c.remoteLoads = slices.DeleteFunc(c.remoteLoads, func(at time.Time) bool { return now.Sub(at) > loadWindow })
-	for name, service := range c.services {
+	for name, service := range c.setup.services() {
 		if service.Engine == nil {
 			continue
 		}
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -1,12 +1,14 @@
 package soak_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,10 +21,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
 	daemonCount = 4
+	serverSlots = 16
 	// largeHostCount is the number of daemons on larger hosts, which are preferred as lease holders.
 	largeHostCount = 2
 	engineCount    = 5
@@ -37,8 +41,7 @@
 	gigabyte = azurehitch.ByteSize(1_000_000_000)
 	// linkPort is the port of the store and of the links to it and to servers. A daemon's links for
 	// peers and callers have the next two ports.
-	linkPort          = 9000
-	readyPollInterval = 250 * time.Millisecond
+	linkPort = 9000
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 )
@@ -46,6 +49,50 @@
 // clusterCount counts the clusters of this test process: each has loopback addresses of its own.
 var clusterCount atomic.Int32
 
+// setup is how a run is set up.
+type setup struct {
+	daemonCount int
+	callerCount int
+	// maxRequests is the number of requests on a connection after which a caller opens another.
+	maxRequests int
+	// modelCount is the number of models that callers ask for.
+	modelCount int
+	// slots is the number of requests that a server runs at the same time.
+	slots             int
+	retrySlack        int
+	readyPollInterval time.Duration
+	routes            []azurehitch.PathRoute
+	// plannedOnly is set if the run has planned work only: callers connect without links, and follow up
+	// requests that are refused or cut.
+	plannedOnly bool
+	// work returns the work of a request at a server. A request that takes up a stream again has the
+	// origin of the stream's first request.
+	work func(origin, server string) platformtest.Work
+}
+
+// defaultSetup returns the setup of runs with all kinds of faults.
+func defaultSetup() setup {
+	return setup{
+		daemonCount: daemonCount, callerCount: callerCount, maxRequests: maxRequestsPerConnection, modelCount: modelCount, slots: serverSlots, retrySlack: retrySlack,
+		readyPollInterval: 250 * time.Millisecond, routes: routes(),
+		work: func(string, string) platformtest.Work {
+			return platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: streamEvents}
+		},
+	}
+}
+
+// services returns the services of every table of a run by name.
+func (s setup) services() map[string]azurehitch.BackendService {
+	all := services()
+	all[engineService].Engine.Slots = s.slots
+	return all
+}
+
+// workFor returns the work of a request at a server.
+func (s setup) workFor(request azurehitch.CallerRequest, server string) platformtest.Work {
+	return s.work(cmp.Or(request.Resumes, request.ID), server)
+}
+
 // backendServer is a server behind a link. Faults replace it by the next generation at the same
 // address.
 type backendServer struct {
@@ -80,6 +127,7 @@
 // cluster is the processes, stand-ins and links of one run.
 type cluster struct {
 	*qt.C
+	setup  setup
 	seed   uint64
 	random *rand.Rand
 	// ip returns the loopback address with a number, which no other cluster uses.
@@ -89,8 +137,9 @@
 	disturbances *disturbanceLog
 	checker      *checker
 	group        errgroup.Group
-	// done is closed when the run ends.
-	done chan struct{}
+	// done is closed when the run ends. isCalm is set when callers are to send no more requests.
+	done   chan struct{}
+	isCalm atomic.Bool
 
 	store       *platformtest.Store
 	storeHTTP   *http.Server
@@ -99,6 +148,8 @@
 	callerLinks []*link
 	daemons     []*process
 	servers     []*backendServer
+	// stopSlots bounds the planned stops at the same time in runs with planned work only.
+	stopSlots *semaphore.Weighted
 
 	mu    sync.Mutex
 	table azurehitch.RoutingTable
@@ -115,7 +166,7 @@
 // (its servers are no model engines).
 func services() map[string]azurehitch.BackendService {
 	limits := &azurehitch.EngineLimits{
-		Slots: 16, Memory: 200 * gigabyte, AdapterSlots: 4, RemoteLoadsPerSecond: 2, Models: map[string]azurehitch.ModelLimits{},
+		Slots: serverSlots, Memory: 200 * gigabyte, AdapterSlots: 4, RemoteLoadsPerSecond: 2, Models: map[string]azurehitch.ModelLimits{},
 	}
 	for i := range modelCount {
 		limits.Models[modelName(i)] = azurehitch.ModelLimits{
@@ -165,16 +216,17 @@
 }
 
 // startCluster starts the stand-ins, links and daemons of a run.
-func startCluster(t *testing.T, binary string, seed uint64) *cluster {
+func startCluster(t *testing.T, binary string, seed uint64, s setup) *cluster {
 	t.Helper()
 	c := qt.New(t)
 	number := clusterCount.Add(1)
 	cl := &cluster{
-		C: c, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, dir: t.TempDir(),
+		C: c, setup: s, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, dir: t.TempDir(),
 		ip:           func(i int) string { return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, number, i) },
-		disturbances: &disturbanceLog{}, done: make(chan struct{}), ready: make([]bool, daemonCount),
+		disturbances: &disturbanceLog{}, done: make(chan struct{}), ready: make([]bool, s.daemonCount),
+		stopSlots: semaphore.NewWeighted(int64(s.daemonCount+1) / 2),
 	}
-	cl.checker = newChecker(cl.disturbances, services())
+	cl.checker = newChecker(cl.disturbances, s)
 	cl.startStore()
 	cl.publish(0)
 	for i := range engineCount {
@@ -183,7 +235,7 @@
 	for i := range deskCount {
 		cl.addServer(fmt.Sprintf("desk-%d", i), deskService, engineCount+i)
 	}
-	for i := range daemonCount {
+	for i := range s.daemonCount {
 		cl.addDaemon(i)
 	}
 	for _, d := range cl.daemons {
@@ -249,7 +301,7 @@
 	storeLink := cl.newLink(ip, fmt.Sprintf("%s:%d", cl.ip(1), linkPort), linkPort)
 	settings := platformtest.Settings{
 		Name: fmt.Sprintf("daemon-%d", i), IP: ip, FailureDomain: fmt.Sprintf("domain-%d", i%2), Store: storeLink.address(),
-		StopTimeout: stopTimeout, Lease: leaseDuration, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
+		StopTimeout: stopTimeout, Lease: leaseDuration, RetryRatio: retryRatio, RetrySlack: cl.setup.retrySlack, RetryWindow: retryWindow,
 		LogRetention: 20 * time.Second, Memory: 284_000_000, Processor: 0.2, Bandwidth: 10_000_000,
 	}
 	if i < largeHostCount {
@@ -308,10 +360,10 @@
 	}
 	options := platformtest.BackendOptions{
 		ID: fmt.Sprintf("%s-%d", s.name, s.generation), Address: s.link.address(), Service: s.service, FailureDomain: "domain-0",
-		Slots: 16, Incarnation: time.Now().UnixMilli(), Engine: services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
+		Slots: cl.setup.slots, Incarnation: time.Now().UnixMilli(), Engine: cl.setup.services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
 		SoftwareVersion: version,
 		Crashes:         func(request azurehitch.CallerRequest) bool { return cl.crash(s, request) },
-		Work:            platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: streamEvents},
+		WorkFor:         func(request azurehitch.CallerRequest) platformtest.Work { return cl.setup.workFor(request, s.name) },
 	}
 	s.current, s.listed = platformtest.NewBackend(options), true
 	s.link.retarget(listener.Addr().String())
@@ -342,7 +394,7 @@
 	defer cl.mu.Unlock()
 	cl.removedProbe, cl.probe = cl.probe, n
 	cl.table = azurehitch.RoutingTable{
-		Version: int64(n + 1), Routes: append(routes(), probeRoute(n)), Services: services(),
+		Version: int64(n + 1), Routes: append(slices.Clone(cl.setup.routes), probeRoute(n)), Services: cl.setup.services(),
 		Limits: azurehitch.CallerLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 20 * time.Second},
 	}
 	acked := cl.checker.recordPublication(cl.table)
@@ -360,9 +412,9 @@
 // pollReadiness polls the readiness of the daemons, as the platform's load balancer does. A daemon
 // stays ready until two polls in a row fail.
 func (cl *cluster) pollReadiness() error {
-	client := &http.Client{Timeout: readyPollInterval, Transport: &http.Transport{DisableKeepAlives: true}}
-	failedPolls := make([]int, daemonCount)
-	for cl.sleep(readyPollInterval) {
+	client := &http.Client{Timeout: cl.setup.readyPollInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	failedPolls := make([]int, len(cl.ready))
+	for cl.sleep(cl.setup.readyPollInterval) {
 		for i, d := range cl.daemons {
 			isReady := false
 			if response, err := client.Get("http://" + d.settings.Ready()); err == nil {
--- a/internal/proof/soak/crashingpart_test.go
+++ b/internal/proof/soak/crashingpart_test.go
@@ -188,7 +188,7 @@
 		return
 	}
 	x := c.nextExchange()
-	all := routes()
+	all := c.cluster.setup.routes
 	x.route, x.Model = all[c.random.IntN(2)], modelName(c.random.IntN(modelCount))
 	x.URI, x.TimeLeft = x.route.PathPrefix+"x?n=1", x.route.Timeout
 	x.SharedParts, x.Session = append(sharedParts(c.number, 0)[:1], part), x.ID
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -219,7 +219,7 @@
 	i, daemon := cl.targetDaemon(a)
 	end := cl.disturbances.beginPlannedWork(i, "changed settings")
 	changed := daemon.settings
-	changed.RetrySlack = retrySlack - a.variant%5
+	changed.RetrySlack = max(0, daemon.settings.RetrySlack-a.variant%5)
 	cl.Check(daemon.writeSettings(changed), qt.IsNil)
 	if a.variant%2 == 0 {
 		daemon.signal(syscall.SIGHUP, 0)
--- a/internal/proof/soak/process_test.go
+++ b/internal/proof/soak/process_test.go
@@ -42,6 +42,9 @@
 	onExit   func(exit)
 	group    errgroup.Group
 
+	// stopping is held while a run with planned work only stops the process.
+	stopping sync.Mutex
+
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	endSignal   syscall.Signal
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -117,17 +117,25 @@
 // runPlan injects the faults of a plan while callers send the requests of a seed. It fails the test
 // on any violation.
 func runPlan(t *testing.T, seed uint64, plan []action) {
+	t.Helper()
+	runSetup(t, seed, plan, defaultSetup())
+}
+
+// runSetup is runPlan with a setup of its own.
+func runSetup(t *testing.T, seed uint64, plan []action, s setup) {
 	t.Helper()
 	path, err := daemonBinary()
 	qt.New(t).Assert(err, qt.IsNil)
-	cl := startCluster(t, path, seed)
+	cl := startCluster(t, path, seed, s)
 	cl.startCallers()
 	cl.execute(plan)
+	cl.isCalm.Store(s.plannedOnly)
 	cl.checker.checkSoundRequests()
 	cl.checker.checkResumedStreams()
 	cl.awaitRecovery()
 	cl.checker.finish()
 	cl.stop()
+	cl.checkStops()
 	cl.report(plan)
 }
 
@@ -135,7 +143,7 @@
 func (cl *cluster) awaitRecovery() {
 	var group errgroup.Group
 	for i := range cl.daemons {
-		for _, route := range routes() {
+		for _, route := range cl.setup.routes {
 			model := ""
 			if route.Targets[0].Service == engineService {
 				model = modelName(i % modelCount)
--- a/internal/proof/soak/softwareversion_test.go
+++ b/internal/proof/soak/softwareversion_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"testing"
@@ -72,24 +73,38 @@
 // resume takes up a stream again that was cut after its first event.
 func (c *caller) resume(x exchange) {
 	for range maxResumes {
-		numbers, _, _ := x.answer.Events(x.ID)
-		isCut := x.err == nil && x.answer.IsStream && !x.answer.Whole && len(numbers) > 0 || x.err != nil && x.LastEvent > 0
-		if !isCut || !x.route.Resumable || c.cluster.checker.isDisconnected(x.ID) || c.cluster.isDone() || !c.connect() {
+		if !x.isCutStream() || c.cluster.checker.isDisconnected(x.ID) || c.cluster.isDone() || !c.connect() {
 			return
 		}
-		next := exchange{CallerRequest: x.CallerRequest, route: x.route, daemon: c.daemon, sentAt: time.Now()}
-		next.ID = fmt.Sprintf("%d-%d", c.cluster.seed, c.cluster.nextID.Add(1))
-		next.Body, next.LastEvent = "body of "+next.ID, x.LastEvent+len(numbers)
-		if next.Resumes == "" {
-			next.Resumes = x.ID
-		}
-		c.sent++
-		next.mayGoOn = c.cluster.checker.mayGoOn(next)
-		c.cluster.checker.recordRequest(next)
-		x = c.perform(next)
-		x.mayGoOn = x.mayGoOn && c.cluster.checker.mayGoOn(x)
-		c.cluster.checker.checkEnded(x)
+		x = c.performNext(x)
+	}
+}
+
+// isCutStream reports whether a request brought a part of a stream that its caller may take up again.
+func (x exchange) isCutStream() bool {
+	if !x.route.Resumable || x.err != nil {
+		return x.route.Resumable && x.LastEvent > 0
+	}
+	numbers, _, _ := x.answer.Events(x.ID)
+	return x.answer.IsStream && !x.answer.Whole && len(numbers) > 0
+}
+
+// performNext sends the request that follows one: it takes up a cut stream again, or is the same again.
+func (c *caller) performNext(x exchange) exchange {
+	next := exchange{CallerRequest: x.CallerRequest, route: x.route, daemon: c.daemon, sentAt: time.Now(), follows: x.ID, isReturn: !x.isCutStream()}
+	next.ID = fmt.Sprintf("%d-%d", c.cluster.seed, c.cluster.nextID.Add(1))
+	next.Body = "body of " + next.ID
+	if x.isCutStream() {
+		numbers, _, _ := x.answer.Events(x.ID)
+		next.LastEvent, next.Resumes = x.LastEvent+len(numbers), cmp.Or(x.Resumes, x.ID)
 	}
+	c.sent++
+	next.mayGoOn = c.cluster.checker.mayGoOn(next)
+	c.cluster.checker.recordRequest(next)
+	next = c.perform(next)
+	next.mayGoOn = next.mayGoOn && c.cluster.checker.mayGoOn(next)
+	c.cluster.checker.checkEnded(next)
+	return next
 }
 
 // isDone reports whether the run has ended.
