passthrough: only a stream with status 200 continues a stream

Cause: `resume` attached any response whose content type is that of event streams, whatever its status. The head was that of the first server (200), so callers saw the body of a 500 as events. A 500 with an empty body ended the stream as complete. A first attempt was not affected: it compared the status. A response that was not attached left its server among those that the next attempt may choose.

Fix: one function says what an event stream is, for first attempts and resumptions, and includes the status. A response that does not continue the stream is closed, its server avoided, and the stream goes on elsewhere or is cut, so that callers see that it is not complete.

An error that a caller gets when it takes up a stream itself is passed on as it is, status included.

Kept: a complete, signed response without events ends the stream. It is what a server sends when only the end of the stream was lost, and can't be told from a fault.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -70,18 +70,13 @@
 		r.attempts.add(choice, res.cause.Error())
 		return res
 	}
-	if exchange.Header.StatusCode() == fasthttp.StatusOK && r.isEventStream(exchange) {
+	if r.isEventStream(exchange) {
 		return r.relay(choice, exchange)
 	}
 	exchange.SetKeepAlive(answer.KeepAlive)
 	return r.passBody(choice, exchange)
 }
 
-func (r *request) isEventStream(exchange *connpool.Exchange) bool {
-	return r.route.Kind == azurehitch.RequestKindStream &&
-		strings.HasPrefix(string(exchange.Header.ContentType()), eventStreamType)
-}
-
 // exchange sends the request once and checks the head of the response. On failure it returns a nil
 // exchange and a result with the cause. If lastEventID is not empty, the server is asked to resume
 // the stream after that event.
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -160,14 +160,15 @@
 		}
 		var exchange *connpool.Exchange
 		exchange, _, res = r.exchange(choice, s.lastEventID)
-		if exchange != nil && r.isEventStream(exchange) {
-			s.attach(choice, exchange)
-			r.server.Metrics.Add(metrics.StreamsResumed, 1)
-			return
-		}
 		if exchange != nil {
-			res = result{run: azurehitch.RunStateUnknown, cause: errors.Errorf("status %d", exchange.Header.StatusCode())}
+			if err = r.checkResumed(exchange); err == nil {
+				s.attach(choice, exchange)
+				r.server.Metrics.Add(metrics.StreamsResumed, 1)
+				return
+			}
 			exchange.Close()
+			r.serversToAvoid = append(r.serversToAvoid, choice.Server.ID)
+			res = result{run: azurehitch.RunStateUnknown, cause: err}
 		}
 		choice.End()
 		r.attempts.add(choice, res.cause.Error())
