passthrough: a server that continues a stream does so after its last event

Cause: nothing compared the events of the next server with those that the caller had. A server that ignores the request to go on after an event, and begins again, made callers get events twice; one that left out some made a gap that nobody saw; an error as an event without an id was passed on.

Fix: the first event of a server that continues a stream must have a later id than the last one that the caller has, also where the caller takes up the stream itself on a resumable route. Ids need not be consecutive, so a gap counts only where the ids so far had none (two events at least). An event that does not fit ends the attempt like a broken connection: the stream goes on at another server or is cut. Further events of that server are its own matter and are passed on unchanged.

Not covered: a gap after a single event, and a server that begins another text at the right id.

--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -26,9 +26,6 @@
 // caller does not take a cut stream for a complete one.
 var errStreamCut = errors.New("the stream was cut")
 
-// idField is the prefix of the line with the id of an event.
-var idField = []byte("id:")
-
 // relay passes on the events of a stream, each only when it is complete. When a server fails
 // midway, a resumable stream is resumed on another server after the last event that was passed on.
 type relay struct {
@@ -40,9 +37,9 @@
 	// are passed on.
 	memory  *membudget.Reservation
 	pending bytes.Buffer
-	// lastEventID is the id of the last event that was passed on.
-	lastEventID string
-	events      int
+	// ids describes the events that the caller has.
+	ids    eventIDs
+	events int
 	// lastEventAt is when the last event was passed on.
 	lastEventAt time.Time
 	done        bool
@@ -52,7 +49,7 @@
 // relay responds with a stream once its first event has arrived. An error before that fails the
 // attempt.
 func (r *request) relay(choice place.Choice, exchange *connpool.Exchange) result {
-	stream := &relay{request: r, memory: r.server.Connections.Memory().NewReservation()}
+	stream := &relay{request: r, memory: r.server.Connections.Memory().NewReservation(), ids: r.knownEventIDs()}
 	stream.attach(choice, exchange)
 	if err := stream.readEvents(); err != nil && !stream.done {
 		stream.detach()
@@ -103,6 +100,9 @@
 		s.done = err == io.EOF && len(event) == 0 && !s.isUnframedAndEmpty()
 		return err
 	}
+	if err := s.checkFirstEvent(event); err != nil {
+		return err
+	}
 	s.queue(event)
 	for s.pending.Len() < relayBufferBytes && s.reader.hasWholeEvent() {
 		event, err := s.reader.next()
@@ -136,11 +136,7 @@
 	}
 	s.lastEventAt = now
 	s.request.recordEvent(now)
-	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.lastEventID = string(bytes.TrimSpace(id))
-		}
-	}
+	s.ids = s.ids.With(eventID(event))
 	s.events++
 	s.pending.Write(event)
 }
@@ -152,14 +148,14 @@
 	s.detach()
 	r.recordError(s.choice, cause)
 	res := result{run: azurehitch.RunStateUnknown, cause: cause}
-	for s.lastEventID != "" && r.mayRetry(res) {
+	for s.ids.last != "" && r.mayRetry(res) {
 		choice, err := r.place()
 		if err != nil {
 			s.failure = err
 			return
 		}
 		var exchange *connpool.Exchange
-		exchange, _, res = r.exchange(choice, s.lastEventID)
+		exchange, _, res = r.exchange(choice, s.ids.last)
 		if exchange != nil {
 			if err = r.checkResumed(exchange); err == nil {
 				s.attach(choice, exchange)
--- a/internal/forward/passthrough/resumed.go
+++ b/internal/forward/passthrough/resumed.go
@@ -27,3 +27,20 @@
 	}
 	return nil
 }
+
+// knownEventIDs returns the events that the caller has of a stream that it takes up again.
+func (r *request) knownEventIDs() eventIDs {
+	if !r.route.MayRepeat() {
+		return eventIDs{}
+	}
+	return eventIDs{last: r.LastEvent}
+}
+
+// checkFirstEvent returns an error if an event is the first one of a server that continues a stream, and
+// does not continue it. The order of its further events is up to the server.
+func (s *relay) checkFirstEvent(event []byte) error {
+	if !s.request.firstEventAt.IsZero() {
+		return nil
+	}
+	return s.ids.checkNext(eventID(event))
+}
--- a/internal/forward/passthrough/resumed_test.go
+++ b/internal/forward/passthrough/resumed_test.go
@@ -43,6 +43,10 @@
 	"no signature":                              strings.Replace(eventStream("200 OK", thirdEvent), "X-Signature", "X-Other", 1),
 	"an encoded body":                           strings.Replace(eventStream("200 OK", thirdEvent), "\r\n\r\n", "\r\nContent-Encoding: gzip\r\n\r\n", 1),
 	"a response to another request":             strings.Replace(eventStream("200 OK", thirdEvent), "%ID%", "other", 1),
+	"all events again":                          eventStream("200 OK", firstEvent, secondEvent, thirdEvent),
+	"the last event again":                      eventStream("200 OK", secondEvent, thirdEvent),
+	"a gap":                                     eventStream("200 OK", "id: 4\ndata: d\n\n"),
+	"an event without an id":                    eventStream("200 OK", "data: c\n\n"),
 	"an end before an event, by a close":        unframedHead,
 	"an end inside an event":                    eventStream("200 OK", "id: 3\nda"),
 	"bytes that are no response":                "out of memory\r\n\r\n",
@@ -82,6 +86,15 @@
 		"the next event": {begunStream(), eventStream("200 OK", thirdEvent), threeEvents},
 		// Only the end was missing: the second server states in a complete response that no event is left.
 		"no event left": {begunStream(), eventStream("200 OK"), firstEvent + secondEvent},
+		"ids with gaps": {
+			streamHead + chunk("id: 4\n\n") + chunk("id: 8\n\n"), eventStream("200 OK", "id: 12\n\n"), "id: 4\n\nid: 8\n\nid: 12\n\n",
+		},
+		"one event, so that the step of the ids is unknown": {
+			streamHead + chunk("id: 4\n\n"), eventStream("200 OK", "id: 8\n\n"), "id: 4\n\nid: 8\n\n",
+		},
+		"ids that are no numbers": {
+			streamHead + chunk("id: x\n\n") + chunk("id: c\n\n"), eventStream("200 OK", "id: b\n\n"), "id: x\n\nid: c\n\nid: b\n\n",
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withGateway(t, resumable, []*backend{newBackend(t, test.first, 0), newBackend(t, test.second, 0)}, func(g *gateway) {
@@ -104,4 +117,20 @@
 			g.Assert(got.body, qt.Equals, "event: error\ndata: out of memory\n\n")
 		})
 	})
+	t.Run("an event of a stream that may not be taken up is passed on as it is", func(t *testing.T) {
+		withGateway(t, stream, []*backend{newBackend(t, badResumptions["all events again"], 0)}, func(g *gateway) {
+			g.Assert(takeUp(g).body, qt.Equals, threeEvents)
+		})
+	})
+	for _, name := range []string{"all events again", "the last event again", "an event without an id"} {
+		t.Run(name+" are no answer", func(t *testing.T) {
+			servers := []*backend{newBackend(t, badResumptions[name], 0), newBackend(t, eventStream("200 OK", thirdEvent), 0)}
+			withGateway(t, resumable, servers, func(g *gateway) {
+				g.Assert(takeUp(g).body, qt.Equals, thirdEvent)
+			})
+			withGateway(t, resumable, []*backend{newBackend(t, badResumptions[name], 0)}, func(g *gateway) {
+				g.Assert(takeUp(g).status, qt.Equals, 502)
+			})
+		})
+	}
 }
