caller: only the rest of a stream continues a stream

Cause: `resume` checked neither the status nor the content type of the response, nor the position of its first event. The text of an error appeared in the stream, a stream that began again came twice, and a gap went unseen; with `data: [DONE]` behind it, the stream looked complete.

Fix: a response continues a stream if it is an event stream with status 200 and its first event has the position that was asked for, or ends the stream. Anything else ends the attempt; the stream is resumed again, up to 3 times, or ends with `event: error` and without the end of the body, as docs/api.md says.

--- a/internal/forward/caller/relay.go
+++ b/internal/forward/caller/relay.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"strconv"
-	"strings"
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
@@ -43,6 +41,8 @@
 	// nextPosition is the position after the last forwarded event.
 	nextPosition int
 	resumes      int
+	// isResumed is true from a resumption to the next event.
+	isResumed bool
 	// done is set once the last event of the stream has been read.
 	done bool
 	// failed is set when the stream broke and could not be resumed.
@@ -50,7 +50,15 @@
 }
 
 func newRelay(c *completion, server tables.BackendServer, exchange *backend.Exchange) *relay {
-	return &relay{completion: c, server: server, exchange: exchange, reader: bufio.NewReaderSize(exchange.Body(), relayBufferBytes)}
+	r := &relay{completion: c}
+	r.attach(server, exchange)
+	return r
+}
+
+// attach makes an exchange the source of further events.
+func (r *relay) attach(server tables.BackendServer, exchange *backend.Exchange) {
+	r.server, r.exchange = server, exchange
+	r.reader = bufio.NewReaderSize(exchange.Body(), relayBufferBytes)
 }
 
 // Read implements io.Reader. It blocks until at least one whole event has arrived.
@@ -105,23 +113,21 @@
 			break
 		}
 	}
-	r.recordEvent(string(event))
+	parsed := parseEvent(string(event))
+	if err := r.checkFirst(parsed); err != nil {
+		return err
+	}
+	r.record(parsed)
 	r.pending.Write(event)
 	return nil
 }
 
-// recordEvent records the position of an event, and whether it ends the stream.
-func (r *relay) recordEvent(event string) {
-	for line := range strings.Lines(event) {
-		line = strings.TrimSuffix(line, "\n")
-		if line == doneLine {
-			r.done = true
-		}
-		if text, ok := strings.CutPrefix(line, positionPrefix); ok {
-			if position, err := strconv.Atoi(text); err == nil {
-				r.nextPosition = position + 1
-			}
-		}
+// record records the position of an event, and whether it ends the stream.
+func (r *relay) record(event engineEvent) {
+	r.isResumed = false
+	r.done = r.done || event.isDone
+	if event.hasPosition {
+		r.nextPosition = event.position + 1
 	}
 }
 
@@ -142,14 +148,9 @@
 	c := r.completion
 	for r.nextPosition > 0 && r.resumes < maxResumes && c.ctx.Err() == nil {
 		r.resumes++
-		server, exchange, err := r.reconnect()
-		if err != nil {
+		if err := r.resumeOnce(); err != nil {
 			continue
 		}
-		c.server.load.add(r.server.Name, -1)
-		r.exchange.Close()
-		r.server, r.exchange = server, exchange
-		r.reader = bufio.NewReaderSize(exchange.Body(), relayBufferBytes)
 		c.server.Metrics.Add(metrics.StreamsResumed, 1)
 		return true
 	}
