--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -63,7 +63,7 @@
 // connect reuses the connection, or opens one to a daemon that is ready. It returns false if no
 // daemon is ready or the connection fails.
 func (c *caller) connect() bool {
-	if c.conn != nil && c.sent < c.cluster.setup.maxRequests {
+	if c.conn != nil && c.sent < c.cluster.setup.maxRequests && !(c.cluster.setup.plannedOnly && c.client.IsClosed()) {
 		return true
 	}
 	c.disconnect()
@@ -166,6 +166,9 @@
 	return x
 }
 
+// lastSession is the session of the requests at the end of a run.
+const lastSession = "last"
+
 // serves reports whether a daemon answers a request on a route with success.
 func (cl *cluster) serves(daemon int, route azurehitch.PathRoute, model string) bool {
 	c := &caller{cluster: cl, random: rand.New(rand.NewPCG(cl.seed, 7))}
@@ -174,7 +177,7 @@
 	}
 	defer c.disconnect()
 	x := c.nextExchange()
-	x.route, x.URI, x.TimeLeft, x.Model, x.Session = route, route.PathPrefix+"x", route.Timeout, model, "last"
+	x.route, x.URI, x.TimeLeft, x.Model, x.Session = route, route.PathPrefix+"x", route.Timeout, model, lastSession
 	cl.checker.recordRequest(x)
 	_ = c.conn.SetDeadline(time.Now().Add(x.route.Timeout + answerMargin))
 	if x.err = c.client.Send(x.CallerRequest); x.err == nil {
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -88,8 +88,11 @@
 	return all
 }
 
-// workFor returns the work of a request at a server.
+// workFor returns the work of a request at a server. Requests at the end of a run are short.
 func (s setup) workFor(request azurehitch.CallerRequest, server string) platformtest.Work {
+	if request.Session == lastSession {
+		return defaultSetup().work(request.ID, server)
+	}
 	return s.work(cmp.Or(request.Resumes, request.ID), server)
 }
 
--- a/internal/proof/soak/disturbances_test.go
+++ b/internal/proof/soak/disturbances_test.go
@@ -11,6 +11,9 @@
 // plannedStop is the disturbance name of a planned stop.
 const plannedStop = "planned stop"
 
+// settingsSignal is the disturbance name of changed settings with SIGHUP.
+const settingsSignal = "changed settings, SIGHUP"
+
 // disturbance is a period in which a fault or planned work may affect requests.
 type disturbance struct {
 	name   string
--- a/internal/proof/soak/doc.go
+++ b/internal/proof/soak/doc.go
@@ -17,6 +17,10 @@
 // (delay, reset, stall, one way), the store and the servers. All faults end before the run does,
 // and the run ends when each daemon serves each kind of request again.
 //
+// TestPlannedStopCutsAnswers has planned work only, with streams as long as the stop timeout, servers
+// that pause and callers that follow up what was refused or cut. It takes the flags of TestFreshSeeds
+// and -soak.daemons.
+//
 // Planned work (a planned stop, a change of settings or of the configuration) must not fail any
 // request. The lease holder of a service is the daemon that may order loads on its engines.
 //
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -217,7 +217,11 @@
 
 func injectSettingsChange(cl *cluster, a action) {
 	i, daemon := cl.targetDaemon(a)
-	end := cl.disturbances.beginPlannedWork(i, "changed settings")
+	name := "changed settings"
+	if a.variant%2 == 0 {
+		name = settingsSignal
+	}
+	end := cl.disturbances.beginPlannedWork(i, name)
 	changed := daemon.settings
 	changed.RetrySlack = max(0, daemon.settings.RetrySlack-a.variant%5)
 	cl.Check(daemon.writeSettings(changed), qt.IsNil)
--- a/internal/proof/soak/plannedcheck_test.go
+++ b/internal/proof/soak/plannedcheck_test.go
@@ -21,6 +21,8 @@
 	replacedSlack = 50 * time.Millisecond
 	// silenceTime is the shortest pause of a server that counts as the cause of a cut stream.
 	silenceTime = 200 * time.Millisecond
+	// ownPauseTime is how long after a pause of its process the cut of a stream counts as its effect.
+	ownPauseTime = 100 * time.Millisecond
 )
 
 // lossCause is the apparent cause of a loss.
@@ -29,6 +31,7 @@
 const (
 	causeKilled         lossCause = "process killed after the stop timeout"
 	causeSilence        lossCause = "cut while the server paused"
+	causeOwnPause       lossCause = "cut by a process that had itself paused"
 	causeAcceptedLate   lossCause = "accepted after SIGTERM and cut"
 	causeBeforeNotice   lossCause = "accepted before the process could notice SIGTERM and cut"
 	causeCutEarly       lossCause = "begun before SIGTERM and cut too early"
@@ -92,6 +95,8 @@
 	// stop is the planned stop around the request; nil if there is none.
 	stop  *stopRecord
 	cause lossCause
+	// isAfterPause is true if the process paused right before the end of the request.
+	isAfterPause bool
 	// isLostByRule is true if the rule of the pages on planned work counts the request.
 	isLostByRule bool
 }
@@ -149,6 +154,7 @@
 	if x.isRefused() || x.err == nil && x.answer.Status < 500 && x.answer.Whole {
 		return nil
 	}
+	found.isAfterPause = c.disturbances.had(processPause, x.daemon, x.endedAt.Add(-ownPauseTime), x.endedAt)
 	found.cause = found.findCause()
 	if found.isExcused() && !found.isLostByRule {
 		return nil
@@ -167,16 +173,21 @@
 	return l.record.workedAt(lastPart) && !x.endedAt.Before(lastPart)
 }
 
-// isLostByRule reports whether the rule on requests lost around planned work counts a cut request.
+// had reports whether a daemon had a disturbance with a name in a period.
+func (l *disturbanceLog) had(name string, daemon int, from, to time.Time) bool {
+	return l.firstOverlapping(&l.daemons, from, to, func(d *disturbance) bool { return d.name == name && d.daemon == daemon }) != nil
+}
+
+// isLostByRule reports whether the rule on requests lost around planned work counts a cut request. What
+// the rule counts beside a change of the configuration only when it is frequent is left out: callers
+// may expect none of it, so it is a loss in any case.
 func (c *checker) isLostByRule(l *loss) bool {
 	s, x := l.stop, l.record.exchange
-	if c.disturbances.firstOverlapping(&c.disturbances.daemons, x.sentAt.Add(-settleTime), x.endedAt, func(d *disturbance) bool {
-		return d.name == processPause && d.daemon == x.daemon
-	}) != nil {
+	if c.disturbances.had(processPause, x.daemon, x.sentAt.Add(-settleTime), x.endedAt) {
 		return false
 	}
 	if s == nil {
-		return c.disturbances.plannedWork(x.daemon, x.sentAt, x.endedAt) != nil
+		return c.disturbances.had(settingsSignal, x.daemon, x.sentAt, x.endedAt)
 	}
 	return x.sentAt.After(s.signalledAt.Add(lateAcceptance)) || !l.record.workedAt(s.signalledAt.Add(lastSixth))
 }
@@ -184,12 +195,16 @@
 // findCause returns the apparent cause of a loss.
 func (l *loss) findCause() lossCause {
 	s, x := l.stop, l.record.exchange
-	isSilent := len(l.record.progress) > 0 && l.record.progress[0].isPaused()
+	last := len(l.record.progress) - 1
+	isSilent := last >= 0 && l.record.progress[last].isPaused()
+	isEarly := s == nil || x.endedAt.Before(s.signalledAt.Add(lastSixth)) || x.sentAt.After(s.endedAt)
 	switch {
 	case s != nil && !s.killedAt.IsZero() && !x.endedAt.Before(s.killedAt) && x.sentAt.Before(s.endedAt):
 		return causeKilled
-	case isSilent && (s == nil || x.endedAt.Before(s.signalledAt.Add(lastSixth)) || x.sentAt.After(s.endedAt)):
+	case isSilent && isEarly:
 		return causeSilence
+	case l.isAfterPause && isEarly:
+		return causeOwnPause
 	case s == nil:
 		return causeNoStop
 	case x.sentAt.After(s.endedAt):
--- a/internal/proof/soak/plannedstop_test.go
+++ b/internal/proof/soak/plannedstop_test.go
@@ -107,6 +107,8 @@
 	sent, served, refused, servedElsewhere, cut, wentOn, overdue, unread int
 	// failed counts the others by status; 0 if there was no answer.
 	failed map[int]int
+	// longestRefusal is the longest time from a request to its refusal.
+	longestRefusal time.Duration
 }
 
 func newOutcome() *outcome { return &outcome{failed: map[int]int{}} }
@@ -117,6 +119,9 @@
 	next := following[r.exchange.ID]
 	isNextServed := next != nil && next.exchange.isServed()
 	x := r.exchange
+	if x.isRefused() {
+		o.longestRefusal = max(o.longestRefusal, x.endedAt.Sub(x.sentAt))
+	}
 	switch {
 	case x.isServed():
 		o.served++
@@ -141,8 +146,8 @@
 
 // String returns the counts in words.
 func (o *outcome) String() string {
-	return fmt.Sprintf("%d sent, %d served, %d refused (%d of them served elsewhere), %d cut (%d of them whole elsewhere), %d overdue, %d closed before they ran, others by status %v",
-		o.sent, o.served, o.refused, o.servedElsewhere, o.cut, o.wentOn, o.overdue, o.unread, o.failed)
+	return fmt.Sprintf("%d sent, %d served, %d refused (%d of them served elsewhere, the slowest refusal after %.1f s), %d cut (%d of them whole elsewhere), %d overdue, %d closed before they ran, others by status %v",
+		o.sent, o.served, o.refused, o.servedElsewhere, o.longestRefusal.Seconds(), o.cut, o.wentOn, o.overdue, o.unread, o.failed)
 }
 
 // describeStops counts both sides of the planned stops: what stopping daemons served, and what they
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -146,7 +146,7 @@
 		for _, route := range cl.setup.routes {
 			model := ""
 			if route.Targets[0].Service == engineService {
-				model = modelName(i % modelCount)
+				model = modelName(i % cl.setup.modelCount)
 			}
 			group.Go(func() error {
 				cl.await(fmt.Sprintf("daemon-%d serves %s", i, route.Name), recoveryTimeout, func() bool { return cl.serves(i, route, model) })
