--- a/internal/proof/soak/doc.go
+++ b/internal/proof/soak/doc.go
@@ -5,6 +5,7 @@
 //
 //	go test ./internal/proof/soak
 //	go test ./internal/proof/soak -run TestFreshSeeds -args -soak.seeds 50 -soak.duration 20s
+//	go test ./internal/proof/soak -run TestPlannedStopCutsAnswers -args -soak.seeds 50 -soak.daemons 9
 //	go test ./internal/proof/soak -run TestRegressions -args -soak.regressions
 //
 // A run starts each daemon as a separate process behind relays on loopback: one from the callers
--- a/internal/proof/soak/plannedstop_test.go
+++ b/internal/proof/soak/plannedstop_test.go
@@ -28,20 +28,11 @@
 func TestPlannedStopCutsAnswers(t *testing.T) {
 	seeds, duration := []uint64{20, 21}, plannedStopDuration
 	if *seedCount > 0 {
-		seeds, duration = nil, *soakDuration
-		for k := range *seedCount {
-			seeds = append(seeds, *firstSeed+uint64(k))
-		}
-	}
-	runSlots := make(chan struct{}, *parallel)
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runSlots <- struct{}{}
-			defer func() { <-runSlots }()
-			runSetup(t, seed, plannedOnly(seed, duration, *stoppedDaemons), plannedOnlySetup(seed, *stoppedDaemons))
-		})
+		seeds, duration = freshSeeds(), *soakDuration
 	}
+	runSeeds(t, seeds, func(t *testing.T, seed uint64) {
+		runSetup(t, seed, plannedOnly(seed, duration, *stoppedDaemons), plannedOnlySetup(seed, *stoppedDaemons))
+	})
 }
 
 // logLine is a line in the log of a daemon, as far as a trace needs it.
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -69,18 +69,32 @@
 	if *seedCount == 0 {
 		t.Skip("needs -soak.seeds")
 	}
+	runSeeds(t, freshSeeds(), func(t *testing.T, seed uint64) { soak(t, seed, *soakDuration) })
+}
+
+// freshSeeds returns the seeds that the flags ask for.
+func freshSeeds() []uint64 {
 	first := *firstSeed
 	if first == 0 {
 		first = uint64(time.Now().UnixNano()) % 1e9
 	}
-	runSlots := make(chan struct{}, *parallel)
+	var seeds []uint64
 	for k := range *seedCount {
-		seed := first + uint64(k)
+		seeds = append(seeds, first+uint64(k))
+	}
+	return seeds
+}
+
+// runSeeds makes a run for each seed, as many at a time as the flags allow.
+func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	runSlots := make(chan struct{}, *parallel)
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			runSlots <- struct{}{}
 			defer func() { <-runSlots }()
-			soak(t, seed, *soakDuration)
+			run(t, seed)
 		})
 	}
 }
