--- a/internal/proof/soak/plannedstop_test.go
+++ b/internal/proof/soak/plannedstop_test.go
@@ -28,20 +28,11 @@
 func TestPlannedStopCutsAnswers(t *testing.T) {
 	seeds, duration := []uint64{20, 21}, plannedStopDuration
 	if *seedCount > 0 {
-		seeds, duration = nil, *soakDuration
-		for k := range *seedCount {
-			seeds = append(seeds, *firstSeed+uint64(k))
-		}
-	}
-	runSlots := make(chan struct{}, *parallel)
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runSlots <- struct{}{}
-			defer func() { <-runSlots }()
-			runSetup(t, seed, plannedOnly(seed, duration, *stoppedDaemons), plannedOnlySetup(seed, *stoppedDaemons))
-		})
+		seeds, duration = freshSeeds(), *soakDuration
 	}
+	runSeeds(t, seeds, func(t *testing.T, seed uint64) {
+		runSetup(t, seed, plannedOnly(seed, duration, *stoppedDaemons), plannedOnlySetup(seed, *stoppedDaemons))
+	})
 }
 
 // logLine is a line in the log of a daemon, as far as a trace needs it.
@@ -107,6 +98,8 @@
 	sent, served, refused, servedElsewhere, cut, wentOn, overdue, unread int
 	// failed counts the others by status; 0 if there was no answer.
 	failed map[int]int
+	// longestRefusal is the longest time from a request to its refusal.
+	longestRefusal time.Duration
 }
 
 func newOutcome() *outcome { return &outcome{failed: map[int]int{}} }
@@ -117,6 +110,9 @@
 	next := following[r.exchange.ID]
 	isNextServed := next != nil && next.exchange.isServed()
 	x := r.exchange
+	if x.isRefused() {
+		o.longestRefusal = max(o.longestRefusal, x.endedAt.Sub(x.sentAt))
+	}
 	switch {
 	case x.isServed():
 		o.served++
@@ -141,8 +137,8 @@
 
 // String returns the counts in words.
 func (o *outcome) String() string {
-	return fmt.Sprintf("%d sent, %d served, %d refused (%d of them served elsewhere), %d cut (%d of them whole elsewhere), %d overdue, %d closed before they ran, others by status %v",
-		o.sent, o.served, o.refused, o.servedElsewhere, o.cut, o.wentOn, o.overdue, o.unread, o.failed)
+	return fmt.Sprintf("%d sent, %d served, %d refused (%d of them served elsewhere, the slowest refusal after %.1f s), %d cut (%d of them whole elsewhere), %d overdue, %d closed before they ran, others by status %v",
+		o.sent, o.served, o.refused, o.servedElsewhere, o.longestRefusal.Seconds(), o.cut, o.wentOn, o.overdue, o.unread, o.failed)
 }
 
 // describeStops counts both sides of the planned stops: what stopping daemons served, and what they
