retrybudget: a retry counts for the whole window

What could happen: a daemon made up to twice its share of retries within one window of 10 s, so the sum over all daemons could exceed the limit (rule BUDGET: any span of that length counts).

Cause: a window of 10 s was counted in 20 buckets of 0.5 s, the newest of which is only partly over. The count covered 9.5 to 10 s: a retry at the beginning of a bucket was forgotten up to 0.5 s too early.

Fix: retries are counted over 21 buckets, which cover 10 to 10.5 s. Requests, which add to the budget, are still counted over 20, so neither count errs in favour of more retries.

TestRetryCountsForTheWholeWindow spends the share at 40 moments and tries again 1 ms before the window ends.

--- a/internal/forward/retrybudget/budget.go
+++ b/internal/forward/retrybudget/budget.go
@@ -32,8 +32,10 @@
 	// usableFraction is the fraction of its share that a daemon uses. The rest covers daemons that
 	// are not known yet.
 	usableFraction = 0.75
-	// bucketsPerWindow is the number of time buckets in which events of a window are counted.
+	// bucketsPerWindow is the number of time buckets in a window. A window may begin inside a bucket, so
+	// that one more is kept.
 	bucketsPerWindow = 20
+	keptBuckets      = bucketsPerWindow + 1
 )
 
 // Budget is the part of the limits that one daemon may use.
@@ -80,7 +82,7 @@
 	defer b.mu.Unlock()
 	c := b.counts(service)
 	bucket := b.bucket()
-	if float64(c.retries.sum(bucket)+1) > b.share(c, bucket) {
+	if float64(c.retries.sum(bucket, keptBuckets)+1) > b.share(c, bucket) {
 		return false
 	}
 	c.retries.add(bucket)
@@ -90,7 +92,7 @@
 // share returns the number of retries that this daemon may make in a window. In the first window
 // the slack is halved, since an earlier process of this host may have used a part of it.
 func (b *Budget) share(c *counts, bucket int64) float64 {
-	share := b.limits.Ratio * float64(c.requests.sum(bucket))
+	share := b.limits.Ratio * float64(c.requests.sum(bucket, bucketsPerWindow))
 	slack := b.limits.Slack / float64(max(b.daemons(), 1))
 	if b.clock.Now().Sub(b.startedAt) < b.limits.Window {
 		slack /= 2
@@ -114,28 +116,29 @@
 
 // window is a ring of the event counts of the last buckets; newest is the number of the latest one.
 type window struct {
-	buckets [bucketsPerWindow]int
+	buckets [keptBuckets]int
 	newest  int64
 }
 
 func (w *window) add(bucket int64) {
 	w.advance(bucket)
-	w.buckets[bucket%bucketsPerWindow]++
+	w.buckets[bucket%keptBuckets]++
 }
 
-func (w *window) sum(bucket int64) int {
+// sum returns the number of events in the last buckets up to the given one.
+func (w *window) sum(bucket, buckets int64) int {
 	w.advance(bucket)
 	sum := 0
-	for _, n := range w.buckets {
-		sum += n
+	for i := max(bucket-buckets+1, 0); i <= bucket; i++ {
+		sum += w.buckets[i%keptBuckets]
 	}
 	return sum
 }
 
-// advance clears the buckets that are no longer in the window.
+// advance clears the buckets that are no longer kept.
 func (w *window) advance(bucket int64) {
-	for i := max(w.newest+1, bucket-bucketsPerWindow+1); i <= bucket; i++ {
-		w.buckets[i%bucketsPerWindow] = 0
+	for i := max(w.newest+1, bucket-keptBuckets+1); i <= bucket; i++ {
+		w.buckets[i%keptBuckets] = 0
 	}
 	w.newest = max(w.newest, bucket)
 }
--- a/internal/forward/retrybudget/budget_test.go
+++ b/internal/forward/retrybudget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -56,6 +57,22 @@
 	})
 }
 
+func TestRetryCountsForTheWholeWindow(t *testing.T) {
+	const steps = 40
+	for step := range steps {
+		t.Run(strconv.Itoa(step), func(t *testing.T) {
+			c := qt.New(t)
+			clock := &manualClock{now: time.Unix(1000, 0)}
+			budget := retrybudget.New(clock, limits, func() int { return 1 })
+			clock.now = clock.now.Add(2*limits.Window + time.Duration(step)*limits.Window/steps)
+			for budget.Spend("llm") {
+			}
+			clock.now = clock.now.Add(limits.Window - time.Millisecond)
+			c.Assert(budget.Spend("llm"), qt.IsFalse)
+		})
+	}
+}
+
 // countInWindow counts the times in the window that ends at end.
 func countInWindow(times []time.Time, end time.Time) int {
 	count := 0
