retrybudget: Refund takes back the charge for a retry that was not made

A retry is charged before a server is looked for. Where none was found, the charge was lost: on a large deployment, whose daemons may make one retry in a window or none, the next request got no retry either.

Refund removes the oldest retry that is counted.

--- a/internal/forward/retrybudget/budget.go
+++ b/internal/forward/retrybudget/budget.go
@@ -89,6 +89,14 @@
 	return true
 }
 
+// Refund takes back the charge for a retry that was not made. It removes the oldest retry that is
+// counted, so that the retries which were made count for at least as long as without it.
+func (b *Budget) Refund(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts(service).retries.removeOldest(b.bucket())
+}
+
 // share returns the number of retries that this daemon may make in a window. In the first window
 // the slack is halved, since an earlier process of this host may have used a part of it.
 func (b *Budget) share(c *counts, bucket int64) float64 {
@@ -135,6 +143,17 @@
 	return sum
 }
 
+// removeOldest removes the oldest event that is kept.
+func (w *window) removeOldest(bucket int64) {
+	w.advance(bucket)
+	for i := max(bucket-keptBuckets+1, 0); i <= bucket; i++ {
+		if w.buckets[i%keptBuckets] > 0 {
+			w.buckets[i%keptBuckets]--
+			return
+		}
+	}
+}
+
 // advance clears the buckets that are no longer kept.
 func (w *window) advance(bucket int64) {
 	for i := max(w.newest+1, bucket-keptBuckets+1); i <= bucket; i++ {
--- a/internal/forward/retrybudget/budget_test.go
+++ b/internal/forward/retrybudget/budget_test.go
@@ -57,6 +57,42 @@
 	})
 }
 
+// TestRefunds checks the limit in each window for retries some of which are not made after all.
+func TestRefunds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &manualClock{now: time.Unix(1000, 0)}
+		budget := retrybudget.New(clock, limits, func() int { return 10 })
+		var made []time.Time
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			if !budget.Spend("llm") {
+				continue
+			}
+			if rapid.Bool().Draw(t, "isMade") {
+				made = append(made, clock.now)
+				continue
+			}
+			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "refund after ms")) * time.Millisecond)
+			budget.Refund("llm")
+		}
+		for _, end := range made {
+			if n := float64(countInWindow(made, end)); n > limits.Slack/10 {
+				t.Fatalf("%v retries in the window before %v, %v are allowed", n, end, limits.Slack/10)
+			}
+		}
+	})
+}
+
+func TestRefundedRetryMayBeMadeLater(t *testing.T) {
+	c := qt.New(t)
+	budget := retrybudget.New(&manualClock{now: time.Unix(1000, 0)}, limits, func() int { return 1 })
+	for budget.Spend("llm") {
+	}
+	budget.Refund("llm")
+	c.Assert(budget.Spend("llm"), qt.IsTrue)
+	c.Assert(budget.Spend("llm"), qt.IsFalse)
+}
+
 func TestRetryCountsForTheWholeWindow(t *testing.T) {
 	const steps = 40
 	for step := range steps {
