passthrough: a server's silence does not end a stream

Cause: a resumable stream without an event for maxEventGap (1.2 s) was taken from its server first, and only then another one was looked for. Where the request could not be sent again, the stream was cut. That is likeliest on large deployments and in a planned stop: retry budget spent, no other server free, waiting requests refused (RefuseWaiting also ended the wait of streams that had begun), attempts used up, or the other server is full, fails or has another software version.

Fix: another server is asked while the exchange with the silent one stays open (takeover). A contest decides under one lock: an event that is passed on keeps the stream and abandons the attempt; the head of the other answer moves the stream, and the silent exchange is closed at once. If no server takes the stream, it stays until its deadline; others are asked again after pauses that double, each charged to the retry budget, and refunded if nothing was sent. The silent server counts as one that may have run the request, so a request reaches no more servers than before. A server is asked only while the relay waits for an event, not while the caller is slow to read. A server whose attempt was abandoned is not blamed (circuit breaker, crash evidence). Before the first event, too, the other server must have the software version of the silent one. The log of the attempts names the silence and why a stream did not move or was not sent again.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -21,6 +21,15 @@
 // eventStreamType is the content type of event streams.
 const eventStreamType = "text/event-stream"
 
+// The reasons why a request is not sent again.
+var (
+	errRequestOver  = errors.New("its time is over or it was canceled")
+	errBarred       = errors.New("it must not be sent")
+	errMayRunOnce   = errors.New("it may run only once")
+	errAttemptsUsed = errors.New("no attempts are left")
+	errBudgetSpent  = errors.New("the retry budget is spent")
+)
+
 // result is the outcome of an attempt.
 type result struct {
 	// answered is true when the response of this attempt is passed to the caller.
@@ -42,11 +51,17 @@
 // attemptLog lists the attempts of a request for its log line.
 type attemptLog struct{ text strings.Builder }
 
-func (l *attemptLog) add(choice place.Choice, outcome string) {
+// note adds a remark between the attempts.
+func (l *attemptLog) note(text string) {
 	if l.text.Len() > 0 {
 		l.text.WriteString("; ")
 	}
-	l.text.WriteString(choice.Server.ID + " (" + choice.Reason)
+	l.text.WriteString(text)
+}
+
+// add adds an attempt.
+func (l *attemptLog) add(choice place.Choice, outcome string) {
+	l.note(choice.Server.ID + " (" + choice.Reason)
 	if choice.Tier != "" {
 		l.text.WriteString(", from " + string(choice.Tier))
 	}
@@ -64,7 +79,7 @@
 
 // attempt sends the request to a server and returns its response to the caller.
 func (r *request) attempt(choice place.Choice) result {
-	exchange, answer, res := r.exchange(choice, "")
+	exchange, answer, res := r.exchange(r.ctx, choice, "")
 	if exchange == nil {
 		choice.End()
 		r.attempts.add(choice, res.cause.Error())
@@ -80,7 +95,9 @@
 // exchange sends the request once and checks the head of the response. On failure it returns a nil
 // exchange and a result with the cause. If lastEventID is not empty, the server is asked to resume
 // the stream after that event.
-func (r *request) exchange(choice place.Choice, lastEventID string) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
+func (r *request) exchange(
+	ctx context.Context, choice place.Choice, lastEventID string,
+) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
 	if err := r.checkSend(choice); err != nil {
 		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: err}
 	}
@@ -90,7 +107,6 @@
 		Urgency: r.urgency(), LastEvent: lastEventID,
 	})
 	startedAt := r.server.Clock.Now()
-	r.firstEventAt = time.Time{}
 	r.sends++
 	if r.isNewStream() && lastEventID == "" {
 		r.server.Streams.Began(streams.Stream{Service: r.service.Name, ID: r.ID}, choice.SoftwareVersion, r.sends)
@@ -98,11 +114,11 @@
 	if choice.RateLimit > 0 {
 		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
 	}
-	exchange, err := r.server.Connections.Do(r.ctx, choice.Server.Address, request, connpool.Options{
+	exchange, err := r.server.Connections.Do(ctx, choice.Server.Address, request, connpool.Options{
 		Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service),
 	})
 	if err != nil {
-		return nil, azurehitch.ServerAnswer{}, r.exchangeFailed(choice, err)
+		return nil, azurehitch.ServerAnswer{}, r.exchangeFailed(ctx, choice, err)
 	}
 	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(startedAt))
 	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
@@ -154,24 +170,27 @@
 // maxUrgency is the rank of the least urgent requests.
 const maxUrgency = 9
 
-// exchangeFailed records an exchange without a response, and returns the result of the attempt.
-func (r *request) exchangeFailed(choice place.Choice, err error) result {
+// exchangeFailed records an exchange without a response, and returns the result of the attempt. A
+// server whose exchange was canceled is not to blame.
+func (r *request) exchangeFailed(ctx context.Context, choice place.Choice, err error) result {
 	var failed *connpool.ErrExchange
 	res := result{run: azurehitch.RunStateUnknown, cause: err}
 	if errors.As(err, &failed) && !failed.Sent {
 		res.run = azurehitch.RunStateNotRun
 		res.unsent = true
 	}
-	r.recordError(choice, err)
+	if ctx.Err() == nil {
+		r.recordError(choice, err, time.Time{})
+	}
 	return res
 }
 
-// recordError records that a server gave no complete response because of err. After the request was
-// canceled or its deadline has passed, the server is not to blame for the error: its circuit
-// breaker counts no failure.
-func (r *request) recordError(choice place.Choice, err error) {
+// recordError records that a server gave no complete response because of err. The first event of the
+// response came at firstEventAt; zero means that none came. After the request was canceled or its
+// deadline has passed, the server is not to blame for the error: its circuit breaker counts no failure.
+func (r *request) recordError(choice place.Choice, err error, firstEventAt time.Time) {
 	if !r.isOver() {
-		r.recordBrokenOff(choice, err)
+		r.recordBrokenOff(choice, err, firstEventAt)
 		record := r.server.Breakers.Failed
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			record = r.server.Breakers.ConnectionRefused
@@ -187,27 +206,24 @@
 
 // recordBrokenOff records that a server broke off the request, which may have crashed it. A server
 // that has sent events for a while did not crash because of this request.
-func (r *request) recordBrokenOff(choice place.Choice, err error) {
+func (r *request) recordBrokenOff(choice place.Choice, err error, firstEventAt time.Time) {
 	var failed *connpool.ErrExchange
 	isUnsent := errors.As(err, &failed) && !failed.Sent
-	if !isUnsent && !r.hasStreamedSince(r.server.Clock.Now().Add(-crashTime)) {
+	if !isUnsent && !hasStreamedLong(firstEventAt, r.server.Clock.Now()) {
 		r.server.Quarantine.BrokenOff(r.service.Name, choice.Server, r.SharedParts)
 	}
 }
 
-// hasStreamedSince reports whether the first event of the current attempt came at the given time or
-// before.
-func (r *request) hasStreamedSince(at time.Time) bool {
-	return !r.firstEventAt.IsZero() && !r.firstEventAt.After(at)
+// hasStreamedLong reports whether the first event of a response came so long ago that the prompt does
+// not crash its server.
+func hasStreamedLong(firstEventAt, now time.Time) bool {
+	return !firstEventAt.IsZero() && now.Sub(firstEventAt) >= crashTime
 }
 
-// recordEvent records an event of the current attempt. Once events have come for a while, the prompt
-// does not crash servers; the end of the stream may come much later.
-func (r *request) recordEvent(now time.Time) {
-	if r.firstEventAt.IsZero() {
-		r.firstEventAt = now
-	}
-	if !r.isKnownSound && r.hasStreamedSince(now.Add(-crashTime)) {
+// recordEvent records an event of a response whose first event came at firstEventAt. The end of the
+// stream may come much later.
+func (r *request) recordEvent(firstEventAt, now time.Time) {
+	if !r.isKnownSound && hasStreamedLong(firstEventAt, now) {
 		r.recordSound()
 	}
 }
@@ -283,27 +299,56 @@
 // request never reached the server. If the server still loads the model, mayRetry waits for one of
 // the loadingRetryDelays first.
 func (r *request) mayRetry(res result) bool {
-	if r.isOver() || res.isBarred {
+	if err := r.chargeRetry(res); err != nil {
+		r.attempts.note("not sent again: " + err.Error())
 		return false
 	}
+	return !res.stillLoading || r.server.Clock.Sleep(r.ctx, loadingRetryDelays[min(r.sends, len(loadingRetryDelays))-1]) == nil
+}
+
+// chargeRetry counts the outcome of an attempt and charges another one to the retry budget, or
+// returns why there must be none.
+func (r *request) chargeRetry(res result) error {
+	if r.isOver() {
+		return errRequestOver
+	}
+	if res.isBarred {
+		return errBarred
+	}
 	if res.run != azurehitch.RunStateNotRun {
 		r.unknownOutcomes++
-		if !r.route.MayRepeat() || r.unknownOutcomes >= r.route.MaxAttempts {
-			return false
+		if !r.route.MayRepeat() {
+			return errMayRunOnce
+		}
+		if r.unknownOutcomes >= r.route.MaxAttempts {
+			return errAttemptsUsed
 		}
 	}
 	if res.unsent {
 		r.unsent++
 	}
-	if r.sends-r.unsent >= r.route.MaxAttempts+maxExtraSends || r.unsent > maxUnsentRetries {
-		return false
+	if r.isSentTooOften() {
+		return errAttemptsUsed
 	}
 	// A request that did not reach a server put no load on it, so sending it again is not charged
 	// to the retry budget.
 	if !res.unsent && !r.server.Budget.Spend(r.service.Name) {
-		return false
+		return errBudgetSpent
 	}
-	return !res.stillLoading || r.server.Clock.Sleep(r.ctx, loadingRetryDelays[min(r.sends, len(loadingRetryDelays))-1]) == nil
+	return nil
+}
+
+// refundRetry takes back the charge for sending the request again after an attempt with the given
+// result.
+func (r *request) refundRetry(res result) {
+	if !res.unsent {
+		r.server.Budget.Refund(r.service.Name)
+	}
+}
+
+// isSentTooOften reports whether the request was sent so often that it must not be sent again.
+func (r *request) isSentTooOften() bool {
+	return r.sends-r.unsent >= r.route.MaxAttempts+maxExtraSends || r.unsent > maxUnsentRetries
 }
 
 // loadingRetryDelays are the delays before a request is sent again after a server rejected it while
@@ -343,13 +388,3 @@
 // isPastDeadline reports whether the deadline has passed. It does not rely on the context, because
 // a read that times out at the deadline may return before the context ends.
 func (r *request) isPastDeadline() bool { return !r.server.Clock.Now().Before(r.deadline) }
-
-// earlierDeadline returns the end of span from now, or the deadline of the request if the deadline
-// comes first.
-func (r *request) earlierDeadline(span time.Duration) time.Time {
-	end := r.server.Clock.Now().Add(span)
-	if end.After(r.deadline) {
-		return r.deadline
-	}
-	return end
-}
--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"time"
 
 	"azurehitch"
 	"azurehitch/internal/forward/place"
@@ -27,7 +28,7 @@
 		exchange.Close()
 		choice.End()
 		r.recordBadAnswer(choice)
-		r.recordBrokenOff(choice, err)
+		r.recordBrokenOff(choice, err, time.Time{})
 		r.countTooLarge(err)
 		r.attempts.add(choice, err.Error())
 		return result{run: azurehitch.RunStateUnknown, cause: err}
@@ -108,7 +109,7 @@
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(status, "answered")
 	case b.failure != nil:
-		r.recordError(b.choice, b.failure)
+		r.recordError(b.choice, b.failure, time.Time{})
 		r.attempts.add(b.choice, "cut after "+strconv.FormatInt(int64(b.sent), 10)+" bytes: "+b.failure.Error())
 		r.server.Metrics.Add(metrics.StreamsCut, 1)
 		r.end(status, "answer cut: "+b.failure.Error())
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -77,6 +77,9 @@
 // Spend implements passthrough.RetryBudget.
 func (b *testBudget) Spend(string) bool { return !b.isSpent }
 
+// Refund implements passthrough.RetryBudget.
+func (*testBudget) Refund(string) {}
+
 // sequencePlacer places each attempt on the next server of a list.
 type sequencePlacer struct {
 	mu      sync.Mutex
@@ -136,7 +139,7 @@
 
 // listen accepts connections and serves each in a goroutine until the test ends. It returns the
 // address.
-func listen(t *testing.T, serve func(conn net.Conn)) (address string) {
+func listen(t testing.TB, serve func(conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
@@ -235,7 +238,7 @@
 )
 
 // withGateway calls run with a gateway that forwards requests for a route to backends.
-func withGateway(t *testing.T, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
+func withGateway(t testing.TB, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
 	t.Helper()
 	c := qt.New(t)
 	route.Name, route.Host, route.PathPrefix = "r", "a.example", "/x/"
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -15,12 +15,7 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	relayBufferBytes = 8 << 10
-	// maxEventGap is how long a resumable stream may be without an event before it is resumed on
-	// another server.
-	maxEventGap = 1200 * time.Millisecond
-)
+const relayBufferBytes = 8 << 10
 
 // errStreamCut makes the HTTP server close the connection without the end of the body, so that the
 // caller does not take a cut stream for a complete one.
@@ -31,11 +26,13 @@
 
 // relay passes on the events of a stream, each only when it is complete. When a server fails
 // midway, a resumable stream is resumed on another server after the last event that was passed on.
+// When a server is silent, a resumable stream moves to another server if one takes it over.
 type relay struct {
-	request  *request
-	choice   place.Choice
-	exchange *connpool.Exchange
-	reader   *eventReader
+	request *request
+	source
+	reader *eventReader
+	// takeover asks other servers to become the source while the source is silent.
+	takeover *takeover
 	// memory is the part of the shared memory budget that is reserved for long events until they
 	// are passed on.
 	memory  *membudget.Reservation
@@ -43,35 +40,53 @@
 	// lastEventID is the id of the last event that was passed on.
 	lastEventID string
 	events      int
-	// lastEventAt is when the last event was passed on.
-	lastEventAt time.Time
-	done        bool
-	failure     error
+	// lastEventAt is when the last event was passed on, and firstEventAt when the first event of the
+	// source was; zero before.
+	lastEventAt  time.Time
+	firstEventAt time.Time
+	done         bool
+	failure      error
 }
 
 // relay responds with a stream once its first event has arrived. An error before that fails the
 // attempt.
 func (r *request) relay(choice place.Choice, exchange *connpool.Exchange) result {
+	// A server that takes the stream over has to have the same software version.
+	unbound := r.bound
+	r.bound = azurehitch.VersionBound{IsSet: true, Version: choice.SoftwareVersion}
 	stream := &relay{request: r, memory: r.server.Connections.Memory().NewReservation()}
-	stream.attach(choice, exchange)
-	if err := stream.readEvents(); err != nil && !stream.done {
-		stream.detach()
-		r.attempts.add(choice, err.Error())
-		r.recordError(choice, err)
+	stream.attach(source{choice: choice, exchange: exchange})
+	if err := stream.readFirstEvents(); err != nil {
+		r.bound = unbound
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
-	r.bound = azurehitch.VersionBound{IsSet: true, Version: choice.SoftwareVersion}
 	r.timeToFirstEvent = r.server.Clock.Now().Sub(r.startedAt)
 	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.timeToFirstEvent)
-	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
+	copyAnswerHead(&r.http.Response.Header, &stream.exchange.Header)
 	r.http.Response.SetBodyStream(stream, unknownLength)
 	return result{answered: true}
 }
 
-// attach makes an exchange the source of further events.
-func (s *relay) attach(choice place.Choice, exchange *connpool.Exchange) {
-	s.choice, s.exchange = choice, exchange
-	s.reader = newEventReader(exchange, s.request.server.settings.MaxEvent, s.memory)
+// readFirstEvents waits for the first event or for the end of a stream without events. On an error,
+// the use of the server has ended.
+func (s *relay) readFirstEvents() error {
+	for {
+		err := s.readEvents()
+		if err == nil || s.done {
+			return nil
+		}
+		if !s.leave(err) {
+			return err
+		}
+	}
+}
+
+// attach makes a server the source of further events.
+func (s *relay) attach(from source) {
+	s.source = from
+	s.firstEventAt = time.Time{}
+	s.reader = newEventReader(from.exchange, s.request.server.settings.MaxEvent, s.memory)
+	s.takeover = newTakeover(s.request, from)
 }
 
 // Read implements io.Reader. It reads the complete events that have arrived, and waits for the next
@@ -85,7 +100,7 @@
 		case s.failure != nil:
 			return 0, errStreamCut
 		}
-		if err := s.readEvents(); err != nil && !s.done {
+		if err := s.readEvents(); err != nil && !s.done && !s.leave(err) {
 			s.resume(err)
 		}
 	}
@@ -95,14 +110,15 @@
 // readEvents waits for the next event and adds it to the pending bytes, together with later events
 // that have already arrived. At the end of the stream it sets done and returns io.EOF.
 func (s *relay) readEvents() error {
-	if s.request.route.MayRepeat() {
-		s.exchange.SetReadDeadline(s.request.ctx, s.request.earlierDeadline(maxEventGap))
-	}
+	s.takeover.await(s.position(), s.request.server.Clock.Now())
 	event, err := s.reader.next()
 	if err != nil {
 		s.done = err == io.EOF && len(event) == 0 && !s.isUnframedAndEmpty()
 		return err
 	}
+	if !s.takeover.keep() {
+		return errTakenOver
+	}
 	s.queue(event)
 	for s.pending.Len() < relayBufferBytes && s.reader.hasWholeEvent() {
 		event, err := s.reader.next()
@@ -114,10 +130,15 @@
 	return nil
 }
 
+// position returns where another server would go on with the stream now.
+func (s *relay) position() position {
+	return position{events: s.events, lastEventID: s.lastEventID}
+}
+
 // isUnframedAndEmpty reports whether the source has sent no event yet and its stream ends with its
 // connection. Such an end is that of a server which has crashed as it began to answer.
 func (s *relay) isUnframedAndEmpty() bool {
-	return s.request.firstEventAt.IsZero() && s.exchange.IsCloseDelimited()
+	return s.firstEventAt.IsZero() && s.exchange.IsCloseDelimited()
 }
 
 // releaseMemory returns the memory of long events to the budget once they are passed on.
@@ -135,7 +156,10 @@
 		s.request.longestPause = max(s.request.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
-	s.request.recordEvent(now)
+	if s.firstEventAt.IsZero() {
+		s.firstEventAt = now
+	}
+	s.request.recordEvent(s.firstEventAt, now)
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			s.lastEventID = string(bytes.TrimSpace(id))
@@ -145,47 +169,56 @@
 	s.pending.Write(event)
 }
 
-// resume resumes the stream on another server, or fails it.
+// leave ends the use of the current server because of cause. If another server has taken the stream
+// over or is about to, it becomes the source, and leave returns true.
+func (s *relay) leave(cause error) bool {
+	r := s.request
+	left := s.source
+	s.memory.Release()
+	if s.takeover.sourceEnded() {
+		cause = errTakenOver
+	}
+	left.end()
+	next, ok := s.takeover.wait()
+	r.attempts.add(left.choice, "cut after "+strconv.Itoa(s.events)+" events: "+cause.Error())
+	r.recordError(left.choice, cause, s.firstEventAt)
+	if !ok {
+		return false
+	}
+	r.unknownOutcomes++
+	s.attach(next)
+	r.server.Metrics.Add(metrics.StreamsResumed, 1)
+	return true
+}
+
+// resume resumes the stream on another server after the current one has ended, or fails it.
 func (s *relay) resume(cause error) {
 	r := s.request
-	r.attempts.add(s.choice, "cut after "+strconv.Itoa(s.events)+" events: "+cause.Error())
-	s.detach()
-	r.recordError(s.choice, cause)
 	res := result{run: azurehitch.RunStateUnknown, cause: cause}
-	for s.lastEventID != "" && r.mayRetry(res) {
-		choice, err := r.place()
+	for s.position().isResumable() && r.mayRetry(res) {
+		choice, err := r.placeBegun(r.ctx, r.serversToAvoid)
 		if err != nil {
+			r.refundRetry(res)
 			s.failure = err
 			return
 		}
 		var exchange *connpool.Exchange
-		exchange, _, res = r.exchange(choice, s.lastEventID)
-		if exchange != nil {
-			if err = r.checkResumed(exchange); err == nil {
-				s.attach(choice, exchange)
-				r.server.Metrics.Add(metrics.StreamsResumed, 1)
-				return
-			}
-			exchange.Close()
-			r.serversToAvoid = append(r.serversToAvoid, choice.Server.ID)
-			res = result{run: azurehitch.RunStateUnknown, cause: err}
+		if exchange, res = r.resumedExchange(r.ctx, choice, s.lastEventID); exchange != nil {
+			s.attach(source{choice: choice, exchange: exchange})
+			r.server.Metrics.Add(metrics.StreamsResumed, 1)
+			return
 		}
-		choice.End()
 		r.attempts.add(choice, res.cause.Error())
 	}
 	s.failure = cause
 }
 
-// detach ends the use of the current server.
-func (s *relay) detach() {
-	s.memory.Release()
-	s.exchange.Close()
-	s.choice.End()
-}
-
 // Close ends the request. The HTTP server also calls it when the caller has disconnected.
 func (s *relay) Close() error {
-	s.detach()
+	s.memory.Release()
+	s.takeover.sourceEnded()
+	s.source.end()
+	s.takeover.stop()
 	r := s.request
 	switch {
 	case s.done && s.pending.Len() == 0:
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -65,8 +65,6 @@
 	longestPause     time.Duration
 	// bound restricts the attempts to the software version that began the stream.
 	bound azurehitch.VersionBound
-	// firstEventAt is when the first event of the current attempt came; zero before.
-	firstEventAt time.Time
 	// isKnownSound is true once an attempt has shown that the prompt does not crash servers.
 	isKnownSound bool
 }
