--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -111,7 +111,7 @@
 	case b.failure != nil:
 		r.recordError(b.choice, b.failure, time.Time{})
 		r.attempts.add(b.choice, "cut after "+strconv.FormatInt(int64(b.sent), 10)+" bytes: "+b.failure.Error())
-		r.server.Metrics.Add(metrics.StreamsCut, 1)
+		r.countCut()
 		r.end(status, "answer cut: "+b.failure.Error())
 	default:
 		r.attempts.add(b.choice, strconv.Itoa(status))
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -228,7 +228,7 @@
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(s.status(), "answered")
 	case s.failure != nil:
-		r.server.Metrics.Add(metrics.StreamsCut, 1)
+		r.countCut()
 		r.end(s.status(), "stream cut: "+s.failure.Error())
 	default:
 		r.attempts.add(s.choice, strconv.Itoa(s.events)+" events")
--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -176,6 +176,12 @@
 
 // whileSending sends a request, calls act meanwhile, and checks that the caller gets the whole stream.
 func (g *gateway) whileSending(act func()) {
+	g.Helper()
+	g.assertWholeStream(g.sendDuring(act))
+}
+
+// sendDuring sends a request, calls act meanwhile, and returns the response.
+func (g *gateway) sendDuring(act func()) answer {
 	g.Helper()
 	var group errgroup.Group
 	var got answer
@@ -185,7 +191,7 @@
 	})
 	act()
 	g.Assert(group.Wait(), qt.IsNil)
-	g.assertWholeStream(got)
+	return got
 }
 
 // TestSilentServerLeft checks streams that another server takes over while their server is silent.
