passthrough: the deadline for the next server of a stream counts from its last event

Fix: it counts from the last event that was passed on; before the first one, from the start of the request.

--- a/internal/forward/passthrough/contest.go
+++ b/internal/forward/passthrough/contest.go
@@ -10,6 +10,8 @@
 type position struct {
 	events      int
 	lastEventID string
+	// lastEventAt is when the event was passed on, or when the request started if there is none.
+	lastEventAt time.Time
 }
 
 // isResumable reports whether another server can go on with the stream from here.
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -91,8 +91,10 @@
 	versions []string
 	// avoided is place.Request.Avoid of the last call of Place.
 	avoided []string
-	// bound is place.Request.SoftwareVersion of the last call of Place.
-	bound azurehitch.VersionBound
+	// bound is place.Request.SoftwareVersion of the last call of Place, and timeLeft what was left until
+	// its deadline.
+	bound    azurehitch.VersionBound
+	timeLeft time.Duration
 }
 
 // Place implements passthrough.Placer. Without any servers, it waits for the context to end.
@@ -107,7 +109,7 @@
 		return place.Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no more servers").WithRetryAfter(time.Second)
 	}
 	p.next++
-	p.avoided, p.bound = request.Avoid, request.SoftwareVersion
+	p.avoided, p.bound, p.timeLeft = request.Avoid, request.SoftwareVersion, time.Until(request.Deadline)
 	id := fmt.Sprintf("s%d", p.next-1)
 	version := ""
 	if len(p.versions) > 0 {
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -40,8 +40,8 @@
 	// lastEventID is the id of the last event that was passed on.
 	lastEventID string
 	events      int
-	// lastEventAt is when the last event was passed on, and firstEventAt when the first event of the
-	// source was; zero before.
+	// lastEventAt is when the last event was passed on, or when the request started before the first
+	// one. firstEventAt is when the first event of the source was passed on; zero before.
 	lastEventAt  time.Time
 	firstEventAt time.Time
 	done         bool
@@ -54,7 +54,7 @@
 	// A server that takes the stream over has to have the same software version.
 	unbound := r.bound
 	r.bound = azurehitch.VersionBound{IsSet: true, Version: choice.SoftwareVersion}
-	stream := &relay{request: r, memory: r.server.Connections.Memory().NewReservation()}
+	stream := &relay{request: r, lastEventAt: r.startedAt, memory: r.server.Connections.Memory().NewReservation()}
 	stream.attach(source{choice: choice, exchange: exchange})
 	if err := stream.readFirstEvents(); err != nil {
 		r.bound = unbound
@@ -132,7 +132,7 @@
 
 // position returns where another server would go on with the stream now.
 func (s *relay) position() position {
-	return position{events: s.events, lastEventID: s.lastEventID}
+	return position{events: s.events, lastEventID: s.lastEventID, lastEventAt: s.lastEventAt}
 }
 
 // isUnframedAndEmpty reports whether the source has sent no event yet and its stream ends with its
@@ -196,7 +196,7 @@
 	r := s.request
 	res := result{run: azurehitch.RunStateUnknown, cause: cause}
 	for s.position().isResumable() && r.mayRetry(res) {
-		choice, err := r.placeBegun(r.ctx, r.serversToAvoid)
+		choice, err := r.placeBegun(r.ctx, r.serversToAvoid, s.lastEventAt)
 		if err != nil {
 			r.refundRetry(res)
 			s.failure = err
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -140,19 +140,20 @@
 func (r *request) placeRequest() place.Request {
 	return place.Request{
 		CallerRequest: r.CallerRequest, Service: r.service, Avoid: r.serversToAvoid,
-		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(), Urgency: r.route.Priority,
+		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(r.startedAt), Urgency: r.route.Priority,
 		SoftwareVersion: r.bound,
 	}
 }
 
 // placeDeadline returns the latest time at which a server is still useful to the request. For a
-// stream it may be earlier than the deadline, because callers disconnect when no event comes.
-func (r *request) placeDeadline() time.Time {
+// stream it may be earlier than the deadline, because callers disconnect when no event comes after
+// lastEventAt, which is the start of the request before the first event.
+func (r *request) placeDeadline(lastEventAt time.Time) time.Time {
 	if r.route.Kind != azurehitch.RequestKindStream {
 		return r.deadline
 	}
 	timeout := max(minStreamTimeout, streamTimeoutObjectives*r.route.Objective, streamTimeoutPauses*r.route.MaxPause)
-	if streamDeadline := r.startedAt.Add(timeout); streamDeadline.Before(r.deadline) {
+	if streamDeadline := lastEventAt.Add(timeout); streamDeadline.Before(r.deadline) {
 		return streamDeadline
 	}
 	return r.deadline
--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -273,6 +273,27 @@
 	})
 }
 
+func TestDeadlineForServerOfLongStreamIsNotPast(t *testing.T) {
+	const eventGap = time.Second
+	for name, last := range map[string]step{
+		"its server breaks off":   {eventGap, ""},
+		"its server falls silent": {5 * time.Second, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := newPausingBackend(t, step{0, streamHead + chunk(firstEvent)}, step{eventGap, chunk("id: 1\ndata: more\n\n")}, step{eventGap, chunk(secondEvent)}, last)
+			second := newPausingBackend(t, step{0, eventStream("200 OK", thirdEvent)})
+			withGateway(t, slowRoute(), []*backend{first, second}, func(g *gateway) {
+				g.Assert(g.send("POST", "/x/y", "").cut, qt.IsFalse)
+				g.placer.mu.Lock()
+				defer g.placer.mu.Unlock()
+				g.Assert(g.placer.timeLeft > 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v left", g.placer.timeLeft))
+				g.Assert(g.placer.timeLeft <= 2*time.Second, qt.IsTrue, qt.Commentf("%v left", g.placer.timeLeft))
+			})
+		})
+	}
+}
+
 // TestEventAtTheMomentOfTakeover checks that streams are whole whose silent server sends an event while
 // another server begins to answer.
 func TestEventAtTheMomentOfTakeover(t *testing.T) {
--- a/internal/forward/passthrough/takeover.go
+++ b/internal/forward/passthrough/takeover.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	defer t.endAttempt()
-	choice, err := t.place(ctx)
+	choice, err := t.place(ctx, at.lastEventAt)
 	silence := r.server.Clock.Now().Sub(silentSince).Round(time.Millisecond).String()
 	if err != nil {
 		r.attempts.note(t.silent.choice.Server.ID + " silent for " + silence + ", not moved: " + err.Error())
@@ -103,13 +103,13 @@
 }
 
 // place chooses another server, and charges the attempt to the retry budget.
-func (t *takeover) place(ctx context.Context) (place.Choice, error) {
+func (t *takeover) place(ctx context.Context, lastEventAt time.Time) (place.Choice, error) {
 	r := t.request
 	if err := r.chargeTakeover(); err != nil {
 		return place.Choice{}, err
 	}
 	silentID := t.silent.choice.Server.ID
-	choice, err := r.placeBegun(ctx, append(slices.Clone(r.serversToAvoid), silentID))
+	choice, err := r.placeBegun(ctx, append(slices.Clone(r.serversToAvoid), silentID), lastEventAt)
 	if err == nil && choice.Server.ID == silentID {
 		choice.End()
 		err = errSameServer
@@ -176,10 +176,10 @@
 
 // placeBegun chooses another server for a stream that has begun. Such a stream can't be refused any
 // more, so a planned stop does not end the wait for a server.
-func (r *request) placeBegun(ctx context.Context, avoid []string) (place.Choice, error) {
+func (r *request) placeBegun(ctx context.Context, avoid []string, lastEventAt time.Time) (place.Choice, error) {
 	startedAt := r.server.Clock.Now()
 	request := r.placeRequest()
-	request.Avoid = avoid
+	request.Avoid, request.Deadline = avoid, r.placeDeadline(lastEventAt)
 	choice, err := r.server.Placer.Place(ctx, request)
 	r.placementTime += r.server.Clock.Now().Sub(startedAt)
 	return choice, err
