--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -77,6 +77,9 @@
 // Spend implements passthrough.RetryBudget.
 func (b *testBudget) Spend(string) bool { return !b.isSpent }
 
+// Refund implements passthrough.RetryBudget.
+func (*testBudget) Refund(string) {}
+
 // sequencePlacer places each attempt on the next server of a list.
 type sequencePlacer struct {
 	mu      sync.Mutex
@@ -88,8 +91,10 @@
 	versions []string
 	// avoided is place.Request.Avoid of the last call of Place.
 	avoided []string
-	// bound is place.Request.SoftwareVersion of the last call of Place.
-	bound azurehitch.VersionBound
+	// bound is place.Request.SoftwareVersion of the last call of Place, and timeLeft what was left until
+	// its deadline.
+	bound    azurehitch.VersionBound
+	timeLeft time.Duration
 }
 
 // Place implements passthrough.Placer. Without any servers, it waits for the context to end.
@@ -104,7 +109,7 @@
 		return place.Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no more servers").WithRetryAfter(time.Second)
 	}
 	p.next++
-	p.avoided, p.bound = request.Avoid, request.SoftwareVersion
+	p.avoided, p.bound, p.timeLeft = request.Avoid, request.SoftwareVersion, time.Until(request.Deadline)
 	id := fmt.Sprintf("s%d", p.next-1)
 	version := ""
 	if len(p.versions) > 0 {
@@ -136,7 +141,7 @@
 
 // listen accepts connections and serves each in a goroutine until the test ends. It returns the
 // address.
-func listen(t *testing.T, serve func(conn net.Conn)) (address string) {
+func listen(t testing.TB, serve func(conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
@@ -235,7 +240,7 @@
 )
 
 // withGateway calls run with a gateway that forwards requests for a route to backends.
-func withGateway(t *testing.T, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
+func withGateway(t testing.TB, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
 	t.Helper()
 	c := qt.New(t)
 	route.Name, route.Host, route.PathPrefix = "r", "a.example", "/x/"
--- a/internal/forward/passthrough/resumed.go
+++ b/internal/forward/passthrough/resumed.go
@@ -39,7 +39,7 @@
 // checkFirstEvent returns an error if an event is the first one of a server that continues a stream, and
 // does not continue it. The order of its further events is up to the server.
 func (s *relay) checkFirstEvent(event []byte) error {
-	if !s.request.firstEventAt.IsZero() {
+	if !s.firstEventAt.IsZero() {
 		return nil
 	}
 	return s.ids.checkNext(eventID(event))
