runtimes: learn how long the requests of each route take at servers

A planned stop has to know how much time a request needs. A plain quantile of ended requests notices that requests have become slower only when the slow ones end. At most 128 requests of a route are kept, of the last minute. Without five answers there is no estimate.

--- /dev/null
+++ b/internal/forward/runtimes/tracker.go
@@ -0,0 +1,215 @@
+// Package runtimes learns how long the requests of each route take at their servers.
+//
+// # Usage
+//
+//	tracker := runtimes.NewTracker(clock)
+//	run := tracker.Begin("chat")
+//	...
+//	run.End(runtimes.OutcomeComplete)
+//	estimate := tracker.Estimate("chat", route.Timeout)
+//
+// The estimate is an upper one: most requests take less. It is the Kaplan-Meier estimate of a quantile,
+// from the requests that ended lately and those that still run, so that it grows as soon as requests
+// become slower.
+package runtimes
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"azurehitch"
+)
+
+const (
+	// window is the time for which a request is remembered, and maxSamples the number of requests of
+	// a route that are remembered.
+	window     = time.Minute
+	maxSamples = 128
+	// minSamples is the number of complete requests below which there is no estimate.
+	minSamples = 5
+	// refreshInterval is how often an estimate is computed anew.
+	refreshInterval = 50 * time.Millisecond
+)
+
+// Outcome says how a request ended.
+type Outcome string
+
+// The outcomes of requests.
+const (
+	OutcomeComplete Outcome = "Complete"
+	// OutcomeFailed is that of a request which would have taken longer.
+	OutcomeFailed Outcome = "Failed"
+)
+
+// Tracker remembers durations of requests. It is safe for concurrent use.
+type Tracker struct {
+	clock  azurehitch.Clock
+	mu     sync.Mutex
+	routes map[string]*history
+}
+
+// history holds the requests of one route.
+type history struct {
+	running map[*Run]struct{}
+	// samples are the requests that ended last, in that order.
+	samples []sample
+	current estimate
+}
+
+// estimate is the estimate of a route at a time.
+type estimate struct {
+	madeAt   time.Time
+	duration time.Duration
+	// isKnown is false if too few requests have ended.
+	isKnown bool
+}
+
+// sample is a request that has ended.
+type sample struct {
+	startedAt time.Time
+	endedAt   time.Time
+	outcome   Outcome
+}
+
+// Run is a request that a server has begun to run.
+type Run struct {
+	tracker   *Tracker
+	route     string
+	startedAt time.Time
+}
+
+// NewTracker returns a tracker that remembers nothing yet.
+func NewTracker(clock azurehitch.Clock) *Tracker {
+	return &Tracker{clock: clock, routes: map[string]*history{}}
+}
+
+// Begin records that a request of a route is about to be sent to a server.
+func (t *Tracker) Begin(route string) *Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := &Run{tracker: t, route: route, startedAt: t.clock.Now()}
+	if t.routes[route] == nil {
+		t.forgetUnused(run.startedAt)
+		t.routes[route] = &history{running: map[*Run]struct{}{}}
+	}
+	t.routes[route].running[run] = struct{}{}
+	return run
+}
+
+// forgetUnused forgets the routes that have had no requests for the window.
+func (t *Tracker) forgetUnused(now time.Time) {
+	maps.DeleteFunc(t.routes, func(_ string, h *history) bool {
+		h.forgetOld(now)
+		return len(h.running) == 0 && len(h.samples) == 0
+	})
+}
+
+// End records the end of the request. Further calls have no effect.
+func (r *Run) End(outcome Outcome) {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.routes[r.route]
+	if h == nil {
+		return
+	}
+	if _, isRunning := h.running[r]; !isRunning {
+		return
+	}
+	delete(h.running, r)
+	h.add(sample{startedAt: r.startedAt, endedAt: t.clock.Now(), outcome: outcome})
+}
+
+func (h *history) add(s sample) {
+	if len(h.samples) == maxSamples {
+		h.samples = slices.Delete(h.samples, 0, 1)
+	}
+	h.samples = append(h.samples, s)
+}
+
+// forgetOld forgets the requests that ended before the window.
+func (h *history) forgetOld(now time.Time) {
+	for len(h.samples) > 0 && now.Sub(h.samples[0].endedAt) > window {
+		h.samples = slices.Delete(h.samples, 0, 1)
+	}
+}
+
+// Estimate returns how long a request of a route takes at most, as a rule, but not more than the
+// timeout of the route. Without enough requests, it returns the timeout.
+func (t *Tracker) Estimate(route string, timeout time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.routes[route]
+	if h == nil {
+		return timeout
+	}
+	if e := h.estimate(t.clock.Now()); e.isKnown {
+		return min(e.duration, timeout)
+	}
+	return timeout
+}
+
+// estimate returns the current estimate.
+func (h *history) estimate(now time.Time) estimate {
+	if h.current.madeAt.IsZero() || now.Sub(h.current.madeAt) >= refreshInterval {
+		h.current = h.newEstimate(now)
+	}
+	return h.current
+}
+
+func (h *history) newEstimate(now time.Time) estimate {
+	h.forgetOld(now)
+	ended := 0
+	for _, s := range h.samples {
+		if s.outcome == OutcomeComplete {
+			ended++
+		}
+	}
+	if ended < minSamples {
+		return estimate{madeAt: now}
+	}
+	duration, ok := upperQuantile(h.observations(now))
+	return estimate{madeAt: now, duration: duration, isKnown: ok}
+}
+
+// observations returns what was seen of each request since observedSince.
+func (h *history) observations(now time.Time) []observation {
+	since := h.observedSince(now)
+	var observed []observation
+	add := func(startedAt, seenUntil time.Time, isComplete bool) {
+		o := observation{from: max(since.Sub(startedAt), 0), to: seenUntil.Sub(startedAt), isComplete: isComplete}
+		if o.from < o.to {
+			observed = append(observed, o)
+		}
+	}
+	for _, s := range h.samples {
+		add(s.startedAt, s.endedAt, s.outcome == OutcomeComplete)
+	}
+	for run := range h.running {
+		add(run.startedAt, now, false)
+	}
+	return observed
+}
+
+// observedSince returns the time since which all requests that ended are remembered.
+func (h *history) observedSince(now time.Time) time.Time {
+	if len(h.samples) == maxSamples {
+		return h.samples[0].endedAt
+	}
+	return now.Add(-window)
+}
+
+// Estimates returns the estimates of the routes that have one.
+func (t *Tracker) Estimates() map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, estimates := t.clock.Now(), map[string]time.Duration{}
+	for route, h := range t.routes {
+		if e := h.estimate(now); e.isKnown {
+			estimates[route] = e.duration
+		}
+	}
+	return estimates
+}
