A planned stop takes on only what it can finish

What callers saw: requests that a stopping daemon had accepted were cut at 7.5 s of the stop timeout of 8 s, or by SIGKILL; requests that waited for a server were refused only 3.5 s before the end; connections that arrived 2.7 s after the signal and later were refused by the system, without words.

Cause: the stop had fixed times, counted from its notice. It accepted for 2.7 s whatever the length of the requests, and a stop timeout below 2.7 s was not kept at all.

Now the stop counts from the earliest time at which the signal may have been pending (package lateness). A request is sent to a server only if its estimated time fits (packages drain and runtimes); else it is refused as not run, on arrival or while it waits. 2.7 s after the signal, only requests are accepted whose deadline lies before the end. A request that may run only once needs 1.2 times its estimate. Streams that have begun go on at another server at any time until all requests are canceled. The listener stays open until the stop is done. The timing is computed anew every 20 ms, so that it follows reloaded settings, suspensions and a process that becomes slower. The leases are released beside the steps, no longer before them. loopsTimeout is 0.1 s instead of 0.3 s, as 0.3 s after the last step would have been later than SIGKILL.

Tests that failed before, in internal/daemon/gateway:

TestStopAcceptsRequestsThatItCuts 502 after 1.40 s, want 503 at once TestStopIsNoticedLate 200 after 1.50 s, which is after SIGKILL; want 503 at once TestStopTakesLongerThanShortTimeout 6.9 s with the set-up; the stop took longer than its 2 s TestStopTimeoutShortenedDuringStop 200 after 1.50 s, want 503 at once TestStopResetsLateConnections connection refused, want 503

TestStopHoldsWaitingRequests and TestStopCutsResumedStreams (passthrough) use functions that did not exist; the old code held such a request until 3.5 s before the end, and ended such a stream at once. In TestRefusals and TestStopEnds, Drain with a timing stands for CloseConnections, RefuseNew and RefuseWaiting, which are gone; the checks are the same.

The rule refuses a route as a whole once more than 1 request in 20 would be cut.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -19,6 +19,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/configuration/routing"
+	"azurehitch/internal/daemon/lateness"
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/passthrough"
@@ -123,6 +124,8 @@
 	startedAt time.Time
 	listeners listeners
 	stopping  atomic.Bool
+	// lateness measures how late the process runs, on the LeaseClock.
+	lateness *lateness.Monitor
 	// stopTimeout is Settings.StopTimeout of the last reload, in nanoseconds.
 	stopTimeout atomic.Int64
 }
@@ -142,6 +145,7 @@
 		Platform: platform,
 		settings: s,
 		self:     leaselog.NewHolder(s.Name), startedAt: platform.Clock.Now(),
+		lateness: lateness.New(platform.LeaseClock),
 	}
 	d.stopTimeout.Store(int64(s.StopTimeout))
 	d.observer = newObserver(platform.Metrics, platform.Logs)
--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -26,12 +26,24 @@
 	settings gateway.Settings
 	daemon   *gateway.Daemon
 	version  int64
+	// stop begins the planned stop of the daemon, and ended is closed when Run has returned.
+	stop  context.CancelFunc
+	ended chan struct{}
+	// leaseClock is the LeaseClock of the daemon.
+	leaseClock *skippingClock
 }
 
 // withDaemon calls run with a daemon that has read a first routing table, and stops it afterwards.
 func withDaemon(t *testing.T, run func(env *testEnv)) {
 	t.Helper()
-	env := &testEnv{C: qt.New(t), store: platformtest.NewStore(nil)}
+	withSettings(t, func(*gateway.Settings) {}, run)
+}
+
+// withSettings calls run with a daemon that has read a first routing table, and stops it afterwards.
+// The function change changes the default settings.
+func withSettings(t *testing.T, change func(s *gateway.Settings), run func(env *testEnv)) {
+	t.Helper()
+	env := &testEnv{C: qt.New(t), store: platformtest.NewStore(nil), ended: make(chan struct{}), leaseClock: &skippingClock{}}
 	server := httptest.NewServer(env.store)
 	defer server.CloseClientConnections()
 	env.settings = gateway.DefaultSettings()
@@ -39,13 +51,20 @@
 	for _, address := range []*string{&env.settings.Callers, &env.settings.Ready, &env.settings.Peers, &env.settings.Metrics} {
 		*address = freeAddress(env.C)
 	}
-	daemon, err := gateway.New(env.settings, platform.Connect(env.settings, azurehitch.SystemClock{}, logging.Discard()))
+	change(&env.settings)
+	connected := platform.Connect(env.settings, azurehitch.SystemClock{}, logging.Discard())
+	connected.LeaseClock = env.leaseClock
+	daemon, err := gateway.New(env.settings, connected)
 	env.Assert(err, qt.IsNil)
 	env.daemon = daemon
 	env.publish()
 	ctx, stop := context.WithCancel(context.Background())
+	env.stop = stop
 	var group errgroup.Group
-	group.Go(func() error { return daemon.Run(ctx) })
+	group.Go(func() error {
+		defer close(env.ended)
+		return daemon.Run(ctx)
+	})
 	env.Assert(env.await(10*time.Second, func() bool { return env.status(env.settings.Ready, "/") == http.StatusOK }), qt.IsTrue)
 	run(env)
 	stop()
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -15,20 +15,8 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	releaseTimeout = time.Second
-	// loopsTimeout limits the wait for the background loops after the planned stop.
-	loopsTimeout = 300 * time.Millisecond
-	// acceptDuration is the time from the start of a planned stop during which the daemon still
-	// accepts requests. By its end, the load balancer has noticed that the daemon is not ready.
-	acceptDuration = 2700 * time.Millisecond
-	// refuseMargin is the time before the end of a planned stop at which requests that wait for a
-	// server are refused, and cancelMargin the time before the end at which all others are canceled.
-	refuseMargin = 3500 * time.Millisecond
-	cancelMargin = 500 * time.Millisecond
-	// exitMargin is the part of the stop timeout that is reserved for the exit of the process.
-	exitMargin = 250 * time.Millisecond
-)
+// loopsTimeout limits the wait for the background loops after the planned stop.
+const loopsTimeout = 100 * time.Millisecond
 
 // Run runs the daemon until the context ends, makes the planned stop and returns.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -38,7 +26,7 @@
 	for _, loop := range []func(context.Context) error{
 		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.heldServices.Run, d.holderClient.Run,
 		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.watchVersions,
-		d.Connections.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers,
+		d.Connections.Run, d.lateness.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers,
 	} {
 		group.Go(func() error { return loop(running) })
 	}
@@ -81,55 +69,6 @@
 	}
 }
 
-// stop makes the planned stop. It releases the leases first, so that other daemons take them over
-// while the load balancer notices the stop and the requests in progress complete.
-func (d *Daemon) stop(ctx context.Context) error {
-	began := d.Clock.Now()
-	d.stopping.Store(true)
-	d.callers.CloseConnections()
-	d.Logs.Layer(logging.LayerDaemon).Info().Int("InProgress", d.callers.ActiveRequests()).Msg("planned stop begins")
-	d.release(ctx)
-	if err := d.Clock.Sleep(ctx, acceptDuration-d.Clock.Now().Sub(began)); err != nil {
-		return nil
-	}
-	d.callers.RefuseNew()
-	return d.endRequests(ctx, began.Add(time.Duration(d.stopTimeout.Load())))
-}
-
-// endRequests waits for the requests in progress until exitMargin before the end of the stop. At
-// refuseMargin before the end, it refuses the requests that wait for a server. At cancelMargin before
-// the end, it cancels all other requests.
-func (d *Daemon) endRequests(ctx context.Context, end time.Time) error {
-	limited, cancel := context.WithTimeout(ctx, end.Add(-exitMargin).Sub(d.Clock.Now()))
-	defer cancel()
-	var group errgroup.Group
-	group.Go(func() error {
-		defer cancel()
-		return d.callers.Stop(limited)
-	})
-	for _, step := range []struct {
-		margin time.Duration
-		action func()
-	}{{refuseMargin, d.callers.RefuseWaiting}, {cancelMargin, d.callers.CancelRequests}} {
-		if d.Clock.Sleep(limited, end.Add(-step.margin).Sub(d.Clock.Now())) == nil {
-			step.action()
-		}
-	}
-	if err := group.Wait(); err != nil {
-		d.Logs.Layer(logging.LayerDaemon).Warn().Int("InProgress", d.callers.ActiveRequests()).Err(err).
-			Msg("planned stop ends with requests in progress")
-	}
-	return nil
-}
-
-func (d *Daemon) release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	if err := d.leases.Release(ctx); err != nil {
-		d.Logs.Layer(logging.LayerLease).Warn().Err(err).Msg("leases were not released: others wait until they expire")
-	}
-}
-
 // Reload applies the stop timeout and the retry limits of changed settings. Changes of the name,
 // the failure domain and the addresses need a restart.
 func (d *Daemon) Reload(s Settings) {
--- /dev/null
+++ b/internal/daemon/gateway/stop_test.go
@@ -0,0 +1,198 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/daemon/gateway"
+	"azurehitch/platform/platformtest"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+)
+
+// skippingClock is a clock that can skip time, as the clock of a process does that has not run.
+type skippingClock struct {
+	azurehitch.SystemClock
+	skipped atomic.Int64
+}
+
+// Now implements azurehitch.Clock.
+func (c *skippingClock) Now() time.Time {
+	return c.SystemClock.Now().Add(time.Duration(c.skipped.Load()))
+}
+
+func (c *skippingClock) skip(d time.Duration) { c.skipped.Add(int64(d)) }
+
+const (
+	// callTime is how long calls take at the backend server, and callTimeout the timeout of their route.
+	callTime    = 1500 * time.Millisecond
+	callTimeout = 12 * time.Second
+	// promptly is how long a refusal takes at most.
+	promptly = 400 * time.Millisecond
+)
+
+// call is the outcome of a call.
+type call struct {
+	status int
+	took   time.Duration
+	err    error
+}
+
+// withCalls calls run with a daemon that has learnt how long the calls of its only route take.
+func withCalls(t *testing.T, stopTimeout time.Duration, run func(env *testEnv)) {
+	t.Helper()
+	withSettings(t, func(s *gateway.Settings) { s.StopTimeout = stopTimeout }, func(env *testEnv) {
+		env.serveCalls(t)
+		var group errgroup.Group
+		for i := range 20 {
+			group.Go(func() error {
+				env.Check(env.call(fmt.Sprint("learn-", i)).status, qt.Equals, http.StatusOK)
+				return nil
+			})
+		}
+		env.Assert(group.Wait(), qt.IsNil)
+		run(env)
+	})
+}
+
+// serveCalls starts a backend server of plain calls, and waits until the daemon uses it.
+func (env *testEnv) serveCalls(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	env.Assert(err, qt.IsNil)
+	backend := platformtest.NewBackend(platformtest.BackendOptions{
+		ID: "i-1", Address: listener.Addr().String(), Service: "calls", FailureDomain: "z1", Slots: 100,
+		Work: platformtest.Work{Call: callTime}, Recorder: discardRecorder{},
+	})
+	var group errgroup.Group
+	group.Go(func() error { return backend.Serve(listener) })
+	t.Cleanup(func() {
+		backend.Kill()
+		env.Check(group.Wait(), qt.IsNil)
+	})
+	env.Assert(env.store.PutServer(backend.Entry()), qt.IsNil)
+	env.version++
+	env.Assert(env.store.PutRouting(azurehitch.RoutingTable{
+		Version: env.version,
+		Routes: []azurehitch.PathRoute{{
+			Name: "calls", Host: "a.example", PathPrefix: "/calls/", Kind: azurehitch.RequestKindIdempotent, MaxAttempts: 2,
+			Timeout: callTimeout, Targets: []azurehitch.RouteTarget{{Service: "calls", Weight: 1}},
+		}},
+		Services: map[string]azurehitch.BackendService{"calls": {Name: "calls"}},
+	}), qt.IsNil)
+	env.Assert(env.await(10*time.Second, func() bool { return env.call("first").status == http.StatusOK }), qt.IsTrue)
+}
+
+// discardRecorder is a platformtest.Recorder that records nothing.
+type discardRecorder struct{ platformtest.Recorder }
+
+// Arrived implements platformtest.Recorder.
+func (discardRecorder) Arrived(string, azurehitch.ServerIdentity, string) {}
+
+// Ran implements platformtest.Recorder.
+func (discardRecorder) Ran(platformtest.Run) {}
+
+// call makes a call on a new connection.
+func (env *testEnv) call(id string) call {
+	began := time.Now()
+	conn, err := net.DialTimeout("tcp", env.settings.Callers, time.Second)
+	if err != nil {
+		return call{err: err}
+	}
+	defer conn.Close()
+	request := platformtest.CallerRequest{ID: id, Method: http.MethodPost, Host: "a.example", URI: "/calls/" + id, TimeLeft: callTimeout}
+	caller := platformtest.NewCaller(conn)
+	if err := caller.Send(request); err != nil {
+		return call{err: err}
+	}
+	answer, err := caller.Receive(request)
+	return call{status: answer.Status, took: time.Since(began), err: err}
+}
+
+// assertRefused checks that a call was refused at once as not run.
+func (env *testEnv) assertRefused(got call) {
+	env.Helper()
+	env.Assert(got.err, qt.IsNil)
+	env.Assert(got.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("after %v", got.took))
+	env.Assert(got.took < promptly, qt.IsTrue, qt.Commentf("after %v", got.took))
+}
+
+// assertEndedBy checks that the daemon ends within a time from began.
+func (env *testEnv) assertEndedBy(began time.Time, timeout time.Duration) {
+	env.Helper()
+	<-env.ended
+	took := time.Since(began)
+	env.Assert(took < timeout, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+func TestStopAcceptsRequestsThatItCuts(t *testing.T) {
+	withCalls(t, 3*time.Second, func(env *testEnv) {
+		env.stop()
+		time.Sleep(1300 * time.Millisecond)
+		env.assertRefused(env.call("late"))
+	})
+}
+
+func TestStopAnswersRequestsThatFit(t *testing.T) {
+	withCalls(t, 4*time.Second, func(env *testEnv) {
+		env.stop()
+		got := env.call("early")
+		env.Assert(got.err, qt.IsNil)
+		env.Assert(got.status, qt.Equals, http.StatusOK)
+	})
+}
+
+func TestStopIsNoticedLate(t *testing.T) {
+	withCalls(t, 4*time.Second, func(env *testEnv) {
+		env.leaseClock.skip(1800 * time.Millisecond)
+		env.stop()
+		time.Sleep(300 * time.Millisecond)
+		env.assertRefused(env.call("late"))
+	})
+}
+
+func TestStopTakesLongerThanShortTimeout(t *testing.T) {
+	withCalls(t, 2*time.Second, func(env *testEnv) {
+		began := time.Now()
+		env.stop()
+		env.assertEndedBy(began, 2*time.Second)
+	})
+}
+
+func TestStopTimeoutShortenedDuringStop(t *testing.T) {
+	withCalls(t, 8*time.Second, func(env *testEnv) {
+		began := time.Now()
+		env.stop()
+		time.Sleep(300 * time.Millisecond)
+		env.settings.StopTimeout = 2 * time.Second
+		env.daemon.Reload(env.settings)
+		time.Sleep(400 * time.Millisecond)
+		env.assertRefused(env.call("late"))
+		env.assertEndedBy(began, 2*time.Second)
+	})
+}
+
+func TestStopResetsLateConnections(t *testing.T) {
+	withCalls(t, 8*time.Second, func(env *testEnv) {
+		env.stop()
+		time.Sleep(2200 * time.Millisecond)
+		var inProgress sync.WaitGroup
+		var group errgroup.Group
+		inProgress.Add(1)
+		group.Go(func() error {
+			inProgress.Done()
+			env.Check(env.call("in-progress").status, qt.Equals, http.StatusOK)
+			return nil
+		})
+		inProgress.Wait()
+		time.Sleep(900 * time.Millisecond)
+		env.assertRefused(env.call("late"))
+		env.Assert(group.Wait(), qt.IsNil)
+	})
+}
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -90,6 +90,8 @@
 	avoided []string
 	// bound is place.Request.SoftwareVersion of the last call of Place.
 	bound azurehitch.VersionBound
+	// onPlace is called with the number of each call of Place; nil does nothing.
+	onPlace func(n int)
 }
 
 // Place implements passthrough.Placer. Without any servers, it waits for the context to end.
@@ -104,6 +106,9 @@
 		return place.Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no more servers").WithRetryAfter(time.Second)
 	}
 	p.next++
+	if p.onPlace != nil {
+		p.onPlace(p.next)
+	}
 	p.avoided, p.bound = request.Avoid, request.SoftwareVersion
 	id := fmt.Sprintf("s%d", p.next-1)
 	version := ""
--- a/internal/forward/passthrough/passthrough_test.go
+++ b/internal/forward/passthrough/passthrough_test.go
@@ -185,9 +185,9 @@
 	t.Run("a daemon that is shutting down", func(t *testing.T) {
 		b := newBackend(t, whole, 0)
 		withGateway(t, idempotent, []*backend{b}, func(g *gateway) {
-			g.server.CloseConnections()
+			g.server.Drain(stopEndsIn(time.Minute))
 			g.Assert(g.send("GET", "/x/y", "").status, qt.Equals, 200)
-			g.server.RefuseNew()
+			g.server.Drain(stopEndsIn(2 * time.Second))
 			g.Assert(g.send("GET", "/x/y", "").status, qt.Equals, 503)
 			g.Assert(b.requests(), qt.HasLen, 1)
 		})
@@ -213,7 +213,7 @@
 	}
 	t.Run("a request that waits for a server is refused, not run", func(t *testing.T) {
 		withGateway(t, nonIdempotent, nil, func(g *gateway) {
-			g.Assert(stopDuring(g, nil, g.server.RefuseWaiting).status, qt.Equals, 503)
+			g.Assert(stopDuring(g, nil, func() { g.server.Drain(stopEndsIn(2 * time.Second)) }).status, qt.Equals, 503)
 		})
 	})
 	t.Run("a request sent to a server is not refused as not run", func(t *testing.T) {
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/refusal"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/forward/runtimes"
 	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
@@ -29,6 +30,8 @@
 	drainingRetryAfter = 50 * time.Millisecond
 	// failureRetryAfter is the retry delay after failures without an estimate.
 	failureRetryAfter = 300 * time.Millisecond
+	// answeredReason is the reason that is logged for a request with a complete answer.
+	answeredReason = "answered"
 	// maxLoggedParts limits the parts of a prompt in the log line of a request.
 	maxLoggedParts = 16
 )
@@ -69,6 +72,10 @@
 	firstEventAt time.Time
 	// isKnownSound is true once an attempt has shown that the prompt does not crash servers.
 	isKnownSound bool
+	// run measures how long the request takes at servers; nil until it is placed.
+	run *runtimes.Run
+	// stopEffect is what a planned stop did to the request.
+	stopEffect StopEffect
 }
 
 // errCallerDisconnected is the cancellation cause of a request whose caller closed the connection.
@@ -81,9 +88,7 @@
 		CallerRequest: s.Protocol.ReadRequest(requestHeader{&ctx.Request.Header}),
 		unwatch:       func() {},
 	}
-	if s.isClosing() {
-		ctx.SetConnectionClose()
-	}
+	defer r.closeConnection()
 	index := r.awaitConfiguration()
 	r.configurationVersion = index.Table.Version
 	if err := r.matchRoute(index); err != nil {
@@ -92,14 +97,18 @@
 		return
 	}
 	r.start()
-	r.run()
+	r.forward()
+}
+
+// closeConnection makes the response close its connection during a planned stop.
+func (r *request) closeConnection() {
+	if r.server.drain.hasBegun() {
+		r.http.SetConnectionClose()
+	}
 }
 
 // matchRoute sets the route and the service of the request. The error is an *azurehitch.ErrRefused.
 func (r *request) matchRoute(index *router.PathIndex) error {
-	if r.server.isRefusing() {
-		return azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetryAfter)
-	}
 	if r.configurationVersion == 0 {
 		return r.unconfiguredRefusal()
 	}
@@ -160,8 +169,12 @@
 	return r.deadline
 }
 
-// run sends the request until it has a response or may not be sent again.
-func (r *request) run() {
+// forward sends the request until it has a response or may not be sent again.
+func (r *request) forward() {
+	if err := r.checkDrain(); err != nil {
+		r.refuse(err)
+		return
+	}
 	if err := r.server.Quarantine.Check(r.service.Name, r.SharedParts); err != nil {
 		r.refuse(err)
 		return
@@ -205,25 +218,43 @@
 	return err
 }
 
-// place chooses the server of the next attempt.
+// place chooses the server of the next attempt. The error may be errDraining.
 func (r *request) place() (place.Choice, error) {
 	startedAt := r.server.Clock.Now()
-	ctx, cancel := context.WithCancel(r.ctx)
-	defer cancel()
-	stop := context.AfterFunc(r.server.waitCtx, cancel)
-	defer stop()
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	r.server.drain.addWaiting(r, cancel)
+	defer r.server.drain.removeWaiting(r)
+	if !r.mayStillStart() {
+		return place.Choice{}, errDraining
+	}
 	choice, err := r.server.Placer.Place(ctx, r.placeRequest())
 	r.placementTime += r.server.Clock.Now().Sub(startedAt)
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), errDraining):
+		return choice, errDraining
+	case err == nil && !r.mayStillStart():
+		choice.End()
+		return place.Choice{}, errDraining
+	case err == nil && r.run == nil:
+		r.run = r.server.runTimes.Begin(r.route.Name)
+	}
 	return choice, err
 }
 
+// mayStillStart reports whether no planned stop keeps the request from being sent to a server.
+func (r *request) mayStillStart() bool {
+	return !r.server.drain.hasBegun() || r.mayStart(r.server.drain.currentTiming())
+}
+
 // placementRefusal returns the refusal for a request that got no server because of err.
 func (r *request) placementRefusal(err error) error {
 	var refused *azurehitch.ErrRefused
 	switch {
 	case errors.As(err, &refused):
-	case r.server.waitCtx.Err() != nil:
-		refused = azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetryAfter)
+	case errors.Is(err, errDraining):
+		r.stopEffect = StopEffectRefusedWaiting
+		refused = drainingRefusal()
 	default:
 		refused = azurehitch.Refuse(azurehitch.CodeNoCapacity, "%v", err).WithRetryAfter(failureRetryAfter)
 	}
@@ -244,9 +275,6 @@
 	response.Header.SetContentType(refusal.ContentType)
 	r.server.Protocol.WriteRefusal(responseHeader{&response.Header}, r.CallerRequest, refused.RetryAfter)
 	response.SetBody(refusal.Encode(refused))
-	if r.server.isClosing() {
-		r.http.SetConnectionClose()
-	}
 	r.server.Metrics.AddLabeled(metrics.RequestsRefused, string(refused.Code), 1)
 	if r.ctx != nil && r.isCallerDisconnected() {
 		r.server.Metrics.Add(metrics.RequestsAbandoned, 1)
@@ -263,6 +291,8 @@
 	r.cancel(nil)
 	r.server.requestEnded()
 	took := r.server.Clock.Now().Sub(r.startedAt)
+	r.recordRunTime(reason)
+	r.recordStop(reason, took)
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
 	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).
 		Str("Resumes", r.Resumes).Str("LastEvent", r.LastEvent).Str("Route", r.route.Name).
@@ -271,7 +301,20 @@
 		Str("Reason", reason).Dur("Placed", r.placementTime).Dur("FirstEvent", r.timeToFirstEvent).
 		Dur("LongestPause", r.longestPause).Dur("Took", took).Dur("Left", r.deadline.Sub(r.startedAt)-took).
 		Dur("Objective", r.route.Objective).Dur("MaxPause", r.route.MaxPause).
-		Str("Attempts", r.attempts.String()).Msg("request ended")
+		Str("Attempts", r.attempts.String()).Str("Stop", string(r.stopEffect)).Msg("request ended")
+}
+
+// recordRunTime records how long the request took at servers. What a caller takes up again is only a
+// part of an answer.
+func (r *request) recordRunTime(reason string) {
+	if r.run == nil {
+		return
+	}
+	outcome := runtimes.OutcomeFailed
+	if reason == answeredReason && r.LastEvent == "" {
+		outcome = runtimes.OutcomeComplete
+	}
+	r.run.End(outcome)
 }
 
 // handleProtocolError responds to a malformed or oversized HTTP request.
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -5,6 +5,7 @@
 //
 //	server := passthrough.NewServer(dependencies, settings)
 //	group.Go(func() error { return server.Serve(listener) })
+//	server.Drain(timing)
 //	server.Stop(ctx)
 //
 // Each request gets exactly one response: that of a backend server, unchanged, or a refusal by the
@@ -23,6 +24,7 @@
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/forward/runtimes"
 	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/membership/serverlimit"
 	"azurehitch/internal/telemetry/logging"
@@ -121,25 +123,24 @@
 	settings  Settings
 	http      *fasthttp.Server
 	startedAt time.Time
-	// waitCtx ends when requests that wait for a server are to be refused, lifeCtx when all
-	// requests are to end.
-	waitCtx     context.Context
-	lifeCtx     context.Context
-	cancelWaits context.CancelFunc
-	cancelAll   context.CancelFunc
-
-	mu sync.Mutex
-	// closing is set by CloseConnections, and refusing by RefuseNew.
-	closing  bool
-	refusing bool
-	active   int
+	// lifeCtx ends when all requests are to end.
+	lifeCtx   context.Context
+	cancelAll context.CancelCauseFunc
+	drain     *drainState
+	// runTimes knows how long the requests of each route take at servers.
+	runTimes *runtimes.Tracker
+
+	mu     sync.Mutex
+	active int
 }
 
 // NewServer returns a Server.
 func NewServer(dependencies Dependencies, settings Settings) *Server {
-	s := &Server{Dependencies: dependencies, settings: settings, startedAt: dependencies.Clock.Now()}
-	s.lifeCtx, s.cancelAll = context.WithCancel(context.Background())
-	s.waitCtx, s.cancelWaits = context.WithCancel(s.lifeCtx)
+	s := &Server{
+		Dependencies: dependencies, settings: settings, startedAt: dependencies.Clock.Now(),
+		drain: newDrainState(), runTimes: runtimes.NewTracker(dependencies.Clock),
+	}
+	s.lifeCtx, s.cancelAll = context.WithCancelCause(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleProtocolError,
@@ -169,29 +170,9 @@
 	return errors.Wrap(s.http.Serve(callerconn.Listen(listener)), "serve callers")
 }
 
-// CloseConnections makes each response close its connection from now on, so that callers reconnect
-// to other daemons.
-func (s *Server) CloseConnections() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closing = true
-}
-
-// RefuseNew refuses new requests from now on, because they might not finish before the daemon
-// stops.
-func (s *Server) RefuseNew() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refusing = true
-}
-
-// RefuseWaiting refuses the requests that wait for a server. They were not run, so another daemon
-// may serve them.
-func (s *Server) RefuseWaiting() { s.cancelWaits() }
-
 // CancelRequests ends all requests in progress: requests without a response are refused, and
 // streams are cut.
-func (s *Server) CancelRequests() { s.cancelAll() }
+func (s *Server) CancelRequests() { s.cancelAll(errStopped) }
 
 // Stop closes the listener and the idle connections, and waits for the requests in progress until
 // the context ends.
@@ -220,17 +201,3 @@
 	s.active--
 	s.Metrics.Add(metrics.RequestsInProgress, -1)
 }
-
-// isRefusing reports whether new requests are refused.
-func (s *Server) isRefusing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refusing
-}
-
-// isClosing reports whether each response closes its connection.
-func (s *Server) isClosing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closing
-}
--- a/internal/forward/passthrough/unconfigured.go
+++ b/internal/forward/passthrough/unconfigured.go
@@ -33,7 +33,7 @@
 	if index.Table.Version > 0 {
 		return index
 	}
-	ctx, cancel := context.WithDeadline(r.server.waitCtx, r.holdDeadline())
+	ctx, cancel := context.WithDeadline(r.server.drain.ctx, r.holdDeadline())
 	defer cancel()
 	unwatch := callerconn.Watch(r.http.Conn(), cancel)
 	defer unwatch()
