A request that is refused after the cancellation of a stop is counted as cut

Cause: the cancellation is the cause of their contexts too. The effect that is set first counts now. TestStopCounts failed before: RefusedArriving 1, Cut 2.

--- a/internal/forward/passthrough/drain.go
+++ b/internal/forward/passthrough/drain.go
@@ -176,13 +176,18 @@
 	return azurehitch.Refuse(azurehitch.CodeDraining, "the daemon stops").WithRetryAfter(drainingRetryAfter)
 }
 
+// isStopped reports whether the request was canceled at the end of a planned stop.
+func (r *request) isStopped() bool {
+	return r.ctx != nil && errors.Is(context.Cause(r.ctx), errStopped)
+}
+
 // recordStop records what a planned stop did to the request, which has ended with a reason.
 func (r *request) recordStop(reason string, took time.Duration) {
 	s := r.server
 	if !s.drain.hasBegun() {
 		return
 	}
-	if reason != answeredReason && r.ctx != nil && errors.Is(context.Cause(r.ctx), errStopped) {
+	if r.stopEffect == StopEffectNone && reason != answeredReason && r.isStopped() {
 		r.stopEffect = StopEffectCut
 	}
 	s.drain.record(r.stopEffect, took)
--- a/internal/forward/passthrough/drain_test.go
+++ b/internal/forward/passthrough/drain_test.go
@@ -162,8 +162,9 @@
 		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 503)
 		g.server.CancelRequests()
 		g.Assert(group.Wait(), qt.IsNil)
+		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 503)
 		got := g.server.DrainCounts()
 		got.Longest = 0
-		g.Assert(got, qt.Equals, passthrough.DrainCounts{RefusedArriving: 1, Cut: 1})
+		g.Assert(got, qt.Equals, passthrough.DrainCounts{RefusedArriving: 2, Cut: 1})
 	})
 }
