--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -107,7 +107,7 @@
 		}
 		r.attempts.add(b.choice, strconv.Itoa(status))
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
-		r.end(status, "answered")
+		r.end(status, answeredReason)
 	case b.failure != nil:
 		r.recordError(b.choice, b.failure, time.Time{})
 		r.attempts.add(b.choice, "cut after "+strconv.FormatInt(int64(b.sent), 10)+" bytes: "+b.failure.Error())
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -95,6 +95,8 @@
 	// its deadline.
 	bound    azurehitch.VersionBound
 	timeLeft time.Duration
+	// onPlace is called with the number of each call of Place; nil does nothing.
+	onPlace func(n int)
 }
 
 // Place implements passthrough.Placer. Without any servers, it waits for the context to end.
@@ -109,6 +111,9 @@
 		return place.Choice{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no more servers").WithRetryAfter(time.Second)
 	}
 	p.next++
+	if p.onPlace != nil {
+		p.onPlace(p.next)
+	}
 	p.avoided, p.bound, p.timeLeft = request.Avoid, request.SoftwareVersion, time.Until(request.Deadline)
 	id := fmt.Sprintf("s%d", p.next-1)
 	version := ""
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -224,7 +224,7 @@
 		r.recordComplete(s.choice, s.exchange)
 		r.attempts.add(s.choice, strconv.Itoa(s.events)+" events")
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
-		r.end(s.status(), "answered")
+		r.end(s.status(), answeredReason)
 	case s.failure != nil:
 		r.countCut()
 		r.end(s.status(), "stream cut: "+s.failure.Error())
--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -128,7 +128,7 @@
 		}},
 		{
 			name: "waiting requests are refused in a planned stop", steps: pausingStream(),
-			during: func(g *gateway) { g.server.RefuseWaiting() },
+			during: func(g *gateway) { g.server.Drain(stopEndsIn(5 * time.Second)) },
 		},
 		{
 			name: "the retry budget is spent", steps: pausingStream(), second: []step{{0, eventStream("200 OK", thirdEvent)}},
@@ -222,7 +222,7 @@
 		withGateway(t, slowRoute(), []*backend{first, second}, func(g *gateway) {
 			g.whileSending(func() {
 				g.awaitRequest(first)
-				g.server.RefuseWaiting()
+				g.server.Drain(stopEndsIn(5 * time.Second))
 			})
 		})
 	})
