A request that is read as the daemon closes its idle connections is dropped

What callers saw: a request on a kept connection that the daemon had read completely, and then a closed connection without an answer. A caller can't tell this from a request that has run, so it can't repeat one that may run only once.

Cause: at the end of a stop, the HTTP library claims idle connections and closes them. Where the serving goroutine has just read a request there, it finds the claim and drops the request. Besides, a connection on which nothing was sent kept the stop for up to 5 s, and its caller got a 400 if the read timeout came first.

Now callerconn knows the idle connections. The library's shutdown comes when no connection is left.

--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -241,6 +241,12 @@
 
 // withGateway calls run with a gateway that forwards requests for a route to backends.
 func withGateway(t *testing.T, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
+	t.Helper()
+	withListener(t, route, backends, &hookListener{}, run)
+}
+
+// withListener calls run with a gateway that has a listener whose own Listener is set here.
+func withListener(t *testing.T, route azurehitch.PathRoute, backends []*backend, hooked *hookListener, run func(g *gateway)) {
 	t.Helper()
 	c := qt.New(t)
 	route.Name, route.Host, route.PathPrefix = "r", "a.example", "/x/"
@@ -274,7 +280,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
+	hooked.Listener = listener
+	group.Go(func() error { return server.Serve(hooked) })
 	g.server, g.address = server, listener.Addr().String()
 	run(g)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -132,6 +132,8 @@
 
 	mu     sync.Mutex
 	active int
+	// listener is that of Serve; nil before.
+	listener *callerconn.Listener
 }
 
 // NewServer returns a Server.
@@ -155,6 +157,7 @@
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
+		ConnState:                    callerconn.StateChanged,
 	}
 	return s
 }
@@ -167,7 +170,14 @@
 
 // Serve accepts connections of callers until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
-	return errors.Wrap(s.http.Serve(callerconn.Listen(listener)), "serve callers")
+	return errors.Wrap(s.http.Serve(s.listen(listener)), "serve callers")
+}
+
+func (s *Server) listen(listener net.Listener) net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = callerconn.Listen(listener, s.Clock)
+	return s.listener
 }
 
 // CancelRequests ends all requests in progress: requests without a response are refused, and
@@ -177,6 +187,18 @@
 // Stop closes the listener and the idle connections, and waits for the requests in progress until
 // the context ends.
 func (s *Server) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
+		return nil
+	}
+	if err := listener.CloseIdle(); err != nil {
+		return err
+	}
+	if err := listener.Wait(ctx); err != nil {
+		return errors.Wrap(err, "wait for requests in progress")
+	}
 	return errors.Wrap(s.http.ShutdownWithContext(ctx), "wait for requests in progress")
 }
 
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -1,48 +1,48 @@
-// Package callerconn detects that a caller has disconnected while its request is handled.
+// Package callerconn detects that a caller has disconnected while its request is handled, and closes
+// idle connections of callers without losing a request that has just been read.
 //
 // # Usage
 //
-//	listener = callerconn.Listen(listener)
+//	listener := callerconn.Listen(inner, clock)
+//	server.ConnState = callerconn.StateChanged
 //	...
 //	stop := callerconn.Watch(conn, cancel)
 //	defer stop()
+//	...
+//	err = listener.CloseIdle()
+//	err = listener.Wait(ctx)
 //
 // The HTTP library doesn't read from a connection while a handler runs, so it would not notice the
 // disconnect. This package reads one byte in the background meanwhile. If a byte arrives, it
 // belongs to the next request and is returned by the next Read; a later disconnect is then not
 // detected.
+//
+// When the HTTP library closes idle connections itself, it drops requests that it has read at the same
+// time. CloseIdle lets their next read fail instead: a request that was read before is handled.
 package callerconn
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
 
-// listener returns connections of type *conn.
-type listener struct{ net.Listener }
-
-// Listen returns a listener whose connections can be passed to Watch.
-func Listen(l net.Listener) net.Listener { return listener{Listener: l} }
-
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: accepted}, nil
-}
-
 // conn is a connection that can be watched.
 type conn struct {
 	net.Conn
-	group errgroup.Group
+	listener *Listener
+	group    errgroup.Group
 
 	mu       sync.Mutex
 	stopping bool
+	// isIdle is true while no part of a request has been read. expiresAt is when an idle connection
+	// is closed; zero until CloseIdle.
+	isIdle    bool
+	expiresAt time.Time
 	// readAhead is the byte that was read while the connection was watched, if any.
 	readAhead []byte
 	// readErr is the error of the background read; later reads return it.
@@ -101,17 +101,86 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if n, ok, err := c.readStored(p); ok {
+		return n, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		return n, c.setBusy()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// readStored returns the result of the background read; false if there is none.
+func (c *conn) readStored(p []byte) (n int, ok bool, err error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.readErr != nil {
-		defer c.mu.Unlock()
-		return 0, c.readErr
+		return 0, true, c.readErr
 	}
-	if len(c.readAhead) > 0 && len(p) > 0 {
-		defer c.mu.Unlock()
-		p[0] = c.readAhead[0]
-		c.readAhead = nil
-		return 1, nil
+	if len(c.readAhead) == 0 || len(p) == 0 {
+		return 0, false, nil
 	}
-	c.mu.Unlock()
-	return c.Conn.Read(p)
+	p[0] = c.readAhead[0]
+	c.readAhead = nil
+	return 1, true, c.setBusyLocked()
+}
+
+// SetReadDeadline implements net.Conn. A connection that expires keeps its deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expiresAt.IsZero() {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) setBusy() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.setBusyLocked()
+}
+
+// setBusyLocked records that a part of a request has been read. The request may take its time.
+func (c *conn) setBusyLocked() error {
+	c.isIdle = false
+	if c.expiresAt.IsZero() {
+		return nil
+	}
+	c.expiresAt = time.Time{}
+	return c.Conn.SetReadDeadline(time.Time{})
+}
+
+func (c *conn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle = true
+}
+
+func (c *conn) isExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.expiresAt.IsZero()
+}
+
+// expire lets the reads of an idle connection fail from a time on.
+func (c *conn) expire(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isIdle {
+		return
+	}
+	c.expiresAt = at
+	// A connection that can't take a deadline is closed already.
+	_ = c.Conn.SetReadDeadline(at)
 }
--- /dev/null
+++ b/internal/transport/callerconn/listener.go
@@ -0,0 +1,110 @@
+package callerconn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"azurehitch"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// idleGrace is how long an idle connection stays open after CloseIdle, for a request that is on its way.
+const idleGrace = 50 * time.Millisecond
+
+// Listener returns connections that can be passed to Watch, and closes them.
+type Listener struct {
+	net.Listener
+	clock azurehitch.Clock
+	close func() error
+
+	mu        sync.Mutex
+	isClosing bool
+	conns     map[*conn]struct{}
+	// empty is closed when CloseIdle has been called and no connection is open.
+	empty chan struct{}
+}
+
+// Listen returns a Listener.
+func Listen(l net.Listener, clock azurehitch.Clock) *Listener {
+	return &Listener{
+		Listener: l, clock: clock, close: sync.OnceValue(l.Close), conns: map[*conn]struct{}{}, empty: make(chan struct{}),
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, listener: l, isIdle: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	if l.isClosing {
+		c.expire(l.clock.Now().Add(idleGrace))
+	}
+	return c, nil
+}
+
+// Close implements net.Listener. Further calls return the result of the first.
+func (l *Listener) Close() error { return l.close() }
+
+// CloseIdle closes the listener and, after a short time, the connections that are idle or become so.
+func (l *Listener) CloseIdle() error {
+	err := l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isClosing && len(l.conns) == 0 {
+		close(l.empty)
+	}
+	l.isClosing = true
+	for c := range l.conns {
+		c.expire(l.clock.Now().Add(idleGrace))
+	}
+	return errors.Wrap(err, "close listener")
+}
+
+// Wait waits after CloseIdle until no connection is open.
+func (l *Listener) Wait(ctx context.Context) error {
+	select {
+	case <-l.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, isOpen := l.conns[c]; !isOpen {
+		return
+	}
+	delete(l.conns, c)
+	if l.isClosing && len(l.conns) == 0 {
+		close(l.empty)
+	}
+}
+
+// StateChanged is the fasthttp.Server.ConnState of a server whose listener is a Listener.
+func StateChanged(c net.Conn, state fasthttp.ConnState) {
+	idle, ok := c.(*conn)
+	if !ok || state != fasthttp.StateIdle {
+		return
+	}
+	idle.setIdle()
+	idle.listener.expireIfClosing(idle)
+}
+
+func (l *Listener) expireIfClosing(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isClosing {
+		c.expire(l.clock.Now().Add(idleGrace))
+	}
+}
