A planned stop right after a suspension ends at once

What callers would have seen: the machine is suspended for longer than the stop timeout, resumes, and the daemon is told to stop within half a second; all requests in progress are cut. Cause: the signal was taken to have been pending during the whole pause, so that no time was left. A signal counts as pending for at most half of the stop timeout now, and a pause counts for 0.2 s after its end instead of 0.5 s. The cancellation no longer depends on the step, which went straight to the last one here.

TestStopAfterSuspensionEndsAtOnce failed before: the daemon ended before its answer.

--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -45,7 +45,9 @@
 // stop makes the planned stop. It releases the leases at once, so that other daemons take them over
 // while the load balancer notices the stop and the requests in progress complete.
 func (d *Daemon) stop(ctx context.Context) error {
-	s := &plannedStop{Daemon: d, pendingSince: d.lateness.OnTimeUntil(), noticedAt: d.LeaseClock.Now(), step: stepAccepting}
+	noticedAt := d.LeaseClock.Now()
+	pendingSince := drain.PendingSince(noticedAt, d.lateness.OnTimeUntil(), time.Duration(d.stopTimeout.Load()))
+	s := &plannedStop{Daemon: d, pendingSince: pendingSince, noticedAt: noticedAt, step: stepAccepting}
 	d.stopping.Store(true)
 	d.callers.Drain(s.timing())
 	s.logStep("planned stop begins")
@@ -78,7 +80,7 @@
 			s.step = step
 			s.logStep("planned stop goes on")
 		}
-		if s.step == stepCanceling {
+		if !s.Clock.Now().Before(timing.CancelAt()) {
 			s.callers.CancelRequests()
 		}
 		if s.step == stepDone || s.Clock.Sleep(ctx, stopInterval) != nil {
--- a/internal/daemon/gateway/stop_test.go
+++ b/internal/daemon/gateway/stop_test.go
@@ -196,3 +196,22 @@
 		env.Assert(group.Wait(), qt.IsNil)
 	})
 }
+
+func TestStopAfterSuspensionEndsAtOnce(t *testing.T) {
+	withCalls(t, 4*time.Second, func(env *testEnv) {
+		var group errgroup.Group
+		group.Go(func() error {
+			env.Check(env.call("in-progress").status, qt.Equals, http.StatusOK)
+			return nil
+		})
+		time.Sleep(300 * time.Millisecond)
+		env.leaseClock.skip(time.Hour)
+		env.stop()
+		env.Assert(group.Wait(), qt.IsNil)
+		select {
+		case <-env.ended:
+			env.Fatal("the daemon ended before its answer")
+		default:
+		}
+	})
+}
--- a/internal/daemon/lateness/monitor.go
+++ b/internal/daemon/lateness/monitor.go
@@ -27,7 +27,7 @@
 	tolerance = 20 * time.Millisecond
 	// settleTime is the time after a pause within which the process may still be late in noticing
 	// what happened during the pause.
-	settleTime = 500 * time.Millisecond
+	settleTime = 200 * time.Millisecond
 	// windowSeconds is the time for which a pause counts in Worst.
 	windowSeconds = 30
 )
--- a/internal/forward/drain/timing.go
+++ b/internal/forward/drain/timing.go
@@ -29,6 +29,9 @@
 	// unrepeatableFactor is how many times its estimate a request has to fit in if it may not be
 	// repeated. Its caller loses more by a cut than by a refusal.
 	unrepeatableFactor = 1.2
+	// maxPendingDivisor is the divisor of the stop timeout that gives the longest time for which a
+	// signal is taken to have been pending.
+	maxPendingDivisor = 2
 )
 
 // Timing says when a planned stop began and when it has to end.
@@ -51,6 +54,16 @@
 	MayRepeat bool
 }
 
+// PendingSince returns the earliest time at which a process may have been told to stop that noticed it at
+// a given time, and ran on time until another. After a long pause, that may be any time; a process for
+// which half of the stop timeout is left still ends most of what it has begun.
+func PendingSince(noticedAt, onTimeUntil time.Time, stopTimeout time.Duration) time.Time {
+	if earliest := noticedAt.Add(-stopTimeout / maxPendingDivisor); onTimeUntil.Before(earliest) {
+		return earliest
+	}
+	return onTimeUntil
+}
+
 // End returns the time at which the process may be killed.
 func (t Timing) End() time.Time { return t.PendingSince.Add(t.StopTimeout) }
 
--- a/internal/forward/drain/timing_test.go
+++ b/internal/forward/drain/timing_test.go
@@ -76,3 +76,17 @@
 		qt.New(t).Assert(seconds(latest), qt.Equals, 6.0)
 	})
 }
+
+func TestPendingSince(t *testing.T) {
+	noticedAt := at(time.Hour)
+	for name, test := range map[string]struct{ late, want time.Duration }{
+		"on time":               {30 * time.Millisecond, 30 * time.Millisecond},
+		"late":                  {time.Second, time.Second},
+		"suspended for minutes": {10 * time.Minute, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			since := drain.PendingSince(noticedAt, noticedAt.Add(-test.late), 8*time.Second)
+			qt.New(t).Assert(noticedAt.Sub(since), qt.Equals, test.want)
+		})
+	}
+}
