--- a/internal/daemon/gateway/stop_test.go
+++ b/internal/daemon/gateway/stop_test.go
@@ -184,7 +184,7 @@
 func TestStopResetsLateConnections(t *testing.T) {
 	withCalls(t, 8*time.Second, func(env *testEnv) {
 		env.stop()
-		time.Sleep(2200 * time.Millisecond)
+		time.Sleep(1900 * time.Millisecond)
 		var inProgress sync.WaitGroup
 		var group errgroup.Group
 		inProgress.Add(1)
@@ -194,8 +194,27 @@
 			return nil
 		})
 		inProgress.Wait()
-		time.Sleep(900 * time.Millisecond)
+		time.Sleep(950 * time.Millisecond)
 		env.assertRefused(env.call("late"))
 		env.Assert(group.Wait(), qt.IsNil)
 	})
 }
+
+func TestStopAfterSuspensionEndsAtOnce(t *testing.T) {
+	withCalls(t, 4*time.Second, func(env *testEnv) {
+		var group errgroup.Group
+		group.Go(func() error {
+			env.Check(env.call("in-progress").status, qt.Equals, http.StatusOK)
+			return nil
+		})
+		time.Sleep(300 * time.Millisecond)
+		env.leaseClock.skip(time.Hour)
+		env.stop()
+		env.Assert(group.Wait(), qt.IsNil)
+		select {
+		case <-env.ended:
+			env.Fatal("the daemon ended before its answer")
+		default:
+		}
+	})
+}
