passthrough: the log line of a cut stream names the cause

A read that a planned stop ends fails with the same text as one that the deadline ends (i/o timeout), so logs could not tell them apart. The reason is now "stream cut (Stop): ...", with the label of the metric.

--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -111,8 +111,7 @@
 	case b.failure != nil:
 		r.recordError(b.choice, b.failure, time.Time{})
 		r.attempts.add(b.choice, "cut after "+strconv.FormatInt(int64(b.sent), 10)+" bytes: "+b.failure.Error())
-		r.countCut()
-		r.end(status, "answer cut: "+b.failure.Error())
+		r.end(status, "answer cut ("+string(r.countCut())+"): "+b.failure.Error())
 	default:
 		r.attempts.add(b.choice, strconv.Itoa(status))
 		r.server.Metrics.Add(metrics.RequestsAbandoned, 1)
--- a/internal/forward/passthrough/cut.go
+++ b/internal/forward/passthrough/cut.go
@@ -27,7 +27,9 @@
 	}
 }
 
-// countCut counts an answer that ended before its end.
-func (r *request) countCut() {
-	r.server.Metrics.AddLabeled(metrics.StreamsCut, string(r.cutCause()), 1)
+// countCut counts an answer that ended before its end, and returns the cause.
+func (r *request) countCut() cutCause {
+	cause := r.cutCause()
+	r.server.Metrics.AddLabeled(metrics.StreamsCut, string(cause), 1)
+	return cause
 }
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -228,8 +228,7 @@
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(s.status(), "answered")
 	case s.failure != nil:
-		r.countCut()
-		r.end(s.status(), "stream cut: "+s.failure.Error())
+		r.end(s.status(), "stream cut ("+string(r.countCut())+"): "+s.failure.Error())
 	default:
 		r.attempts.add(s.choice, strconv.Itoa(s.events)+" events")
 		r.server.Metrics.Add(metrics.RequestsAbandoned, 1)
