passthrough: an answer that is not surely the request's says nothing about it

Callers were told "not run, try again" for requests that ran, or such a request ran at a second server.

Cause: checkAnswer looked at the statement "not run" and at 421 before it compared the ids. A refusal of any other request, also on a new connection, made the daemon send a request that may run only once to a second server, or answer 503 for it. The notices of such an answer (shutdown, backoff, rate limit, and their ends) were taken as news of the server.

Fix: isOwn decides first. A response to another id, of any status, leaves the outcome unknown: its connection is closed, the request ends with 502 or, if it may be repeated, is sent again. It changes no notice.

Refusals without an id: a server that refuses before it has read the request can't echo the id. They count on a connection that had no earlier request, since there is none that they could belong to, and say nothing on a kept one. Requests that may run only once are never sent on a kept connection. A 429 or 503 of an intermediate, which does not state that the request was not run, says nothing in any case, as before.

Sent again to a server that refused it, a request has the same id. It never uses the connection of the refusal: the body of a refusal is not read, which closes the connection.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -106,8 +106,12 @@
 	}
 	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(startedAt))
 	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
-	r.applyNotice(choice, exchange.Header.StatusCode(), answer, startedAt)
+	if r.isOwn(exchange, answer) {
+		r.applyNotice(choice, exchange.Header.StatusCode(), answer, startedAt)
+	}
 	if res := r.checkAnswer(choice, exchange, answer); res.cause != nil {
+		// The body is not read, so this closes the connection. A refusal that the server writes on it once
+		// more is not taken for that of a later attempt, which has the same id.
 		exchange.Close()
 		return nil, answer, res
 	}
@@ -256,29 +260,6 @@
 	}
 }
 
-// checkAnswer returns a result with a cause if the response must not be passed to the caller.
-func (r *request) checkAnswer(choice place.Choice, exchange *connpool.Exchange, answer azurehitch.ServerAnswer) result {
-	status := exchange.Header.StatusCode()
-	switch {
-	case status == fasthttp.StatusMisdirectedRequest || answer.NotRun:
-		res := result{run: azurehitch.RunStateNotRun, cause: errors.Errorf("refused with %d, rest %v", status, answer.Backoff)}
-		if res.stillLoading = choice.Tier != "" && r.sends <= maxExtraSends; !res.stillLoading {
-			r.serversToAvoid = append(r.serversToAvoid, choice.Server.ID)
-		}
-		return res
-	case answer.ID != r.ID:
-		r.recordBadAnswer(choice)
-		return result{run: azurehitch.RunStateUnknown, cause: errors.Errorf("answer to %q", answer.ID)}
-	case answer.Encoded:
-		r.recordBadAnswer(choice)
-		return result{run: azurehitch.RunStateUnknown, cause: errors.New("the body is not as the server made it")}
-	case status < fasthttp.StatusMultipleChoices && !answer.Signed:
-		r.recordBadAnswer(choice)
-		return result{run: azurehitch.RunStateUnknown, cause: errors.New("the answer is not signed")}
-	}
-	return result{}
-}
-
 // mayRetry reports whether the request is to be sent again, and charges the retry budget unless the
 // request never reached the server. If the server still loads the model, mayRetry waits for one of
 // the loadingRetryDelays first.
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -161,6 +161,10 @@
 	return n, err
 }
 
+// IsFirst reports whether the exchange is the first one on its connection, so that its response can't be one
+// to an earlier request. It must be called before Close.
+func (e *Exchange) IsFirst() bool { return e.conn.isNew() }
+
 // IsCloseDelimited reports whether the body is delimited only by the close of the connection, so
 // that io.EOF doesn't prove that it is complete.
 func (e *Exchange) IsCloseDelimited() bool { return e.Header.ContentLength() == lengthUntilClose }
