platform: only a report counts as the answer to a report on a kept connection

Nobody's request is lost by this, but what a daemon believes of a server is: a 421 that a faulty server writes once more on a kept connection says that another server has the address, so the quarantine takes the server for crashed; a refusal gives it a backoff or a shutdown; an idle connection that the server closes in that moment counts as its end too.

Cause: a call for a report took whatever came next on a kept connection, which it shares with requests. Reports have no ids by which an earlier answer could be told.

Fix: on a kept connection only a report counts: status 200, and no id of a request. Anything else is asked for once more on a new connection, where nothing earlier can come. The connection of any other answer is closed.

On the code before (5 of 7 cases of TestReportIsNoEarlierAnswer fail):

--- FAIL: TestReportIsNoEarlierAnswer/a_refusal_of_another_server got: another server has the address

Shown not to happen for orders (TestOrderHasAConnectionOfItsOwn, green before): each has a connection of its own, so a 409, 412 or 421 of an earlier order is not taken for that of the next. A report that is written again as a report can't be told; orders that follow from it name the count of orders and meet 409.

--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -182,7 +182,7 @@
 		err = e.pool.memory.ExhaustedError()
 	}
 	if err != nil {
-		return nil, &ErrExchange{Address: e.address, Sent: true, Cause: err}
+		return nil, &ErrExchange{Address: e.address, Sent: true, NewConnection: e.conn.isNew(), Cause: err}
 	}
 	return body, nil
 }
@@ -238,6 +238,9 @@
 // open.
 func (e *Exchange) SetKeepAlive(d time.Duration) { e.keepAlive = d }
 
+// CloseConnection makes Close close the connection, also after a complete response.
+func (e *Exchange) CloseConnection() { e.fresh = true }
+
 // Close ends the exchange. Unless the response was read completely, the connection is closed, which
 // tells the server that nobody waits for the response any more.
 func (e *Exchange) Close() {
