passthrough: a server's 408, 429 or 503 is no promise without the statement "not run"

Callers take 408, 429 and 503 for the promise that their request was not run and never will be. A server makes that promise by a header field; without it, its 503 may come from a request that it ran.

Cause: an answer with such a status, the id of the request and no such field was passed on unchanged, so the daemon made a promise that the server had not made. Callers then repeat requests that may run only once.

Fix: the outcome of such an attempt is unknown: 502 without the server's signature, or another attempt if the request may be repeated. All other statuses of servers are passed on unchanged.

--- a/internal/forward/passthrough/answer.go
+++ b/internal/forward/passthrough/answer.go
@@ -14,6 +14,15 @@
 	return status == fasthttp.StatusMisdirectedRequest || answer.NotRun
 }
 
+// isPromise reports whether callers take a status for the promise that their request was not run.
+func isPromise(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isOwn reports whether a response is surely one to the request. A server may write an earlier response
 // again, so it must have the id of the request. A server that refuses a request before it has read the id
 // can't echo it: that is accepted on a connection that had no earlier request.
@@ -32,6 +41,8 @@
 		return r.badAnswer(choice, errors.Errorf("answer to %q", answer.ID))
 	case isRefusal(status, answer):
 		return r.refusedBy(choice, status, answer)
+	case isPromise(status):
+		return r.badAnswer(choice, errors.Errorf("status %d without the statement that the request was not run", status))
 	case answer.Encoded:
 		return r.badAnswer(choice, errors.New("the body is not as the server made it"))
 	case status < fasthttp.StatusMultipleChoices && !answer.Signed:
