connpool: a line break in the head of a request is not sent

Cause: the parts of the head were written as they are.

Callers can't cause it: the HTTP library answers 400 to CR and NUL in their fields.

--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -60,6 +60,9 @@
 // Do sends a request once and reads the head of the response. The exchange, including later reads
 // of the body, is aborted when the context ends. The error is an *ErrExchange.
 func (p *Pool) Do(ctx context.Context, address string, request Request, options Options) (*Exchange, error) {
+	if err := request.check(); err != nil {
+		return nil, &ErrExchange{Address: address, Cause: err}
+	}
 	c, err := p.acquire(ctx, address, options)
 	if err != nil {
 		return nil, &ErrExchange{Address: address, Cause: err}
--- a/internal/transport/connpool/request.go
+++ b/internal/transport/connpool/request.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"io"
 	"strconv"
+	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -36,6 +38,24 @@
 	return len(r.Body) > 0 || r.Method != fasthttp.MethodGet && r.Method != fasthttp.MethodHead
 }
 
+// errLineBreak is returned for a request that would end a line of its head early.
+var errLineBreak = errors.New("the head of the request contains a line break")
+
+// check returns errLineBreak if a part of the head can't be sent unchanged. Such a part would become header
+// fields or a request of its own at the server.
+func (r *Request) check() error {
+	isOdd := hasLineBreak(r.Method) || hasLineBreak(r.URI) || hasLineBreak(r.Host)
+	for _, f := range r.Fields {
+		isOdd = isOdd || hasLineBreak(f.Name) || hasLineBreak(f.Value)
+	}
+	if isOdd {
+		return errLineBreak
+	}
+	return nil
+}
+
+func hasLineBreak(text string) bool { return strings.ContainsAny(text, "\r\n\x00") }
+
 func (r *Request) write(w io.Writer) error {
 	buffered := bufio.NewWriterSize(w, writeBufferBytes)
 	// A bufio.Writer keeps its first error for Flush.
