fleet: an unreadable entry is reported once

On the code before:

--- FAIL: TestUnreadableEntryIsReportedOnce/however_often_it_is_read --- FAIL: TestUnreadableEntryIsReportedOnce/many_of_them

Shown not to happen: that the other entries, or later changes, are not followed (TestOtherEntriesHoldBesideUnreadableOnes, green before).

--- a/internal/membership/fleet/fold.go
+++ b/internal/membership/fleet/fold.go
@@ -33,7 +33,7 @@
 	ServerChanged(server azurehitch.FleetServer, change Change)
 	// ShutdownNoticed is called when a server itself has announced its shutdown.
 	ShutdownNoticed(server azurehitch.ServerIdentity, source Source)
-	// EntryUnreadable is called for an entry that can't be decoded.
+	// EntryUnreadable is called when an entry that can't be decoded is read for the first time.
 	EntryUnreadable(id string, err error)
 }
 
@@ -71,6 +71,8 @@
 	notices map[string]shutdownNotice
 	// removed are the servers that were removed within removalTTL, by ID.
 	removed map[string]removal
+	// unreadable are the entries that name no server.
+	unreadable unreadable
 	// failedAt is when a read of the list last failed; zero if none has.
 	failedAt time.Time
 	// version increases with each change that requires a new view.
@@ -85,7 +87,7 @@
 	f := &Fold{
 		decode: decode, observer: observer,
 		servers: map[string]azurehitch.FleetServer{}, missing: map[string]time.Time{},
-		notices: map[string]shutdownNotice{}, removed: map[string]removal{},
+		notices: map[string]shutdownNotice{}, removed: map[string]removal{}, unreadable: unreadable{},
 	}
 	f.view.Store(newView(f, time.Time{}))
 	return f
@@ -108,6 +110,7 @@
 			f.remove(id, readAt)
 		}
 	}
+	f.unreadable.retain(listed)
 	f.publish(readAt)
 }
 
@@ -139,14 +142,18 @@
 
 func (f *Fold) apply(r azurehitch.KeyedRecord, readAt time.Time) {
 	if len(r.Value) == 0 {
+		f.unreadable.remove(r.Key)
 		f.remove(r.Key, readAt)
 		return
 	}
 	s, err := f.decode(r.Key, r.Value)
 	if err != nil {
-		f.observer.EntryUnreadable(r.Key, err)
+		if f.unreadable.add(r.Key) {
+			f.observer.EntryUnreadable(r.Key, err)
+		}
 		return
 	}
+	f.unreadable.remove(r.Key)
 	before, known := f.servers[s.ID]
 	if known && s.Incarnation < before.Incarnation {
 		return
