gateway: test a daemon with odd entries among those of the servers

The daemon stays ready, serves, follows a new server, the removal of the old one and a new table, and reads the list as a whole once more.

--- /dev/null
+++ b/internal/daemon/gateway/oddentries_test.go
@@ -0,0 +1,111 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/platform/platformtest"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+)
+
+// ignoreEvents is a platformtest.Recorder that ignores all events.
+type ignoreEvents struct{}
+
+// Arrived implements platformtest.Recorder.
+func (ignoreEvents) Arrived(string, azurehitch.ServerIdentity, string) {}
+
+// Ran implements platformtest.Recorder.
+func (ignoreEvents) Ran(platformtest.Run) {}
+
+// Noticed implements platformtest.Recorder.
+func (ignoreEvents) Noticed(string, azurehitch.ServerIdentity, azurehitch.ServerNotice) {}
+
+// Ordered implements platformtest.Recorder.
+func (ignoreEvents) Ordered(platformtest.OrderArrival) {}
+
+// MemoryExceeded implements platformtest.Recorder.
+func (ignoreEvents) MemoryExceeded(azurehitch.ServerIdentity, azurehitch.SwapOrder) {}
+
+// startServer starts a server of the service of the test table and lists it.
+func (env *testEnv) startServer(t *testing.T, id string) *platformtest.Backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	env.Assert(err, qt.IsNil)
+	backend := platformtest.NewBackend(platformtest.BackendOptions{
+		ID: id, Address: listener.Addr().String(), Service: "desk", FailureDomain: "reduit", Slots: 4, Incarnation: 7, Recorder: ignoreEvents{},
+	})
+	var group errgroup.Group
+	group.Go(func() error { return backend.Serve(listener) })
+	t.Cleanup(func() {
+		backend.Kill()
+		env.Check(group.Wait(), qt.IsNil)
+	})
+	env.Assert(env.store.PutServer(backend.Entry()), qt.IsNil)
+	return backend
+}
+
+// isServed reports whether all of some requests are served.
+func (env *testEnv) isServed() bool {
+	const requests = 10
+	for range requests {
+		if env.status(env.settings.Callers, fmt.Sprintf("/v%d/x", env.version)) != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// oddEntry returns the entry of a server of the service of the test table with a change.
+func oddEntry(old, changed string) string {
+	const sound = `{"service":"desk","address":"127.0.0.1:1","zone":"reduit","slots":4,"state":"ready","born":7,"sequence":1}`
+	return strings.Replace(sound, old, changed, 1)
+}
+
+// putOddEntries leaves odd entries of another writer among those of the servers.
+func (env *testEnv) putOddEntries(round string) {
+	nested := strings.Repeat("[", 100_000)
+	for i, value := range []string{
+		nested, nested + strings.Repeat("]", 100_000), oddEntry(`"sequence":1`, `"models":`+nested), strings.Repeat(`{"a":`, 50_000),
+		oddEntry(`:1"`, `:80800"`), oddEntry(`:1"`, `:0"`), oddEntry(`:1"`, `:-1"`), oddEntry("127.0.0.1", "0.0.0.0"), oddEntry("127.0.0.1", "host"),
+		oddEntry(`"slots":4`, `"slots":9223372036854775807`), oddEntry(`"slots":4`, `"slots":1e400`), oddEntry(`"slots":4`, `"slots":NaN`),
+		oddEntry(`"slots":4`, `"slots":-1`), oddEntry(`"born":7`, `"born":9223372036854775807`), oddEntry(`"born":7`, `"born":1e300`),
+		oddEntry(`"desk"`, `7`), oddEntry(`"ready"`, `"elsewhere"`), oddEntry(`"ready"`, `null`), oddEntry(`"reduit"`, `["reduit"]`),
+		oddEntry(`"desk"`, `"`+strings.Repeat("d", 200_000)+`"`), "null", "[]", "7", `""`, "\xff\xfe", "\x00", strings.Repeat("\x00", 1000),
+	} {
+		env.store.PutServerEntry(fmt.Sprintf("odd-%s-%d", round, i), []byte(value))
+	}
+	for _, id := range []string{"", "\xff\xfe", "i-1\r\nX-A: 1", strings.Repeat("i", 255)} {
+		env.store.PutServerEntry(id, []byte(oddEntry(`"ready"`, `"elsewhere"`)))
+		env.store.PutServerEntry(id, []byte(oddEntry(":1", ":70000")))
+	}
+}
+
+func TestOddEntriesOfOtherWritersDoNotStopTheDaemon(t *testing.T) {
+	withDaemon(t, func(env *testEnv) {
+		env.putOddEntries("first")
+		first := env.startServer(t, "desk-1")
+		env.putOddEntries("second")
+		env.Assert(env.await(5*time.Second, env.isServed), qt.IsTrue)
+
+		env.startServer(t, "desk-2")
+		env.putOddEntries("third")
+		env.store.RemoveServer("desk-1")
+		env.Assert(env.await(5*time.Second, env.isServed), qt.IsTrue)
+		first.Kill()
+		env.putOddEntries("fourth")
+		env.Assert(env.await(5*time.Second, env.isServed), qt.IsTrue)
+
+		env.store.ExpireRecords()
+		env.publish()
+		env.Assert(env.await(5*time.Second, env.isTableInForce), qt.IsTrue)
+		env.Assert(env.await(5*time.Second, env.isServed), qt.IsTrue)
+		env.Assert(env.status(env.settings.Ready, "/"), qt.Equals, http.StatusOK)
+	})
+}
