--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -60,6 +60,9 @@
 // Do sends a request once and reads the head of the response. The exchange, including later reads
 // of the body, is aborted when the context ends. The error is an *ErrExchange.
 func (p *Pool) Do(ctx context.Context, address string, request Request, options Options) (*Exchange, error) {
+	if err := request.check(); err != nil {
+		return nil, &ErrExchange{Address: address, Cause: err}
+	}
 	c, err := p.acquire(ctx, address, options)
 	if err != nil {
 		return nil, &ErrExchange{Address: address, Cause: err}
@@ -161,6 +164,10 @@
 	return n, err
 }
 
+// IsFirst reports whether the exchange is the first one on its connection, so that its response can't be one
+// to an earlier request. It must be called before Close.
+func (e *Exchange) IsFirst() bool { return e.conn.isNew() }
+
 // IsCloseDelimited reports whether the body is delimited only by the close of the connection, so
 // that io.EOF doesn't prove that it is complete.
 func (e *Exchange) IsCloseDelimited() bool { return e.Header.ContentLength() == lengthUntilClose }
@@ -178,7 +185,7 @@
 		err = e.pool.memory.ExhaustedError()
 	}
 	if err != nil {
-		return nil, &ErrExchange{Address: e.address, Sent: true, Cause: err}
+		return nil, &ErrExchange{Address: e.address, Sent: true, NewConnection: e.conn.isNew(), Cause: err}
 	}
 	return body, nil
 }
@@ -234,6 +241,9 @@
 // open.
 func (e *Exchange) SetKeepAlive(d time.Duration) { e.keepAlive = d }
 
+// CloseConnection makes Close close the connection, also after a complete response.
+func (e *Exchange) CloseConnection() { e.fresh = true }
+
 // Close ends the exchange. Unless the response was read completely, the connection is closed, which
 // tells the server that nobody waits for the response any more.
 func (e *Exchange) Close() {
