--- a/internal/daemon/gateway/oddentries_test.go
+++ b/internal/daemon/gateway/oddentries_test.go
@@ -8,38 +8,19 @@
 	"testing"
 	"time"
 
-	"azurehitch"
 	"azurehitch/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 )
 
-// ignoreEvents is a platformtest.Recorder that ignores all events.
-type ignoreEvents struct{}
-
-// Arrived implements platformtest.Recorder.
-func (ignoreEvents) Arrived(string, azurehitch.ServerIdentity, string) {}
-
-// Ran implements platformtest.Recorder.
-func (ignoreEvents) Ran(platformtest.Run) {}
-
-// Noticed implements platformtest.Recorder.
-func (ignoreEvents) Noticed(string, azurehitch.ServerIdentity, azurehitch.ServerNotice) {}
-
-// Ordered implements platformtest.Recorder.
-func (ignoreEvents) Ordered(platformtest.OrderArrival) {}
-
-// MemoryExceeded implements platformtest.Recorder.
-func (ignoreEvents) MemoryExceeded(azurehitch.ServerIdentity, azurehitch.SwapOrder) {}
-
 // startServer starts a server of the service of the test table and lists it.
 func (env *testEnv) startServer(t *testing.T, id string) *platformtest.Backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	env.Assert(err, qt.IsNil)
 	backend := platformtest.NewBackend(platformtest.BackendOptions{
-		ID: id, Address: listener.Addr().String(), Service: "desk", FailureDomain: "reduit", Slots: 4, Incarnation: 7, Recorder: ignoreEvents{},
+		ID: id, Address: listener.Addr().String(), Service: "desk", FailureDomain: "reduit", Slots: 4, Incarnation: 7, Recorder: platformtest.DiscardRecorder{},
 	})
 	var group errgroup.Group
 	group.Go(func() error { return backend.Serve(listener) })
--- a/internal/daemon/gateway/stop_test.go
+++ b/internal/daemon/gateway/stop_test.go
@@ -68,7 +68,7 @@
 	env.Assert(err, qt.IsNil)
 	backend := platformtest.NewBackend(platformtest.BackendOptions{
 		ID: "i-1", Address: listener.Addr().String(), Service: "calls", FailureDomain: "z1", Slots: 100,
-		Work: platformtest.Work{Call: callTime}, Recorder: discardRecorder{},
+		Work: platformtest.Work{Call: callTime}, Recorder: platformtest.DiscardRecorder{},
 	})
 	var group errgroup.Group
 	group.Go(func() error { return backend.Serve(listener) })
@@ -89,18 +89,6 @@
 	env.Assert(env.await(10*time.Second, func() bool { return env.call("first").status == http.StatusOK }), qt.IsTrue)
 }
 
-// discardRecorder is a platformtest.Recorder that records nothing.
-type discardRecorder struct{ platformtest.Recorder }
-
-// Arrived implements platformtest.Recorder.
-func (discardRecorder) Arrived(string, azurehitch.ServerIdentity, string) {}
-
-// Ran implements platformtest.Recorder.
-func (discardRecorder) Ran(platformtest.Run) {}
-
-// Progressed implements platformtest.Recorder.
-func (discardRecorder) Progressed(string, azurehitch.ServerIdentity, platformtest.RunStep) {}
-
 // call makes a call on a new connection.
 func (env *testEnv) call(id string) call {
 	began := time.Now()
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -251,7 +251,7 @@
 }
 
 // withListener calls run with a gateway that has a listener whose own Listener is set here.
-func withListener(t *testing.T, route azurehitch.PathRoute, backends []*backend, hooked *hookListener, run func(g *gateway)) {
+func withListener(t testing.TB, route azurehitch.PathRoute, backends []*backend, hooked *hookListener, run func(g *gateway)) {
 	t.Helper()
 	c := qt.New(t)
 	route.Name, route.Host, route.PathPrefix = "r", "a.example", "/x/"
