retrybudget: a cheaper count in the simulation

With -race the package took 38 s a run beside load, as each window counted all requests. The times ascend, so a binary search counts them: 3.7 s.

--- a/internal/forward/retrybudget/simulation_test.go
+++ b/internal/forward/retrybudget/simulation_test.go
@@ -131,12 +131,21 @@
 func (s *simulation) greatestUse() float64 {
 	greatest := 0.0
 	for _, end := range s.retries {
-		allowed := limits.Ratio*float64(countInWindow(s.requests, end)) + s.slack
-		greatest = max(greatest, float64(countInWindow(s.retries, end))/allowed)
+		allowed := limits.Ratio*float64(countInSorted(s.requests, end)) + s.slack
+		greatest = max(greatest, float64(countInSorted(s.retries, end))/allowed)
 	}
 	return greatest
 }
 
+// countInSorted is countInWindow for ascending times.
+func countInSorted(times []time.Time, end time.Time) int {
+	after := func(at time.Time) int {
+		i, _ := slices.BinarySearchFunc(times, at, func(t, at time.Time) int { return t.Compare(at.Add(1)) })
+		return i
+	}
+	return after(end) - after(end.Add(-limits.Window))
+}
+
 // deployments are of two sizes, with the same troubles.
 func deployments() []deployment {
 	var all []deployment
