passthrough: a retry without a server is not charged

A retry is charged to the budget before a server is looked for. Where none was found, the request was refused and the charge stayed: on a large deployment, whose daemons may make two retries in a window, the next request got none.

TestRetryWithoutServerIsNotCharged failed before: 1 charged, want 0.

--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -68,17 +68,26 @@
 	}
 }
 
-// testBudget is a RetryBudget that is unlimited until isSpent is set.
-type testBudget struct{ isSpent bool }
+// testBudget is a RetryBudget that is unlimited until isSpent is set. charged counts the charges that
+// were not refunded.
+type testBudget struct {
+	isSpent bool
+	charged atomic.Int64
+}
 
 // Earn implements passthrough.RetryBudget.
 func (*testBudget) Earn(string) {}
 
 // Spend implements passthrough.RetryBudget.
-func (b *testBudget) Spend(string) bool { return !b.isSpent }
+func (b *testBudget) Spend(string) bool {
+	if !b.isSpent {
+		b.charged.Add(1)
+	}
+	return !b.isSpent
+}
 
 // Refund implements passthrough.RetryBudget.
-func (*testBudget) Refund(string) {}
+func (b *testBudget) Refund(string) { b.charged.Add(-1) }
 
 // sequencePlacer places each attempt on the next server of a list.
 type sequencePlacer struct {
--- a/internal/forward/passthrough/passthrough_test.go
+++ b/internal/forward/passthrough/passthrough_test.go
@@ -120,6 +120,13 @@
 	})
 }
 
+func TestRetryWithoutServerIsNotCharged(t *testing.T) {
+	withGateway(t, nonIdempotent, []*backend{newBackend(t, notRun, 0)}, func(g *gateway) {
+		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 503)
+		g.Assert(g.budget.charged.Load(), qt.Equals, int64(0))
+	})
+}
+
 // TestRefusals checks that the daemon refuses a request as not run only if no server can have run
 // it.
 func TestRefusals(t *testing.T) {
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -182,9 +182,14 @@
 		r.refuse(err)
 		return
 	}
+	// failed is the result of the last attempt, after which a retry was charged; nil before.
+	var failed *result
 	for {
 		choice, err := r.place()
 		if err != nil {
+			if failed != nil {
+				r.refundRetry(*failed)
+			}
 			r.refuse(r.placementRefusal(err))
 			return
 		}
@@ -196,6 +201,7 @@
 			r.refuse(r.finalRefusal(result))
 			return
 		}
+		failed = &result
 		r.server.Metrics.Add(metrics.RequestsRetried, 1)
 	}
 }
