quarantine: a count of trials out of range does not block requests

What callers would see: requests with a held part, and then all requests that consult the quarantine, get no answer from any daemon, also after a restart.

Cause: the delay to the next trial was computed in a loop over the count of trials, under the lock that every request with a held part in force takes. The count comes from the stream `quarantine` and from other daemons, which pass it on; one record with 2^62 trials blocks the lock for good, 2^31 for about a second each time.

TestCountOfTrialsOutOfRangeDoesNotBlockRequests on the code before:

--- FAIL: .../very_many (0.30s) a request waits for the quarantine --- FAIL: .../as_many_as_a_message_holds (0.31s)

--- a/internal/forward/quarantine/trial.go
+++ b/internal/forward/quarantine/trial.go
@@ -29,7 +29,7 @@
 	if h.wasAnswered {
 		delay = firstTrialDelayAnswered
 	}
-	for range h.trials {
+	for trial := 0; trial < h.trials && delay < maxTrialDelay; trial++ {
 		delay = min(trialDelayFactor*delay, maxTrialDelay)
 	}
 	from := h.lastCrashAt
