backend, jsonhttp: bytes on an idle connection answer no request

What callers would see: an answer or a refusal that an engine writes once more, after its answer, was given to the next caller on that connection as the answer to its request. A connection that the engine had closed meanwhile cost an attempt of unknown outcome.

Cause: the client library reuses a connection after a complete answer without looking at it. connpool, which the gateway uses for requests, checks that an idle connection is open and has no unread bytes.

Fix: idleconn has that check for all three. A request is not sent on a connection that fails it; since nothing was sent, it is sent on the next one, or on a new one.

Not covered: an earlier answer that arrives between the check and the answer that is due. Engines of `serve` and the store echo no id by which it could be told; requests that may run only once have a connection of their own. The gateway compares ids.

--- a/internal/forward/backend/transport.go
+++ b/internal/forward/backend/transport.go
@@ -14,11 +14,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
 	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/transport/idleconn"
 	"azurehitch/internal/transport/jsonhttp"
 	"azurehitch/internal/transport/pinnedhttp"
 
@@ -118,6 +120,7 @@
 func NewTransport(clock azurehitch.Clock, observer Observer) *Transport {
 	return &Transport{
 		client: &fasthttp.Client{
+			Dial:                      dial,
 			MaxConnsPerHost:           maxConnections,
 			MaxIdleConnDuration:       maxIdleTime,
 			ReadBufferSize:            headerBufferBytes,
@@ -132,6 +135,14 @@
 	}
 }
 
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return idleconn.Wrap(conn), nil
+}
+
 // IsOpen reports whether the circuit breaker of a server is open.
 func (t *Transport) IsOpen(server tables.BackendServer) bool {
 	return t.breakers.IsOpen(server.Address)
@@ -164,7 +175,7 @@
 		return nil, call.failed(azurehitch.RunStateNotRun, errors.New("no deadline"))
 	}
 	resp := fasthttp.AcquireResponse()
-	if err := t.client.DoDeadline(call.Request, resp, deadline); err != nil {
+	if err := idleconn.Send(func() error { return t.client.DoDeadline(call.Request, resp, deadline) }); err != nil {
 		fasthttp.ReleaseResponse(resp)
 		run := azurehitch.RunStateUnknown
 		if jsonhttp.IsDialError(err) {
--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"azurehitch/internal/transport/idleconn"
+
 	"github.com/pkg/errors"
 )
 
@@ -47,27 +49,7 @@
 // isHealthy reports whether an idle connection is open and has no unread data. Data that arrives
 // on an idle connection belongs to no request, so that the connection can't be reused.
 func (c *conn) isHealthy() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.tcp.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rawConn, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	healthy := false
-	if err := rawConn.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, err := syscall.Read(int(fd), buf[:])
-		healthy = err == syscall.EAGAIN
-		return true
-	}); err != nil {
-		return false
-	}
-	return healthy
+	return c.reader.Buffered() == 0 && idleconn.IsUsable(c.tcp)
 }
 
 // interrupt makes reads and writes in progress fail, by a deadline in the past.
--- a/internal/transport/jsonhttp/client.go
+++ b/internal/transport/jsonhttp/client.go
@@ -23,6 +23,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/transport/countconn"
+	"azurehitch/internal/transport/idleconn"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -111,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return countconn.Wrap(conn), nil
+	return countconn.Wrap(idleconn.Wrap(conn)), nil
 }
 
 // WithBearer returns a copy that sends key as the bearer token of each call. It shares the
@@ -159,7 +160,7 @@
 	if err := ctx.Err(); err != nil {
 		return "", &ErrCall{Method: method, Path: path, Cause: err}
 	}
-	if err := c.http.DoDeadline(req, resp, deadlineOf(ctx)); err != nil {
+	if err := idleconn.Send(func() error { return c.http.DoDeadline(req, resp, deadlineOf(ctx)) }); err != nil {
 		return "", &ErrCall{Method: method, Path: path, Sent: !IsDialError(err), Cause: err}
 	}
 	if resp.StatusCode() == fasthttp.StatusNotModified {
@@ -210,7 +211,7 @@
 
 // IsDialError reports whether a call failed because it got no connection, so that nothing was sent.
 func IsDialError(err error) bool {
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.Is(err, idleconn.ErrStale) || errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return true
 	}
 	var opErr *net.OpError
