--- a/internal/forward/drain/simulation_test.go
+++ b/internal/forward/drain/simulation_test.go
@@ -28,7 +28,9 @@
 
 // workload draws how long requests take. The argument is the time until the stop, negative after it.
 type workload struct {
-	name     string
+	name string
+	// rate is the number of requests per second.
+	rate     float64
 	duration func(random *rand.Rand, untilStop time.Duration) time.Duration
 }
 
@@ -55,19 +57,22 @@
 }
 
 var workloads = []workload{
-	{"calls of 0.3 s", logNormal(300*time.Millisecond, 0.6)},
-	{"streams of 2 s", logNormal(2*time.Second, 0.4)},
-	{"streams of 4 s", logNormal(4*time.Second, 0.5)},
-	{"short and long", mixed},
-	{"slower meanwhile", slowing},
+	{"calls of 0.3 s", usualRate, logNormal(300*time.Millisecond, 0.6)},
+	{"streams of 2 s", usualRate, logNormal(2*time.Second, 0.4)},
+	{"streams of 4 s", usualRate, logNormal(4*time.Second, 0.5)},
+	{"short and long", usualRate, mixed},
+	{"slower meanwhile", usualRate, slowing},
+	{"rare, 2 s", 0.3, logNormal(2*time.Second, 0.5)},
 }
 
 const (
-	stops          = 20
-	warmUp         = 45 * time.Second
-	arrivalsPerSec = 15
-	routeTimeout   = 12 * time.Second
-	stopTimeout    = 8 * time.Second
+	// stops is the number of stops for a workload of the usual rate, in requests per second. Others get
+	// as many requests.
+	stops        = 20
+	usualRate    = 15.0
+	warmUp       = 45 * time.Second
+	routeTimeout = 12 * time.Second
+	stopTimeout  = 8 * time.Second
 	// The load balancer sends requests to the daemon until balancerDelay after the stop.
 	balancerDelay = 2700 * time.Millisecond
 )
@@ -164,7 +169,7 @@
 }
 
 func (s *simulation) nextArrival() time.Duration {
-	return time.Duration(s.random.ExpFloat64() / arrivalsPerSec * float64(time.Second))
+	return time.Duration(s.random.ExpFloat64() / s.load.rate * float64(time.Second))
 }
 
 // play plays a stop that the daemon notices late, and adds to the outcome.
@@ -198,7 +203,7 @@
 
 func simulate(load workload, r rule, noticedLate time.Duration) outcome {
 	var out outcome
-	for seed := range uint64(stops) {
+	for seed := range uint64(stops * usualRate / load.rate) {
 		clock := &virtualClock{now: time.Unix(1000, 0)}
 		s := &simulation{clock: clock, random: rand.New(rand.NewPCG(seed, 7)), tracker: runtimes.NewTracker(clock), load: load}
 		s.play(r, noticedLate, &out)
