gateway: a planned stop follows changed settings

What could happen: the platform shortens the stop timeout while a daemon stops, by SIGHUP or by the file alone; the daemon keeps to the old one and is killed with its requests. TestStopTimeoutShortenedDuringStop calls Reload itself and did not notice.

Cause: the context of the watcher was derived from that of the signal. Now it ends with the daemon.

TestSettingsChangedDuringPlannedStopAreIgnored on the context as it was:

--- FAIL: TestSettingsChangedDuringPlannedStopAreIgnored/without_a_signal (3.01s) the settings were not reloaded

"with a signal" passes there now and then, as both events are due at once. A whole process on loopback with the same change (a trial) wrote no line "settings reloaded" in 2 s of its stop. With the fix 10 of 10 runs with -race.

--- a/cmd/azurehitch/cmds/gateway.go
+++ b/cmd/azurehitch/cmds/gateway.go
@@ -62,18 +62,8 @@
 	if err != nil {
 		return err
 	}
-	running, stop := context.WithCancel(ctx)
-	defer stop()
 	watcher := settingsWatcher{path: path, content: content, daemon: daemon, logger: logs.Layer(logging.LayerDaemon)}
-	var group errgroup.Group
-	group.Go(func() error {
-		watcher.run(running, hangups)
-		return nil
-	})
-	err = daemon.Run(ctx)
-	stop()
-	// The watcher returns no error.
-	_ = group.Wait()
+	err = watcher.runBeside(ctx, hangups, daemon.Run)
 	logs.Close()
 	return err
 }
@@ -84,10 +74,32 @@
 	path string
 	// content is the content of the file that was read last.
 	content []byte
-	daemon  *gateway.Daemon
+	daemon  reloader
 	logger  *log.Logger
 }
 
+// reloader is a daemon that takes changed settings.
+type reloader interface {
+	Reload(settings gateway.Settings)
+}
+
+// runBeside runs a daemon and watches the settings until the daemon has ended. A planned stop, which
+// begins when the context ends, follows the settings too.
+func (w *settingsWatcher) runBeside(ctx context.Context, hangups <-chan os.Signal, run func(context.Context) error) error {
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error {
+		w.run(watching, hangups)
+		return nil
+	})
+	err := run(ctx)
+	stop()
+	// The watcher returns no error.
+	_ = group.Wait()
+	return err
+}
+
 func (w *settingsWatcher) run(ctx context.Context, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
