passthrough: test that takeovers keep to the attempts and the retry budget

Five parts of the takeover could be switched off, one by one, without a test that noticed (all of the package, with an overlay): the silent server counted as an attempt, the charge to the retry budget, its refund where no server was found, and the counts of an attempt that failed and of a server that was left. The cases "one attempt" and "the retry budget is spent" asked only for a whole stream, which the second server gave too.

Now TestSoundServerThatPauses counts the requests of the second server and the retries charged, and TestSilentServerIsOneOfTheAttempts those of a third one. With each of the five switched off at least one case fails; the code as it is passes, with -race too.

--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -69,16 +69,26 @@
 }
 
 // testBudget is a RetryBudget that is unlimited until isSpent is set.
-type testBudget struct{ isSpent bool }
+type testBudget struct {
+	isSpent bool
+	// charged is the number of retries that were charged and not refunded.
+	charged atomic.Int64
+}
 
 // Earn implements passthrough.RetryBudget.
 func (*testBudget) Earn(string) {}
 
 // Spend implements passthrough.RetryBudget.
-func (b *testBudget) Spend(string) bool { return !b.isSpent }
+func (b *testBudget) Spend(string) bool {
+	if b.isSpent {
+		return false
+	}
+	b.charged.Add(1)
+	return true
+}
 
 // Refund implements passthrough.RetryBudget.
-func (*testBudget) Refund(string) {}
+func (b *testBudget) Refund(string) { b.charged.Add(-1) }
 
 // sequencePlacer places each attempt on the next server of a list.
 type sequencePlacer struct {
--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -117,6 +117,9 @@
 		before, during func(g *gateway)
 		// attempts is the maximum number of servers of the route; 0 means two.
 		attempts int
+		// asked is how many requests the second server gets, and charged how many retries are charged.
+		asked   int
+		charged int64
 	}{
 		{name: "no other server is free", steps: pausingStream()},
 		{name: "no other server is free, before the first event", steps: []step{{0, streamHead}, {longPause, chunk(threeEvents) + streamEnd}}},
@@ -135,10 +138,10 @@
 			before: func(g *gateway) { g.budget.isSpent = true },
 		},
 		{name: "one attempt", steps: pausingStream(), second: []step{{0, eventStream("200 OK", thirdEvent)}}, attempts: 1},
-		{name: "the second server is full", steps: pausingStream(), second: []step{{0, notRun}}},
-		{name: "the second server resets", steps: pausingStream(), second: []step{}},
-		{name: "the second server does not answer", steps: pausingStream(), second: []step{{5 * time.Second, ""}}},
-		{name: "the second server fails", steps: pausingStream(), second: []step{{0, eventStream("500 Oops", "data: bad\n\n")}}},
+		{name: "the second server is full", steps: pausingStream(), second: []step{{0, notRun}}, asked: 1, charged: 1},
+		{name: "the second server resets", steps: pausingStream(), second: []step{}, asked: 1, charged: 1},
+		{name: "the second server does not answer", steps: pausingStream(), second: []step{{5 * time.Second, ""}}, asked: 1, charged: 1},
+		{name: "the second server fails", steps: pausingStream(), second: []step{{0, eventStream("500 Oops", "data: bad\n\n")}}, asked: 1, charged: 1},
 		{
 			name: "the second server has another software version", steps: pausingStream(), second: []step{{0, eventStream("200 OK", thirdEvent)}},
 			before: func(g *gateway) { g.placer.versions = []string{"v1", "v2"} },
@@ -169,6 +172,30 @@
 					}
 				})
 				g.Assert(g.server.Breakers.IsOpen(servers[0].address), qt.IsFalse)
+				if test.second != nil {
+					g.Check(servers[1].requests(), qt.HasLen, test.asked)
+				}
+				g.Check(g.budget.charged.Load(), qt.Equals, test.charged)
+			})
+		})
+	}
+}
+
+// TestSilentServerIsOneOfTheAttempts checks that a stream reaches no more servers than its route allows.
+func TestSilentServerIsOneOfTheAttempts(t *testing.T) {
+	begun := streamHead + chunk(firstEvent)
+	for name, next := range map[string][]step{
+		"the second server fails":              {{0, eventStream("500 Oops", "data: bad\n\n")}},
+		"the second server takes over, paused": {{0, streamHead + chunk(secondEvent)}, {2 * longPause, chunk(thirdEvent) + streamEnd}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := newPausingBackend(t, step{0, begun}, step{2 * longPause, chunk(secondEvent) + chunk(thirdEvent) + streamEnd})
+			second, third := newPausingBackend(t, next...), newPausingBackend(t, next...)
+			withGateway(t, slowRoute(), []*backend{first, second, third}, func(g *gateway) {
+				g.whileSending(func() {})
+				g.Assert(second.requests(), qt.HasLen, 1)
+				g.Assert(third.requests(), qt.HasLen, 0)
 			})
 		})
 	}
