--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -68,10 +68,10 @@
 	}
 }
 
-// testBudget is a RetryBudget that is unlimited until isSpent is set. charged counts the charges that
-// were not refunded.
+// testBudget is a RetryBudget that is unlimited until isSpent is set.
 type testBudget struct {
 	isSpent bool
+	// charged is the number of retries that were charged and not refunded.
 	charged atomic.Int64
 }
 
@@ -80,10 +80,11 @@
 
 // Spend implements passthrough.RetryBudget.
 func (b *testBudget) Spend(string) bool {
-	if !b.isSpent {
-		b.charged.Add(1)
+	if b.isSpent {
+		return false
 	}
-	return !b.isSpent
+	b.charged.Add(1)
+	return true
 }
 
 // Refund implements passthrough.RetryBudget.
