retrybudget: a daemon that knows no others has no share of the slack

Cause: no known daemon counted as one. Now there is no slack until the list of daemons was read; the part that grows with requests stays.

TestDaemonThatKnowsNoOthersSpendsTheSlackOfAll failed before: a retry is allowed.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -276,7 +276,7 @@
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
 	breakers := breaker.NewBreakers(d.Clock)
-	d.retryBudget = retrybudget.New(d.Clock, s.retryLimits(), d.daemonCount)
+	d.retryBudget = retrybudget.New(d.Clock, s.retryLimits(), d.listedDaemonCount)
 	d.callers = passthrough.NewServer(passthrough.Dependencies{
 		Routing:  d.routing.Index,
 		Protocol: d.Protocol,
@@ -304,6 +304,14 @@
 // daemonCount returns the number of known daemons.
 func (d *Daemon) daemonCount() int { return len(d.members.Names()) }
 
+// listedDaemonCount returns the number of known daemons, and 0 before the others have been read.
+func (d *Daemon) listedDaemonCount() int {
+	if !d.members.IsListed() {
+		return 0
+	}
+	return d.daemonCount()
+}
+
 // rank returns the index of this daemon in the sorted names of the known daemons. It determines which
 // daemon appends a snapshot first.
 func (d *Daemon) rank() int {
--- a/internal/forward/retrybudget/budget.go
+++ b/internal/forward/retrybudget/budget.go
@@ -56,7 +56,7 @@
 }
 
 // New returns the budget of a daemon. The function daemons returns the number of daemons that share
-// the slack, which may change.
+// the slack, which may change. While it returns 0, the number is not known, and there is no slack.
 func New(clock azurehitch.Clock, limits Limits, daemons func() int) *Budget {
 	return &Budget{clock: clock, limits: limits, daemons: daemons, startedAt: clock.Now(), services: map[string]*counts{}}
 }
@@ -101,7 +101,10 @@
 // the slack is halved, since an earlier process of this host may have used a part of it.
 func (b *Budget) share(c *counts, bucket int64) float64 {
 	share := b.limits.Ratio * float64(c.requests.sum(bucket, bucketsPerWindow))
-	slack := b.limits.Slack / float64(max(b.daemons(), 1))
+	slack := 0.0
+	if daemons := b.daemons(); daemons > 0 {
+		slack = b.limits.Slack / float64(daemons)
+	}
 	if b.clock.Now().Sub(b.startedAt) < b.limits.Window {
 		slack /= 2
 	}
--- a/internal/forward/retrybudget/budget_test.go
+++ b/internal/forward/retrybudget/budget_test.go
@@ -120,6 +120,16 @@
 	return count
 }
 
+func TestDaemonThatKnowsNoOthersSpendsTheSlackOfAll(t *testing.T) {
+	c := qt.New(t)
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	daemons := 0
+	budget := retrybudget.New(clock, limits, func() int { return daemons })
+	c.Assert(budget.Spend("llm"), qt.IsFalse)
+	daemons = 3
+	c.Assert(budget.Spend("llm"), qt.IsTrue)
+}
+
 func TestSpend(t *testing.T) {
 	c := qt.New(t)
 	clock := &manualClock{now: time.Unix(1000, 0)}
--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -134,6 +134,13 @@
 	return strong
 }
 
+// IsListed reports whether the entries of other daemons have been read.
+func (d *Directory) IsListed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.listedAt.IsZero()
+}
+
 // IsIncomplete reports whether entries of daemons that started together may still be missing: until
 // announceTime after all entries were first read.
 func (d *Directory) IsIncomplete() bool {
