--- a/internal/daemon/gateway/stop_test.go
+++ b/internal/daemon/gateway/stop_test.go
@@ -48,6 +48,7 @@
 // withCalls calls run with a daemon that has learnt how long the calls of its only route take.
 func withCalls(t *testing.T, stopTimeout time.Duration, run func(env *testEnv)) {
 	t.Helper()
+	t.Parallel()
 	withSettings(t, func(s *gateway.Settings) { s.StopTimeout = stopTimeout }, func(env *testEnv) {
 		env.serveCalls(t)
 		var group errgroup.Group
