runtimes: an estimate needs a hundred answers, and one in a hundred may exceed it

Cause: the estimate was the 0.98 quantile of as few as five answers. Of five, the longest is exceeded by one in six. Now it is the 0.99 quantile of at least 100 answers of the last five minutes; a route with fewer counts with its timeout, so what it gets during a stop is refused at once, and served elsewhere.

--- a/internal/forward/drain/simulation_test.go
+++ b/internal/forward/drain/simulation_test.go
@@ -211,8 +211,7 @@
 	return out
 }
 
-// maxCutDivisor is one over the fraction of the requests that may be cut, by the quantile of the
-// estimates.
+// maxCutDivisor is one over the fraction of the requests that may be cut, also while they become slower.
 const maxCutDivisor = 50
 
 // TestSimulatedStops compares the rule of this package with one of fixed times.
--- a/internal/forward/runtimes/quantile.go
+++ b/internal/forward/runtimes/quantile.go
@@ -7,7 +7,7 @@
 )
 
 // quantile is the fraction of the requests of a route that take no longer than the estimate.
-const quantile = 0.98
+const quantile = 0.99
 
 // observation is the part of a request that was observed, as times since its start.
 type observation struct {
--- a/internal/forward/runtimes/tracker.go
+++ b/internal/forward/runtimes/tracker.go
@@ -25,10 +25,10 @@
 const (
 	// window is the time for which a request is remembered, and maxSamples the number of requests of
 	// a route that are remembered.
-	window     = time.Minute
-	maxSamples = 128
+	window     = 5 * time.Minute
+	maxSamples = 256
 	// minSamples is the number of complete requests below which there is no estimate.
-	minSamples = 5
+	minSamples = 100
 	// refreshInterval is how often an estimate is computed anew.
 	refreshInterval = 50 * time.Millisecond
 )
