--- a/internal/forward/drain/simulation_test.go
+++ b/internal/forward/drain/simulation_test.go
@@ -1,7 +1,6 @@
 package drain_test
 
 import (
-	"context"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -10,22 +9,11 @@
 
 	"azurehitch/internal/forward/drain"
 	"azurehitch/internal/forward/runtimes"
+	"azurehitch/internal/standin/manualclock"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// virtualClock is a clock that only the simulation moves.
-type virtualClock struct{ now time.Time }
-
-// Now implements azurehitch.Clock.
-func (c *virtualClock) Now() time.Time { return c.now }
-
-// Sleep implements azurehitch.Clock.
-func (c *virtualClock) Sleep(_ context.Context, d time.Duration) error {
-	c.now = c.now.Add(d)
-	return nil
-}
-
 // workload draws how long requests take. The argument is the time until the stop, negative after it.
 type workload struct {
 	name string
@@ -138,7 +126,7 @@
 
 // simulation is one stop of a daemon.
 type simulation struct {
-	clock   *virtualClock
+	clock   *manualclock.Clock
 	random  *rand.Rand
 	tracker *runtimes.Tracker
 	load    workload
@@ -153,19 +141,19 @@
 
 // start begins to run a request of a duration.
 func (s *simulation) start(duration time.Duration) {
-	s.running = append(s.running, ending{at: s.clock.now.Add(duration), run: s.tracker.Begin("r")})
+	s.running = append(s.running, ending{at: s.clock.Time.Add(duration), run: s.tracker.Begin("r")})
 }
 
 // advance moves the clock and ends the requests that end meanwhile.
 func (s *simulation) advance(d time.Duration) {
-	end := s.clock.now.Add(d)
+	end := s.clock.Time.Add(d)
 	slices.SortFunc(s.running, func(a, b ending) int { return a.at.Compare(b.at) })
 	for len(s.running) > 0 && !s.running[0].at.After(end) {
-		s.clock.now = s.running[0].at
+		s.clock.Time = s.running[0].at
 		s.running[0].run.End(runtimes.OutcomeComplete)
 		s.running = s.running[1:]
 	}
-	s.clock.now = end
+	s.clock.Time = end
 }
 
 func (s *simulation) nextArrival() time.Duration {
@@ -174,14 +162,14 @@
 
 // play plays a stop that the daemon notices late, and adds to the outcome.
 func (s *simulation) play(r rule, noticedLate time.Duration, out *outcome) {
-	stopAt := s.clock.now.Add(warmUp)
-	for s.clock.now.Before(stopAt) {
-		s.start(min(s.load.duration(s.random, stopAt.Sub(s.clock.now)), routeTimeout))
+	stopAt := s.clock.Time.Add(warmUp)
+	for s.clock.Time.Before(stopAt) {
+		s.start(min(s.load.duration(s.random, stopAt.Sub(s.clock.Time)), routeTimeout))
 		s.advance(s.nextArrival())
 	}
 	timing := drain.Timing{PendingSince: stopAt, StopTimeout: stopTimeout, Lateness: noticedLate}
-	for s.clock.now.Sub(stopAt) < noticedLate+balancerDelay {
-		now := s.clock.now
+	for s.clock.Time.Sub(stopAt) < noticedLate+balancerDelay {
+		now := s.clock.Time
 		duration := min(s.load.duration(s.random, 0), routeTimeout)
 		request := drain.Request{
 			Estimate: s.tracker.Estimate("r", routeTimeout), Deadline: now.Add(routeTimeout), MayRepeat: r.mayRepeat,
@@ -204,7 +192,7 @@
 func simulate(load workload, r rule, noticedLate time.Duration) outcome {
 	var out outcome
 	for seed := range uint64(stops * usualRate / load.rate) {
-		clock := &virtualClock{now: time.Unix(1000, 0)}
+		clock := manualclock.New()
 		s := &simulation{clock: clock, random: rand.New(rand.NewPCG(seed, 7)), tracker: runtimes.NewTracker(clock), load: load}
 		s.play(r, noticedLate, &out)
 	}
--- a/internal/forward/retrybudget/budget_test.go
+++ b/internal/forward/retrybudget/budget_test.go
@@ -1,29 +1,17 @@
 package retrybudget_test
 
 import (
-	"context"
 	"strconv"
 	"testing"
 	"time"
 
 	"azurehitch/internal/forward/retrybudget"
+	"azurehitch/internal/standin/manualclock"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
-// manualClock is a clock that advances only when the test sets it or sleeps.
-type manualClock struct{ now time.Time }
-
-// Now implements azurehitch.Clock.
-func (c *manualClock) Now() time.Time { return c.now }
-
-// Sleep implements azurehitch.Clock.
-func (c *manualClock) Sleep(_ context.Context, d time.Duration) error {
-	c.now = c.now.Add(d)
-	return nil
-}
-
 var limits = retrybudget.Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
 
 // TestSumOverDaemons checks the limit on the retries of all daemons in each window, for requests
@@ -31,20 +19,20 @@
 func TestSumOverDaemons(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const daemons = 5
-		clock := &manualClock{now: time.Unix(1000, 0)}
+		clock := manualclock.New()
 		budgets := make([]*retrybudget.Budget, daemons)
 		for i := range budgets {
 			budgets[i] = retrybudget.New(clock, limits, func() int { return daemons })
 		}
 		var requests, retries []time.Time
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
-			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			clock.Time = clock.Time.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
 			budgets[i].Earn("llm")
-			requests = append(requests, clock.now)
+			requests = append(requests, clock.Time)
 			for range rapid.IntRange(0, 3).Draw(t, "tries") {
 				if budgets[i].Spend("llm") {
-					retries = append(retries, clock.now)
+					retries = append(retries, clock.Time)
 				}
 			}
 		}
@@ -60,19 +48,19 @@
 // TestRefunds checks the limit in each window for retries some of which are not made after all.
 func TestRefunds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		clock := &manualClock{now: time.Unix(1000, 0)}
+		clock := manualclock.New()
 		budget := retrybudget.New(clock, limits, func() int { return 10 })
 		var made []time.Time
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
-			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			clock.Time = clock.Time.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
 			if !budget.Spend("llm") {
 				continue
 			}
 			if rapid.Bool().Draw(t, "isMade") {
-				made = append(made, clock.now)
+				made = append(made, clock.Time)
 				continue
 			}
-			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "refund after ms")) * time.Millisecond)
+			clock.Time = clock.Time.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "refund after ms")) * time.Millisecond)
 			budget.Refund("llm")
 		}
 		for _, end := range made {
@@ -85,7 +73,7 @@
 
 func TestRefundedRetryMayBeMadeLater(t *testing.T) {
 	c := qt.New(t)
-	budget := retrybudget.New(&manualClock{now: time.Unix(1000, 0)}, limits, func() int { return 1 })
+	budget := retrybudget.New(manualclock.New(), limits, func() int { return 1 })
 	for budget.Spend("llm") {
 	}
 	budget.Refund("llm")
@@ -98,12 +86,12 @@
 	for step := range steps {
 		t.Run(strconv.Itoa(step), func(t *testing.T) {
 			c := qt.New(t)
-			clock := &manualClock{now: time.Unix(1000, 0)}
+			clock := manualclock.New()
 			budget := retrybudget.New(clock, limits, func() int { return 1 })
-			clock.now = clock.now.Add(2*limits.Window + time.Duration(step)*limits.Window/steps)
+			clock.Time = clock.Time.Add(2*limits.Window + time.Duration(step)*limits.Window/steps)
 			for budget.Spend("llm") {
 			}
-			clock.now = clock.now.Add(limits.Window - time.Millisecond)
+			clock.Time = clock.Time.Add(limits.Window - time.Millisecond)
 			c.Assert(budget.Spend("llm"), qt.IsFalse)
 		})
 	}
@@ -122,7 +110,7 @@
 
 func TestDaemonThatKnowsNoOthersSpendsTheSlackOfAll(t *testing.T) {
 	c := qt.New(t)
-	clock := &manualClock{now: time.Unix(1000, 0)}
+	clock := manualclock.New()
 	daemons := 0
 	budget := retrybudget.New(clock, limits, func() int { return daemons })
 	c.Assert(budget.Spend("llm"), qt.IsFalse)
@@ -132,7 +120,7 @@
 
 func TestSpend(t *testing.T) {
 	c := qt.New(t)
-	clock := &manualClock{now: time.Unix(1000, 0)}
+	clock := manualclock.New()
 	budget := retrybudget.New(clock, limits, func() int { return 1 })
 	spend := func() int {
 		n := 0
@@ -145,6 +133,6 @@
 	c.Assert(spentAtStart > 0, qt.IsTrue)
 	c.Assert(float64(spentAtStart) <= limits.Slack/2, qt.IsTrue, qt.Commentf("an earlier process may have used a part of the slack: %d", spentAtStart))
 	c.Assert(spend(), qt.Equals, 0)
-	clock.now = clock.now.Add(2 * limits.Window)
+	clock.Time = clock.Time.Add(2 * limits.Window)
 	c.Assert(spend() > spentAtStart, qt.IsTrue)
 }
--- a/internal/forward/retrybudget/simulation_test.go
+++ b/internal/forward/retrybudget/simulation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"azurehitch/internal/forward/retrybudget"
+	"azurehitch/internal/standin/manualclock"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -39,7 +40,7 @@
 // as many requests as the calmest.
 type simulation struct {
 	deployment
-	clock   *manualClock
+	clock   *manualclock.Clock
 	random  *rand.Rand
 	budgets []*retrybudget.Budget
 	weights []float64
@@ -52,7 +53,7 @@
 
 func newSimulation(d deployment, seed uint64, lenders int) *simulation {
 	s := &simulation{
-		deployment: d, clock: &manualClock{now: time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(seed, 1)), lenders: lenders,
+		deployment: d, clock: manualclock.New(), random: rand.New(rand.NewPCG(seed, 1)), lenders: lenders,
 	}
 	for i := range d.daemons {
 		s.budgets = append(s.budgets, nil)
@@ -60,7 +61,7 @@
 		s.restart(i)
 	}
 	// The first window after the start of the whole deployment has gone by.
-	s.clock.now = s.clock.now.Add(limits.Window)
+	s.clock.Time = s.clock.Time.Add(limits.Window)
 	return s
 }
 
@@ -94,30 +95,30 @@
 		}
 	}
 	if slices.ContainsFunc(asked, func(i int) bool { return s.budgets[i].Spend("llm") }) {
-		s.retries = append(s.retries, s.clock.now)
+		s.retries = append(s.retries, s.clock.Time)
 		return
 	}
 	s.denied++
 }
 
 func (s *simulation) run() {
-	restarted, crashedAt, restartedAt := 0, s.clock.now, s.clock.now
-	for end := s.clock.now.Add(simulatedTime); s.clock.now.Before(end); s.clock.now = s.clock.now.Add(simulatedStep) {
+	restarted, crashedAt, restartedAt := 0, s.clock.Time, s.clock.Time
+	for end := s.clock.Time.Add(simulatedTime); s.clock.Time.Before(end); s.clock.Time = s.clock.Time.Add(simulatedStep) {
 		expected := float64(s.requestRate) * simulatedStep.Seconds()
 		for range int(expected + s.random.Float64()) {
 			daemon := s.daemon()
 			s.budgets[daemon].Earn("llm")
-			s.requests = append(s.requests, s.clock.now)
+			s.requests = append(s.requests, s.clock.Time)
 			if s.random.Float64() < s.failShare {
 				s.fail(daemon)
 			}
 		}
-		if s.restartInterval > 0 && s.clock.now.Sub(restartedAt) >= s.restartInterval {
+		if s.restartInterval > 0 && s.clock.Time.Sub(restartedAt) >= s.restartInterval {
 			s.restart(restarted % s.daemons)
-			restartedAt, restarted = s.clock.now, restarted+1
+			restartedAt, restarted = s.clock.Time, restarted+1
 		}
-		if s.crashShare > 0 && s.clock.now.Sub(crashedAt) >= crashInterval {
-			crashedAt = s.clock.now
+		if s.crashShare > 0 && s.clock.Time.Sub(crashedAt) >= crashInterval {
+			crashedAt = s.clock.Time
 			streams := float64(s.requestRate) * s.streamTime.Seconds()
 			crashed := max(s.crashShare*float64(s.servers), 1) / float64(s.servers)
 			for range int(streams*crashed + s.random.Float64()) {
--- a/internal/forward/runtimes/tracker_test.go
+++ b/internal/forward/runtimes/tracker_test.go
@@ -1,39 +1,27 @@
 package runtimes_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"azurehitch/internal/forward/runtimes"
+	"azurehitch/internal/standin/manualclock"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// manualClock is a clock that advances only when the test sets it or sleeps.
-type manualClock struct{ now time.Time }
-
-// Now implements azurehitch.Clock.
-func (c *manualClock) Now() time.Time { return c.now }
-
-// Sleep implements azurehitch.Clock.
-func (c *manualClock) Sleep(_ context.Context, d time.Duration) error {
-	c.now = c.now.Add(d)
-	return nil
-}
-
 const timeout = 12 * time.Second
 
 // history is a tracker with a clock.
 type history struct {
 	*qt.C
-	clock   *manualClock
+	clock   *manualclock.Clock
 	tracker *runtimes.Tracker
 }
 
 func newHistory(t *testing.T) *history {
-	clock := &manualClock{now: time.Unix(1000, 0)}
+	clock := manualclock.New()
 	return &history{C: qt.New(t), clock: clock, tracker: runtimes.NewTracker(clock)}
 }
 
@@ -41,7 +29,7 @@
 func (h *history) run(n int, d time.Duration) {
 	for range n {
 		run := h.tracker.Begin("r")
-		h.clock.now = h.clock.now.Add(d)
+		h.clock.Time = h.clock.Time.Add(d)
 		run.End(runtimes.OutcomeComplete)
 	}
 }
@@ -81,7 +69,7 @@
 	t.Run("old requests are forgotten", func(t *testing.T) {
 		h := newHistory(t)
 		h.run(120, 100*time.Millisecond)
-		h.clock.now = h.clock.now.Add(6 * time.Minute)
+		h.clock.Time = h.clock.Time.Add(6 * time.Minute)
 		h.assertEstimate(timeout)
 	})
 	t.Run("requests that fail early don't make it shorter", func(t *testing.T) {
@@ -101,7 +89,7 @@
 	for range 20 {
 		h.tracker.Begin("r")
 	}
-	h.clock.now = h.clock.now.Add(3 * time.Second)
+	h.clock.Time = h.clock.Time.Add(3 * time.Second)
 	h.assertEstimate(timeout)
 }
 
@@ -110,7 +98,7 @@
 	for i := range 100 {
 		for range 100 {
 			run := h.tracker.Begin(fmt.Sprint("r", i))
-			h.clock.now = h.clock.now.Add(250 * time.Millisecond)
+			h.clock.Time = h.clock.Time.Add(250 * time.Millisecond)
 			run.End(runtimes.OutcomeComplete)
 		}
 	}
