logging: the end of the logs waits 0.1 s at most

With 0.2 s, a stop that ends at its last moment and whose output nobody reads would have ended just when it is killed: 0.3 s are left then, 0.1 s of them for the loops.

--- a/internal/telemetry/logging/async.go
+++ b/internal/telemetry/logging/async.go
@@ -19,7 +19,7 @@
 	linesPerSecond = 400
 	burstLines     = 1000
 	// closeTimeout limits the wait for the reader of the output at the end of the logs.
-	closeTimeout = 200 * time.Millisecond
+	closeTimeout = 100 * time.Millisecond
 )
 
 // errNotWritten is returned by Close when queued lines were not written in time.
