Test four parts of the planned stop that no test noticed

Switched off one by one (with an overlay, tests of gateway, drain and passthrough), these parts of the planned stop were missed by no test: the count from the time at which the signal may have been pending, the lateness in the timing, the cancellation of requests in progress, and the check after a grant. The first two stand in for each other in TestStopIsNoticedLate.

New tests, each of which fails with its part switched off:

--- a/internal/daemon/gateway/stop_test.go
+++ b/internal/daemon/gateway/stop_test.go
@@ -156,6 +156,42 @@
 	})
 }
 
+func TestStopEndsWithoutAnswerToRequestInProgress(t *testing.T) {
+	withCalls(t, time.Second, func(env *testEnv) {
+		var group errgroup.Group
+		group.Go(func() error {
+			got := env.call("in-progress")
+			env.Check(got.err, qt.IsNil)
+			env.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("after %v", got.took))
+			return nil
+		})
+		time.Sleep(300 * time.Millisecond)
+		env.stop()
+		env.Assert(group.Wait(), qt.IsNil)
+	})
+}
+
+func TestStopCountsFromItsNotice(t *testing.T) {
+	withCalls(t, 8*time.Second, func(env *testEnv) {
+		time.Sleep(300 * time.Millisecond)
+		env.leaseClock.skip(1500 * time.Millisecond)
+		began := time.Now()
+		env.stop()
+		// Without requests, it ends when the load balancer has noticed it.
+		env.assertEndedBy(began, 2*time.Second)
+	})
+}
+
+func TestStopForgetsEarlierPauses(t *testing.T) {
+	withCalls(t, 5*time.Second, func(env *testEnv) {
+		env.leaseClock.skip(1500 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		env.stop()
+		time.Sleep(1900 * time.Millisecond)
+		env.assertRefused(env.call("late"))
+	})
+}
+
 func TestStopTimeoutShortenedDuringStop(t *testing.T) {
 	withCalls(t, 8*time.Second, func(env *testEnv) {
 		began := time.Now()
--- a/internal/forward/passthrough/drain_test.go
+++ b/internal/forward/passthrough/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,6 +129,24 @@
 	})
 }
 
+func TestGrantIsUsedAfterLatestStart(t *testing.T) {
+	const learnt = 6
+	route := nonIdempotent
+	route.Timeout = 12 * time.Second
+	b := newBackend(t, whole, 0)
+	withGateway(t, route, slices.Repeat([]*backend{b}, learnt+1), func(g *gateway) {
+		for range learnt {
+			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
+		}
+		// The latest start is 0.3 s from now.
+		g.server.Drain(drain.Timing{PendingSince: time.Now(), StopTimeout: 8 * time.Second, Lateness: 6700 * time.Millisecond})
+		g.placer.onPlace = func(int) { time.Sleep(500 * time.Millisecond) }
+		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 503)
+		g.Assert(b.requests(), qt.HasLen, learnt)
+		g.Assert(g.server.DrainCounts().RefusedWaiting, qt.Equals, 1)
+	})
+}
+
 func TestStopCutsResumedStreams(t *testing.T) {
 	first := newBackend(t, streamHead+events, 0)
 	second := newBackend(t, streamHead+"f\r\nid: 2\ndata: b\n\n\r\n"+resumed+streamEnd, 0)
