retrybudget: a late refund takes back no other retry

Cause: a refund removed the oldest counted retry, whatever it was for. It names the time of its charge now, and has no effect after a window.

TestLateRefundTakesBackAnotherRetry failed before: a further retry is allowed. TestRefunds draws refunds after up to 20 s now, it was 2 s; its 100 cases find nothing on the code before either.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -313,17 +313,26 @@
 	}
 	// A request that did not reach a server put no load on it, so sending it again is not charged
 	// to the retry budget.
-	if !res.unsent && !r.server.Budget.Spend(r.service.Name) {
+	if !res.unsent && !r.spendRetry() {
 		return errBudgetSpent
 	}
 	return nil
 }
 
+// spendRetry reports whether the retry budget allows to send the request again, and charges it if so.
+func (r *request) spendRetry() bool {
+	r.chargedAt = r.server.Clock.Now()
+	return r.server.Budget.Spend(r.service.Name)
+}
+
+// refundSpent takes back the last charge.
+func (r *request) refundSpent() { r.server.Budget.Refund(r.service.Name, r.chargedAt) }
+
 // refundRetry takes back the charge for sending the request again after an attempt with the given
 // result.
 func (r *request) refundRetry(res result) {
 	if !res.unsent {
-		r.server.Budget.Refund(r.service.Name)
+		r.refundSpent()
 	}
 }
 
--- a/internal/forward/passthrough/drain_test.go
+++ b/internal/forward/passthrough/drain_test.go
@@ -130,7 +130,7 @@
 }
 
 func TestGrantIsUsedAfterLatestStart(t *testing.T) {
-	const learnt = 6
+	const learnt = 120
 	route := nonIdempotent
 	route.Timeout = 12 * time.Second
 	b := newBackend(t, whole, 0)
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -88,7 +88,7 @@
 }
 
 // Refund implements passthrough.RetryBudget.
-func (b *testBudget) Refund(string) { b.charged.Add(-1) }
+func (b *testBudget) Refund(string, time.Time) { b.charged.Add(-1) }
 
 // sequencePlacer places each attempt on the next server of a list.
 type sequencePlacer struct {
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -57,6 +57,8 @@
 	serversToAvoid  []string
 	sends           int
 	unknownOutcomes int
+	// chargedAt is when a retry was last charged to the budget.
+	chargedAt time.Time
 	// unsent counts the attempts that failed before any byte can have reached the server.
 	unsent   int
 	attempts attemptLog
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -60,8 +60,8 @@
 	Earn(service string)
 	// Spend reports whether a request may be sent once more, and if so charges it to the budget.
 	Spend(service string) bool
-	// Refund takes back the charge for a request that was not sent after all.
-	Refund(service string)
+	// Refund takes back the charge of a time for a request that was not sent after all.
+	Refund(service string, chargedAt time.Time)
 }
 
 // Quarantine finds the parts of prompts that crash model engines, and refuses requests that have them.
--- a/internal/forward/passthrough/takeover.go
+++ b/internal/forward/passthrough/takeover.go
@@ -115,7 +115,7 @@
 		err = errSameServer
 	}
 	if err != nil {
-		r.server.Budget.Refund(r.service.Name)
+		r.refundSpent()
 	}
 	return choice, err
 }
@@ -155,7 +155,7 @@
 	if r.unknownOutcomes+1 >= r.route.MaxAttempts || r.isSentTooOften() {
 		return errAttemptsUsed
 	}
-	if !r.server.Budget.Spend(r.service.Name) {
+	if !r.spendRetry() {
 		return errBudgetSpent
 	}
 	return nil
@@ -170,7 +170,7 @@
 		r.unsent++
 	}
 	if res.unsent || res.isBarred {
-		r.server.Budget.Refund(r.service.Name)
+		r.refundSpent()
 	}
 }
 
--- a/internal/forward/retrybudget/budget.go
+++ b/internal/forward/retrybudget/budget.go
@@ -89,11 +89,15 @@
 	return true
 }
 
-// Refund takes back the charge for a retry that was not made. It removes the oldest retry that is
-// counted, so that the retries which were made count for at least as long as without it.
-func (b *Budget) Refund(service string) {
+// Refund takes back the charge of a time for a retry that was not made. It removes the oldest retry that
+// is counted, so that the retries which were made count for at least as long as without it. A charge
+// that is counted no longer needs no refund.
+func (b *Budget) Refund(service string, chargedAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.clock.Now().Sub(chargedAt) >= b.limits.Window {
+		return
+	}
 	b.counts(service).retries.removeOldest(b.bucket())
 }
 
--- a/internal/forward/retrybudget/budget_test.go
+++ b/internal/forward/retrybudget/budget_test.go
@@ -60,8 +60,9 @@
 				made = append(made, clock.Time)
 				continue
 			}
-			clock.Time = clock.Time.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "refund after ms")) * time.Millisecond)
-			budget.Refund("llm")
+			chargedAt := clock.Time
+			clock.Time = clock.Time.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "refund after ms")) * time.Millisecond)
+			budget.Refund("llm", chargedAt)
 		}
 		for _, end := range made {
 			if n := float64(countInWindow(made, end)); n > limits.Slack/10 {
@@ -73,10 +74,11 @@
 
 func TestRefundedRetryMayBeMadeLater(t *testing.T) {
 	c := qt.New(t)
-	budget := retrybudget.New(manualclock.New(), limits, func() int { return 1 })
+	clock := manualclock.New()
+	budget := retrybudget.New(clock, limits, func() int { return 1 })
 	for budget.Spend("llm") {
 	}
-	budget.Refund("llm")
+	budget.Refund("llm", clock.Time)
 	c.Assert(budget.Spend("llm"), qt.IsTrue)
 	c.Assert(budget.Spend("llm"), qt.IsFalse)
 }
@@ -108,6 +110,21 @@
 	return count
 }
 
+func TestLateRefundTakesBackAnotherRetry(t *testing.T) {
+	c := qt.New(t)
+	clock := manualclock.New()
+	budget := retrybudget.New(clock, limits, func() int { return 1 })
+	clock.Time = clock.Time.Add(2 * limits.Window)
+	chargedAt := clock.Time
+	c.Assert(budget.Spend("llm"), qt.IsTrue)
+	clock.Time = clock.Time.Add(limits.Window)
+	for budget.Spend("llm") {
+	}
+	clock.Time = clock.Time.Add(limits.Window / 10)
+	budget.Refund("llm", chargedAt)
+	c.Assert(budget.Spend("llm"), qt.IsFalse)
+}
+
 func TestDaemonThatKnowsNoOthersSpendsTheSlackOfAll(t *testing.T) {
 	c := qt.New(t)
 	clock := manualclock.New()
