A planned stop that was held up reads the answers that came meanwhile before it cancels

Fix: a stop whose loop went on late waits 60 ms more before it cancels, until its exit at the latest. TestStopCancelsUnreadAnswers has the rule; a pause of a real process is only in the soak.

--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -40,6 +40,8 @@
 	pendingSince time.Time
 	noticedAt    time.Time
 	step         stopStep
+	// heldUpUntil is when the process last went on late, on the Clock; zero if it never did.
+	heldUpUntil time.Time
 }
 
 // stop makes the planned stop. It releases the leases at once, so that other daemons take them over
@@ -80,15 +82,28 @@
 			s.step = step
 			s.logStep("planned stop goes on")
 		}
-		if !s.Clock.Now().Before(timing.CancelAt()) {
+		if timing.IsCancelDue(s.Clock.Now(), s.heldUpUntil) {
 			s.callers.CancelRequests()
 		}
-		if s.step == stepDone || s.Clock.Sleep(ctx, stopInterval) != nil {
+		if s.step == stepDone || s.sleep(ctx) != nil {
 			return
 		}
 	}
 }
 
+// sleep waits until the requests in progress are to be looked at again, and notes if the process was
+// held up meanwhile.
+func (s *plannedStop) sleep(ctx context.Context) error {
+	due := s.Clock.Now().Add(stopInterval)
+	if err := s.Clock.Sleep(ctx, stopInterval); err != nil {
+		return err
+	}
+	if now := s.Clock.Now(); now.Sub(due) > stopInterval {
+		s.heldUpUntil = now
+	}
+	return nil
+}
+
 // nextStep returns the step that is due.
 func (s *plannedStop) nextStep(timing drain.Timing) stopStep {
 	now := s.Clock.Now()
--- a/internal/forward/drain/timing.go
+++ b/internal/forward/drain/timing.go
@@ -26,6 +26,8 @@
 	// part of the cancel margin that is left for the exit.
 	exitDuration = 200 * time.Millisecond
 	exitFraction = 0.6
+	// catchUpTime is how long a process that was held up reads the answers that have come meanwhile.
+	catchUpTime = 60 * time.Millisecond
 	// unrepeatableFactor is how many times its estimate a request has to fit in if it may not be
 	// repeated. Its caller loses more by a cut than by a refusal.
 	unrepeatableFactor = 1.2
@@ -74,6 +76,13 @@
 // CancelAt returns the time at which all requests are canceled.
 func (t Timing) CancelAt() time.Time { return t.End().Add(-t.margin()) }
 
+// IsCancelDue reports whether all requests are to be canceled now, by a process that was last held up
+// until the given time.
+func (t Timing) IsCancelDue(now, heldUpUntil time.Time) bool {
+	hasCaughtUp := !now.Before(heldUpUntil.Add(catchUpTime))
+	return !now.Before(t.CancelAt()) && (hasCaughtUp || !now.Before(t.ExitAt()))
+}
+
 // ExitAt returns the time at which the daemon ends, whatever is in progress.
 func (t Timing) ExitAt() time.Time {
 	return t.End().Add(-time.Duration(exitFraction * float64(t.margin())))
--- a/internal/forward/drain/timing_test.go
+++ b/internal/forward/drain/timing_test.go
@@ -36,6 +36,24 @@
 	}
 }
 
+func TestStopCancelsUnreadAnswers(t *testing.T) {
+	timing := drain.Timing{PendingSince: pendingSince, StopTimeout: 8 * time.Second}
+	for name, test := range map[string]struct {
+		now, heldUpUntil time.Duration
+		want             bool
+	}{
+		"before the cancellation":     {7400 * time.Millisecond, 0, false},
+		"on time":                     {7500 * time.Millisecond, 0, true},
+		"just held up":                {7520 * time.Millisecond, 7500 * time.Millisecond, false},
+		"held up, answers read":       {7560 * time.Millisecond, 7500 * time.Millisecond, true},
+		"held up again until the end": {7700 * time.Millisecond, 7690 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Assert(timing.IsCancelDue(at(test.now), at(test.heldUpUntil)), qt.Equals, test.want)
+		})
+	}
+}
+
 func TestAccepts(t *testing.T) {
 	const long, short = 4 * time.Second, 500 * time.Millisecond
 	for _, test := range []struct {
