--- a/internal/forward/drain/timing.go
+++ b/internal/forward/drain/timing.go
@@ -25,7 +25,7 @@
 	// exitDuration is how long the cancellation and the exit of the process take, and exitFraction the
 	// part of the cancel margin that is left for the exit.
 	exitDuration = 200 * time.Millisecond
-	exitFraction = 0.6
+	exitFraction = 0.8
 	// catchUpTime is how long a process that was held up reads the answers that have come meanwhile.
 	catchUpTime = 60 * time.Millisecond
 	// unrepeatableFactor is how many times its estimate a request has to fit in if it may not be
