passthrough: a silent server keeps its stream until another one has sent the next event

What callers saw, by tests: the stream of a sound server that paused for 1.8 s was cut, because another server that was asked meanwhile answered with the head of a stream and did not go on with it: it broke off, began again, left out events, or was silent.

Cause: the head of the other answer moved the stream and closed the exchange with the silent server. A head says that the server has accepted the request, not that it has the next event.

Fix: the attempt reads the first event of the other server and checks it against the events that the caller has; only then the stream moves. An event of the silent server ends the attempt until then. The two servers run the request beside each other until the first of them has an event, as before where a server sends its head with the first event. The reader and its part of the memory budget belong to the source now, so that an attempt has its own.

--- a/internal/forward/passthrough/contest.go
+++ b/internal/forward/passthrough/contest.go
@@ -8,14 +8,14 @@
 
 // position is the place in a stream after the last event that was passed on.
 type position struct {
-	events      int
-	lastEventID string
+	events int
+	ids    eventIDs
 	// lastEventAt is when the event was passed on, or when the request started if there is none.
 	lastEventAt time.Time
 }
 
 // isResumable reports whether another server can go on with the stream from here.
-func (p position) isResumable() bool { return p.events == 0 || p.lastEventID != "" }
+func (p position) isResumable() bool { return p.events == 0 || p.ids.last != "" }
 
 // contest decides whether a stream stays at its server or moves to another one that was asked meanwhile:
 // an event that is passed on and the beginning of the other answer exclude each other. The zero value is
--- a/internal/forward/passthrough/contest_test.go
+++ b/internal/forward/passthrough/contest_test.go
@@ -27,7 +27,7 @@
 
 func newContestTest(t *testing.T) *contestTest {
 	c := &contestTest{C: qt.New(t)}
-	at := position{events: 2, lastEventID: "2"}
+	at := position{events: 2, ids: eventIDs{last: "2"}}
 	c.await(at, contestStart)
 	attempt, got, ok := c.begin(context.Background(), contestStart)
 	c.Assert(ok, qt.IsTrue)
@@ -91,12 +91,12 @@
 		prepare func(c *contest)
 		begins  bool
 	}{
-		"silent":                            {position{events: 1, lastEventID: "1"}, func(*contest) {}, true},
+		"silent":                            {position{events: 1, ids: eventIDs{last: "1"}}, func(*contest) {}, true},
 		"silent before the first event":     {position{}, func(*contest) {}, true},
 		"events without ids":                {position{events: 1}, func(*contest) {}, false},
-		"an event came":                     {position{events: 1, lastEventID: "1"}, func(c *contest) { c.keep() }, false},
-		"the stream has ended":              {position{events: 1, lastEventID: "1"}, func(c *contest) { c.close() }, false},
-		"the relay waits for another event": {position{}, func(c *contest) { c.await(position{events: 1, lastEventID: "1"}, contestStart.Add(1)) }, false},
+		"an event came":                     {position{events: 1, ids: eventIDs{last: "1"}}, func(c *contest) { c.keep() }, false},
+		"the stream has ended":              {position{events: 1, ids: eventIDs{last: "1"}}, func(c *contest) { c.close() }, false},
+		"the relay waits for another event": {position{}, func(c *contest) { c.await(position{events: 1, ids: eventIDs{last: "1"}}, contestStart.Add(1)) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var c contest
--- a/internal/forward/passthrough/event.go
+++ b/internal/forward/passthrough/event.go
@@ -22,15 +22,34 @@
 	// memory.
 	maxSize azurehitch.ByteSize
 	memory  *membudget.Reservation
+	// peeked is the result of peek until next returns it; nil without one.
+	peeked *readEvent
+}
+
+// readEvent is an event that was read, or the error in its place.
+type readEvent struct {
+	event []byte
+	err   error
 }
 
 func newEventReader(stream io.Reader, maxSize azurehitch.ByteSize, memory *membudget.Reservation) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(stream, relayBufferBytes), maxSize: maxSize, memory: memory}
 }
 
+// peek waits for the next event, and leaves it to next.
+func (e *eventReader) peek() ([]byte, error) {
+	event, err := e.next()
+	e.peeked = &readEvent{event: event, err: err}
+	return event, err
+}
+
 // next returns the next event with the empty line that ends it. At the end of the stream it returns
 // the error of the stream with the bytes of the last, incomplete event, if any.
 func (e *eventReader) next() ([]byte, error) {
+	if peeked := e.peeked; peeked != nil {
+		e.peeked = nil
+		return peeked.event, peeked.err
+	}
 	var event []byte
 	for {
 		line, err := e.reader.ReadSlice('\n')
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -10,7 +10,6 @@
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
-	"azurehitch/internal/transport/membudget"
 
 	"github.com/pkg/errors"
 )
@@ -27,13 +26,9 @@
 type relay struct {
 	request *request
 	source
-	reader *eventReader
 	// takeover asks other servers to become the source while the source is silent.
 	takeover *takeover
-	// memory is the part of the shared memory budget that is reserved for long events until they
-	// are passed on.
-	memory  *membudget.Reservation
-	pending bytes.Buffer
+	pending  bytes.Buffer
 	// ids describes the events that the caller has.
 	ids    eventIDs
 	events int
@@ -52,9 +47,9 @@
 	unbound := r.bound
 	r.bound = azurehitch.VersionBound{IsSet: true, Version: choice.SoftwareVersion}
 	stream := &relay{
-		request: r, lastEventAt: r.startedAt, memory: r.server.Connections.Memory().NewReservation(), ids: r.knownEventIDs(),
+		request: r, lastEventAt: r.startedAt, ids: r.knownEventIDs(),
 	}
-	stream.attach(source{choice: choice, exchange: exchange})
+	stream.attach(r.newSource(choice, exchange))
 	if err := stream.readFirstEvents(); err != nil {
 		r.bound = unbound
 		return result{run: azurehitch.RunStateUnknown, cause: err}
@@ -84,7 +79,6 @@
 func (s *relay) attach(from source) {
 	s.source = from
 	s.firstEventAt = time.Time{}
-	s.reader = newEventReader(from.exchange, s.request.server.settings.MaxEvent, s.memory)
 	s.takeover = newTakeover(s.request, from)
 }
 
@@ -134,7 +128,7 @@
 
 // position returns where another server would go on with the stream now.
 func (s *relay) position() position {
-	return position{events: s.events, lastEventID: s.ids.last, lastEventAt: s.lastEventAt}
+	return position{events: s.events, ids: s.ids, lastEventAt: s.lastEventAt}
 }
 
 // isUnframedAndEmpty reports whether the source has sent no event yet and its stream ends with its
@@ -172,7 +166,6 @@
 func (s *relay) leave(cause error) bool {
 	r := s.request
 	left := s.source
-	s.memory.Release()
 	if s.takeover.sourceEnded() {
 		cause = errTakenOver
 	}
@@ -202,7 +195,7 @@
 		}
 		var exchange *connpool.Exchange
 		if exchange, res = r.resumedExchange(r.ctx, choice, s.ids.last); exchange != nil {
-			s.attach(source{choice: choice, exchange: exchange})
+			s.attach(r.newSource(choice, exchange))
 			r.server.Metrics.Add(metrics.StreamsResumed, 1)
 			return
 		}
@@ -213,7 +206,6 @@
 
 // Close ends the request. The HTTP server also calls it when the caller has disconnected.
 func (s *relay) Close() error {
-	s.memory.Release()
 	s.takeover.sourceEnded()
 	s.source.end()
 	s.takeover.stop()
--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -221,6 +221,26 @@
 	return got
 }
 
+// TestSoundServerIsLeftOnlyForAnEvent checks streams of a sound server that pauses while another server
+// begins to answer and does not continue the stream.
+func TestSoundServerIsLeftOnlyForAnEvent(t *testing.T) {
+	for name, second := range map[string][]step{
+		"the second server begins again":                  {{0, eventStream("200 OK", threeEvents)}},
+		"the second server breaks off after the head":     {{0, streamHead}},
+		"the second server is silent after the head":      {{0, streamHead}, {10 * time.Second, ""}},
+		"the second server breaks off in the first event": {{0, streamHead + chunk("id: 3\nda")}},
+		"the second server leaves out events":             {{0, eventStream("200 OK", "id: 7\ndata: x\n\n")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servers := []*backend{newPausingBackend(t, pausingStream()...), newPausingBackend(t, second...)}
+			withGateway(t, slowRoute(), servers, func(g *gateway) {
+				g.whileSending(func() {})
+			})
+		})
+	}
+}
+
 // TestSilentServerLeft checks streams that another server takes over while their server is silent.
 func TestSilentServerLeft(t *testing.T) {
 	rest := func(after time.Duration) []step { return []step{{after, eventStream("200 OK", thirdEvent)}} }
--- a/internal/forward/passthrough/takeover.go
+++ b/internal/forward/passthrough/takeover.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"time"
 
 	"azurehitch"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/transport/connpool"
+	"azurehitch/internal/transport/membudget"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -23,16 +25,29 @@
 type source struct {
 	choice   place.Choice
 	exchange *connpool.Exchange
+	reader   *eventReader
+	// memory is the part of the shared memory budget that is reserved for long events until they
+	// are passed on.
+	memory *membudget.Reservation
+}
+
+func (r *request) newSource(choice place.Choice, exchange *connpool.Exchange) source {
+	memory := r.server.Connections.Memory().NewReservation()
+	return source{
+		choice: choice, exchange: exchange, memory: memory,
+		reader: newEventReader(exchange, r.server.settings.MaxEvent, memory),
+	}
 }
 
 // end ends the use of the server.
 func (s source) end() {
+	s.memory.Release()
 	s.exchange.Close()
 	s.choice.End()
 }
 
 // takeover asks other servers to take over a stream while its server is silent. The silent server
-// keeps the stream until another one has begun to answer, or for good if it sends an event before that.
+// keeps the stream until another one has sent the next event, or for good if it sends an event before that.
 //
 // While the goroutine of the takeover runs, it alone changes the attempts of the request. It ends
 // before wait returns.
@@ -88,20 +103,44 @@
 		r.attempts.note(t.silent.choice.Server.ID + " silent for " + silence + ", not moved: " + err.Error())
 		return errors.Is(err, errAttemptsUsed)
 	}
-	exchange, res := r.resumedExchange(ctx, choice, at.lastEventID)
+	exchange, res := r.resumedExchange(ctx, choice, at.ids.last)
 	if exchange != nil {
-		next := source{choice: choice, exchange: exchange}
-		if t.win(next, t.leaveSilent) {
+		next := r.newSource(choice, exchange)
+		err := next.awaitEvent(at.ids)
+		if err == nil && t.win(next, t.leaveSilent) {
 			return true
 		}
 		next.end()
-		res = result{run: azurehitch.RunStateUnknown, cause: context.Canceled}
+		res = t.lost(ctx, choice, err)
 	}
 	r.countTakeover(res)
 	r.attempts.add(choice, "beside "+t.silent.choice.Server.ID+", silent for "+silence+": "+res.cause.Error())
 	return res.isBarred
 }
 
+// lost returns the result of an attempt whose server has not become the source because of err, or
+// because the silent server went on first.
+func (t *takeover) lost(ctx context.Context, choice place.Choice, err error) result {
+	if err == nil || ctx.Err() != nil {
+		return result{run: azurehitch.RunStateUnknown, cause: context.Canceled}
+	}
+	t.request.recordError(choice, err, time.Time{})
+	return result{run: azurehitch.RunStateUnknown, cause: err}
+}
+
+// awaitEvent waits until the server has sent the event after those with the given ids, or a complete
+// response without events.
+func (s source) awaitEvent(ids eventIDs) error {
+	event, err := s.reader.peek()
+	switch {
+	case err == io.EOF && len(event) == 0 && !s.exchange.IsCloseDelimited():
+		return nil
+	case err != nil:
+		return err
+	}
+	return ids.checkNext(eventID(event))
+}
+
 // place chooses another server, and charges the attempt to the retry budget.
 func (t *takeover) place(ctx context.Context, lastEventAt time.Time) (place.Choice, error) {
 	r := t.request
