The stop of serve drops a request that is read as it closes idle connections

What callers saw: a request on a kept connection that a daemon of serve had read completely during its planned stop, and then a closed connection without an answer. A caller can't tell this from a request that has run.

The HTTP library claims idle connections and closes them; where the serving goroutine has just read a request there, it finds the claim and drops the request. A connection on which nothing was sent kept the stop, for up to 5 s.

Now the server closes its connections with callerconn, as the gateway does: an idle connection's next read fails 50 ms after the listener is closed, a request that is read before is refused in words, and the library's shutdown comes when no connection is left. Refusals of the stop close their connection: until then the library does not know of the stop, and a caller that repeats requests would keep it. lingerconn finds its connection inside that of callerconn.

Tests that failed before, 2 of 2 runs each:

--- FAIL: TestStopDropsRequestThatWasJustRead/on_a_kept_connection got: e"unexpected EOF" (want an answer with status 503) --- FAIL: TestStopWaitsForIdleConnections/never_used got: context deadline exceeded: shut down (want the end of the stop within 1 s)

Their other subtests passed before. TestRefusalOfLargeBodyIsLostWithItsConnection passed before as well, and fails (write: broken pipe, 3 of 3) if Linger doesn't look inside.

A connection in the accept queue when the listener is closed is still reset by the system. A first request whose headers stay incomplete now holds the stop until its read timeout, at most until the end of the drain; the library closed it after 5 s.

--- a/internal/forward/caller/request.go
+++ b/internal/forward/caller/request.go
@@ -61,6 +61,7 @@
 	if !s.tryBeginRequest() {
 		s.Metrics.AddLabeled(metrics.RequestsRefused, string(azurehitch.CodeDraining), 1)
 		writeRefusal(ctx, azurehitch.Refuse(azurehitch.CodeDraining, "this daemon stops").WithRetryAfter(drainRetryAfter))
+		ctx.SetConnectionClose()
 		return
 	}
 	s.Metrics.Add(metrics.RequestsAccepted, 1)
--- a/internal/forward/caller/server.go
+++ b/internal/forward/caller/server.go
@@ -32,6 +32,7 @@
 	"azurehitch/internal/placement/directory"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
+	"azurehitch/internal/transport/callerconn"
 	"azurehitch/internal/transport/lingerconn"
 
 	"github.com/pkg/errors"
@@ -101,7 +102,9 @@
 	cancelBackground context.CancelFunc
 	http             *fasthttp.Server
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// listener is that of Serve; nil before.
+	listener   *callerconn.Listener
 	index      *router.Index
 	gates      map[string]*admission.Gate
 	limiters   map[string]*rate.Limiter
@@ -138,6 +141,7 @@
 		Logger:                discardLogger{},
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		ConnState:             callerconn.StateChanged,
 	}
 	return s
 }
@@ -149,11 +153,18 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	return errors.Wrap(s.http.Serve(s.listen(listener)), "serve callers")
+}
+
+func (s *Server) listen(listener net.Listener) net.Listener {
 	listener = lingerconn.Listen(listener, s.Clock, lingerconn.Limits{
 		Bytes: int64(s.settings.MaxBodyBytes),
 		Time:  min(s.settings.ReadTimeout, maxLingerTime),
 	})
-	return errors.Wrap(s.http.Serve(listener), "serve callers")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = callerconn.Listen(listener, s.Clock)
+	return s.listener
 }
 
 // Drain refuses new requests, and waits until those in progress have ended. It returns an error if
@@ -175,11 +186,28 @@
 
 // Shutdown closes the listener and the connections, and waits for background work to end.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.ShutdownWithContext(ctx)
+	err := s.closeConnections(ctx)
 	s.cancelBackground()
 	return errors.Wrap(cmp.Or(err, s.group.Wait()), "shut down")
 }
 
+// closeConnections closes the listener, and each connection once it is idle.
+func (s *Server) closeConnections(ctx context.Context) error {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
+		return nil
+	}
+	if err := listener.CloseIdle(); err != nil {
+		return err
+	}
+	if err := listener.Wait(ctx); err != nil {
+		return err
+	}
+	return s.http.ShutdownWithContext(ctx)
+}
+
 func (s *Server) closeDrained() {
 	select {
 	case <-s.drained:
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -139,6 +139,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection that this one reads from.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.remove(c)
--- a/internal/transport/lingerconn/conn.go
+++ b/internal/transport/lingerconn/conn.go
@@ -57,9 +57,12 @@
 	shouldLinger atomic.Bool
 }
 
-// Linger makes Close linger for a connection that a listener of Listen accepted. It does nothing
-// for other connections.
+// Linger makes Close linger for a connection that a listener of Listen accepted, or one around it
+// with a method NetConn. It does nothing for other connections.
 func Linger(c net.Conn) {
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
 	if lingering, ok := c.(*conn); ok {
 		lingering.shouldLinger.Store(true)
 	}
