--- /dev/null
+++ b/internal/transport/callerconn/listener_test.go
@@ -0,0 +1,125 @@
+package callerconn_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/transport/callerconn"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+)
+
+// acceptedConn is a connection that a Listener accepted.
+type acceptedConn struct {
+	*qt.C
+	net.Conn
+	listener *callerconn.Listener
+	peer     net.Conn
+}
+
+// accept returns a connection whose peer sends nothing yet.
+func accept(t *testing.T) *acceptedConn {
+	t.Helper()
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener := callerconn.Listen(inner, azurehitch.SystemClock{})
+	c.Cleanup(func() { listener.Close() })
+	peer, err := net.Dial("tcp", inner.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { peer.Close() })
+	accepted, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { accepted.Close() })
+	return &acceptedConn{C: c, Conn: accepted, listener: listener, peer: peer}
+}
+
+// receive reads a byte of a request.
+func (a *acceptedConn) receive() {
+	_, err := io.WriteString(a.peer, "G")
+	a.Assert(err, qt.IsNil)
+	a.assertRead(nil)
+}
+
+func (a *acceptedConn) becomeIdle() { callerconn.StateChanged(a.Conn, fasthttp.StateIdle) }
+
+func (a *acceptedConn) closeIdle() { a.Assert(a.listener.CloseIdle(), qt.IsNil) }
+
+// assertRead checks the error of a read that the HTTP library gives some time.
+func (a *acceptedConn) assertRead(want error) {
+	a.Helper()
+	a.Assert(a.SetReadDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+	_, err := a.Read(make([]byte, 1))
+	a.Assert(err, qt.ErrorIs, want)
+}
+
+// assertWait checks the error of waiting for the end of all connections.
+func (a *acceptedConn) assertWait(want error) {
+	a.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	a.Assert(a.listener.Wait(ctx), qt.ErrorIs, want)
+}
+
+func TestIdleConnectionStaysOpen(t *testing.T) {
+	for name, prepare := range map[string]func(a *acceptedConn){
+		"never used": (*acceptedConn).closeIdle,
+		"idle before CloseIdle": func(a *acceptedConn) {
+			a.receive()
+			a.becomeIdle()
+			a.closeIdle()
+		},
+		"idle after CloseIdle": func(a *acceptedConn) {
+			a.receive()
+			a.closeIdle()
+			a.becomeIdle()
+		},
+		"idle again after CloseIdle": func(a *acceptedConn) {
+			a.closeIdle()
+			a.receive()
+			a.becomeIdle()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := accept(t)
+			prepare(a)
+			a.assertRead(net.ErrClosed)
+			a.assertWait(context.DeadlineExceeded)
+			a.Assert(a.Close(), qt.IsNil)
+			a.assertWait(nil)
+		})
+	}
+}
+
+func TestConnectionIsClosedDuringRequest(t *testing.T) {
+	for name, prepare := range map[string]func(a *acceptedConn){
+		"that began before CloseIdle": func(a *acceptedConn) {
+			a.receive()
+			a.closeIdle()
+		},
+		"that began after CloseIdle": func(a *acceptedConn) {
+			a.closeIdle()
+			a.receive()
+		},
+		"after an idle time": func(a *acceptedConn) {
+			a.receive()
+			a.becomeIdle()
+			a.closeIdle()
+			a.receive()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := accept(t)
+			prepare(a)
+			a.assertRead(os.ErrDeadlineExceeded)
+			a.receive()
+			a.assertWait(context.DeadlineExceeded)
+		})
+	}
+}
