callerconn: a request that begins as idle connections are closed has no read timeout

What callers saw: nothing themselves; the first request of a new connection, begun in the 50 ms after CloseIdle and never completed, kept a stop until the end of its drain, and the stop ended with an error.

Cause: the connection's read timeout was replaced by the time at which it expires, and then by none. The HTTP library sets it again for later requests of a connection, but not for the first one. Now the connection goes back to the deadline that the library had set.

The test failed before, 2 of 2 runs: the read ended with the peer (no error) in place of "i/o timeout".

--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -43,6 +43,8 @@
 	// is closed; zero until CloseIdle.
 	isIdle    bool
 	expiresAt time.Time
+	// readDeadline is the last one that was set. It is not in force while the connection expires.
+	readDeadline time.Time
 	// readAhead is the byte that was read while the connection was watched, if any.
 	readAhead []byte
 	// readErr is the error of the background read; later reads return it.
@@ -129,10 +131,11 @@
 	return 1, true, c.setBusyLocked()
 }
 
-// SetReadDeadline implements net.Conn. A connection that expires keeps its deadline.
+// SetReadDeadline implements net.Conn. A connection that expires keeps its deadline until it is read.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readDeadline = t
 	if !c.expiresAt.IsZero() {
 		return nil
 	}
@@ -154,14 +157,14 @@
 	return c.setBusyLocked()
 }
 
-// setBusyLocked records that a part of a request has been read. The request may take its time.
+// setBusyLocked records that a part of a request has been read. The request has its usual time.
 func (c *conn) setBusyLocked() error {
 	c.isIdle = false
 	if c.expiresAt.IsZero() {
 		return nil
 	}
 	c.expiresAt = time.Time{}
-	return c.Conn.SetReadDeadline(time.Time{})
+	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 func (c *conn) setIdle() {
--- a/internal/transport/callerconn/listener_test.go
+++ b/internal/transport/callerconn/listener_test.go
@@ -123,3 +123,16 @@
 		})
 	}
 }
+
+func TestRequestDuringStopHasNoReadTimeout(t *testing.T) {
+	a := accept(t)
+	a.Assert(a.SetReadDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+	a.closeIdle()
+	_, err := io.WriteString(a.peer, "G")
+	a.Assert(err, qt.IsNil)
+	timer := time.AfterFunc(time.Second, func() { a.peer.Close() })
+	defer timer.Stop()
+	rest, err := io.ReadAll(a.Conn)
+	a.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	a.Assert(string(rest), qt.Equals, "G")
+}
