--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -43,6 +43,8 @@
 	// is closed; zero until CloseIdle.
 	isIdle    bool
 	expiresAt time.Time
+	// readDeadline is the last one that was set. It is not in force while the connection expires.
+	readDeadline time.Time
 	// readAhead is the byte that was read while the connection was watched, if any.
 	readAhead []byte
 	// readErr is the error of the background read; later reads return it.
@@ -129,16 +131,20 @@
 	return 1, true, c.setBusyLocked()
 }
 
-// SetReadDeadline implements net.Conn. A connection that expires keeps its deadline.
+// SetReadDeadline implements net.Conn. A connection that expires keeps its deadline until it is read.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readDeadline = t
 	if !c.expiresAt.IsZero() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection that this one reads from.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.remove(c)
@@ -151,14 +157,14 @@
 	return c.setBusyLocked()
 }
 
-// setBusyLocked records that a part of a request has been read. The request may take its time.
+// setBusyLocked records that a part of a request has been read. The request has its usual time.
 func (c *conn) setBusyLocked() error {
 	c.isIdle = false
 	if c.expiresAt.IsZero() {
 		return nil
 	}
 	c.expiresAt = time.Time{}
-	return c.Conn.SetReadDeadline(time.Time{})
+	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 func (c *conn) setIdle() {
