passthrough: a check of the planned stop that nothing reached is gone

Streams that have begun are placed by placeBegun, which never asks whether the request may still start. Found by the review: switched off, no test noticed.

--- a/internal/forward/passthrough/drain.go
+++ b/internal/forward/passthrough/drain.go
@@ -152,13 +152,10 @@
 	}
 }
 
-// hasBegun reports whether a part of the answer has been passed on.
-func (r *request) hasBegun() bool { return r.timeToFirstEvent > 0 }
-
-// mayStart reports whether the request may be sent to a server during a planned stop. An answer that
-// has begun may go on at another server at any time.
+// mayStart reports whether the request may be sent to a server during a planned stop. Answers that have
+// begun don't ask: they may go on at another server at any time.
 func (r *request) mayStart(timing drain.Timing) bool {
-	return r.hasBegun() || timing.MayStart(r.server.Clock.Now(), r.drainRequest())
+	return timing.MayStart(r.server.Clock.Now(), r.drainRequest())
 }
 
 // checkDrain returns an *azurehitch.ErrRefused if the request has arrived too late to end before the
