--- a/internal/forward/caller/close_test.go
+++ b/internal/forward/caller/close_test.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"azurehitch"
 	"azurehitch/internal/configuration/tables"
+	"azurehitch/internal/standin/hookconn"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
 
@@ -25,36 +25,6 @@
 	maxTestBodyBytes = 1 << 20
 )
 
-// hookListener calls a function between the arrival of a request and its receipt by the server.
-type hookListener struct {
-	net.Listener
-	hook atomic.Pointer[func()]
-}
-
-// Accept implements net.Listener.
-func (l *hookListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &hookConn{Conn: accepted, listener: l}, nil
-}
-
-// hookConn is a connection of a hookListener.
-type hookConn struct {
-	net.Conn
-	listener *hookListener
-}
-
-// Read implements net.Conn.
-func (c *hookConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if hook := c.listener.hook.Swap(nil); n > 0 && hook != nil {
-		(*hook)()
-	}
-	return n, err
-}
-
 // listen returns a listener on a free port.
 func listen(c *qt.C) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -126,7 +96,7 @@
 	for name, isKept := range map[string]bool{"on a kept connection": true, "on a new connection": false} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			listener := &hookListener{Listener: listen(c)}
+			listener := &hookconn.Listener{Listener: listen(c)}
 			server := startServer(c, listener)
 			kept := dial(c, listener.Addr().String())
 			if isKept {
@@ -138,7 +108,7 @@
 				group.Go(func() error { return stopWithin(server, 2*time.Second) })
 				time.Sleep(200 * time.Millisecond)
 			}
-			listener.hook.Store(&stop)
+			listener.CallOnRead(stop)
 			kept.write(modelsRequest)
 			kept.assertAnswer(http.StatusServiceUnavailable, true)
 			c.Assert(group.Wait(), qt.IsNil)
--- a/internal/forward/caller/server.go
+++ b/internal/forward/caller/server.go
@@ -196,16 +196,7 @@
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
-	if listener == nil {
-		return nil
-	}
-	if err := listener.CloseIdle(); err != nil {
-		return err
-	}
-	if err := listener.Wait(ctx); err != nil {
-		return err
-	}
-	return s.http.ShutdownWithContext(ctx)
+	return listener.Shutdown(ctx, s.http)
 }
 
 func (s *Server) closeDrained() {
--- a/internal/forward/passthrough/close_test.go
+++ b/internal/forward/passthrough/close_test.go
@@ -2,47 +2,16 @@
 
 import (
 	"context"
-	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/standin/hookconn"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 )
 
-// hookListener calls a function between the arrival of a request and its receipt by the gateway.
-type hookListener struct {
-	net.Listener
-	hook atomic.Pointer[func()]
-}
-
-// Accept implements net.Listener.
-func (l *hookListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &hookConn{Conn: accepted, listener: l}, nil
-}
-
-// hookConn is a connection of a hookListener.
-type hookConn struct {
-	net.Conn
-	listener *hookListener
-}
-
-// Read implements net.Conn.
-func (c *hookConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if hook := c.listener.hook.Swap(nil); n > 0 && hook != nil {
-		(*hook)()
-	}
-	return n, err
-}
-
 // stopWithin stops the gateway in the background.
 func (g *gateway) stopWithin(group *errgroup.Group, timeout time.Duration) {
 	group.Go(func() error {
@@ -55,7 +24,7 @@
 func TestStopDropsRequestThatWasJustRead(t *testing.T) {
 	for name, isKept := range map[string]bool{"on a kept connection": true, "on a new connection": false} {
 		t.Run(name, func(t *testing.T) {
-			listener := &hookListener{}
+			listener := &hookconn.Listener{}
 			backends := []*backend{newBackend(t, whole, 0), newBackend(t, whole, 0)}
 			withListener(t, idempotent, backends, listener, func(g *gateway) {
 				kept := g.keepConn(t)
@@ -69,7 +38,7 @@
 					g.stopWithin(&group, 2*time.Second)
 					time.Sleep(200 * time.Millisecond)
 				}
-				listener.hook.Store(&stop)
+				listener.CallOnRead(stop)
 				kept.write()
 				kept.assertAnswer(503, true)
 				g.Assert(group.Wait(), qt.IsNil)
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -21,6 +21,7 @@
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/router"
 	"azurehitch/internal/membership/serverlimit"
+	"azurehitch/internal/standin/hookconn"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
@@ -257,11 +258,11 @@
 // withGateway calls run with a gateway that forwards requests for a route to backends.
 func withGateway(t testing.TB, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
 	t.Helper()
-	withListener(t, route, backends, &hookListener{}, run)
+	withListener(t, route, backends, &hookconn.Listener{}, run)
 }
 
 // withListener calls run with a gateway that has a listener whose own Listener is set here.
-func withListener(t testing.TB, route azurehitch.PathRoute, backends []*backend, hooked *hookListener, run func(g *gateway)) {
+func withListener(t testing.TB, route azurehitch.PathRoute, backends []*backend, hooked *hookconn.Listener, run func(g *gateway)) {
 	t.Helper()
 	c := qt.New(t)
 	route.Name, route.Host, route.PathPrefix = "r", "a.example", "/x/"
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -192,16 +192,7 @@
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
-	if listener == nil {
-		return nil
-	}
-	if err := listener.CloseIdle(); err != nil {
-		return err
-	}
-	if err := listener.Wait(ctx); err != nil {
-		return errors.Wrap(err, "wait for requests in progress")
-	}
-	return errors.Wrap(s.http.ShutdownWithContext(ctx), "wait for requests in progress")
+	return errors.Wrap(listener.Shutdown(ctx, s.http), "wait for requests in progress")
 }
 
 // ActiveRequests returns the number of requests in progress.
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -9,8 +9,7 @@
 //	stop := callerconn.Watch(conn, cancel)
 //	defer stop()
 //	...
-//	err = listener.CloseIdle()
-//	err = listener.Wait(ctx)
+//	err = listener.Shutdown(ctx, server)
 //
 // The HTTP library doesn't read from a connection while a handler runs, so it would not notice the
 // disconnect. This package reads one byte in the background meanwhile. If a byte arrives, it
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// Shutdown closes the listener, and each connection once it is idle, and then shuts the server down that
+// has the connections. A server without a listener has nothing to close.
+func (l *Listener) Shutdown(ctx context.Context, server *fasthttp.Server) error {
+	if l == nil {
+		return nil
+	}
+	if err := l.CloseIdle(); err != nil {
+		return err
+	}
+	if err := l.Wait(ctx); err != nil {
+		return err
+	}
+	return server.ShutdownWithContext(ctx)
+}
+
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
