A planned stop reserves twice the lateness of its process for its end

Such a process is held up at the cancellation and again at the exit; one lateness was reserved.

Now it is two.

--- a/internal/forward/drain/timing.go
+++ b/internal/forward/drain/timing.go
@@ -18,10 +18,11 @@
 	// ready, so that a retry reaches another daemon.
 	acceptDuration = 2700 * time.Millisecond
 	// cancelMargin is the time before the end of a planned stop at which all requests are canceled.
-	// If the process runs late, it is the lateness and exitDuration, up to 1/cancelDivisor of the stop
-	// timeout.
+	// If the process runs late, it is latePauses times the lateness and exitDuration, up to 1/cancelDivisor
+	// of the stop timeout: it may be held up again at the cancellation and at the exit.
 	cancelMargin  = 500 * time.Millisecond
 	cancelDivisor = 8
+	latePauses    = 2
 	// exitDuration is how long the cancellation and the exit of the process take, and exitFraction the
 	// part of the cancel margin that is left for the exit.
 	exitDuration = 200 * time.Millisecond
@@ -89,7 +90,7 @@
 }
 
 func (t Timing) margin() time.Duration {
-	return min(max(cancelMargin, t.Lateness+exitDuration), t.StopTimeout/cancelDivisor)
+	return min(max(cancelMargin, latePauses*t.Lateness+exitDuration), t.StopTimeout/cancelDivisor)
 }
 
 // LatestStart returns the latest time at which a request may be sent to a server.
