passthrough: a test server announces that it closes its connections

Traced by reading: the test's server closes each connection after its answer without a word, so the pool keeps it, and the next streams may use it before it sees the close. Now the server says "Connection: close".

--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -374,14 +374,19 @@
 		b.playAnswer(conn, func(request *http.Request) []step {
 			drawn := rand.N(spread)
 			if request.Header.Get("X-Last") != "" {
-				return []step{{drawn, eventStream("200 OK", thirdEvent)}}
+				return []step{{drawn, closing(eventStream("200 OK", thirdEvent))}}
 			}
-			return []step{{0, streamHead + chunk(firstEvent) + chunk(secondEvent)}, {pause + drawn, chunk(thirdEvent) + streamEnd}}
+			return []step{{0, closing(streamHead) + chunk(firstEvent) + chunk(secondEvent)}, {pause + drawn, chunk(thirdEvent) + streamEnd}}
 		})
 	})
 	return b
 }
 
+// closing announces in the head of a response that its server closes the connection after it.
+func closing(response string) string {
+	return strings.Replace(response, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+}
+
 // sendUntil sends a request whose caller leaves when the context ends.
 func (g *gateway) sendUntil(ctx context.Context) {
 	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+g.address+"/x/y", nil)
