passthrough: one way to ask for a server, one to move a stream

place and placeBegun each measured the wait for a server, and a stream that moved after silence or after a break attached its next server and counted it in two places. No behaviour changes; the package passes with -race.

--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -177,11 +177,16 @@
 		return false
 	}
 	r.unknownOutcomes++
-	s.attach(next)
-	r.server.Metrics.Add(metrics.StreamsResumed, 1)
+	s.moveTo(next)
 	return true
 }
 
+// moveTo makes another server the source of further events.
+func (s *relay) moveTo(next source) {
+	s.attach(next)
+	s.request.server.Metrics.Add(metrics.StreamsResumed, 1)
+}
+
 // resume resumes the stream on another server after the current one has ended, or fails it.
 func (s *relay) resume(cause error) {
 	r := s.request
@@ -195,8 +200,7 @@
 		}
 		var exchange *connpool.Exchange
 		if exchange, res = r.resumedExchange(r.ctx, choice, s.ids.last); exchange != nil {
-			s.attach(r.newSource(choice, exchange))
-			r.server.Metrics.Add(metrics.StreamsResumed, 1)
+			s.moveTo(r.newSource(choice, exchange))
 			return
 		}
 		r.attempts.add(choice, res.cause.Error())
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -227,7 +227,6 @@
 
 // place chooses the server of the next attempt. The error may be errDraining.
 func (r *request) place() (place.Choice, error) {
-	startedAt := r.server.Clock.Now()
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	r.server.drain.addWaiting(r, cancel)
@@ -235,8 +234,7 @@
 	if !r.mayStillStart() {
 		return place.Choice{}, errDraining
 	}
-	choice, err := r.server.Placer.Place(ctx, r.placeRequest())
-	r.placementTime += r.server.Clock.Now().Sub(startedAt)
+	choice, err := r.askPlacer(ctx, r.placeRequest())
 	switch {
 	case err != nil && errors.Is(context.Cause(ctx), errDraining):
 		return choice, errDraining
@@ -249,6 +247,14 @@
 	return choice, err
 }
 
+// askPlacer asks the Placer for a server, and counts the wait.
+func (r *request) askPlacer(ctx context.Context, request place.Request) (place.Choice, error) {
+	startedAt := r.server.Clock.Now()
+	choice, err := r.server.Placer.Place(ctx, request)
+	r.placementTime += r.server.Clock.Now().Sub(startedAt)
+	return choice, err
+}
+
 // mayStillStart reports whether no planned stop keeps the request from being sent to a server.
 func (r *request) mayStillStart() bool {
 	return !r.server.drain.hasBegun() || r.mayStart(r.server.drain.currentTiming())
--- a/internal/forward/passthrough/takeover.go
+++ b/internal/forward/passthrough/takeover.go
@@ -216,12 +216,9 @@
 // placeBegun chooses another server for a stream that has begun. Such a stream can't be refused any
 // more, so a planned stop does not end the wait for a server.
 func (r *request) placeBegun(ctx context.Context, avoid []string, lastEventAt time.Time) (place.Choice, error) {
-	startedAt := r.server.Clock.Now()
 	request := r.placeRequest()
 	request.Avoid, request.Deadline = avoid, r.placeDeadline(lastEventAt)
-	choice, err := r.server.Placer.Place(ctx, request)
-	r.placementTime += r.server.Clock.Now().Sub(startedAt)
-	return choice, err
+	return r.askPlacer(ctx, request)
 }
 
 // resumedExchange asks a server to go on with the stream after an event. If its response does not
