--- /dev/null
+++ b/internal/daemon/gateway/share.go
@@ -0,0 +1,36 @@
+package gateway
+
+import "azurehitch"
+
+// daemonCount returns the number of known daemons.
+func (d *Daemon) daemonCount() int { return len(d.members.Names()) }
+
+// listedDaemonCount returns the number of known daemons, and 0 before the others have been read.
+func (d *Daemon) listedDaemonCount() int {
+	if !d.members.IsListed() {
+		return 0
+	}
+	return d.daemonCount()
+}
+
+// rank returns the index of this daemon in the sorted names of the known daemons. It determines which
+// daemon appends a snapshot first.
+func (d *Daemon) rank() int {
+	for i, name := range d.members.Names() {
+		if name == d.settings.Name {
+			return i
+		}
+	}
+	return 0
+}
+
+// connectionShare returns the number of connections that this daemon may use of the
+// MaxConnections of a server; 0 is unlimited. It is twice the even share, because callers are
+// spread unevenly over daemons.
+func (d *Daemon) connectionShare(service azurehitch.BackendService) int {
+	if service.MaxConnections == 0 {
+		return 0
+	}
+	const shareFactor, minConnections = 2, 8
+	return max(shareFactor*service.MaxConnections/max(d.daemonCount(), 1), minConnections)
+}
