connpool: the dialer is passed in

A daemon that reaches no server has to open its connections in another way, and tests have to play one. Until now the pool dialed by itself. No change of behaviour; the tests of connpool pass.

--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -61,7 +61,7 @@
 // reset closes a connection whose exchange is incomplete. Bytes that were written but not delivered
 // are discarded, so that they can't reach the server later.
 func (c *conn) reset() {
-	if tcp, ok := c.tcp.(*net.TCPConn); ok {
+	if tcp, ok := c.tcp.(interface{ SetLinger(seconds int) error }); ok {
 		// A connection that can't take the option is closed already.
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -128,10 +128,26 @@
 	MaySend func() bool
 }
 
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	// Dial returns a connection to a server. The error implies that no byte has reached the server.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// DirectDialer opens a TCP connection from this host.
+type DirectDialer struct{}
+
+// Dial implements Dialer.
+func (DirectDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Pool holds the connections of one daemon to backend servers.
 type Pool struct {
 	clock  azurehitch.Clock
 	limits Limits
+	dialer Dialer
 	memory *membudget.Budget
 
 	mu sync.Mutex
@@ -151,9 +167,21 @@
 
 // New returns an empty pool.
 func New(clock azurehitch.Clock, limits Limits) *Pool {
-	return &Pool{clock: clock, limits: limits, memory: membudget.New(limits.Memory), servers: map[string]*serverConns{}}
+	return &Pool{
+		clock: clock, limits: limits, dialer: DirectDialer{}, memory: membudget.New(limits.Memory), servers: map[string]*serverConns{},
+	}
+}
+
+// WithDialer makes the pool open its connections with a Dialer other than DirectDialer, and returns the
+// pool. It must be called before the pool is used.
+func (p *Pool) WithDialer(dialer Dialer) *Pool {
+	p.dialer = dialer
+	return p
 }
 
+// Dialer returns the Dialer that the pool opens its connections with.
+func (p *Pool) Dialer() Dialer { return p.dialer }
+
 // Memory returns the memory budget that the response bodies of all exchanges share.
 func (p *Pool) Memory() *membudget.Budget { return p.memory }
 
@@ -264,12 +292,11 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
-	tcp, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := p.dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	return newConn(tcp, int(p.limits.Head)), nil
+	return newConn(opened, int(p.limits.Head)), nil
 }
 
 // release counts one connection to an address as no longer in use.
