gateway: the daemon reports its listen addresses, tests leave the ports to the system

The tests chose a free port, closed it and had the daemon listen on it later; another process took it in between. Daemons of tests now listen on port 0, and Addresses tells the ports. Members learn the port that was opened.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"net"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -45,8 +44,6 @@
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
-
-	"github.com/pkg/errors"
 )
 
 const (
@@ -130,22 +127,19 @@
 	stopTimeout atomic.Int64
 }
 
-// listeners holds the listeners of a daemon: for callers, for readiness checks of the load balancer,
-// for other daemons and for metrics.
-type listeners struct {
-	callers net.Listener
-	ready   net.Listener
-	peers   net.Listener
-	metrics net.Listener
-}
-
-// New opens the listeners of a daemon and assembles it.
+// New opens the listeners of a daemon and assembles it. Addresses returns the listen addresses, also
+// where a setting leaves the choice of the port to the system with port 0.
 func New(s Settings, platform Platform) (*Daemon, error) {
+	opened, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
 		Platform: platform,
 		settings: s,
 		self:     leaselog.NewHolder(s.Name), startedAt: platform.Clock.Now(),
-		lateness: lateness.New(platform.LeaseClock),
+		listeners: opened,
+		lateness:  lateness.New(platform.LeaseClock),
 	}
 	d.stopTimeout.Store(int64(s.StopTimeout))
 	d.observer = newObserver(platform.Metrics, platform.Logs)
@@ -158,7 +152,7 @@
 	d.assembleQuarantine()
 	d.assembleStreams()
 	d.assembleForwarding()
-	return d, d.listen()
+	return d, nil
 }
 
 func (d *Daemon) assembleState() {
@@ -168,7 +162,7 @@
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
 	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
 	self := members.Member{
-		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers,
+		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.Addresses().Peers,
 		Processor: d.settings.Processor, Bandwidth: d.settings.Bandwidth,
 	}
 	d.assembleFollowers()
@@ -344,26 +338,6 @@
 	_ = d.heldServices.AwaitOrders(ctx, service)
 }
 
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		name    string
-		address string
-		target  *net.Listener
-	}{
-		{"callers", d.settings.Callers, &d.listeners.callers},
-		{"readiness", d.settings.Ready, &d.listeners.ready},
-		{"peers", d.settings.Peers, &d.listeners.peers},
-		{"metrics", d.settings.Metrics, &d.listeners.metrics},
-	} {
-		listener, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errors.Wrapf(err, "listen for %s on %s", l.name, l.address)
-		}
-		*l.target = listener
-	}
-	return nil
-}
-
 // isReady reports whether the daemon can serve callers: it has read the routing table and the list
 // of servers, and is not stopping.
 func (d *Daemon) isReady() bool {
--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -19,6 +19,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// anyPort is a listen address on a port that the system chooses.
+const anyPort = "127.0.0.1:0"
+
 // testEnv is a daemon that uses a stand-in for the platform's store.
 type testEnv struct {
 	*qt.C
@@ -53,9 +56,7 @@
 	defer server.CloseClientConnections()
 	env.settings = gateway.DefaultSettings()
 	env.settings.Name, env.settings.Store = "daemon-1", server.Listener.Addr().String()
-	for _, address := range []*string{&env.settings.Callers, &env.settings.Ready, &env.settings.Peers, &env.settings.Metrics} {
-		*address = freeAddress(env.C)
-	}
+	env.settings.Callers, env.settings.Ready, env.settings.Peers, env.settings.Metrics = anyPort, anyPort, anyPort, anyPort
 	change(&env.settings)
 	connected := platform.Connect(env.settings, azurehitch.SystemClock{}, logging.Discard())
 	connected.LeaseClock = env.leaseClock
@@ -70,7 +71,7 @@
 		defer close(env.ended)
 		return daemon.Run(ctx)
 	})
-	env.Assert(env.await(10*time.Second, func() bool { return env.status(env.settings.Ready, "/") == http.StatusOK }), qt.IsTrue)
+	env.Assert(env.await(10*time.Second, func() bool { return env.status(env.daemon.Addresses().Ready, "/") == http.StatusOK }), qt.IsTrue)
 	run(env)
 	stop()
 	env.Assert(group.Wait(), qt.IsNil)
@@ -79,7 +80,7 @@
 // startBackend starts a backend server until the end of the test, and lists it.
 func (env *testEnv) startBackend(t *testing.T, options platformtest.BackendOptions) *platformtest.Backend {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort)
 	env.Assert(err, qt.IsNil)
 	options.Address = listener.Addr().String()
 	backend := platformtest.NewBackend(options)
@@ -93,13 +94,6 @@
 	return backend
 }
 
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // publish writes the next routing table. The path of its only route contains the version.
 func (env *testEnv) publish() {
 	env.version++
@@ -120,7 +114,7 @@
 
 // isTableInForce reports whether the daemon knows the route of the last table.
 func (env *testEnv) isTableInForce() bool {
-	return env.status(env.settings.Callers, fmt.Sprintf("/v%d/x", env.version)) != http.StatusNotFound
+	return env.status(env.daemon.Addresses().Callers, fmt.Sprintf("/v%d/x", env.version)) != http.StatusNotFound
 }
 
 func (env *testEnv) status(address, path string) int {
--- a/internal/daemon/gateway/latestop_test.go
+++ b/internal/daemon/gateway/latestop_test.go
@@ -46,7 +46,7 @@
 // call makes a call. It returns false if the daemon took no connection or closed the one that was kept.
 func (c *lateCaller) call(request platformtest.CallerRequest) (answer platformtest.Answer, wasTaken bool, err error) {
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.env.settings.Callers, time.Second)
+		conn, err := net.DialTimeout("tcp", c.env.daemon.Addresses().Callers, time.Second)
 		if err != nil {
 			return answer, false, err
 		}
@@ -101,7 +101,7 @@
 	}
 	env.version++
 	env.Assert(env.store.PutRouting(table), qt.IsNil)
-	env.Assert(env.await(10*time.Second, func() bool { return env.status(env.settings.Callers, "/repeat/x") == http.StatusOK }), qt.IsTrue)
+	env.Assert(env.await(10*time.Second, func() bool { return env.status(env.daemon.Addresses().Callers, "/repeat/x") == http.StatusOK }), qt.IsTrue)
 }
 
 // callThroughStop makes calls until the daemon has ended.
--- a/internal/daemon/gateway/oddentries_test.go
+++ b/internal/daemon/gateway/oddentries_test.go
@@ -24,7 +24,7 @@
 func (env *testEnv) isServed() bool {
 	const requests = 10
 	for range requests {
-		if env.status(env.settings.Callers, fmt.Sprintf("/v%d/x", env.version)) != http.StatusOK {
+		if env.status(env.daemon.Addresses().Callers, fmt.Sprintf("/v%d/x", env.version)) != http.StatusOK {
 			return false
 		}
 	}
@@ -75,6 +75,6 @@
 		env.publish()
 		env.Assert(env.await(5*time.Second, env.isTableInForce), qt.IsTrue)
 		env.Assert(env.await(5*time.Second, env.isServed), qt.IsTrue)
-		env.Assert(env.status(env.settings.Ready, "/"), qt.Equals, http.StatusOK)
+		env.Assert(env.status(env.daemon.Addresses().Ready, "/"), qt.Equals, http.StatusOK)
 	})
 }
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -41,8 +41,9 @@
 			return d.listeners.callers.Close()
 		}
 	})
-	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", d.settings.Callers).Str("Peers", d.settings.Peers).
-		Str("Metrics", d.settings.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
+	addresses := d.Addresses()
+	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", addresses.Callers).Str("Peers", addresses.Peers).
+		Str("Metrics", addresses.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
 		Str("Incarnation", d.self.Incarnation).Msg("daemon started")
 	err := d.wait(running, group)
 	d.peers.Close()
--- a/internal/daemon/gateway/stop_test.go
+++ b/internal/daemon/gateway/stop_test.go
@@ -88,7 +88,7 @@
 // call makes a call on a new connection.
 func (env *testEnv) call(id string) call {
 	began := time.Now()
-	conn, err := net.DialTimeout("tcp", env.settings.Callers, time.Second)
+	conn, err := net.DialTimeout("tcp", env.daemon.Addresses().Callers, time.Second)
 	if err != nil {
 		return call{err: err}
 	}
