processes: daemons and stand-ins report the ports that the system chose

As in the gateway's tests, a port that was chosen and closed could be taken by another process before its use. azurehitch-standin prints its listen address; azurehitch logs those of the daemon already.

--- a/cmd/azurehitch-standin/cmds/commands.go
+++ b/cmd/azurehitch-standin/cmds/commands.go
@@ -56,11 +56,15 @@
 	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "loopback `ADDRESS` to listen on"}
 }
 
+// serve prints the listen address as Listen=ADDRESS, and serves until the context ends.
 func serve(ctx context.Context, cmd *cli.Command, faults *fault.Set, handler fasthttp.RequestHandler) error {
 	listener, err := net.Listen("tcp", cmd.String("listen"))
 	if err != nil {
 		return errors.Wrapf(err, "--listen %s", cmd.String("listen"))
 	}
+	if _, err := fmt.Fprintf(cmd.Root().Writer, "Listen=%s\n", listener.Addr()); err != nil {
+		return errors.Wrap(err, "print the listen address")
+	}
 	return jsonhttp.Serve(ctx, listener, &fasthttp.Server{
 		Handler:            faults.Wrap(handler),
 		Name:               "azurehitch-standin",
--- a/internal/proof/processes/processes_test.go
+++ b/internal/proof/processes/processes_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -60,21 +58,13 @@
 	desk            *process
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
-// start starts a process that is killed at the end of the test.
-func (s *system) start(name, program string, args ...string) *process {
+// start starts a process that is killed at the end of the test, and returns it with its listen addresses
+// by name.
+func (s *system) start(name, program string, args ...string) (*process, map[string]string) {
 	s.t.Helper()
+	reader := newAddressReader()
 	cmd := exec.Command(filepath.Join(s.binFolder, program), args...)
-	cmd.Stderr = io.Discard
+	cmd.Stdout, cmd.Stderr = reader, reader
 	if err := cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
@@ -84,7 +74,22 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	})
-	return &process{name: name, cmd: cmd}
+	p := &process{name: name, cmd: cmd}
+	select {
+	case addresses := <-reader.addresses:
+		return p, addresses
+	case <-time.After(waitTimeout):
+		s.t.Fatalf("%s reports no listen address", name)
+	}
+	return nil, nil
+}
+
+// startStandin starts a stand-in that listens on any port.
+func (s *system) startStandin(name string, args ...string) *process {
+	s.t.Helper()
+	p, addresses := s.start(name, "azurehitch-standin", append(args, "--listen", anyPort)...)
+	p.address = addresses[standinListen]
+	return p
 }
 
 func (s *system) await(what string, condition func() bool) {
@@ -94,14 +99,6 @@
 	}
 }
 
-func acceptsConnections(address string) bool {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return false
-	}
-	return conn.Close() == nil
-}
-
 func (s *system) registerHost(name, address string, role azurehitch.HostRole) {
 	s.t.Helper()
 	host := azurehitch.Host{Address: address, FailureDomain: "reduit", Role: role, State: azurehitch.HostStateLive}
@@ -115,18 +112,14 @@
 // checks fencing tokens, the others ignore them.
 func startSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, binFolder: t.TempDir(), hostListAddress: freeAddress(t), logAddress: freeAddress(t)}
+	s := &system{t: t, binFolder: t.TempDir()}
 	build := exec.Command("go", "build", "-o", s.binFolder, "azurehitch/cmd/azurehitch", "azurehitch/cmd/azurehitch-standin")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, output)
 	}
-	weights := freeAddress(t)
-	s.start("log", "azurehitch-standin", "log", "--listen", s.logAddress)
-	s.start("hosts", "azurehitch-standin", "hosts", "--listen", s.hostListAddress, "--lag", "0s")
-	s.start("weights", "azurehitch-standin", "weights", "--listen", weights, "--load-time", "1s")
-	for _, address := range []string{s.logAddress, s.hostListAddress, weights} {
-		s.await(address, func() bool { return acceptsConnections(address) })
-	}
+	s.logAddress = s.startStandin("log", "log").address
+	s.hostListAddress = s.startStandin("hosts", "hosts", "--lag", "0s").address
+	weights := s.startStandin("weights", "weights", "--load-time", "1s").address
 	for i := range engineCount {
 		s.startEngine(fmt.Sprintf("engine-%d", i+1), weights, i > 0)
 	}
@@ -139,32 +132,23 @@
 }
 
 func (s *system) startEngine(name, weights string, ignoreToken bool) {
-	address := freeAddress(s.t)
-	p := s.start(name, "azurehitch-standin", "engine", "--name", name, "--listen", address,
-		"--weights", weights, fmt.Sprintf("--ignore-token=%t", ignoreToken))
-	p.address = address
+	p := s.startStandin(name, "engine", "--name", name, "--weights", weights, fmt.Sprintf("--ignore-token=%t", ignoreToken))
 	s.engines = append(s.engines, p)
-	s.await(name, func() bool { return acceptsConnections(address) })
-	s.registerHost(name, address, azurehitch.HostRoleBackend)
+	s.registerHost(name, p.address, azurehitch.HostRoleBackend)
 }
 
 // startDesk starts a service whose calls take deskRunTime.
 func (s *system) startDesk() {
-	address := freeAddress(s.t)
-	s.desk = s.start("desk", "azurehitch-standin", "service", "--name", "desk", "--listen", address, "--run-time", deskRunTime.String())
-	s.desk.address = address
-	s.await("desk", func() bool { return acceptsConnections(address) })
-	s.registerHost("desk", address, azurehitch.HostRoleBackend)
+	s.desk = s.startStandin("desk", "service", "--name", "desk", "--run-time", deskRunTime.String())
+	s.registerHost("desk", s.desk.address, azurehitch.HostRoleBackend)
 }
 
 func (s *system) startDaemon(name, weights string) {
-	address, peer, admin := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
-	p := s.start(name, "azurehitch", "serve", "--name", name, "--listen", address, "--peer-listen", peer,
-		"--admin-listen", admin, "--log-service", s.logAddress, "--host-list", s.hostListAddress, "--weight-store", weights)
-	p.address, p.adminAddress = address, admin
+	p, addresses := s.start(name, "azurehitch", "serve", "--name", name, "--listen", anyPort, "--peer-listen", anyPort,
+		"--admin-listen", anyPort, "--log-service", s.logAddress, "--host-list", s.hostListAddress, "--weight-store", weights)
+	p.address, p.adminAddress = addresses["Callers"], addresses["Admin"]
 	s.daemons = append(s.daemons, p)
-	s.await(name, func() bool { return acceptsConnections(admin) })
-	s.registerHost(name, peer, azurehitch.HostRoleEntry)
+	s.registerHost(name, addresses["Peers"], azurehitch.HostRoleEntry)
 }
 
 func (s *system) publish() {
