--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -79,18 +79,24 @@
 
 // startBackend starts a backend server until the end of the test, and lists it.
 func (env *testEnv) startBackend(t *testing.T, options platformtest.BackendOptions) *platformtest.Backend {
+	t.Helper()
+	return startBackend(t, env.C, env.store, options)
+}
+
+// startBackend starts a backend server until the end of the test, and lists it in a store.
+func startBackend(t *testing.T, c *qt.C, store *platformtest.Store, options platformtest.BackendOptions) *platformtest.Backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", anyPort)
-	env.Assert(err, qt.IsNil)
+	c.Assert(err, qt.IsNil)
 	options.Address = listener.Addr().String()
 	backend := platformtest.NewBackend(options)
 	var group errgroup.Group
 	group.Go(func() error { return backend.Serve(listener) })
 	t.Cleanup(func() {
 		backend.Kill()
-		env.Check(group.Wait(), qt.IsNil)
+		c.Check(group.Wait(), qt.IsNil)
 	})
-	env.Assert(env.store.PutServer(backend.Entry()), qt.IsNil)
+	c.Assert(store.PutServer(backend.Entry()), qt.IsNil)
 	return backend
 }
 
