tunnelpeer: connections to servers through another daemon

Callers of a daemon that has lost its links to the servers were served far worse than others: such a daemon has no other way to a server. A tunnel carries the bytes of one connection: attempts, deadline, retry budget and outcome stay with the daemon that took the request.

--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -3,20 +3,12 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
 
 	"azurehitch/internal/transport/idleconn"
-
-	"github.com/pkg/errors"
 )
 
-const (
-	writeBufferBytes = 4 << 10
-	// tcpUserTimeout is the number of the Linux socket option TCP_USER_TIMEOUT; its value is in
-	// milliseconds.
-	tcpUserTimeout = 18
-)
+const writeBufferBytes = 4 << 10
 
 // conn is one connection to a backend server.
 type conn struct {
@@ -35,15 +27,18 @@
 // isNew reports whether the connection was dialed for the current exchange.
 func (c *conn) isNew() bool { return c.expires.IsZero() }
 
-// setUnackedTimeout makes a connection fail when sent bytes stay unacknowledged for unackedTimeout.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	if err := raw.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-	}); err != nil {
-		return err
+// isSingleUse reports whether the connection must not be kept for a later exchange.
+func (c *conn) isSingleUse() bool {
+	single, ok := c.tcp.(interface{ IsSingleUse() bool })
+	return ok && single.IsSingleUse()
+}
+
+// through returns the name of the daemon that the connection leads through; empty for a direct connection.
+func (c *conn) through() string {
+	if tunnel, ok := c.tcp.(interface{ Through() string }); ok {
+		return tunnel.Through()
 	}
-	return errors.Wrap(sockErr, "set timeout of unacknowledged bytes")
+	return ""
 }
 
 // isHealthy reports whether an idle connection is open and has no unread data. Data that arrives
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -25,6 +25,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/transport/membudget"
+	"azurehitch/internal/transport/tcpoption"
 
 	"github.com/pkg/errors"
 )
@@ -123,6 +124,8 @@
 	// MaxOpen bounds the open connections to the server, including idle ones; 0 means no bound. Idle
 	// connections are closed when a new connection would exceed the bound.
 	MaxOpen int
+	// Direct opens the connection from this host, whatever the Dialer of the pool does.
+	Direct bool
 	// MaySend is called immediately before the first byte is sent; if it returns false, nothing is
 	// sent. nil always allows the send.
 	MaySend func() bool
@@ -139,7 +142,7 @@
 
 // Dial implements Dialer.
 func (DirectDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: tcpoption.UnackedTimeout(unackedTimeout), KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
@@ -147,6 +150,8 @@
 type Pool struct {
 	clock  azurehitch.Clock
 	limits Limits
+	// direct opens the connections of exchanges with Options.Direct, and dialer those of the others.
+	direct Dialer
 	dialer Dialer
 	memory *membudget.Budget
 
@@ -168,19 +173,47 @@
 // New returns an empty pool.
 func New(clock azurehitch.Clock, limits Limits) *Pool {
 	return &Pool{
-		clock: clock, limits: limits, dialer: DirectDialer{}, memory: membudget.New(limits.Memory), servers: map[string]*serverConns{},
+		clock: clock, limits: limits, direct: DirectDialer{}, dialer: DirectDialer{},
+		memory: membudget.New(limits.Memory), servers: map[string]*serverConns{},
 	}
 }
 
 // WithDialer makes the pool open its connections with a Dialer other than DirectDialer, and returns the
 // pool. It must be called before the pool is used.
 func (p *Pool) WithDialer(dialer Dialer) *Pool {
+	p.direct, p.dialer = dialer, dialer
+	return p
+}
+
+// Dialer returns the Dialer of exchanges with Options.Direct.
+func (p *Pool) Dialer() Dialer { return p.direct }
+
+// WithPathDialer makes the pool open the connections of exchanges without Options.Direct with another
+// Dialer, and returns the pool. It must be called before the pool is used.
+func (p *Pool) WithPathDialer(dialer Dialer) *Pool {
 	p.dialer = dialer
 	return p
 }
 
-// Dialer returns the Dialer that the pool opens its connections with.
-func (p *Pool) Dialer() Dialer { return p.dialer }
+// CloseIdle closes the idle connections to a server.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.servers[address]; ok {
+		closeAll(s.idle)
+		s.idle = nil
+	}
+}
+
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		closeAll(s.idle)
+		s.idle = nil
+	}
+}
 
 // Memory returns the memory budget that the response bodies of all exchanges share.
 func (p *Pool) Memory() *membudget.Budget { return p.memory }
@@ -231,7 +264,7 @@
 	if err != nil || idle != nil {
 		return idle, err
 	}
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, address, options.Direct)
 	if err != nil {
 		p.release(address)
 		return nil, err
@@ -291,8 +324,12 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	opened, err := p.dialer.Dial(ctx, address)
+func (p *Pool) dial(ctx context.Context, address string, isDirect bool) (*conn, error) {
+	dialer := p.dialer
+	if isDirect {
+		dialer = p.direct
+	}
+	opened, err := dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
