--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -70,7 +70,7 @@
 	e := &Exchange{
 		pool: p, address: address, conn: c,
 		sending: &errgroup.Group{}, sent: make(chan struct{}),
-		memory: p.memory.NewReservation(), fresh: options.Fresh,
+		memory: p.memory.NewReservation(), fresh: options.Fresh || c.isSingleUse(),
 	}
 	if options.MaySend != nil && !options.MaySend() {
 		close(e.sent)
@@ -97,10 +97,10 @@
 	if err := e.send(request); err != nil {
 		return err
 	}
-	if err := e.readHead(request.Method); err != nil {
-		return err
+	if !e.conn.isNew() {
+		defer e.pool.watchSilence(e.address)()
 	}
-	return nil
+	return e.readHead(request.Method)
 }
 
 // send sends the request. A long body is sent in the background while the response is read, because
@@ -168,6 +168,9 @@
 // to an earlier request. It must be called before Close.
 func (e *Exchange) IsFirst() bool { return e.conn.isNew() }
 
+// Through returns the name of the daemon that the request was sent through; empty if it was sent directly.
+func (e *Exchange) Through() string { return e.conn.through() }
+
 // IsCloseDelimited reports whether the body is delimited only by the close of the connection, so
 // that io.EOF doesn't prove that it is complete.
 func (e *Exchange) IsCloseDelimited() bool { return e.Header.ContentLength() == lengthUntilClose }
