tunnelpeer: the next daemon is asked while the last one takes long

Each asked the other two first, which had lost their links too and didn't know it: each took 0.25 s to say that the server doesn't answer, two such answers ended the search, and none of the three ever had a proof. Now the next daemon is asked after 50 ms, the second in another failure domain; those that were slower than another come last for a while; and a daemon that reaches a server neither way dials some others, unless it has just reached one.

--- a/internal/transport/serverpath/dialer.go
+++ b/internal/transport/serverpath/dialer.go
@@ -138,6 +138,14 @@
 	}
 }
 
+// Doubt records that a server was not reached. Unless some server was reached lately, the paths to some others are
+// checked: the others that were asked may be cut off themselves, and not know it yet.
+func (d *Dialer) Doubt() {
+	if d.paths.doubt(d.Clock.Now()) {
+		d.wakeRun()
+	}
+}
+
 // reached records that a server was reached directly.
 func (d *Dialer) reached(address string) {
 	change := d.paths.reached(address, d.Clock.Now())
--- a/internal/transport/serverpath/paths.go
+++ b/internal/transport/serverpath/paths.go
@@ -14,6 +14,8 @@
 	blockedToCutOff = 3
 	// reachedTime is how long after a server was reached a silent connection is no reason to check a path.
 	reachedTime = time.Second
+	// doubtTime is how long after a server was reached a dial that fails is no reason to check other paths.
+	doubtTime = 200 * time.Millisecond
 )
 
 // paths knows which paths to servers are blocked.
@@ -103,6 +105,18 @@
 	return true
 }
 
+// doubt reports whether paths to some servers are to be checked because a server was reached neither directly
+// nor through others.
+func (p *paths) doubt(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cutOff || p.checkDue || now.Sub(p.reachedAt) < doubtTime {
+		return false
+	}
+	p.checkDue = true
+	return true
+}
+
 // toCheck returns the listed servers whose paths are to be checked now: the suspects, and some others after
 // a path was found blocked.
 func (p *paths) toCheck(servers []string, now time.Time) []string {
--- a/internal/transport/serverpath/race.go
+++ b/internal/transport/serverpath/race.go
@@ -83,6 +83,7 @@
 			indirectErr = result.err
 		}
 	}
+	r.Doubt()
 	if errors.Is(indirectErr, syscall.ECONNREFUSED) {
 		return nil, indirectErr
 	}
--- a/internal/transport/tunnelpeer/client.go
+++ b/internal/transport/tunnelpeer/client.go
@@ -23,9 +23,11 @@
 	unackedTimeout = 2 * time.Second
 	// maxPeersTried is the number of daemons that are asked for one tunnel.
 	maxPeersTried = 4
+	// nextPeerDelay is how long one daemon may take before the next one is asked as well.
+	nextPeerDelay = 50 * time.Millisecond
 	// maxUnreached is the number of daemons that have not reached a server after which no further one is
-	// asked: one may have lost its own links to servers, and not know it yet.
-	maxUnreached = 2
+	// asked: some may have lost their own links to servers, and not know it yet.
+	maxUnreached = 3
 	// rejectedTime is how long a daemon that opens no tunnels now is asked only after the others, and
 	// unreachedTime how long one that did not answer.
 	rejectedTime  = 500 * time.Millisecond
@@ -73,43 +75,16 @@
 
 // Dial returns a tunnel to a server. The error implies that no byte has reached the server; it is
 // syscall.ECONNREFUSED if the server has refused the connections of other daemons.
+//
+// The daemons are asked one after the other, the next one when the last one has failed or takes long. The
+// first tunnel is used.
 func (c *Client) Dial(ctx context.Context, server string) (net.Conn, error) {
-	var failures failures
-	for _, peer := range c.candidates() {
-		conn, err := c.openThrough(ctx, peer, server)
-		if err == nil {
-			c.rejectAll(failures.unreached)
-			return conn, nil
-		}
-		failures.add(peer, err)
-		if ctx.Err() != nil || len(failures.unreached) >= maxUnreached {
-			return nil, err
-		}
-	}
-	return nil, failures.summary()
-}
-
-// failures holds what went wrong at the daemons that were asked for one tunnel.
-type failures struct {
-	last error
-	// unreached are the daemons that have not reached the server.
-	unreached []Peer
-}
-
-func (f *failures) add(peer Peer, err error) {
-	f.last = err
-	var failed *ErrTunnel
-	if errors.As(err, &failed) && failed.IsServerFault() {
-		f.unreached = append(f.unreached, peer)
-	}
-}
-
-// summary returns the error for the caller.
-func (f *failures) summary() error {
-	if f.last == nil {
-		return errNoPeer
-	}
-	return f.last
+	ctx, cancel := context.WithCancel(ctx)
+	asked := &asking{Client: c, server: server, results: make(chan result, maxPeersTried)}
+	conn, err := asked.await(ctx, c.candidates())
+	cancel()
+	asked.closeOthers(conn)
+	return conn, err
 }
 
 // candidates returns the daemons to ask, in order: those that have not rejected a tunnel lately, with the
@@ -126,7 +101,21 @@
 			cmp.Compare(c.cost(a), c.cost(b)),
 		)
 	})
-	return peers[:min(len(peers), maxPeersTried)]
+	return withOtherDomainSecond(peers)[:min(len(peers), maxPeersTried)]
+}
+
+// withOtherDomainSecond moves the first daemon of another failure domain than the first one's to the second
+// place: the daemons of a domain may have lost their links to servers together.
+func withOtherDomainSecond(peers []Peer) []Peer {
+	if len(peers) < 2 {
+		return peers
+	}
+	other := slices.IndexFunc(peers, func(p Peer) bool { return p.FailureDomain != peers[0].FailureDomain })
+	if other < 0 {
+		return peers
+	}
+	second := peers[other]
+	return slices.Insert(slices.Delete(peers, other, other+1), 1, second)
 }
 
 // rank is 0 for a daemon that is asked like the others, and 1 for one that is asked after them.
--- a/internal/transport/tunnelpeer/server.go
+++ b/internal/transport/tunnelpeer/server.go
@@ -39,8 +39,8 @@
 	IsBlocked func(address string) bool
 	// IsStopping reports whether this daemon stops.
 	IsStopping func() bool
-	// OnFailed is called with the address of a server that this daemon has not reached.
-	OnFailed func(address string)
+	// OnFailed is called when this daemon has not reached a server.
+	OnFailed func()
 	// MaxTunnels bounds the open tunnels.
 	MaxTunnels int
 	Clock      azurehitch.Clock
@@ -136,7 +136,7 @@
 		return server, OutcomeConnected
 	}
 	s.end()
-	s.OnFailed(opening.Server)
+	s.OnFailed()
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, OutcomeRefused
 	}
--- a/internal/transport/tunnelpeer/tunnelpeer_test.go
+++ b/internal/transport/tunnelpeer/tunnelpeer_test.go
@@ -39,7 +39,7 @@
 	d := &daemon{C: c, peer: tunnelpeer.Peer{Name: name, Address: listener.Addr().String()}}
 	d.server = tunnelpeer.NewServer(listener, tunnelpeer.ServerDependencies{
 		Dialer: connpool.DirectDialer{}, IsServer: func(string) bool { return !d.isUnlisted.Load() },
-		IsBlocked: func(string) bool { return d.isBlocked.Load() }, IsStopping: d.isStopping.Load, OnFailed: func(string) {},
+		IsBlocked: func(string) bool { return d.isBlocked.Load() }, IsStopping: d.isStopping.Load, OnFailed: func() {},
 		MaxTunnels: maxTunnels, Clock: azurehitch.SystemClock{}, OnOutcome: func(tunnelpeer.Outcome) { d.served.Add(1) },
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -207,6 +207,7 @@
 		"the first does not reach the server":       func(first *daemon) { first.isBlocked.Store(true) },
 		"the first does not know the server":        func(first *daemon) { first.isUnlisted.Store(true) },
 		"the first has ended":                       func(first *daemon) { first.stop() },
+		"the first does not answer":                 func(first *daemon) { first.peer.Address = silentAddress(first.C) },
 		"the first has an address that is not used": func(first *daemon) { first.peer.Address = unusedAddress(first.C) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -223,6 +224,33 @@
 	}
 }
 
+// silentAddress returns an address that accepts connections and never answers.
+func silentAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	return listener.Addr().String()
+}
+
+func TestDaemonsThatDoNotAnswerCostLittleTime(t *testing.T) {
+	c := qt.New(t)
+	address := startServer(c, func(conn *net.TCPConn) { conn.Close() })
+	var daemons []*daemon
+	for _, name := range []string{"a", "b", "c"} {
+		d := startDaemon(c, name, 8)
+		d.peer.Address = silentAddress(c)
+		daemons = append(daemons, d)
+	}
+	sound := startDaemon(c, "d", 8)
+	sound.peer.FailureDomain = "other"
+	client := newClient(append(daemons, sound)...)
+	for range 4 {
+		startedAt := time.Now()
+		dial(c, client, address)
+		c.Assert(time.Since(startedAt) < 250*time.Millisecond, qt.IsTrue)
+	}
+}
+
 // unusedAddress returns an address that refuses connections.
 func unusedAddress(c *qt.C) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
