gateway: a daemon that reaches no server serves its callers through others

Cause: a request has no other way to a server than a dial from its own daemon. The pool of connections now dials by serverpath, and each daemon opens tunnels for others on a second port, named in its member entry; daemons of the build before name none and are not asked. A planned stop waits for open tunnels.

TestCutDaemonServesThroughOthers failed (4 of 28, 4 of 412, 91 of 481, 4 of 28) and passes, with the race detector too.

--- a/internal/daemon/gateway/cutfleet_test.go
+++ b/internal/daemon/gateway/cutfleet_test.go
@@ -95,7 +95,7 @@
 	t.Helper()
 	s := gateway.DefaultSettings()
 	s.Name, s.FailureDomain, s.Store = fmt.Sprintf("daemon-%d", i), failureDomain(i), f.address
-	s.Callers, s.Ready, s.Peers, s.Metrics = anyPort, anyPort, anyPort, anyPort
+	s.Callers, s.Ready, s.Peers, s.Tunnels, s.Metrics = anyPort, anyPort, anyPort, anyPort, anyPort
 	link, err := serverlink.New(connpool.DirectDialer{})
 	f.Assert(err, qt.IsNil)
 	t.Cleanup(func() { f.Check(link.Close(), qt.IsNil) })
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -44,6 +44,8 @@
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
+	"azurehitch/internal/transport/serverpath"
+	"azurehitch/internal/transport/tunnelpeer"
 )
 
 const (
@@ -117,6 +119,9 @@
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
 	streamPeers     *streampeer.Client
+	paths           *serverpath.Dialer
+	tunnelClient    *tunnelpeer.Client
+	tunnelServer    *tunnelpeer.Server
 
 	startedAt time.Time
 	listeners listeners
@@ -151,7 +156,9 @@
 	d.assemblePlacement()
 	d.assembleQuarantine()
 	d.assembleStreams()
+	d.assemblePaths()
 	d.assembleForwarding()
+	d.assembleTunnelServer()
 	return d, nil
 }
 
@@ -164,6 +171,7 @@
 	self := members.Member{
 		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.Addresses().Peers,
 		Processor: d.settings.Processor, Bandwidth: d.settings.Bandwidth,
+		Tunnels: d.Addresses().Tunnels, FailureDomain: d.settings.FailureDomain,
 	}
 	d.assembleFollowers()
 	d.members = members.New(d.breakerLog, memberStream, self, d.Clock, d.observer)
--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -56,7 +56,7 @@
 	defer server.CloseClientConnections()
 	env.settings = gateway.DefaultSettings()
 	env.settings.Name, env.settings.Store = "daemon-1", server.Listener.Addr().String()
-	env.settings.Callers, env.settings.Ready, env.settings.Peers, env.settings.Metrics = anyPort, anyPort, anyPort, anyPort
+	env.settings.Callers, env.settings.Ready, env.settings.Peers, env.settings.Tunnels, env.settings.Metrics = anyPort, anyPort, anyPort, anyPort, anyPort
 	change(&env.settings)
 	connected := platform.Connect(env.settings, azurehitch.SystemClock{}, logging.Discard())
 	connected.LeaseClock = env.leaseClock
--- a/internal/daemon/gateway/listen.go
+++ b/internal/daemon/gateway/listen.go
@@ -7,11 +7,12 @@
 )
 
 // listeners holds the listeners of a daemon: for callers, for readiness checks of the load balancer,
-// for other daemons and for metrics.
+// for other daemons, for their tunnels to servers and for metrics. tunnels may be nil.
 type listeners struct {
 	callers net.Listener
 	ready   net.Listener
 	peers   net.Listener
+	tunnels net.Listener
 	metrics net.Listener
 }
 
@@ -26,8 +27,12 @@
 		{"callers", s.Callers, &opened.callers},
 		{"readiness", s.Ready, &opened.ready},
 		{"peers", s.Peers, &opened.peers},
+		{"tunnels", s.Tunnels, &opened.tunnels},
 		{"metrics", s.Metrics, &opened.metrics},
 	} {
+		if l.address == "" && l.target == &opened.tunnels {
+			continue
+		}
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			opened.close()
@@ -39,7 +44,7 @@
 }
 
 func (l listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.tunnels, l.metrics} {
 		if listener != nil {
 			// The listener is not used again, whether closing fails or not.
 			_ = listener.Close()
@@ -52,6 +57,8 @@
 	Callers string
 	Ready   string
 	Peers   string
+	// Tunnels is empty if the daemon opens none for others.
+	Tunnels string
 	Metrics string
 }
 
@@ -61,6 +68,7 @@
 		Callers: listenAddress(d.settings.Callers, d.listeners.callers),
 		Ready:   listenAddress(d.settings.Ready, d.listeners.ready),
 		Peers:   listenAddress(d.settings.Peers, d.listeners.peers),
+		Tunnels: listenAddress(d.settings.Tunnels, d.listeners.tunnels),
 		Metrics: listenAddress(d.settings.Metrics, d.listeners.metrics),
 	}
 }
@@ -69,7 +77,7 @@
 // setting, which may be a name or empty.
 func listenAddress(setting string, listener net.Listener) string {
 	host, _, err := net.SplitHostPort(setting)
-	if err != nil {
+	if err != nil || listener == nil {
 		return setting
 	}
 	_, port, err := net.SplitHostPort(listener.Addr().String())
--- a/internal/daemon/gateway/observer.go
+++ b/internal/daemon/gateway/observer.go
@@ -9,6 +9,7 @@
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/tunnelpeer"
 )
 
 // observer counts the events that the parts of the daemon report, and logs changes of state.
@@ -91,3 +92,34 @@
 	o.Logs.Layer(logging.LayerForward).Warn().Str("Kind", string(subject.Kind)).Str("Service", subject.Service).Str("ID", subject.ID).
 		Int("Trials", trials).Msg("held request sent as a trial")
 }
+
+// PathBlocked implements serverpath.Observer.
+func (o *observer) PathBlocked(address string, cause error) {
+	o.Metrics.Add(metrics.PathsBlocked, 1)
+	o.Logs.Layer(logging.LayerForward).Warn().Str("Address", address).Err(cause).Msg("path to a server is blocked: others reach it")
+}
+
+// PathOpen implements serverpath.Observer.
+func (o *observer) PathOpen(address string, blockedFor time.Duration) {
+	o.Logs.Layer(logging.LayerForward).Info().Str("Address", address).Dur("BlockedFor", blockedFor).Msg("path to a server is open again")
+}
+
+// CutOffChanged implements serverpath.Observer.
+func (o *observer) CutOffChanged(isCutOff bool) {
+	value := int64(0)
+	if isCutOff {
+		value = 1
+	}
+	o.Metrics.Set(metrics.CutOff, value)
+	o.Logs.Layer(logging.LayerForward).Warn().Bool("CutOff", isCutOff).Msg("reach of the servers changed")
+}
+
+// tunnelAsked counts the outcome of an attempt to open a tunnel through another daemon.
+func (o *observer) tunnelAsked(outcome tunnelpeer.Outcome) {
+	o.Metrics.AddLabeled(metrics.TunnelsAsked, string(outcome), 1)
+}
+
+// tunnelServed counts the outcome of a tunnel that another daemon asked for.
+func (o *observer) tunnelServed(outcome tunnelpeer.Outcome) {
+	o.Metrics.AddLabeled(metrics.TunnelsServed, string(outcome), 1)
+}
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -20,6 +20,10 @@
 	Ready   string
 	Peers   string
 	Metrics string
+	// Tunnels is the listen address for other daemons that do not reach the backend servers; empty listens for
+	// none. MaxTunnels limits the connections to servers that are open for them.
+	Tunnels    string
+	MaxTunnels int
 	// Store is the address of the platform's store.
 	Store string
 	// Memory is the memory limit of the process; 0 sets none.
@@ -74,6 +78,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxConnections:    4096,
+		MaxTunnels:        1024,
 		MaxBodyBytes:      8 << 20,
 		MaxHeaderBytes:    32 << 10,
 		ReadTimeout:       10 * time.Second,
@@ -118,7 +123,7 @@
 // needsRestart reports whether a setting differs that takes effect only at the next start.
 func (s Settings) needsRestart(running Settings) bool {
 	return s.Name != running.Name || s.FailureDomain != running.FailureDomain || s.Callers != running.Callers ||
-		s.Ready != running.Ready || s.Peers != running.Peers || s.Store != running.Store
+		s.Ready != running.Ready || s.Peers != running.Peers || s.Tunnels != running.Tunnels || s.Store != running.Store
 }
 
 // ErrSetting reports a setting that is missing or not allowed.
--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -109,7 +109,7 @@
 	now := s.Clock.Now()
 	isAccepting := now.Before(timing.AcceptUntil()) && now.Before(timing.CancelAt())
 	switch {
-	case !now.Before(timing.ExitAt()), !isAccepting && s.callers.ActiveRequests() == 0:
+	case !now.Before(timing.ExitAt()), !isAccepting && s.callers.ActiveRequests()+s.tunnelServer.Active() == 0:
 		return stepDone
 	case !now.Before(timing.CancelAt()):
 		return stepCanceling
@@ -137,7 +137,7 @@
 	s.Logs.Layer(logging.LayerDaemon).Info().Str("Step", string(s.step)).Dur("NoticedLate", s.noticedAt.Sub(s.pendingSince)).
 		Dur("Lateness", timing.Lateness).Dur("StopTimeout", timing.StopTimeout).Dur("CancelIn", timing.CancelAt().Sub(now)).
 		Dur("EndIn", timing.End().Sub(now)).Int("InProgress", s.callers.ActiveRequests()).
-		Int("Waiting", s.callers.WaitingRequests()).Strs("Estimates", s.estimates()).Msg(message)
+		Int("Tunnels", s.tunnelServer.Active()).Int("Waiting", s.callers.WaitingRequests()).Strs("Estimates", s.estimates()).Msg(message)
 }
 
 // estimates returns how long the requests of each route are expected to take.
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -13,6 +13,7 @@
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
 	"azurehitch/internal/transport/membudget"
+	"azurehitch/internal/transport/serverpath"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -115,6 +116,7 @@
 	if err != nil {
 		return nil, azurehitch.ServerAnswer{}, r.exchangeFailed(ctx, choice, err)
 	}
+	r.noteTunnel(exchange.Through())
 	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(startedAt))
 	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
 	if r.isOwn(exchange, answer) {
@@ -129,6 +131,15 @@
 	return exchange, answer, result{}
 }
 
+// noteTunnel records that the request was sent through another daemon; empty means directly.
+func (r *request) noteTunnel(daemon string) {
+	if daemon == "" {
+		return
+	}
+	r.server.Metrics.Add(metrics.RequestsTunneled, 1)
+	r.attempts.note("through " + daemon)
+}
+
 // checkSend returns an *azurehitch.ErrRefused if the request must not be sent to the chosen server.
 func (r *request) checkSend(choice place.Choice) error {
 	if !r.bound.Allows(choice.SoftwareVersion) {
@@ -178,7 +189,8 @@
 		res.run = azurehitch.RunStateNotRun
 		res.unsent = true
 	}
-	if ctx.Err() == nil {
+	var noPath *serverpath.ErrNoPath
+	if ctx.Err() == nil && !errors.As(err, &noPath) {
 		r.recordError(choice, err, time.Time{})
 	}
 	return res
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -91,3 +91,24 @@
 	s, ok := v.servers[id]
 	return s, ok
 }
+
+// Addresses returns the addresses of the servers that are not shutting down, in any order.
+func (v *View) Addresses() []string {
+	var addresses []string
+	for _, s := range v.servers {
+		if !s.ShuttingDown {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	return addresses
+}
+
+// HasAddress reports whether an address is that of a server.
+func (v *View) HasAddress(address string) bool {
+	for _, s := range v.servers {
+		if s.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -43,6 +43,10 @@
 	Incarnation string
 	// Address is the address at which other daemons reach this daemon.
 	Address string
+	// Tunnels is the address at which the daemon opens tunnels to backend servers for others; empty if it
+	// opens none. FailureDomain is that of its host.
+	Tunnels       string
+	FailureDomain string
 	// Processor is the processor time of the host in cores, and Bandwidth the rate of its link in
 	// bits per second. 0 means unknown.
 	Processor float64
@@ -130,6 +134,13 @@
 	return m.Address, ok
 }
 
+// Members returns the known daemons, this one included, in any order.
+func (d *Directory) Members() []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.members))
+}
+
 // Names returns the names of the known daemons, sorted.
 func (d *Directory) Names() []string {
 	d.mu.Lock()
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -96,6 +96,14 @@
 	// PartTrials counts the requests with a held part that were sent as a trial, and RequestTrials the held requests.
 	PartTrials    Name = "PartTrials"
 	RequestTrials Name = "RequestTrials"
+	// PathsBlocked counts the paths to servers that were found blocked.
+	PathsBlocked Name = "PathsBlocked"
+	// TunnelsAsked counts the tunnels that this daemon asked others for, and TunnelsServed those that others
+	// asked this daemon for, by outcome.
+	TunnelsAsked  Name = "TunnelsAsked"
+	TunnelsServed Name = "TunnelsServed"
+	// RequestsTunneled counts the requests sent to servers through another daemon.
+	RequestsTunneled Name = "RequestsTunneled"
 )
 
 // The gauges.
@@ -111,6 +119,8 @@
 	PartsHeld Name = "PartsHeld"
 	// RequestsHeld is the number of single requests that are not sent.
 	RequestsHeld Name = "RequestsHeld"
+	// CutOff is 1 while this daemon reaches no server, and others do.
+	CutOff Name = "CutOff"
 	// ConfigurationUnreadable is 1 while this release can't read the configuration in force, else 0.
 	ConfigurationUnreadable Name = "ConfigurationUnreadable"
 	RecordsDamaged          Name = "RecordsDamaged"
