callerconn: connections that close without an answer are logged and counted

Cause: a connection of a caller that ended while a request was read, or that a planned stop closed although a request had arrived, showed in no log line, so that hypotheses on requests without an answer could not be told apart.

Change: the listener of callers tells an observer of each such connection, with how much was read, its age, whether a planned stop ended it and the last error. passthrough logs it, both daemons count it (ConnectionsLost).

--- a/internal/forward/caller/server.go
+++ b/internal/forward/caller/server.go
@@ -163,10 +163,15 @@
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = callerconn.Listen(listener, s.Clock)
+	s.listener = callerconn.Listen(listener, s.Clock, s.recordClosure)
 	return s.listener
 }
 
+// recordClosure counts a connection that is closed without an answer to the last request on it.
+func (s *Server) recordClosure(closure callerconn.Closure) {
+	s.Metrics.AddLabeled(metrics.ConnectionsLost, string(closure.Loss), 1)
+}
+
 // Drain refuses new requests, and waits until those in progress have ended. It returns an error if
 // the context ends first.
 func (s *Server) Drain(ctx context.Context) error {
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -177,7 +177,7 @@
 func (s *Server) listen(listener net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = callerconn.Listen(listener, s.Clock)
+	s.listener = callerconn.Listen(listener, s.Clock, s.recordClosure)
 	return s.listener
 }
 
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -73,6 +73,9 @@
 	OrdersSent      Name = "OrdersSent"
 	SwapOrders      Name = "SwapOrders"
 	RequestsInvalid Name = "RequestsInvalid"
+	// ConnectionsLost counts the connections of callers that were closed without an answer to the last
+	// request on them, by the loss.
+	ConnectionsLost Name = "ConnectionsLost"
 	StoreReads      Name = "StoreReads"
 	StoreReadErrors Name = "StoreReadErrors"
 	// LogEras counts the changes of the era of the log, by stream.
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	listener := callerconn.Listen(inner, clock)
+//	listener := callerconn.Listen(inner, clock, onClosed)
 //	server.ConnState = callerconn.StateChanged
 //	...
 //	stop := callerconn.Watch(conn, cancel)
@@ -48,6 +48,14 @@
 	readAhead []byte
 	// readErr is the error of the background read; later reads return it.
 	readErr error
+
+	acceptedAt time.Time
+	// unanswered is the number of bytes that were read since the last write, and isUsed is true once
+	// anything was read.
+	unanswered int
+	isUsed     bool
+	// lastErr is the error of the last read; nil if it had none.
+	lastErr error
 }
 
 // Watch calls onDisconnect when the caller closes a connection that a listener of Listen accepted,
@@ -106,6 +114,7 @@
 		return n, err
 	}
 	n, err := c.Conn.Read(p)
+	c.recordRead(n, err)
 	if n > 0 {
 		return n, c.setBusy()
 	}
@@ -127,6 +136,7 @@
 	}
 	p[0] = c.readAhead[0]
 	c.readAhead = nil
+	c.unanswered++
 	return 1, true, c.setBusyLocked()
 }
 
@@ -144,12 +154,30 @@
 // NetConn returns the connection that this one reads from.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.unanswered = 0
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.listener.observe(c)
 	c.listener.remove(c)
 	return c.Conn.Close()
 }
 
+// recordRead records what a read returned.
+func (c *conn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered += n
+	c.isUsed = c.isUsed || n > 0
+	c.lastErr = err
+}
+
 func (c *conn) setBusy() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -18,8 +18,9 @@
 // Listener returns connections that can be passed to Watch, and closes them.
 type Listener struct {
 	net.Listener
-	clock azurehitch.Clock
-	close func() error
+	clock    azurehitch.Clock
+	onClosed Observer
+	close    func() error
 
 	mu        sync.Mutex
 	isClosing bool
@@ -28,10 +29,11 @@
 	empty chan struct{}
 }
 
-// Listen returns a Listener.
-func Listen(l net.Listener, clock azurehitch.Clock) *Listener {
+// Listen returns a Listener that tells onClosed of the connections that are closed without an answer.
+func Listen(l net.Listener, clock azurehitch.Clock, onClosed Observer) *Listener {
 	return &Listener{
-		Listener: l, clock: clock, close: sync.OnceValue(l.Close), conns: map[*conn]struct{}{}, empty: make(chan struct{}),
+		Listener: l, clock: clock, onClosed: onClosed, close: sync.OnceValue(l.Close), conns: map[*conn]struct{}{},
+		empty: make(chan struct{}),
 	}
 }
 
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l, isIdle: true}
+	c := &conn{Conn: accepted, listener: l, isIdle: true, acceptedAt: l.clock.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
@@ -94,6 +96,18 @@
 	return server.ShutdownWithContext(ctx)
 }
 
+// observe tells the Observer of a connection that is being closed.
+func (l *Listener) observe(c *conn) {
+	c.mu.Lock()
+	closure := c.closure(l.clock.Now())
+	// Further calls of Close lose nothing.
+	c.unanswered, c.expiresAt = 0, time.Time{}
+	c.mu.Unlock()
+	if closure.Loss != lossNone {
+		l.onClosed(closure)
+	}
+}
+
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/callerconn/listener_test.go
+++ b/internal/transport/callerconn/listener_test.go
@@ -21,6 +21,8 @@
 	net.Conn
 	listener *callerconn.Listener
 	peer     net.Conn
+	// losses are those of the connection.
+	losses []callerconn.Loss
 }
 
 // accept returns a connection whose peer sends nothing yet.
@@ -29,7 +31,8 @@
 	c := qt.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	listener := callerconn.Listen(inner, azurehitch.SystemClock{})
+	a := &acceptedConn{C: c}
+	listener := callerconn.Listen(inner, azurehitch.SystemClock{}, func(closure callerconn.Closure) { a.losses = append(a.losses, closure.Loss) })
 	c.Cleanup(func() { listener.Close() })
 	peer, err := net.Dial("tcp", inner.Addr().String())
 	c.Assert(err, qt.IsNil)
@@ -37,7 +40,8 @@
 	accepted, err := listener.Accept()
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { accepted.Close() })
-	return &acceptedConn{C: c, Conn: accepted, listener: listener, peer: peer}
+	a.Conn, a.listener, a.peer = accepted, listener, peer
+	return a
 }
 
 // receive reads a byte of a request.
@@ -136,3 +140,46 @@
 	a.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
 	a.Assert(string(rest), qt.Equals, "G")
 }
+
+func TestClosureIsObserved(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(a *acceptedConn)
+		want    []callerconn.Loss
+	}{
+		"a part of a request":       {(*acceptedConn).receive, []callerconn.Loss{callerconn.LossRead}},
+		"an answered request":       {(*acceptedConn).answer, nil},
+		"a new connection":          {func(*acceptedConn) {}, nil},
+		"a new connection, stop":    {(*acceptedConn).closeIdle, []callerconn.Loss{callerconn.LossUnused}},
+		"a kept connection, stop":   {(*acceptedConn).becomeIdleInStop, nil},
+		"unread bytes, kept, stop":  {(*acceptedConn).sendInStop, []callerconn.Loss{callerconn.LossUnread}},
+		"a part of a request, stop": {func(a *acceptedConn) { a.closeIdle(); a.receive() }, []callerconn.Loss{callerconn.LossRead}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := accept(t)
+			test.prepare(a)
+			a.Assert(a.Close(), qt.IsNil)
+			a.Assert(a.Close(), qt.IsNotNil)
+			a.Assert(a.losses, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// answer receives a request and writes a response.
+func (a *acceptedConn) answer() {
+	a.receive()
+	_, err := io.WriteString(a.Conn, "H")
+	a.Assert(err, qt.IsNil)
+}
+
+func (a *acceptedConn) becomeIdleInStop() {
+	a.answer()
+	a.becomeIdle()
+	a.closeIdle()
+}
+
+// sendInStop sends a request that the daemon does not read any more.
+func (a *acceptedConn) sendInStop() {
+	a.becomeIdleInStop()
+	_, err := io.WriteString(a.peer, "G")
+	a.Assert(err, qt.IsNil)
+}
