A request that no server takes is refused before its caller leaves

What callers see: a daemon that reads a whole request and can't pass it on gives neither an answer nor a refusal. Callers of a stream leave after 2 s without an event, others at their time limit.

Cause: the search for a server (the wait for a placement, the dial of each connection) ended with the deadline of the request, which is that of the route or the exact time limit of the caller. The time after which the caller of a stream leaves bounded only what the holder was asked for, and a refusal at the very time limit comes too late on any network.

Change: the search has a deadline of its own, an eighth, at most 200 ms, before the caller is expected to leave. From then on a request is refused as not run. A dial that is cut short by it isn't held against the server. Requests that are being sent to a server, and streams that have begun, are not affected.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -107,7 +107,7 @@
 		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
 	}
 	exchange, err := r.server.Connections.Do(ctx, choice.Server.Address, request, connpool.Options{
-		Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service),
+		Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service), DialBy: r.dialDeadline(lastEventID),
 		MaySend: func() bool {
 			r.countSend()
 			return true
@@ -181,7 +181,7 @@
 const maxUrgency = 9
 
 // exchangeFailed records an exchange without a response, and returns the result of the attempt. A
-// server whose exchange was canceled is not to blame.
+// server whose exchange was canceled, or whose dial was cut short, is not to blame.
 func (r *request) exchangeFailed(ctx context.Context, choice place.Choice, err error) result {
 	var failed *connpool.ErrExchange
 	res := result{run: azurehitch.RunStateUnknown, cause: err}
@@ -190,7 +190,7 @@
 		res.unsent = true
 	}
 	var noPath *serverpath.ErrNoPath
-	if ctx.Err() == nil && !errors.As(err, &noPath) {
+	if ctx.Err() == nil && !errors.Is(err, connpool.ErrDialDeadline) && !errors.As(err, &noPath) {
 		r.recordError(choice, err, time.Time{})
 	}
 	return res
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -50,9 +50,11 @@
 	// deadline is when the timeout of the caller or that of the route ends, whichever is earlier.
 	deadline time.Time
 	// ctx ends at the deadline, when the caller disconnects, or when the server ends all requests.
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	unwatch func()
+	// searchCtx ends with it, and at searchDeadline.
+	ctx       context.Context
+	searchCtx context.Context
+	cancel    context.CancelCauseFunc
+	unwatch   func()
 	// serversToAvoid holds the ids of the servers that failed or rejected the request; further
 	// attempts avoid them. sends counts all attempts, and unknownOutcomes counts the attempts after
 	// which the server may have run the request.
@@ -139,8 +141,11 @@
 	deadlineCtx, cancelTimer := context.WithDeadline(r.server.lifeCtx, r.deadline)
 	ctx, cancel := context.WithCancelCause(deadlineCtx)
 	r.ctx = ctx
+	var cancelSearch context.CancelFunc
+	r.searchCtx, cancelSearch = context.WithDeadlineCause(ctx, r.searchDeadline(), errNoServerInTime)
 	r.cancel = func(cause error) {
 		cancel(cause)
+		cancelSearch()
 		cancelTimer()
 	}
 	r.unwatch = callerconn.Watch(r.http.Conn(), func() { cancel(errCallerDisconnected) })
@@ -218,15 +223,18 @@
 	if r.route.Kind != azurehitch.RequestKindStream || r.LastEvent == "" {
 		return nil
 	}
-	bound, err := r.server.Streams.Bound(r.ctx, streams.Stream{Service: r.service.Name, ID: r.Resumes})
+	bound, err := r.server.Streams.Bound(r.searchCtx, streams.Stream{Service: r.service.Name, ID: r.Resumes})
 	r.bound = bound
 	return err
 }
 
-// place chooses the server of the next attempt. The error may be errDraining.
+// place chooses the server of the next attempt. The error may be errDraining or errNoServerInTime.
 func (r *request) place() (place.Choice, error) {
-	ctx, cancel := context.WithCancelCause(r.ctx)
+	ctx, cancel := context.WithCancelCause(r.searchCtx)
 	defer cancel(nil)
+	if r.isSearchOver() {
+		return place.Choice{}, errNoServerInTime
+	}
 	r.server.drain.addWaiting(r, cancel)
 	defer r.server.drain.removeWaiting(r)
 	if !r.mayStillStart() {
@@ -234,8 +242,8 @@
 	}
 	choice, err := r.askPlacer(ctx, r.placeRequest())
 	switch {
-	case err != nil && errors.Is(context.Cause(ctx), errDraining):
-		return choice, errDraining
+	case err != nil && isEndOfSearch(context.Cause(ctx)):
+		return choice, context.Cause(ctx)
 	case err == nil && !r.mayStillStart():
 		choice.End()
 		return place.Choice{}, errDraining
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -71,6 +71,9 @@
 // errTooManyConnections is returned when Options.MaxOpen connections to the server are in use.
 var errTooManyConnections = errors.New("too many connections in use")
 
+// ErrDialDeadline is the cause of an exchange whose dial was given up at Options.DialBy.
+var ErrDialDeadline = errors.New("no time is left to dial")
+
 // ResponsePart is a part of a response whose size is bounded.
 type ResponsePart string
 
@@ -126,6 +129,8 @@
 	MaxOpen int
 	// Direct opens the connection from this host, whatever the Dialer of the pool does.
 	Direct bool
+	// DialBy is when the dial of a new connection is given up with ErrDialDeadline; zero sets no time.
+	DialBy time.Time
 	// MaySend is called immediately before the first byte is sent; if it returns false, nothing is
 	// sent. nil always allows the send.
 	MaySend func() bool
@@ -264,7 +269,7 @@
 	if err != nil || idle != nil {
 		return idle, err
 	}
-	c, err := p.dial(ctx, address, options.Direct)
+	c, err := p.dial(ctx, address, options)
 	if err != nil {
 		p.release(address)
 		return nil, err
@@ -324,13 +329,21 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, address string, isDirect bool) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string, options Options) (*conn, error) {
 	dialer := p.dialer
-	if isDirect {
+	if options.Direct {
 		dialer = p.direct
 	}
-	opened, err := dialer.Dial(ctx, address)
-	if err != nil {
+	dialCtx, cancel := ctx, context.CancelFunc(func() {})
+	if !options.DialBy.IsZero() {
+		dialCtx, cancel = context.WithDeadline(ctx, options.DialBy)
+	}
+	defer cancel()
+	opened, err := dialer.Dial(dialCtx, address)
+	switch {
+	case err != nil && ctx.Err() == nil && dialCtx.Err() != nil:
+		return nil, ErrDialDeadline
+	case err != nil:
 		return nil, errors.Wrap(err, "dial")
 	}
 	return newConn(opened, int(p.limits.Head)), nil
