gateway: tests of cuts beside other events, and of sound servers that are silent for a second

All daemons of a failure domain are cut, the holder, three of four, half of them beside a changing configuration or the planned stop of another daemon, and the other half next. Passing before and after: all daemons are cut and serve again a second after it; servers that are silent for 1 s each cost no request, also beside a changing configuration.

--- a/internal/daemon/gateway/cut_test.go
+++ b/internal/daemon/gateway/cut_test.go
@@ -27,6 +27,8 @@
 type cut struct {
 	daemons    []*linkedDaemon
 	from, till time.Time
+	// stopped is a daemon that makes a planned stop meanwhile, whose own callers don't count. It may be nil.
+	stopped *linkedDaemon
 }
 
 // cutWhileSending sends requests, cuts daemons from all servers meanwhile, and returns the requests. The
@@ -47,7 +49,7 @@
 	f.setLinks(daemons, state)
 	during()
 	f.Assert(f.sleep(ctx, time.Until(made.till)), qt.IsNil)
-	f.setLinks(daemons, serverlink.Up)
+	f.setLinks(f.daemons, serverlink.Up)
 	f.Assert(f.sleep(ctx, timeAfterCut), qt.IsNil)
 	stop()
 	f.Assert(group.Wait(), qt.IsNil)
@@ -68,7 +70,7 @@
 // shares returns the shares of the cut daemons and of the others, for requests of a period.
 func (c cut) shares(tries []firstTry, from, till time.Time) (atCut, atOthers share) {
 	for _, try := range tries {
-		if try.sentAt.Before(from) || try.sentAt.After(till) {
+		if try.sentAt.Before(from) || try.sentAt.After(till) || try.daemon == c.stopped {
 			continue
 		}
 		counted := &atOthers
@@ -88,10 +90,19 @@
 func (f *cutFleet) assertServedAlike(made cut, tries []firstTry) {
 	f.Helper()
 	atCut, atOthers := made.shares(tries, made.from.Add(noticeTime), made.till)
+	f.Logf("during the cut: cut daemons %+v, others %+v", atCut, atOthers)
 	f.Check(atOthers.ratio() >= minServed, qt.IsTrue, qt.Commentf("others served %+v", atOthers))
 	f.Check(atCut.ratio() >= minServed*atOthers.ratio(), qt.IsTrue, qt.Commentf("cut daemons served %+v, others %+v", atCut, atOthers))
-	atCut, atOthers = made.shares(tries, made.till.Add(noticeTime), made.till.Add(timeAfterCut))
-	f.Check(atCut.ratio() >= minServed*atOthers.ratio(), qt.IsTrue, qt.Commentf("after the cut: cut daemons served %+v, others %+v", atCut, atOthers))
+	f.assertServedAfter(made, tries)
+}
+
+// assertServedAfter checks that all daemons serve first tries after the end of a cut.
+func (f *cutFleet) assertServedAfter(made cut, tries []firstTry) {
+	f.Helper()
+	atCut, atOthers := made.shares(tries, made.till.Add(noticeTime), made.till.Add(timeAfterCut))
+	f.Logf("after the cut: cut daemons %+v, others %+v", atCut, atOthers)
+	f.Check(atOthers.sent == 0 || atOthers.ratio() >= minServed, qt.IsTrue, qt.Commentf("after the cut, others served %+v", atOthers))
+	f.Check(atCut.ratio() >= minServed, qt.IsTrue, qt.Commentf("after the cut, cut daemons served %+v", atCut))
 }
 
 func TestCutDaemonServesThroughOthers(t *testing.T) {
--- a/internal/daemon/gateway/cutfleet_test.go
+++ b/internal/daemon/gateway/cutfleet_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"azurehitch/internal/daemon/gateway"
 	"azurehitch/internal/standin/serverlink"
 	"azurehitch/internal/telemetry/logging"
+	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
 	"azurehitch/platform"
 	"azurehitch/platform/platformtest"
@@ -34,12 +37,13 @@
 // cutFleet is daemons that share a store and backend servers. Each daemon has its own link to the servers.
 type cutFleet struct {
 	*qt.C
-	store    *platformtest.Store
-	address  string
-	runs     *runCounter
-	daemons  []*linkedDaemon
-	version  int64
-	backends []*platformtest.Backend
+	store   *platformtest.Store
+	address string
+	runs    *runCounter
+	daemons []*linkedDaemon
+	version int64
+	// servers are the listeners of the servers.
+	servers []*platformtest.PauseListener
 }
 
 // linkedDaemon is a daemon whose link to the servers can be cut.
@@ -47,6 +51,7 @@
 	*gateway.Daemon
 	failureDomain string
 	link          *serverlink.Link
+	metrics       *metrics.Metrics
 	// stop begins the planned stop, and ended is closed when Run has returned.
 	stop  context.CancelFunc
 	ended chan struct{}
@@ -83,12 +88,16 @@
 
 func (f *cutFleet) startServer(t *testing.T, service string, i int, engine *azurehitch.EngineLimits) {
 	t.Helper()
-	f.backends = append(f.backends, startBackend(t, f.C, f.store, platformtest.BackendOptions{
+	inner, err := net.Listen("tcp", anyPort)
+	f.Assert(err, qt.IsNil)
+	listener := platformtest.NewPauseListener(inner)
+	f.servers = append(f.servers, listener)
+	startBackend(t, f.C, f.store, listener, platformtest.BackendOptions{
 		ID: fmt.Sprintf("%s-%d", service, i), Service: service, FailureDomain: failureDomain(i), Slots: 32, Incarnation: 1, Engine: engine,
 		Cached:   azurehitch.CachedModels{OnDisk: []string{cutModel}},
 		Work:     platformtest.Work{Call: 20 * time.Millisecond, FirstEvent: 20 * time.Millisecond, Event: 20 * time.Millisecond, Events: cutStreamEvents},
 		Recorder: f.runs,
-	}))
+	})
 }
 
 func (f *cutFleet) startDaemon(t *testing.T, i int, group *errgroup.Group) {
@@ -104,7 +113,7 @@
 	daemon, err := gateway.New(s, connected)
 	f.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
-	d := &linkedDaemon{Daemon: daemon, failureDomain: s.FailureDomain, link: link, stop: stop, ended: make(chan struct{})}
+	d := &linkedDaemon{Daemon: daemon, failureDomain: s.FailureDomain, link: link, metrics: connected.Metrics, stop: stop, ended: make(chan struct{})}
 	f.daemons = append(f.daemons, d)
 	group.Go(func() error {
 		defer close(d.ended)
@@ -162,6 +171,23 @@
 	return true
 }
 
+// holder returns the daemon that holds the service of model engines.
+func (f *cutFleet) holder() *linkedDaemon {
+	f.Helper()
+	for _, d := range f.daemons {
+		if d.metrics.Get(metrics.LeaseClaimsWon) > d.metrics.Get(metrics.LeaseReleases) {
+			return d
+		}
+	}
+	f.Fatal("no daemon has claimed the lease")
+	return nil
+}
+
+// others returns the daemons except some.
+func (f *cutFleet) others(except ...*linkedDaemon) []*linkedDaemon {
+	return slices.DeleteFunc(slices.Clone(f.daemons), func(d *linkedDaemon) bool { return slices.Contains(except, d) })
+}
+
 func (f *cutFleet) sleep(ctx context.Context, d time.Duration) error {
 	return azurehitch.SystemClock{}.Sleep(ctx, d)
 }
--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -80,14 +80,14 @@
 // startBackend starts a backend server until the end of the test, and lists it.
 func (env *testEnv) startBackend(t *testing.T, options platformtest.BackendOptions) *platformtest.Backend {
 	t.Helper()
-	return startBackend(t, env.C, env.store, options)
+	listener, err := net.Listen("tcp", anyPort)
+	env.Assert(err, qt.IsNil)
+	return startBackend(t, env.C, env.store, listener, options)
 }
 
-// startBackend starts a backend server until the end of the test, and lists it in a store.
-func startBackend(t *testing.T, c *qt.C, store *platformtest.Store, options platformtest.BackendOptions) *platformtest.Backend {
+// startBackend starts a backend server on a listener until the end of the test, and lists it in a store.
+func startBackend(t *testing.T, c *qt.C, store *platformtest.Store, listener net.Listener, options platformtest.BackendOptions) *platformtest.Backend {
 	t.Helper()
-	listener, err := net.Listen("tcp", anyPort)
-	c.Assert(err, qt.IsNil)
 	options.Address = listener.Addr().String()
 	backend := platformtest.NewBackend(options)
 	var group errgroup.Group
