Test: a daemon that is cut off from the servers accuses none of them

Fails on the code as it is: the check of a server that broke off a request takes a connection that can't be opened for the server's end.

--- /dev/null
+++ b/internal/daemon/gateway/crashcheck_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/membership/fleet"
+	"azurehitch/internal/transport/connpool"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// partlyReached is an azurehitch.EngineControl of a daemon that can't connect to some servers.
+type partlyReached struct {
+	azurehitch.EngineControl
+	unreached []string
+}
+
+// Report implements azurehitch.EngineControl.
+func (p partlyReached) Report(_ context.Context, server azurehitch.ServerIdentity) (azurehitch.ServerReport, error) {
+	if slices.Contains(p.unreached, server.ID) {
+		return azurehitch.ServerReport{}, &connpool.ErrExchange{Address: server.Address, Cause: syscall.ECONNREFUSED}
+	}
+	return azurehitch.ServerReport{Incarnation: server.Incarnation}, nil
+}
+
+// newCrashChecker returns a daemon that knows some servers and can't connect to those in unreached. The first letter
+// of a server is its failure domain.
+func newCrashChecker(servers []string, unreached ...string) *Daemon {
+	decode := func(id string, _ []byte) (azurehitch.FleetServer, error) {
+		identity := azurehitch.ServerIdentity{ID: id, Address: id, Incarnation: 1}
+		return azurehitch.FleetServer{ServerIdentity: identity, Service: "llm", FailureDomain: id[:1]}, nil
+	}
+	platform := Platform{Engines: partlyReached{unreached: unreached}, Clock: azurehitch.SystemClock{}}
+	d := &Daemon{Platform: platform, fleet: fleet.NewFold(decode, discardChanges{})}
+	var records []azurehitch.KeyedRecord
+	for _, id := range servers {
+		records = append(records, azurehitch.KeyedRecord{Key: id})
+	}
+	d.fleet.Replace(records, time.Unix(1000, 0))
+	return d
+}
+
+// discardChanges is a fleet.Observer that ignores all events.
+type discardChanges struct{}
+
+// ServerChanged implements fleet.Observer.
+func (discardChanges) ServerChanged(azurehitch.FleetServer, fleet.Change) {}
+
+// ShutdownNoticed implements fleet.Observer.
+func (discardChanges) ShutdownNoticed(azurehitch.ServerIdentity, fleet.Source) {}
+
+// EntryUnreadable implements fleet.Observer.
+func (discardChanges) EntryUnreadable(string, error) {}
+
+// hasEndedAll returns which servers a daemon takes for crashed when they break off requests one after the other.
+func hasEndedAll(d *Daemon, servers ...string) []string {
+	var ended []string
+	for _, id := range servers {
+		if d.hasEnded(context.Background(), azurehitch.ServerIdentity{ID: id, Address: id, Incarnation: 1}) {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
+
+func TestCutDaemonAccusesNoSoundServer(t *testing.T) {
+	servers := []string{"a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4"}
+	t.Run("no server can be reached", func(t *testing.T) {
+		qt.Assert(t, hasEndedAll(newCrashChecker(servers, servers...), "a1", "b1", "b2"), qt.HasLen, 0)
+	})
+	t.Run("no server of one failure domain can be reached", func(t *testing.T) {
+		qt.Assert(t, hasEndedAll(newCrashChecker(servers, "a1", "a2", "a3", "a4"), "a1", "a3"), qt.HasLen, 0)
+	})
+}
+
+func TestCrashedServersAreFound(t *testing.T) {
+	t.Run("one of many", func(t *testing.T) {
+		d := newCrashChecker([]string{"a1", "a2", "a3", "b1", "b2"}, "a2")
+		qt.Assert(t, hasEndedAll(d, "a2"), qt.DeepEquals, []string{"a2"})
+	})
+	t.Run("the only one", func(t *testing.T) {
+		d := newCrashChecker([]string{"a1"}, "a1")
+		qt.Assert(t, hasEndedAll(d, "a1"), qt.DeepEquals, []string{"a1"})
+	})
+}
+
+func TestServerThatAnswersHasNotCrashed(t *testing.T) {
+	d := newCrashChecker([]string{"a1", "a2"})
+	qt.Assert(t, hasEndedAll(d, "a1", "a2"), qt.HasLen, 0)
+}
