crashcheck: a server has crashed only if the path to others is sound

Cause: the check of such a server asks for its report, and took a connection that can't be opened for its end. A cut path refuses and resets connections as well.

Why it works: the check moves to a package of its own. An answer of another server or incarnation shows the end as before. A connection that fails shows it only if at least half of up to three other servers can be reached: those in the failure domain of the server first, since a cut may concern one domain. Servers that are known to have crashed, or that broke off requests at the same moment, are no witnesses as long as there are others; without any, a failed connection counts as before, so that small deployments lose no evidence. While the daemon knows that it is cut off, and if it turns out to be so during the check, nothing counts. The check of a crash takes one more round trip.

TestShowsEnd and TestReportsOfEndedServers moved with the function, with the finding in place of yes or no.

--- a/internal/daemon/gateway/crashcheck_test.go
+++ b/internal/daemon/gateway/crashcheck_test.go
@@ -28,9 +28,9 @@
 	return azurehitch.ServerReport{Incarnation: server.Incarnation}, nil
 }
 
-// newCrashChecker returns a daemon that knows some servers and can't connect to those in unreached. The first letter
+// newPartlyCut returns a daemon that knows some servers and can't connect to those in unreached. The first letter
 // of a server is its failure domain.
-func newCrashChecker(servers []string, unreached ...string) *Daemon {
+func newPartlyCut(servers []string, unreached ...string) *Daemon {
 	decode := func(id string, _ []byte) (azurehitch.FleetServer, error) {
 		identity := azurehitch.ServerIdentity{ID: id, Address: id, Incarnation: 1}
 		return azurehitch.FleetServer{ServerIdentity: identity, Service: "llm", FailureDomain: id[:1]}, nil
@@ -39,9 +39,10 @@
 	d := &Daemon{Platform: platform, fleet: fleet.NewFold(decode, discardChanges{})}
 	var records []azurehitch.KeyedRecord
 	for _, id := range servers {
-		records = append(records, azurehitch.KeyedRecord{Key: id})
+		records = append(records, azurehitch.KeyedRecord{Key: id, Value: []byte(id)})
 	}
 	d.fleet.Replace(records, time.Unix(1000, 0))
+	d.crashes = d.newCrashChecker()
 	return d
 }
 
@@ -71,25 +72,25 @@
 func TestCutDaemonAccusesNoSoundServer(t *testing.T) {
 	servers := []string{"a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4"}
 	t.Run("no server can be reached", func(t *testing.T) {
-		qt.Assert(t, hasEndedAll(newCrashChecker(servers, servers...), "a1", "b1", "b2"), qt.HasLen, 0)
+		qt.Assert(t, hasEndedAll(newPartlyCut(servers, servers...), "a1", "b1", "b2"), qt.HasLen, 0)
 	})
 	t.Run("no server of one failure domain can be reached", func(t *testing.T) {
-		qt.Assert(t, hasEndedAll(newCrashChecker(servers, "a1", "a2", "a3", "a4"), "a1", "a3"), qt.HasLen, 0)
+		qt.Assert(t, hasEndedAll(newPartlyCut(servers, "a1", "a2", "a3", "a4"), "a1", "a3"), qt.HasLen, 0)
 	})
 }
 
 func TestCrashedServersAreFound(t *testing.T) {
 	t.Run("one of many", func(t *testing.T) {
-		d := newCrashChecker([]string{"a1", "a2", "a3", "b1", "b2"}, "a2")
+		d := newPartlyCut([]string{"a1", "a2", "a3", "b1", "b2"}, "a2")
 		qt.Assert(t, hasEndedAll(d, "a2"), qt.DeepEquals, []string{"a2"})
 	})
 	t.Run("the only one", func(t *testing.T) {
-		d := newCrashChecker([]string{"a1"}, "a1")
+		d := newPartlyCut([]string{"a1"}, "a1")
 		qt.Assert(t, hasEndedAll(d, "a1"), qt.DeepEquals, []string{"a1"})
 	})
 }
 
 func TestServerThatAnswersHasNotCrashed(t *testing.T) {
-	d := newCrashChecker([]string{"a1", "a2"})
+	d := newPartlyCut([]string{"a1", "a2"})
 	qt.Assert(t, hasEndedAll(d, "a1", "a2"), qt.HasLen, 0)
 }
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -22,6 +22,7 @@
 	"azurehitch/internal/daemon/lateness"
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/forward/crashcheck"
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/quarantine"
@@ -116,6 +117,7 @@
 	limits          *serverlimit.Tracker
 	retryBudget     *retrybudget.Budget
 	quarantine      *quarantine.Tracker
+	crashes         *crashcheck.Checker
 	quarantinePeers *quarantinepeer.Client
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
--- a/internal/daemon/gateway/quarantine_test.go
+++ b/internal/forward/crashcheck/find_test.go
@@ -1,4 +1,4 @@
-package gateway
+package crashcheck_test
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/crashcheck"
 	"azurehitch/internal/transport/connpool"
 
 	qt "github.com/frankban/quicktest"
@@ -14,37 +15,37 @@
 	"golang.org/x/sync/errgroup"
 )
 
-func TestShowsEnd(t *testing.T) {
+func TestFind(t *testing.T) {
 	server := azurehitch.ServerIdentity{ID: "s", Incarnation: 7}
 	timeout := &net.OpError{Op: "read", Err: context.DeadlineExceeded}
 	for name, test := range map[string]struct {
 		report azurehitch.ServerReport
 		err    error
-		want   bool
+		want   crashcheck.Finding
 	}{
-		"same incarnation":    {azurehitch.ServerReport{Incarnation: 7}, nil, false},
-		"no incarnation":      {azurehitch.ServerReport{}, nil, false},
-		"another incarnation": {azurehitch.ServerReport{Incarnation: 8}, nil, true},
-		"another server":      {err: errors.Wrap(azurehitch.ErrOtherServer, "report"), want: true},
-		"connection refused":  {err: &connpool.ErrExchange{Cause: errors.New("connection refused")}, want: true},
-		"no answer in time":   {err: &connpool.ErrExchange{Sent: true, Cause: timeout}, want: false},
-		"an error status":     {err: errors.New("status 500"), want: false},
+		"same incarnation":    {azurehitch.ServerReport{Incarnation: 7}, nil, crashcheck.FindingRuns},
+		"no incarnation":      {azurehitch.ServerReport{}, nil, crashcheck.FindingRuns},
+		"another incarnation": {azurehitch.ServerReport{Incarnation: 8}, nil, crashcheck.FindingReplaced},
+		"another server":      {err: errors.Wrap(azurehitch.ErrOtherServer, "report"), want: crashcheck.FindingReplaced},
+		"connection refused":  {err: &connpool.ErrExchange{Cause: errors.New("connection refused")}, want: crashcheck.FindingUnconnected},
+		"no answer in time":   {err: &connpool.ErrExchange{Sent: true, Cause: timeout}, want: crashcheck.FindingSilent},
+		"an error status":     {err: errors.New("status 500"), want: crashcheck.FindingRuns},
 	} {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, showsEnd(server, test.report, test.err), qt.Equals, test.want)
+			qt.Assert(t, crashcheck.Find(server, test.report, test.err), qt.Equals, test.want)
 		})
 	}
 }
 
-// TestReportsOfEndedServers checks showsEnd with the errors that real connections give.
+// TestReportsOfEndedServers checks Find with the errors that real connections give.
 func TestReportsOfEndedServers(t *testing.T) {
 	for name, test := range map[string]struct {
 		accept func(conn net.Conn)
-		want   bool
+		want   crashcheck.Finding
 	}{
-		"nothing listens":          {nil, true},
-		"closes without an answer": {func(conn net.Conn) { conn.Close() }, true},
-		"keeps silent":             {func(conn net.Conn) { time.Sleep(time.Second); conn.Close() }, false},
+		"nothing listens":          {nil, crashcheck.FindingUnconnected},
+		"closes without an answer": {func(conn net.Conn) { conn.Close() }, crashcheck.FindingUnconnected},
+		"keeps silent":             {func(conn net.Conn) { time.Sleep(time.Second); conn.Close() }, crashcheck.FindingSilent},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -65,7 +66,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
 			_, err = pool.Do(ctx, server.Address, connpool.Request{Method: "GET", URI: "/report", Host: server.Address}, connpool.Options{})
-			qt.Assert(t, showsEnd(server, azurehitch.ServerReport{}, err), qt.Equals, test.want, qt.Commentf("%v", err))
+			qt.Assert(t, crashcheck.Find(server, azurehitch.ServerReport{}, err), qt.Equals, test.want, qt.Commentf("%v", err))
 			listener.Close()
 			qt.Assert(t, group.Wait(), qt.IsNil)
 		})
--- a/internal/membership/fleet/view.go
+++ b/internal/membership/fleet/view.go
@@ -86,6 +86,11 @@
 // Service returns the servers of a service, sorted by ID. They must not be changed.
 func (v *View) Service(name string) []azurehitch.FleetServer { return v.services[name] }
 
+// Servers returns the servers of all services, sorted by ID.
+func (v *View) Servers() []azurehitch.FleetServer {
+	return slices.SortedFunc(maps.Values(v.servers), func(a, b azurehitch.FleetServer) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // Server returns a server by ID, and false if it is not known.
 func (v *View) Server(id string) (azurehitch.FleetServer, bool) {
 	s, ok := v.servers[id]
