--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -28,6 +28,9 @@
 	Name string
 	// Duration is the configured duration of the pool's lease.
 	Duration time.Duration
+	// Unreachable is true while this daemon can't reach any server of the pool. It then releases the
+	// lease of the pool and does not claim it.
+	Unreachable bool
 }
 
 // Environment is the input of Decide that does not come from the lease records.
