leaselog: a daemon that reaches no server of a pool releases its lease

Cause: a lease depends on the log alone, which a cut holder still reaches.

Why it works: the holder releases the lease in the usual way, after its orders in transit, and a daemon that reaches servers claims it 0.2 s per rank later. It claims none itself until it has reached servers for 1 s. If another daemon has held the lease meanwhile, the wait counts from its last orders and is at least the lease, also where servers check tokens: orders of A, B and A do not fall within one lease. If all are cut off nobody claims, so nothing moves.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -322,7 +322,9 @@
 		environment.ReclaimDelay = d.settings.ReclaimDelay
 	}
 	for _, name := range d.engineServices() {
-		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: name, Duration: d.settings.LeaseDuration})
+		environment.Pools = append(environment.Pools, leaselog.PoolSetting{
+			Name: name, Duration: d.settings.LeaseDuration, Unreachable: d.isCutOff(),
+		})
 	}
 	return environment
 }
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -13,9 +13,6 @@
 	renewalsPerLease = 3
 	// claimStagger is the delay of a claim per rank of the daemon for the pool.
 	claimStagger = 200 * time.Millisecond
-	// rebalanceInterval is the minimum time between two releases by a daemon that holds more than
-	// its share.
-	rebalanceInterval = 2 * time.Second
 	// retryInterval is the time after which a claim or release is sent again if it was not read
 	// back.
 	retryInterval = time.Second
@@ -89,6 +86,15 @@
 	// has lost, by pool.
 	orderedUntil map[string]time.Time
 	startedAt    time.Time
+	// unreachableAt is when this daemon last could not reach the servers of a pool, by pool.
+	unreachableAt map[string]time.Time
+	// unreachableToken is the token of the lease that this daemon last released because it could not reach
+	// the servers, by pool.
+	unreachableToken map[string]int64
+	// claimingFull are the pools that this daemon was claiming when it held its share of leases already, and
+	// claimedFullAt is when it has claimed such a pool, by pool.
+	claimingFull  map[string]bool
+	claimedFullAt map[string]time.Time
 	// rebalanceWaitFrom is the start of the current wait of rebalanceInterval: when a pool was last
 	// released for balance, or when Decide last found that this daemon holds no more leases than
 	// Load.bound.
@@ -99,16 +105,20 @@
 // as read at now.
 func NewManager(self Holder, fold *Fold, now time.Time) *Manager {
 	m := &Manager{
-		self:           self,
-		fold:           fold,
-		lastReadAt:     map[string]time.Time{},
-		sentAt:         map[int64]time.Time{},
-		validFrom:      map[string]time.Time{},
-		pendingClaimAt: map[string]time.Time{},
-		lastReleaseAt:  map[string]time.Time{},
-		releasing:      map[string]bool{},
-		orderedUntil:   map[string]time.Time{},
-		startedAt:      now,
+		self:             self,
+		fold:             fold,
+		lastReadAt:       map[string]time.Time{},
+		sentAt:           map[int64]time.Time{},
+		validFrom:        map[string]time.Time{},
+		pendingClaimAt:   map[string]time.Time{},
+		lastReleaseAt:    map[string]time.Time{},
+		releasing:        map[string]bool{},
+		orderedUntil:     map[string]time.Time{},
+		unreachableAt:    map[string]time.Time{},
+		unreachableToken: map[string]int64{},
+		claimingFull:     map[string]bool{},
+		claimedFullAt:    map[string]time.Time{},
+		startedAt:        now,
 	}
 	for _, lease := range fold.Leases() {
 		m.lastReadAt[lease.Pool] = now
@@ -135,6 +145,10 @@
 		return false
 	}
 	delete(m.releasing, claim.Pool)
+	if holder == m.self {
+		delete(m.unreachableToken, claim.Pool)
+		m.recordFullClaim(claim.Pool, readAt)
+	}
 	m.lastReadAt[claim.Pool] = readAt
 	m.startValidity(holder, sequence, []string{claim.Pool})
 	return true
@@ -209,6 +223,7 @@
 	if environment.Draining {
 		return actions
 	}
+	m.recordUnreachable(now, environment)
 	if release := m.rebalance(now, environment); release != nil {
 		actions = append(actions, Action{Release: release})
 	}
@@ -216,41 +231,20 @@
 	for _, pool := range environment.Pools {
 		if claim := m.claimDue(now, pool, environment); claim != nil {
 			m.pendingClaimAt[pool.Name] = now
+			m.claimingFull[pool.Name] = m.isFull(environment)
 			actions = append(actions, Action{Claim: claim})
 		}
 	}
 	return actions
 }
 
-// rebalance returns the release of one pool if this daemon has held more leases than Load.bound for
-// rebalanceInterval, for example after other daemons have started. It returns nil if no release is
-// due.
-func (m *Manager) rebalance(now time.Time, environment Environment) *Release {
-	load := m.load(environment)
-	if load.Held[m.self.Daemon] <= load.bound(len(environment.Daemons)) {
-		m.rebalanceWaitFrom = now
-		return nil
-	}
-	if now.Sub(m.rebalanceWaitFrom) < rebalanceInterval {
-		return nil
-	}
-	for _, lease := range m.fold.Leases() {
-		if lease.Holder == m.self && Rank(lease.Pool, environment.Daemons, load)[0] != m.self.Daemon {
-			m.rebalanceWaitFrom = now
-			m.lastReleaseAt[lease.Pool] = now
-			return &Release{Pool: lease.Pool, Token: lease.Token}
-		}
-	}
-	return nil
-}
-
-// releasesDue returns the releases of pools that no longer need a holder, and releases that must be
-// sent again because an earlier one was not read back.
+// releasesDue returns the releases of pools that no longer need a holder or whose servers this daemon
+// can't reach, and releases that must be sent again because an earlier one was not read back.
 func (m *Manager) releasesDue(now time.Time, environment Environment) []Action {
 	var actions []Action
 	for _, lease := range m.fold.Leases() {
-		needed := slices.ContainsFunc(environment.Pools, func(p PoolSetting) bool { return p.Name == lease.Pool })
-		isDue := !needed || m.releasing[lease.Pool]
+		canHold := slices.ContainsFunc(environment.Pools, func(p PoolSetting) bool { return p.Name == lease.Pool && !p.Unreachable })
+		isDue := !canHold || m.releasing[lease.Pool]
 		if lease.Holder == m.self && isDue && now.Sub(m.lastReleaseAt[lease.Pool]) >= retryInterval {
 			m.lastReleaseAt[lease.Pool] = now
 			actions = append(actions, Action{Release: &Release{Pool: lease.Pool, Token: lease.Token}})
@@ -288,6 +282,9 @@
 	if lease.Holder == m.self && lease.Token > 0 {
 		return nil
 	}
+	if m.wasUnreachable(pool.Name, now) {
+		return nil
+	}
 	if sent, waiting := m.pendingClaimAt[pool.Name]; waiting && now.Sub(sent) < retryInterval {
 		return nil
 	}
@@ -297,7 +294,7 @@
 	if environment.MembersIncomplete && lease.Token == 0 {
 		return nil
 	}
-	if m.reclaimsTooEarly(lease, now, environment.ReclaimDelay) {
+	if m.reclaimsTooEarly(lease, now, m.reclaimDelay(lease, environment)) {
 		return nil
 	}
 	claimableAt := m.claimableAt(lease, pool, now)
@@ -307,21 +304,6 @@
 	return &Claim{Pool: pool.Name, Seen: lease.LastOffset, Duration: pool.Duration}
 }
 
-// reclaimsTooEarly reports whether less than span has passed since this daemon last may have sent
-// orders in a pool that another daemon has held since. A process that has just started doesn't know
-// when its predecessor sent orders, so span counts from the start of the process.
-func (m *Manager) reclaimsTooEarly(lease Lease, now time.Time, span time.Duration) bool {
-	otherHeldLast := lease.Token > 0 && lease.Holder.Daemon != m.self.Daemon
-	if span == 0 || !otherHeldLast {
-		return false
-	}
-	last := m.startedAt
-	if until := m.orderedUntil[lease.Pool]; until.After(last) {
-		last = until
-	}
-	return now.Before(last.Add(span))
-}
-
 // claimableAt returns when a pool becomes free for a claim: at once if it has no holder, otherwise
 // when its lease has expired with the allowance for clock drift.
 func (m *Manager) claimableAt(lease Lease, pool PoolSetting, now time.Time) time.Time {
