breaker: failures of a path that has changed don't count

During the cut they also turn away the holder's grants, one server after the other, and the holder is asked again with more servers to avoid.

Cause: a breaker counts each failure against its server. A cut path fails for all servers.

Why it works: all breakers close when the daemon learns that it is cut off, and when it learns that it no longer is. While it is cut off, failures count as before: they are those of the way that is used instead.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -277,7 +277,7 @@
 
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
-	breakers := breaker.NewBreakers(d.Clock)
+	breakers := breaker.NewBreakers(d.Clock).WithCutOff(d.isCutOff)
 	d.retryBudget = retrybudget.New(d.Clock, s.retryLimits(), budgetMembers{d})
 	d.callers = passthrough.NewServer(passthrough.Dependencies{
 		Routing:  d.routing.Index,
--- a/internal/forward/breaker/breaker.go
+++ b/internal/forward/breaker/breaker.go
@@ -27,11 +27,16 @@
 
 // Breakers holds a circuit breaker for each backend server, by address. After failuresToOpen
 // consecutive failures the breaker opens, and the server gets no requests for a time that doubles
-// with each further failure, up to longestOpenTime. Then a single request probes the server.
+// with each further failure, up to longestOpenTime. Then a single request probes the server. Failures of
+// a path that has changed since don't count; see WithCutOff.
 type Breakers struct {
-	clock     azurehitch.Clock
+	clock azurehitch.Clock
+	// isCutOff reports whether this daemon is cut off from the servers.
+	isCutOff  func() bool
 	mu        sync.Mutex
 	byAddress map[string]*breaker
+	// wasCutOff is what isCutOff last returned.
+	wasCutOff bool
 }
 
 type breaker struct {
@@ -46,17 +51,31 @@
 
 // NewBreakers returns breakers that are closed for all servers.
 func NewBreakers(clock azurehitch.Clock) *Breakers {
-	return &Breakers{clock: clock, byAddress: map[string]*breaker{}}
+	return &Breakers{clock: clock, isCutOff: func() bool { return false }, byAddress: map[string]*breaker{}}
 }
 
-// WithCutOff returns new breakers of a daemon that knows by isCutOff whether it is cut off from the servers.
-func (b *Breakers) WithCutOff(_ func() bool) *Breakers { return NewBreakers(b.clock) }
+// WithCutOff returns new breakers of a daemon that knows by isCutOff whether it is cut off from the servers. Each
+// time that this changes, all breakers close: the failures before were those of another path.
+func (b *Breakers) WithCutOff(isCutOff func() bool) *Breakers {
+	changed := NewBreakers(b.clock)
+	changed.isCutOff = isCutOff
+	return changed
+}
+
+// update closes all breakers if the path to the servers has changed. The caller holds b.mu.
+func (b *Breakers) update() {
+	if isCutOff := b.isCutOff(); isCutOff != b.wasCutOff {
+		b.wasCutOff = isCutOff
+		clear(b.byAddress)
+	}
+}
 
 // Allow reports whether a request may be sent to the server now. If the open time is over, it
 // permits one request as a probe until Succeeded, Failed or ConnectionRefused is called.
 func (b *Breakers) Allow(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.update()
 	br, ok := b.byAddress[address]
 	if !ok || br.failures < failuresToOpen {
 		return true
@@ -72,6 +91,7 @@
 func (b *Breakers) IsOpen(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.update()
 	br, ok := b.byAddress[address]
 	return ok && br.failures >= failuresToOpen && (br.probing || b.clock.Now().Before(br.openUntil))
 }
@@ -80,6 +100,7 @@
 func (b *Breakers) Succeeded(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.update()
 	delete(b.byAddress, address)
 }
 
@@ -98,6 +119,7 @@
 func (b *Breakers) ConnectionRefused(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.update()
 	br := b.breakerOf(address)
 	wasOpen := br.failures >= failuresToOpen
 	br.failures = max(br.failures, failuresToOpen)
@@ -110,6 +132,7 @@
 func (b *Breakers) Failed(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.update()
 	br := b.breakerOf(address)
 	br.failures++
 	br.probing = false
