--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"net"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -46,8 +45,8 @@
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
-
-	"github.com/pkg/errors"
+	"azurehitch/internal/transport/serverpath"
+	"azurehitch/internal/transport/tunnelpeer"
 )
 
 const (
@@ -122,6 +121,9 @@
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
 	streamPeers     *streampeer.Client
+	paths           *serverpath.Dialer
+	tunnelClient    *tunnelpeer.Client
+	tunnelServer    *tunnelpeer.Server
 
 	startedAt time.Time
 	listeners listeners
@@ -132,22 +134,19 @@
 	stopTimeout atomic.Int64
 }
 
-// listeners holds the listeners of a daemon: for callers, for readiness checks of the load balancer,
-// for other daemons and for metrics.
-type listeners struct {
-	callers net.Listener
-	ready   net.Listener
-	peers   net.Listener
-	metrics net.Listener
-}
-
-// New opens the listeners of a daemon and assembles it.
+// New opens the listeners of a daemon and assembles it. Addresses returns the listen addresses, also
+// where a setting leaves the choice of the port to the system with port 0.
 func New(s Settings, platform Platform) (*Daemon, error) {
+	opened, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
 		Platform: platform,
 		settings: s,
 		self:     leaselog.NewHolder(s.Name), startedAt: platform.Clock.Now(),
-		lateness: lateness.New(platform.LeaseClock),
+		listeners: opened,
+		lateness:  lateness.New(platform.LeaseClock),
 	}
 	d.stopTimeout.Store(int64(s.StopTimeout))
 	d.observer = newObserver(platform.Metrics, platform.Logs)
@@ -159,8 +158,10 @@
 	d.assemblePlacement()
 	d.assembleQuarantine()
 	d.assembleStreams()
+	d.assemblePaths()
 	d.assembleForwarding()
-	return d, d.listen()
+	d.assembleTunnelServer()
+	return d, nil
 }
 
 func (d *Daemon) assembleState() {
@@ -170,8 +171,9 @@
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
 	d.fleet = fleet.NewFold(d.Platform.Fleet.Decode, d.observer)
 	self := members.Member{
-		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.settings.Peers,
+		Name: d.settings.Name, Incarnation: d.self.Incarnation, Address: d.Addresses().Peers,
 		Processor: d.settings.Processor, Bandwidth: d.settings.Bandwidth,
+		Tunnels: d.Addresses().Tunnels, FailureDomain: d.settings.FailureDomain,
 	}
 	d.assembleFollowers()
 	d.members = members.New(d.breakerLog, memberStream, self, d.Clock, d.observer)
@@ -348,26 +350,6 @@
 	_ = d.heldServices.AwaitOrders(ctx, service)
 }
 
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		name    string
-		address string
-		target  *net.Listener
-	}{
-		{"callers", d.settings.Callers, &d.listeners.callers},
-		{"readiness", d.settings.Ready, &d.listeners.ready},
-		{"peers", d.settings.Peers, &d.listeners.peers},
-		{"metrics", d.settings.Metrics, &d.listeners.metrics},
-	} {
-		listener, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errors.Wrapf(err, "listen for %s on %s", l.name, l.address)
-		}
-		*l.target = listener
-	}
-	return nil
-}
-
 // isReady reports whether the daemon can serve callers: it has read the routing table and the list
 // of servers, and is not stopping.
 func (d *Daemon) isReady() bool {
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -27,7 +27,7 @@
 	for _, loop := range []func(context.Context) error{
 		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.heldServices.Run, d.holderClient.Run,
 		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.watchVersions,
-		d.Connections.Run, d.lateness.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers,
+		d.Connections.Run, d.lateness.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers, d.runTunnels, d.paths.Run,
 	} {
 		group.Go(func() error { return loop(running) })
 	}
@@ -41,8 +41,9 @@
 			return d.listeners.callers.Close()
 		}
 	})
-	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", d.settings.Callers).Str("Peers", d.settings.Peers).
-		Str("Metrics", d.settings.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
+	addresses := d.Addresses()
+	d.Logs.Layer(logging.LayerDaemon).Info().Str("Callers", addresses.Callers).Str("Peers", addresses.Peers).
+		Str("Metrics", addresses.Metrics).Str("Store", d.settings.Store).Str("FailureDomain", d.settings.FailureDomain).
 		Str("Incarnation", d.self.Incarnation).Msg("daemon started")
 	err := d.wait(running, group)
 	d.peers.Close()
