--- a/internal/daemon/gateway/crashcheck_test.go
+++ b/internal/daemon/gateway/crashcheck_test.go
@@ -10,6 +10,7 @@
 	"azurehitch"
 	"azurehitch/internal/membership/fleet"
 	"azurehitch/internal/transport/connpool"
+	"azurehitch/internal/transport/serverpath"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -42,6 +43,7 @@
 		records = append(records, azurehitch.KeyedRecord{Key: id, Value: []byte(id)})
 	}
 	d.fleet.Replace(records, time.Unix(1000, 0))
+	d.paths = serverpath.New(serverpath.Dependencies{})
 	d.crashes = d.newCrashChecker()
 	return d
 }
--- a/internal/daemon/gateway/cutoff.go
+++ b/internal/daemon/gateway/cutoff.go
@@ -1,5 +1,5 @@
 package gateway
 
 // isCutOff reports whether this daemon can't open connections to any backend server, while callers, the platform and
-// the other daemons may still reach it.
-func (d *Daemon) isCutOff() bool { return false }
+// the other daemons still reach it.
+func (d *Daemon) isCutOff() bool { return d.paths.IsCutOff() }
