--- a/internal/daemon/gateway/crashcheck_test.go
+++ b/internal/daemon/gateway/crashcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"syscall"
 	"testing"
@@ -43,11 +44,45 @@
 		records = append(records, azurehitch.KeyedRecord{Key: id, Value: []byte(id)})
 	}
 	d.fleet.Replace(records, time.Unix(1000, 0))
-	d.paths = serverpath.New(serverpath.Dependencies{})
+	d.paths = newTestPaths(unreached, nil)
 	d.crashes = d.newCrashChecker()
 	return d
 }
 
+// stubDialer is a serverpath.ConnDialer that can't connect to some servers.
+type stubDialer struct{ reaches func(id string) bool }
+
+// Dial implements serverpath.ConnDialer.
+func (s stubDialer) Dial(_ context.Context, address string) (net.Conn, error) {
+	if !s.reaches(address) {
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+// newTestPaths returns the paths to servers of which this daemon does not reach some, and other daemons reach others.
+func newTestPaths(unreached, reachedByOthers []string) *serverpath.Dialer {
+	return serverpath.New(serverpath.Dependencies{
+		Direct:   stubDialer{func(id string) bool { return !slices.Contains(unreached, id) }},
+		Indirect: stubDialer{func(id string) bool { return slices.Contains(reachedByOthers, id) }},
+		Servers:  func() []string { return []string{"a1", "a2", "a3", "b1", "b2", "b3"} },
+		OnSilent: func(string) {}, Observer: discardPaths{}, Clock: azurehitch.SystemClock{},
+	})
+}
+
+// discardPaths is a serverpath.Observer that ignores all events.
+type discardPaths struct{}
+
+// PathBlocked implements serverpath.Observer.
+func (discardPaths) PathBlocked(string, error) {}
+
+// PathOpen implements serverpath.Observer.
+func (discardPaths) PathOpen(string, time.Duration) {}
+
+// CutOffChanged implements serverpath.Observer.
+func (discardPaths) CutOffChanged(bool) {}
+
 // discardChanges is a fleet.Observer that ignores all events.
 type discardChanges struct{}
 
@@ -81,6 +116,12 @@
 	})
 }
 
+func TestPartlyCutDaemonAccusesNoSoundServer(t *testing.T) {
+	d := newPartlyCut([]string{"a1", "a2", "a3", "b1", "b2", "b3"}, "a1", "b1")
+	d.paths = newTestPaths([]string{"a1", "b1"}, []string{"a1"})
+	qt.Assert(t, hasEndedAll(d, "a1", "b1"), qt.DeepEquals, []string{"b1"})
+}
+
 func TestCrashedServersAreFound(t *testing.T) {
 	t.Run("one of many", func(t *testing.T) {
 		d := newPartlyCut([]string{"a1", "a2", "a3", "b1", "b2"}, "a2")
