crashcheck: a server that another daemon reaches has not crashed

Cause: one daemon alone can't tell a crashed server from one whose own path is cut.

Why it works: before other servers are asked, the tracker of the paths dials the server once more, and through another daemon when that fails. If another one connects, the path is blocked and the server runs. For a crashed server this is one more refusal, 250 ms at most.

--- a/internal/daemon/gateway/quarantine.go
+++ b/internal/daemon/gateway/quarantine.go
@@ -26,11 +26,21 @@
 
 func (d *Daemon) newCrashChecker() *crashcheck.Checker {
 	return crashcheck.New(crashcheck.Dependencies{
-		Report: d.Engines.Report, IsCutOff: d.isCutOff,
+		Report: d.Engines.Report, IsCutOff: d.isCutOff, IsReachedByOthers: d.isReachedByOthers,
 		Servers: func() []azurehitch.FleetServer { return d.fleet.View().Servers() },
 	})
 }
 
+// isReachedByOthers reports whether another daemon connects to a server, and this one does not.
+func (d *Daemon) isReachedByOthers(ctx context.Context, server azurehitch.ServerIdentity) bool {
+	conn, err := d.paths.Dial(ctx, server.Address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return d.paths.IsBlocked(server.Address)
+}
+
 // hasEnded reports whether a server that broke off a request has ended. One that is shutting down ends
 // as planned, which does not count.
 func (d *Daemon) hasEnded(ctx context.Context, server azurehitch.ServerIdentity) bool {
--- a/internal/forward/crashcheck/crashcheck.go
+++ b/internal/forward/crashcheck/crashcheck.go
@@ -7,9 +7,10 @@
 //	hasCrashed := checker.HasCrashed(ctx, server)
 //
 // The server is asked for its report. If another server or another incarnation answers, the server has ended. A
-// connection that fails shows less: a crashed server refuses connections, and so does a path that is cut. The checker
-// then asks other servers for their reports, those in the failure domain of the server first. Only if at least half of
-// them can be reached, the path is sound and the server has crashed. While the daemon is cut off from the servers, no
+// connection that fails shows less: a crashed server refuses connections, and so does a path that is cut. A server that
+// another daemon reaches runs. If none does, the checker asks other servers for their reports, those in the failure
+// domain of the server first. Only if at least half of them can be reached, the path is sound and the server has
+// crashed. While the daemon is cut off from the servers, no
 // server has crashed as far as the daemon knows.
 package crashcheck
 
@@ -30,9 +31,10 @@
 )
 
 const (
-	// reportTimeout limits the wait for the report of the server that broke off requests, and witnessTimeout that for
-	// the reports of other servers.
+	// reportTimeout limits the wait for the report of the server that broke off requests, othersTimeout that for other
+	// daemons to reach it, and witnessTimeout that for the reports of other servers.
 	reportTimeout  = 500 * time.Millisecond
+	othersTimeout  = 250 * time.Millisecond
 	witnessTimeout = 250 * time.Millisecond
 	// maxWitnesses is the number of other servers that are asked whether the path is sound.
 	maxWitnesses = 3
@@ -79,6 +81,8 @@
 type Dependencies struct {
 	// Report asks a server for its report.
 	Report func(ctx context.Context, server azurehitch.ServerIdentity) (azurehitch.ServerReport, error)
+	// IsReachedByOthers reports whether another daemon connects to a server, and this one does not.
+	IsReachedByOthers func(ctx context.Context, server azurehitch.ServerIdentity) bool
 	// Servers returns all servers that are known.
 	Servers func() []azurehitch.FleetServer
 	// IsCutOff reports whether this daemon can't open connections to any server.
@@ -117,11 +121,17 @@
 	case FindingReplaced:
 		return true
 	case FindingUnconnected:
-		return c.isPathSound(ctx, server)
+		return !c.isReachedByOthers(ctx, server) && c.isPathSound(ctx, server)
 	}
 	return false
 }
 
+func (c *Checker) isReachedByOthers(ctx context.Context, server azurehitch.ServerIdentity) bool {
+	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
+	defer cancel()
+	return c.IsReachedByOthers(ctx, server)
+}
+
 // find asks a server for its report.
 func (c *Checker) find(ctx context.Context, server azurehitch.ServerIdentity, timeout time.Duration) Finding {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/forward/crashcheck/crashcheck_test.go
+++ b/internal/forward/crashcheck/crashcheck_test.go
@@ -21,7 +21,9 @@
 	all       []string
 	unreached []string
 	replaced  []string
-	isCutOff  atomic.Bool
+	// reachedByOthers are the servers that other daemons reach.
+	reachedByOthers []string
+	isCutOff        atomic.Bool
 	// onReport, if not nil, is called before each report with the ID of the server.
 	onReport func(id string)
 }
@@ -53,6 +55,9 @@
 
 func (s *servers) checker() *crashcheck.Checker {
 	return crashcheck.New(crashcheck.Dependencies{
+		IsReachedByOthers: func(_ context.Context, server azurehitch.ServerIdentity) bool {
+			return slices.Contains(s.reachedByOthers, server.ID)
+		},
 		Report: s.report, Servers: s.list, IsCutOff: s.isCutOff.Load,
 	})
 }
@@ -85,6 +90,10 @@
 		s := &servers{all: all, unreached: []string{"a1", "b1", "b2", "b3"}}
 		assertCrashed(t, s.checker(), true, "a1")
 	})
+	t.Run("not if another daemon reaches it", func(t *testing.T) {
+		s := &servers{all: all, unreached: []string{"a1"}, reachedByOthers: []string{"a1"}}
+		assertCrashed(t, s.checker(), false, "a1")
+	})
 	t.Run("one after the other, until none is left", func(t *testing.T) {
 		s := &servers{all: []string{"a1", "a2"}, unreached: []string{"a1"}}
 		checker := s.checker()
