--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -21,6 +21,7 @@
 	"azurehitch/internal/daemon/lateness"
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
+	"azurehitch/internal/forward/crashcheck"
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/quarantine"
@@ -115,6 +116,7 @@
 	limits          *serverlimit.Tracker
 	retryBudget     *retrybudget.Budget
 	quarantine      *quarantine.Tracker
+	crashes         *crashcheck.Checker
 	quarantinePeers *quarantinepeer.Client
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
@@ -277,7 +279,7 @@
 
 func (d *Daemon) assembleForwarding() {
 	s := d.settings
-	breakers := breaker.NewBreakers(d.Clock)
+	breakers := breaker.NewBreakers(d.Clock).WithCutOff(d.isCutOff)
 	d.retryBudget = retrybudget.New(d.Clock, s.retryLimits(), budgetMembers{d})
 	d.callers = passthrough.NewServer(passthrough.Dependencies{
 		Routing:  d.routing.Index,
@@ -322,7 +324,9 @@
 		environment.ReclaimDelay = d.settings.ReclaimDelay
 	}
 	for _, name := range d.engineServices() {
-		environment.Pools = append(environment.Pools, leaselog.PoolSetting{Name: name, Duration: d.settings.LeaseDuration})
+		environment.Pools = append(environment.Pools, leaselog.PoolSetting{
+			Name: name, Duration: d.settings.LeaseDuration, Unreachable: d.isCutOff(),
+		})
 	}
 	return environment
 }
