tunnelpeer: the failure domains take turns when daemons are asked

With two of four failure domains cut, four candidates were the own domain's and one other's: each second search failed at the first try.

--- a/internal/transport/tunnelpeer/client.go
+++ b/internal/transport/tunnelpeer/client.go
@@ -22,7 +22,7 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before a tunnel counts as broken.
 	unackedTimeout = 2 * time.Second
 	// maxPeersTried is the number of daemons that are asked for one tunnel.
-	maxPeersTried = 4
+	maxPeersTried = 6
 	// nextPeerDelay is how long one daemon may take before the next one is asked as well.
 	nextPeerDelay = 50 * time.Millisecond
 	// maxUnreached is the number of daemons that have not reached a server after which no further one is
@@ -34,7 +34,7 @@
 	unreachedTime = 2 * time.Second
 	// otherDomainTunnels is how many more tunnels through a daemon in the own failure domain are preferred to one
 	// through another domain: the request then crosses between failure domains twice.
-	otherDomainTunnels = 2
+	otherDomainTunnels = 1
 )
 
 // Peer is a daemon that opens tunnels.
@@ -87,43 +87,33 @@
 	return conn, err
 }
 
-// candidates returns the daemons to ask, in order: those that have not rejected a tunnel lately, with the
-// fewest tunnels of this daemon, and preferably those in its failure domain.
+// candidates returns the daemons to ask, in order: those that have not rejected a tunnel lately before the others; from
+// each failure domain in turn, preferably first the own one, those with the fewest tunnels of this daemon first.
 func (c *Client) candidates() []Peer {
 	peers := slices.DeleteFunc(c.Peers(), func(p Peer) bool { return p.Name == c.Self || p.Address == "" })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	slices.SortStableFunc(peers, func(a, b Peer) int {
-		return cmp.Or(
-			cmp.Compare(c.rank(a, now), c.rank(b, now)),
-			cmp.Compare(c.cost(a), c.cost(b)),
-		)
-	})
-	return withOtherDomainSecond(peers)[:min(len(peers), maxPeersTried)]
-}
-
-// withOtherDomainSecond moves the first daemon of another failure domain than the first one's to the second
-// place: the daemons of a domain may have lost their links to servers together.
-func withOtherDomainSecond(peers []Peer) []Peer {
-	if len(peers) < 2 {
-		return peers
-	}
-	other := slices.IndexFunc(peers, func(p Peer) bool { return p.FailureDomain != peers[0].FailureDomain })
-	if other < 0 {
-		return peers
-	}
-	second := peers[other]
-	return slices.Insert(slices.Delete(peers, other, other+1), 1, second)
-}
-
-// rank is 0 for a daemon that is asked like the others, and 1 for one that is asked after them.
-func (c *Client) rank(p Peer, now time.Time) int {
-	if now.Before(c.rejectedUntil[p.Name]) {
-		return 1
+	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(c.cost(a), c.cost(b)) })
+	isRejected := func(p Peer) bool { return now.Before(c.rejectedUntil[p.Name]) }
+	rejected := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !isRejected(p) })
+	others := slices.DeleteFunc(peers, isRejected)
+	ordered := append(inTurns(others), inTurns(rejected)...)
+	return ordered[:min(len(ordered), maxPeersTried)]
+}
+
+// inTurns reorders daemons such that those of different failure domains take turns: the daemons of a domain may have
+// lost their links to servers together.
+func inTurns(peers []Peer) []Peer {
+	turns := map[string]int{}
+	turnOf := make(map[string]int, len(peers))
+	for _, p := range peers {
+		turnOf[p.Name] = turns[p.FailureDomain]
+		turns[p.FailureDomain]++
 	}
-	return 0
+	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(turnOf[a.Name], turnOf[b.Name]) })
+	return peers
 }
 
 // cost returns the number of tunnels through a daemon, with what a further one costs more than in the own
