Listeners go on after errors of accept that pass

What callers see: all requests in progress end without an answer, because the daemon ends by itself.

Cause: the HTTP server ends with the first error of Accept, and the daemon with its servers. accept(2) also fails when the process or the system has too many files open, when memory is short for a moment, and with the errors of a connection that has failed before it was accepted.

Evidence: TestListenerEndsAfterPassingError failed for each of six errors; Serve returned them to the group of the daemon.

Change: a listener that tries again after these errors, 10 ms later, and tells of each (ConnectionsLost Unaccepted for callers, a log line for the others). It is used for all listeners of both daemons: the same error of the listener for readiness, metrics or other daemons ended the daemon too. A closed listener ends as before.

--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -11,6 +11,7 @@
 	"azurehitch/internal/placement/swappeer"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
+	"azurehitch/internal/transport/retryaccept"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
@@ -102,12 +103,12 @@
 		}
 		return server.Handle(ctx, request)
 	}
-	return mux.NewServer(d.listeners.peers, handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
+	return mux.NewServer(d.retrying("peers", d.listeners.peers), handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
 }
 
 // runReady serves the readiness checks of the load balancer.
 func (d *Daemon) runReady(ctx context.Context) error {
-	return serveHTTP(ctx, d.listeners.ready, func(request *fasthttp.RequestCtx) {
+	return serveHTTP(ctx, d.retrying("readiness", d.listeners.ready), func(request *fasthttp.RequestCtx) {
 		if !d.isReady() {
 			request.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
@@ -116,7 +117,7 @@
 
 func (d *Daemon) runMetrics(ctx context.Context) error {
 	text := d.Metrics.TextHandler()
-	return serveHTTP(ctx, d.listeners.metrics, func(request *fasthttp.RequestCtx) {
+	return serveHTTP(ctx, d.retrying("metrics", d.listeners.metrics), func(request *fasthttp.RequestCtx) {
 		d.Metrics.Set(metrics.LogLinesDropped, d.Logs.Dropped())
 		d.Metrics.Set(metrics.PartsHeld, d.quarantine.HeldCount(quarantine.KindPart))
 		d.Metrics.Set(metrics.RequestsHeld, d.quarantine.HeldCount(quarantine.KindRequest))
@@ -124,6 +125,14 @@
 	})
 }
 
+// retrying returns a listener that goes on after errors that pass, and logs them. That of the callers does
+// so by itself.
+func (d *Daemon) retrying(name string, listener net.Listener) net.Listener {
+	return retryaccept.Listen(listener, d.Clock, func(err error) {
+		d.Logs.Layer(logging.LayerDaemon).Warn().Str("Listener", name).Err(err).Msg("connection not accepted")
+	})
+}
+
 func serveHTTP(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
 	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, IdleTimeout: time.Minute, ReadTimeout: time.Minute}
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/serve/daemon.go
+++ b/internal/daemon/serve/daemon.go
@@ -35,6 +35,7 @@
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/telemetry/tracing"
+	"azurehitch/internal/transport/retryaccept"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -202,7 +203,9 @@
 			d.closeListeners()
 			return errors.Wrapf(err, "--%s %s", l.flag, l.address)
 		}
-		*l.target = listener
+		*l.target = retryaccept.Listen(listener, d.Clock, func(err error) {
+			d.Logs.Layer(logging.LayerDaemon).Warn().Str("Listener", l.flag).Err(err).Msg("connection not accepted")
+		})
 	}
 	return nil
 }
--- a/internal/transport/callerconn/accept_test.go
+++ b/internal/transport/callerconn/accept_test.go
@@ -42,7 +42,8 @@
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
 			failing := &failingListener{Listener: inner, failures: []error{failure, failure}}
-			listener := callerconn.Listen(failing, azurehitch.SystemClock{}, func(callerconn.Closure) {})
+			var losses []callerconn.Loss
+			listener := callerconn.Listen(failing, azurehitch.SystemClock{}, func(closure callerconn.Closure) { losses = append(losses, closure.Loss) })
 			c.Cleanup(func() { listener.Close() })
 			peer, err := net.Dial("tcp", inner.Addr().String())
 			c.Assert(err, qt.IsNil)
@@ -50,6 +51,7 @@
 			accepted, err := listener.Accept()
 			c.Assert(err, qt.IsNil)
 			c.Assert(accepted.Close(), qt.IsNil)
+			c.Assert(losses, qt.DeepEquals, []callerconn.Loss{callerconn.LossUnaccepted, callerconn.LossUnaccepted})
 		})
 	}
 	t.Run("a closed listener ends", func(t *testing.T) {
--- a/internal/transport/callerconn/closure.go
+++ b/internal/transport/callerconn/closure.go
@@ -18,6 +18,8 @@
 	LossUnread Loss = "Unread"
 	// LossUnused is a new connection that was closed by CloseIdle before its first request arrived.
 	LossUnused Loss = "Unused"
+	// LossUnaccepted is a connection that could not be accepted.
+	LossUnaccepted Loss = "Unaccepted"
 )
 
 // Closure describes a connection that was closed without an answer to the last request on it.
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/transport/retryaccept"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -29,11 +30,13 @@
 	empty chan struct{}
 }
 
-// Listen returns a Listener that tells onClosed of the connections that are closed without an answer.
+// Listen returns a Listener that tells onClosed of the connections that are closed without an answer, or
+// can't be accepted.
 func Listen(l net.Listener, clock azurehitch.Clock, onClosed Observer) *Listener {
+	onFailure := func(err error) { onClosed(Closure{Loss: LossUnaccepted, Cause: err}) }
 	return &Listener{
-		Listener: l, clock: clock, onClosed: onClosed, close: sync.OnceValue(l.Close), conns: map[*conn]struct{}{},
-		empty: make(chan struct{}),
+		Listener: retryaccept.Listen(l, clock, onFailure), clock: clock, onClosed: onClosed, close: sync.OnceValue(l.Close),
+		conns: map[*conn]struct{}{}, empty: make(chan struct{}),
 	}
 }
 
