passthrough: a body that arrives slowly is no invalid request

What callers see: 400 after 10 s for a request whose body takes longer to arrive, whatever time they have left. Callers don't send a request again after 400, though it was not run.

Cause: the read timeout bounds the whole request, and its end was answered like a malformed request.

Evidence: TestBodyThatArrivesSlowlyIsTakenForInvalidRequest, in which all four cases got 400.

Change: the read timeout bounds the head. The body has the time limit of its caller, if that is longer, up to a minute. A request that has not arrived in time is answered 408, which says that it was not and will not be run.

TestStopClosesConnectionWhileBodyArrives passed before this change as well: a connection on which a body is arriving is neither idle nor closed by a planned stop, on a new and on a kept connection; the request gets its refusal. So a body that still arrives when a stop ends is not the cause of tries without an answer.

--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -336,19 +336,3 @@
 	}
 	r.run.End(outcome)
 }
-
-// handleProtocolError responds to a malformed or oversized HTTP request.
-func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	var tooLarge *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &tooLarge):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	}
-	ctx.Response.Reset()
-	ctx.SetStatusCode(status)
-	ctx.SetConnectionClose()
-	s.Metrics.Add(metrics.RequestsInvalid, 1)
-}
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -147,6 +147,7 @@
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleProtocolError,
+		HeaderReceived:               s.headReceived,
 		MaxRequestBodySize:           settings.MaxBodyBytes,
 		ReadBufferSize:               settings.MaxHeaderBytes,
 		ReadTimeout:                  settings.ReadTimeout,
