mux: a connection to a daemon that goes silent is left after one call without an answer

What callers see: for up to 7 s after connections between daemons have gone silent for good, requests for models wait 2 s and get neither an answer nor a refusal: their callers leave. A change of the configuration in that time finds them so.

Cause: a call that got no answer in time left its connection in use. Only yamux's own keep-alive ended it, after up to 10 s (5 s to the next ping, 5 s to wait for it). Each request to the holder took 1.2 s to fail, and was made again on the same connection. While many calls wait so, yamux opens no further stream, and then heeds no deadline at all.

Change: a call without an answer in time, on whose connection nothing at all has arrived meanwhile, lets further calls use a new one. A peer confirms each new stream at once, so a slow answer alone doesn't count. The old connection is closed when its last call has ended.

Why it works: reports to the holder are made each 0.25 to 1 s with a timeout of 0.6 s, so that a silent connection is found by them, mostly before a request needs it.

--- a/internal/peer/mux/client.go
+++ b/internal/peer/mux/client.go
@@ -9,14 +9,16 @@
 
 	"azurehitch"
 	"azurehitch/internal/peer/peerpb"
-	"azurehitch/internal/transport/countconn"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 )
 
 const (
-	dialTimeout       = time.Second
+	dialTimeout = time.Second
+	// maxSilence is how long a call waits at least before a connection on which nothing arrives meanwhile
+	// counts as silent. A peer confirms each new stream at once.
+	maxSilence        = 250 * time.Millisecond
 	keepAliveInterval = 5 * time.Second
 	writeTimeout      = 5 * time.Second
 )
@@ -43,12 +45,12 @@
 	maxMessage azurehitch.ByteSize
 	mu         sync.Mutex
 	// sessions holds the connections, by the address of the peer.
-	sessions map[string]*yamux.Session
+	sessions map[string]*session
 }
 
 // NewClient returns a client that sends requests in the name of a daemon.
 func NewClient(daemon string) *Client {
-	return &Client{daemon: daemon, maxMessage: defaultMaxMessage, sessions: map[string]*yamux.Session{}}
+	return &Client{daemon: daemon, maxMessage: defaultMaxMessage, sessions: map[string]*session{}}
 }
 
 // WithMaxMessage returns a new client that reads responses of at most the given size. It doesn't
@@ -66,23 +68,30 @@
 	if err != nil {
 		return nil, &ErrUnreachable{Address: address, Cause: err}
 	}
+	defer session.endCall()
+	bytesBefore := session.bytesRead()
 	stream, err := session.OpenStream()
 	if err != nil {
-		c.dropSession(address, session)
+		c.retire(address, session)
 		return nil, &ErrUnreachable{Address: address, Cause: err}
 	}
 	defer stream.Close()
+	timeout := maxSilence
 	stop := context.AfterFunc(ctx, func() { interrupt(stream) })
 	defer stop()
 	request.Daemon = c.daemon
 	if deadline, ok := ctx.Deadline(); ok {
-		request.TimeoutMs = time.Until(deadline).Milliseconds()
+		timeout = time.Until(deadline)
+		request.TimeoutMs = timeout.Milliseconds()
 		if err := stream.SetDeadline(deadline); err != nil {
 			return nil, &ErrUnreachable{Address: address, Cause: err}
 		}
 	}
 	response := &peerpb.Response{}
 	if err := exchange(stream, request, response, c.maxMessage); err != nil {
+		if timeout >= maxSilence && isTimeout(ctx, err) && session.bytesRead() == bytesBefore {
+			c.retire(address, session)
+		}
 		return nil, &ErrUnreachable{Address: address, Sent: true, Cause: err}
 	}
 	return response, nil
@@ -100,11 +109,18 @@
 	_ = stream.SetDeadline(time.Unix(1, 0))
 }
 
-func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+// isTimeout reports whether a call failed because its time was over, and not because it was canceled.
+func isTimeout(ctx context.Context, err error) bool {
+	return errors.Is(err, yamux.ErrTimeout) && !errors.Is(ctx.Err(), context.Canceled)
+}
+
+// session returns the connection to an address, on which a call has begun.
+func (c *Client) session(ctx context.Context, address string) (*session, error) {
 	c.mu.Lock()
 	existing, ok := c.sessions[address]
+	isOpen := ok && existing.beginCall()
 	c.mu.Unlock()
-	if ok && !existing.IsClosed() {
+	if isOpen {
 		return existing, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -112,33 +128,35 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	session, err := yamux.Client(countconn.Wrap(conn), sessionConfig())
+	opened, err := newSession(conn)
 	if err != nil {
 		return nil, errors.Wrap(err, "open session")
 	}
-	return c.storeSession(address, session), nil
+	return c.storeSession(address, opened), nil
 }
 
-// storeSession stores a new session and returns it. If a concurrent call has stored an open session
-// to the address, storeSession closes the new session and returns the stored one.
-func (c *Client) storeSession(address string, session *yamux.Session) *yamux.Session {
+// storeSession stores a new session, begins a call on it and returns it. If a concurrent call has stored an
+// open session to the address, storeSession closes the new session and returns the stored one.
+func (c *Client) storeSession(address string, opened *session) *session {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if existing, ok := c.sessions[address]; ok && !existing.IsClosed() {
-		session.Close()
+	if existing, ok := c.sessions[address]; ok && existing.beginCall() {
+		opened.Close()
 		return existing
 	}
-	c.sessions[address] = session
-	return session
+	c.sessions[address] = opened
+	opened.beginCall()
+	return opened
 }
 
-func (c *Client) dropSession(address string, session *yamux.Session) {
+// retire lets further calls use another session. Those in progress may end on this one.
+func (c *Client) retire(address string, unused *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sessions[address] == session {
+	if c.sessions[address] == unused {
 		delete(c.sessions, address)
 	}
-	session.Close()
+	unused.retire()
 }
 
 // Close closes all connections.
