connpool: an exchange without a response in time closes the idle connections to its server

What callers see: after open connections to servers have gone silent, one request after the other is sent on another connection that was idle then, and gets no response until its caller leaves.

Cause: the pool hands out the connection that was used last, whatever befell the others.

Evidence: TestSilentIdleConnectionIsUsedAfterATimeout failed: the second exchange timed out as well.

Change: if an exchange on a reused connection had no response in time, or none for a second when it was canceled, the idle connections to that server are closed. A cancellation before says nothing.

--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -77,7 +77,11 @@
 		e.Close()
 		return nil, &ErrExchange{Address: address, Cause: errSendDenied}
 	}
+	startedAt := p.clock.Now()
 	if err := e.start(ctx, request); err != nil {
+		if !c.isNew() {
+			p.closeIfSilent(ctx, address, startedAt, err)
+		}
 		e.Close()
 		return nil, &ErrExchange{Address: address, Sent: true, NewConnection: e.conn.isNew(), Cause: err}
 	}
