mux: the test of slow answers doesn't depend on which of two dials is first

The handler answered at the end of the time that the caller gave, so that its response arrived in time in one run of a few; and two calls that begin at the same time may both dial.

--- a/internal/peer/mux/silence_test.go
+++ b/internal/peer/mux/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,24 +107,24 @@
 
 func TestSlowAnswerEndsConnectionOfOthers(t *testing.T) {
 	release := make(chan struct{})
-	l := newLink(t, func(ctx context.Context, request *peerpb.Request) *peerpb.Response {
+	l := newLink(t, func(_ context.Context, request *peerpb.Request) *peerpb.Response {
 		if request.TimeoutMs > callTimeout.Milliseconds() {
-			select {
-			case <-release:
-			case <-ctx.Done():
-			}
+			<-release
 		}
 		return &peerpb.Response{}
 	})
+	answerAll := sync.OnceFunc(func() { close(release) })
+	l.Cleanup(answerAll)
 	client := mux.NewClient("daemon-1")
 	l.Cleanup(client.Close)
+	l.Assert(call(client, l.address, callTimeout), qt.IsNil)
 	var slow errgroup.Group
 	slow.Go(func() error { return call(client, l.address, 10*callTimeout) })
 	l.Assert(call(client, l.address, callTimeout), qt.IsNil)
 	// This one gets no answer either, while the connection passes on those of others.
-	slowToo := call(client, l.address, callTimeout+50*time.Millisecond)
-	l.Assert(slowToo, qt.IsNotNil)
+	l.Assert(call(client, l.address, callTimeout+50*time.Millisecond), qt.IsNotNil)
 	l.Assert(call(client, l.address, callTimeout), qt.IsNil)
-	close(release)
+	answerAll()
 	l.Assert(slow.Wait(), qt.IsNil)
+	l.Assert(l.opened.Load(), qt.Equals, int64(1))
 }
