--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -112,8 +112,8 @@
 
 func (p *Plan) finishAdapter(s *server, order Order, outcome Outcome, now time.Time) {
 	s.adapterOrders--
-	if outcome == OutcomeUnknown {
-		s.known = false
+	s.known = s.known && outcome != OutcomeUnknown
+	if outcome != OutcomeDone {
 		s.lastFailure = now
 	}
 	r, ok := s.replicas[order.Model]
