--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -325,7 +325,7 @@
 	}
 	for _, name := range d.engineServices() {
 		environment.Pools = append(environment.Pools, leaselog.PoolSetting{
-			Name: name, Duration: d.settings.LeaseDuration, Unreachable: d.isCutOff(),
+			Name: name, Duration: d.settings.LeaseDuration, Unreachable: d.isUnreachable(name),
 		})
 	}
 	return environment
