soak: servers that are brittle and fall over when they reject too much

The platform's servers can be brittle: all their answers name a number of rejections a second, from some time later they let fewer requests wait, and one that rejects more for lack of capacity falls over for some seconds. No stand-in played that, and no daemon reads the notice.

The stand-in server gets a queue, and SetBrittle with the allowance, the time at which its queue is lowered, and the time for which it is down. The soak gets the rule and two runs, for a plain service and for engines, under a load near the capacity.

--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -67,6 +67,7 @@
 	ruleDrain              rule = "no requests to servers that shut down"
 	ruleBackoff            rule = "no requests to servers that requested a backoff"
 	ruleRateLimit          rule = "the daemons together keep to the rate limit of a server"
+	ruleBrittleServers     rule = "servers that are brittle do not fall over"
 	ruleSoftwareVersion    rule = "a stream goes on only at the software version that began it"
 	ruleResumedStreams     rule = "streams that callers take up again go on"
 	ruleCrashingPart       rule = "requests with a part that crashes servers reach no further servers"
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -58,7 +58,9 @@
 	// modelCount is the number of models that callers ask for.
 	modelCount int
 	// slots is the number of requests that a server runs at the same time.
-	slots             int
+	slots int
+	// queue is the number of requests that wait for a slot at a server.
+	queue             int
 	retrySlack        int
 	readyPollInterval time.Duration
 	routes            []azurehitch.PathRoute
@@ -363,7 +365,7 @@
 	}
 	options := platformtest.BackendOptions{
 		ID: fmt.Sprintf("%s-%d", s.name, s.generation), Address: s.link.address(), Service: s.service, FailureDomain: "domain-0",
-		Slots: cl.setup.slots, Incarnation: time.Now().UnixMilli(), Engine: cl.setup.services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
+		Slots: cl.setup.slots, Queue: cl.setup.queue, Incarnation: time.Now().UnixMilli(), Engine: cl.setup.services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
 		SoftwareVersion: version,
 		Crashes:         func(request platformtest.BegunRequest) bool { return cl.crash(s, request) },
 		WorkFor:         func(request azurehitch.CallerRequest) platformtest.Work { return cl.setup.workFor(request, s.name) },
