--- a/fleet.go
+++ b/fleet.go
@@ -61,6 +61,10 @@
 	// RateLimit is the number of requests per second that the server accepts from all daemons
 	// together; 0 means that it names no limit.
 	RateLimit float64
+	// Brittle is true if the server falls over once it has to reject more than MaxRejections requests from
+	// all daemons together within a second for lack of capacity.
+	Brittle       bool
+	MaxRejections int
 }
 
 // ServerBackoff is a backoff that a server has requested from a daemon. The daemon sends the server
