soak: callers of the runs with brittle servers end before recovery is checked

These runs load the engines with 18 of 20 slots, so that rare models can't be loaded beside that load. As in the runs with planned work, the callers now end after the last action; the check itself is unchanged.

--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -67,6 +67,9 @@
 	// plannedOnly is set if the run has planned work only: callers connect without links, and follow up
 	// requests that are refused or cut.
 	plannedOnly bool
+	// endsCalm is set if callers send no more requests after the last action: their load comes near the
+	// capacity of the servers, so that rare models can't be loaded beside it.
+	endsCalm bool
 	// work returns the work of a request at a server. A request that takes up a stream again has the
 	// origin of the stream's first request.
 	work func(origin, server string) platformtest.Work
