--- a/internal/transport/tunnelpeer/server.go
+++ b/internal/transport/tunnelpeer/server.go
@@ -164,7 +164,7 @@
 func (s *Server) pass(client net.Conn, reader io.Reader, server net.Conn) {
 	var group errgroup.Group
 	group.Go(func() error {
-		passRequest(server, reader)
+		passRequest(requestWriter{server: server, client: client, clock: s.Clock}, reader)
 		return nil
 	})
 	if passFrames(client, server) != nil || s.closeWrite(client) != nil {
@@ -188,12 +188,12 @@
 // passRequest passes the client's bytes on until the client closes its end: it wants no answer any more
 // then. What the server does not take is discarded, because a connection that is closed with unread bytes
 // loses what its peer has not read.
-func passRequest(server net.Conn, client io.Reader) {
+func passRequest(w requestWriter, client io.Reader) {
 	buf := make([]byte, maxFrameBytes)
-	if _, err := io.CopyBuffer(onlyWriter{server}, onlyReader{client}, buf); err != nil {
+	if _, err := io.CopyBuffer(w, onlyReader{client}, buf); err != nil && !errors.Is(err, errClientGone) {
 		_, _ = io.CopyBuffer(onlyWriter{io.Discard}, onlyReader{client}, buf)
 	}
-	reset(server)
+	reset(w.server)
 }
 
 // onlyWriter and onlyReader hide the other methods of a connection, so that a copy uses its own buffer.
