connpool: requests on silent kept connections are sent again once the path is found blocked

Cause: only idle connections were closed when a path was found blocked, and one without traffic of new connections was checked once only. A sound server that is silent ends none.

--- a/internal/daemon/gateway/paths.go
+++ b/internal/daemon/gateway/paths.go
@@ -52,12 +52,12 @@
 // isServer reports whether an address is that of a listed server.
 func (d *Daemon) isServer(address string) bool { return d.fleet.View().HasAddress(address) }
 
-// closeSilent closes the idle connections to a server that are silent because its path is blocked; those to all
-// servers if address is empty.
+// closeSilent gives up the connections to a server that are silent because its path is blocked; those to all servers
+// if address is empty.
 func (d *Daemon) closeSilent(address string) {
 	if address == "" {
-		d.Connections.CloseAllIdle()
+		d.Connections.CloseAllSilent()
 		return
 	}
-	d.Connections.CloseIdle(address)
+	d.Connections.CloseSilent(address)
 }
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	if !e.conn.isNew() {
-		defer e.pool.watchSilence(e.address)()
+		defer e.pool.awaitOnReused(e.address, e.conn)()
 	}
 	return e.readHead(request.Method)
 }
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -171,6 +171,8 @@
 	inUse int
 	// idle is ordered by last use, the least recently used connection first.
 	idle []*conn
+	// awaiting are the reused connections on which a response is awaited.
+	awaiting map[*conn]struct{}
 	// maxOpen is the last non-zero Options.MaxOpen of a request to this address; 0 means no bound.
 	maxOpen int
 }
@@ -210,16 +212,6 @@
 	}
 }
 
-// CloseAllIdle closes all idle connections.
-func (p *Pool) CloseAllIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.servers {
-		closeAll(s.idle)
-		s.idle = nil
-	}
-}
-
 // Memory returns the memory budget that the response bodies of all exchanges share.
 func (p *Pool) Memory() *membudget.Budget { return p.memory }
 
@@ -284,7 +276,7 @@
 	defer p.mu.Unlock()
 	s, ok := p.servers[address]
 	if !ok {
-		s = &serverConns{}
+		s = &serverConns{awaiting: map[*conn]struct{}{}}
 		p.servers[address] = s
 	}
 	if options.MaxOpen > 0 && s.inUse >= options.MaxOpen {
