callerconn: a new connection has longer for its first request when a stop closes it

What callers see: a connection that was opened just before a planned stop ends is closed before its first request arrives. Cause: it had 50 ms from the end of the stop, as a kept connection has; but on a new one a request is surely on its way, behind the round trip of the handshake, and its first part may be lost and sent again after 0.2 s.

Evidence: TestNewConnectionIsClosedBeforeItsRequestArrives failed (120 ms).

Change: 250 ms for connections without a request so far. A stop lasts longer only if there is one.

--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -206,14 +206,18 @@
 	return !c.expiresAt.IsZero()
 }
 
-// expire lets the reads of an idle connection fail from a time on.
-func (c *conn) expire(at time.Time) {
+// expire lets the reads of an idle connection fail after a short time.
+func (c *conn) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isIdle {
 		return
 	}
-	c.expiresAt = at
+	grace := idleGrace
+	if !c.isUsed {
+		grace = unusedGrace
+	}
+	c.expiresAt = now.Add(grace)
 	// A connection that can't take a deadline is closed already.
-	_ = c.Conn.SetReadDeadline(at)
+	_ = c.Conn.SetReadDeadline(c.expiresAt)
 }
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -13,8 +13,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// idleGrace is how long an idle connection stays open after CloseIdle, for a request that is on its way.
-const idleGrace = 50 * time.Millisecond
+const (
+	// idleGrace is how long an idle connection stays open after CloseIdle, for a request that is on its way.
+	idleGrace = 50 * time.Millisecond
+	// unusedGrace is that time for a connection without a request so far: one is surely on its way.
+	unusedGrace = 250 * time.Millisecond
+)
 
 // Listener returns connections that can be passed to Watch, and closes them.
 type Listener struct {
@@ -51,7 +55,7 @@
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
 	if l.isClosing {
-		c.expire(l.clock.Now().Add(idleGrace))
+		c.expire(l.clock.Now())
 	}
 	return c, nil
 }
@@ -69,7 +73,7 @@
 	}
 	l.isClosing = true
 	for c := range l.conns {
-		c.expire(l.clock.Now().Add(idleGrace))
+		c.expire(l.clock.Now())
 	}
 	return errors.Wrap(err, "close listener")
 }
@@ -137,6 +141,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.isClosing {
-		c.expire(l.clock.Now().Add(idleGrace))
+		c.expire(l.clock.Now())
 	}
 }
--- a/internal/transport/callerconn/listener_test.go
+++ b/internal/transport/callerconn/listener_test.go
@@ -183,3 +183,13 @@
 	_, err := io.WriteString(a.peer, "G")
 	a.Assert(err, qt.IsNil)
 }
+
+func TestNewConnectionIsClosedBeforeItsRequestArrives(t *testing.T) {
+	a := accept(t)
+	a.closeIdle()
+	timer := time.AfterFunc(120*time.Millisecond, func() { _, _ = io.WriteString(a.peer, "G") })
+	defer timer.Stop()
+	n, err := a.Read(make([]byte, 1))
+	a.Assert(err, qt.IsNil)
+	a.Assert(n, qt.Equals, 1)
+}
