--- a/internal/daemon/gateway/cut_test.go
+++ b/internal/daemon/gateway/cut_test.go
@@ -44,13 +44,13 @@
 		tries = f.send(ctx)
 		return nil
 	})
-	f.Assert(f.sleep(ctx, timeBeforeCut), qt.IsNil)
+	f.Assert(sleep(ctx, timeBeforeCut), qt.IsNil)
 	made.from, made.till = time.Now(), time.Now().Add(cutTime)
 	f.setLinks(daemons, state)
 	during()
-	f.Assert(f.sleep(ctx, time.Until(made.till)), qt.IsNil)
+	f.Assert(sleep(ctx, time.Until(made.till)), qt.IsNil)
 	f.setLinks(f.daemons, serverlink.Up)
-	f.Assert(f.sleep(ctx, timeAfterCut), qt.IsNil)
+	f.Assert(sleep(ctx, timeAfterCut), qt.IsNil)
 	stop()
 	f.Assert(group.Wait(), qt.IsNil)
 	return made, tries
@@ -58,7 +58,7 @@
 
 func (f *cutFleet) setLinks(daemons []*linkedDaemon, state serverlink.State) {
 	for _, d := range daemons {
-		d.link.Set(state)
+		d.setLink(state)
 	}
 }
 
--- a/internal/daemon/gateway/cutcallers_test.go
+++ b/internal/daemon/gateway/cutcallers_test.go
@@ -125,7 +125,7 @@
 func (c *cutCaller) exchange(request platformtest.CallerRequest) (platformtest.Answer, error) {
 	if c.conn == nil || c.client.IsClosed() {
 		c.close()
-		conn, err := net.DialTimeout("tcp", c.daemon.Addresses().Callers, time.Second)
+		conn, err := net.DialTimeout("tcp", c.daemon.callers, time.Second)
 		if err != nil {
 			return platformtest.Answer{}, errors.Wrap(err, "connect to the daemon")
 		}
@@ -154,7 +154,7 @@
 	var tries []firstTry
 	for ctx.Err() == nil {
 		tries = append(tries, c.send(kind))
-		if c.fleet.sleep(ctx, callerPause) != nil {
+		if sleep(ctx, callerPause) != nil {
 			break
 		}
 	}
--- a/internal/daemon/gateway/cutfleet_test.go
+++ b/internal/daemon/gateway/cutfleet_test.go
@@ -48,17 +48,26 @@
 
 // linkedDaemon is a daemon whose link to the servers can be cut.
 type linkedDaemon struct {
-	*gateway.Daemon
+	// callers is the listen address for callers.
+	callers       string
 	failureDomain string
-	link          *serverlink.Link
-	metrics       *metrics.Metrics
-	// stop begins the planned stop, and ended is closed when Run has returned.
-	stop  context.CancelFunc
-	ended chan struct{}
+	setLink       func(state serverlink.State)
+	// stop begins the planned stop.
+	stop func()
+	// metrics and process are nil for a daemon in a process of its own, and for one in that of the test.
+	metrics *metrics.Metrics
+	process *daemonProcess
 }
 
-// withCutFleet calls run with daemons that serve all kinds of requests, and stops them afterwards.
+// withCutFleet calls run with daemons in the process of the test that serve all kinds of requests, and stops
+// them afterwards.
 func withCutFleet(t *testing.T, run func(f *cutFleet)) {
+	t.Helper()
+	withCutFleetOf(t, (*cutFleet).startDaemon, run)
+}
+
+// withCutFleetOf calls run with daemons that start starts, and stops them afterwards.
+func withCutFleetOf(t *testing.T, start func(f *cutFleet, t *testing.T, i int, group *errgroup.Group), run func(f *cutFleet)) {
 	t.Helper()
 	f := &cutFleet{C: qt.New(t), store: platformtest.NewStore(nil), runs: newRunCounter()}
 	server := httptest.NewServer(f.store)
@@ -71,14 +80,14 @@
 	}
 	var group errgroup.Group
 	for i := range cutDaemonCount {
-		f.startDaemon(t, i, &group)
+		start(f, t, i, &group)
 	}
 	for _, d := range f.daemons {
 		f.awaitServing(d)
 	}
 	run(f)
 	for _, d := range f.daemons {
-		d.link.Set(serverlink.Up)
+		d.setLink(serverlink.Up)
 		d.stop()
 	}
 	f.Assert(group.Wait(), qt.IsNil)
@@ -100,25 +109,36 @@
 	})
 }
 
+// startDaemon starts a daemon in the process of the test.
 func (f *cutFleet) startDaemon(t *testing.T, i int, group *errgroup.Group) {
 	t.Helper()
-	s := gateway.DefaultSettings()
-	s.Name, s.FailureDomain, s.Store = fmt.Sprintf("daemon-%d", i), failureDomain(i), f.address
-	s.Callers, s.Ready, s.Peers, s.Tunnels, s.Metrics = anyPort, anyPort, anyPort, anyPort, anyPort
 	link, err := serverlink.New(connpool.DirectDialer{})
 	f.Assert(err, qt.IsNil)
 	t.Cleanup(func() { f.Check(link.Close(), qt.IsNil) })
-	connected := platform.Connect(s, azurehitch.SystemClock{}, logging.Discard())
-	connected.Connections.WithDialer(link)
-	daemon, err := gateway.New(s, connected)
+	s := linkedSettings(fmt.Sprintf("daemon-%d", i), failureDomain(i), f.address)
+	daemon, measured, err := newLinkedDaemon(s, link)
 	f.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
-	d := &linkedDaemon{Daemon: daemon, failureDomain: s.FailureDomain, link: link, metrics: connected.Metrics, stop: stop, ended: make(chan struct{})}
-	f.daemons = append(f.daemons, d)
-	group.Go(func() error {
-		defer close(d.ended)
-		return daemon.Run(ctx)
+	f.daemons = append(f.daemons, &linkedDaemon{
+		callers: daemon.Addresses().Callers, failureDomain: s.FailureDomain, setLink: link.Set, stop: stop, metrics: measured,
 	})
+	group.Go(func() error { return daemon.Run(ctx) })
+}
+
+// linkedSettings returns the settings of a daemon that listens on any ports.
+func linkedSettings(name, failureDomain, store string) gateway.Settings {
+	s := gateway.DefaultSettings()
+	s.Name, s.FailureDomain, s.Store = name, failureDomain, store
+	s.Callers, s.Ready, s.Peers, s.Tunnels, s.Metrics = anyPort, anyPort, anyPort, anyPort, anyPort
+	return s
+}
+
+// newLinkedDaemon returns a daemon that reaches servers by a link, and its metrics.
+func newLinkedDaemon(s gateway.Settings, link *serverlink.Link) (*gateway.Daemon, *metrics.Metrics, error) {
+	connected := platform.Connect(s, azurehitch.SystemClock{}, logging.Discard())
+	connected.Connections.WithDialer(link)
+	daemon, err := gateway.New(s, connected)
+	return daemon, connected.Metrics, err
 }
 
 // services returns the services of every table: a plain one and one with model engines.
@@ -152,7 +172,7 @@
 // awaitServing waits until a daemon serves each kind of request.
 func (f *cutFleet) awaitServing(d *linkedDaemon) {
 	f.Helper()
-	caller := &cutCaller{fleet: f, daemon: d, name: "first-" + d.Addresses().Callers}
+	caller := &cutCaller{fleet: f, daemon: d, name: "first-" + d.callers}
 	for _, kind := range cutKinds() {
 		f.Assert(f.await(20*time.Second, func() bool { return caller.send(kind).status == http.StatusOK }), qt.IsTrue, qt.Commentf("%s", kind.name))
 	}
@@ -164,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for !condition() {
-		if f.sleep(ctx, 50*time.Millisecond) != nil {
+		if sleep(ctx, 50*time.Millisecond) != nil {
 			return false
 		}
 	}
@@ -188,6 +208,6 @@
 	return slices.DeleteFunc(slices.Clone(f.daemons), func(d *linkedDaemon) bool { return slices.Contains(except, d) })
 }
 
-func (f *cutFleet) sleep(ctx context.Context, d time.Duration) error {
+func sleep(ctx context.Context, d time.Duration) error {
 	return azurehitch.SystemClock{}.Sleep(ctx, d)
 }
--- a/internal/daemon/gateway/cutvariants_test.go
+++ b/internal/daemon/gateway/cutvariants_test.go
@@ -26,7 +26,7 @@
 	f.Helper()
 	for range tableCount {
 		f.publish()
-		f.Assert(f.sleep(context.Background(), tableInterval), qt.IsNil)
+		f.Assert(sleep(context.Background(), tableInterval), qt.IsNil)
 	}
 }
 
@@ -77,7 +77,7 @@
 func cutWhileRelayStops(f *cutFleet) {
 	stopped := f.daemons[0]
 	made, tries := f.cutWhileSending(serverlink.Hanging, f.daemons[1:3], func() {
-		f.Assert(f.sleep(context.Background(), 2*noticeTime), qt.IsNil)
+		f.Assert(sleep(context.Background(), 2*noticeTime), qt.IsNil)
 		stopped.stop()
 	})
 	made.stopped = stopped
@@ -89,7 +89,7 @@
 func cutOthersNext(f *cutFleet) {
 	next := f.daemons[cutDaemonCount/2:]
 	made, tries := f.cutWhileSending(serverlink.Reset, f.daemons[:cutDaemonCount/2], func() {
-		f.Assert(f.sleep(context.Background(), cutTime/2), qt.IsNil)
+		f.Assert(sleep(context.Background(), cutTime/2), qt.IsNil)
 		f.setLinks(f.daemons[:cutDaemonCount/2], serverlink.Up)
 		f.setLinks(next, serverlink.Refused)
 	})
@@ -127,7 +127,7 @@
 				tries := f.sendWhileServersFallSilent(during)
 				f.assertPromises(tries)
 				for _, try := range tries {
-					f.Check(try.isServed(), qt.IsTrue, qt.Commentf("%s at %s: status %d, %v", try.id, try.daemon.Addresses().Callers, try.status, try.err))
+					f.Check(try.isServed(), qt.IsTrue, qt.Commentf("%s at %s: status %d, %v", try.id, try.daemon.callers, try.status, try.err))
 				}
 			})
 		})
@@ -150,10 +150,10 @@
 		return nil
 	})
 	for _, server := range f.servers[:serversSilenced] {
-		f.Assert(f.sleep(ctx, 2*serverSilence), qt.IsNil)
+		f.Assert(sleep(ctx, 2*serverSilence), qt.IsNil)
 		server.Pause(serverSilence)
 	}
-	f.Assert(f.sleep(ctx, 2*serverSilence), qt.IsNil)
+	f.Assert(sleep(ctx, 2*serverSilence), qt.IsNil)
 	stop()
 	f.Assert(group.Wait(), qt.IsNil)
 	return tries
