--- a/internal/daemon/gateway/cutfleet_test.go
+++ b/internal/daemon/gateway/cutfleet_test.go
@@ -21,6 +21,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -46,6 +47,9 @@
 	servers []*platformtest.PauseListener
 }
 
+// fleetSlots limits the fleets at the same time, so that each has enough of the processor.
+var fleetSlots = semaphore.NewWeighted(2)
+
 // linkedDaemon is a daemon whose link to the servers can be cut.
 type linkedDaemon struct {
 	// callers is the listen address for callers.
@@ -69,6 +73,8 @@
 // withCutFleetOf calls run with daemons that start starts, and stops them afterwards.
 func withCutFleetOf(t *testing.T, start func(f *cutFleet, t *testing.T, i int, group *errgroup.Group), run func(f *cutFleet)) {
 	t.Helper()
+	qt.Assert(t, fleetSlots.Acquire(context.Background(), 1), qt.IsNil)
+	defer fleetSlots.Release(1)
 	f := &cutFleet{C: qt.New(t), store: platformtest.NewStore(nil), runs: newRunCounter()}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.CloseClientConnections)
