soak: each test process claims a loopback network of its own

The network was chosen by the process id modulo 200, so that two soaks at the same time could choose the same one, and the later one failed to listen. The process now keeps a listener that claims the network, and takes the next if it is in use. Not seen to fail; found beside the port that was taken in TestLostAnswers.

--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -228,9 +227,11 @@
 	t.Helper()
 	c := qt.New(t)
 	number := clusterCount.Add(1)
+	network, err := claimNetwork()
+	c.Assert(err, qt.IsNil)
 	cl := &cluster{
 		C: c, setup: s, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, dir: t.TempDir(),
-		ip:           func(i int) string { return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, number, i) },
+		ip:           func(i int) string { return fmt.Sprintf("127.%d.%d.%d", network.number, number, i) },
 		disturbances: &disturbanceLog{}, done: make(chan struct{}), ready: make([]bool, s.daemonCount),
 		stopSlots: semaphore.NewWeighted(int64(s.daemonCount+1) / 2),
 	}
