--- a/internal/daemon/gateway/cutkept_test.go
+++ b/internal/daemon/gateway/cutkept_test.go
@@ -27,7 +27,7 @@
 				})
 			}
 			f.Assert(warm.Wait(), qt.IsNil)
-			f.daemons[0].link.Set(serverlink.Hanging)
+			f.daemons[0].setLink(serverlink.Hanging)
 			for _, caller := range sent {
 				group.Go(func() error {
 					try := caller.send(kind)
@@ -37,7 +37,7 @@
 				})
 			}
 			f.Assert(group.Wait(), qt.IsNil)
-			f.daemons[0].link.Set(serverlink.Up)
+			f.daemons[0].setLink(serverlink.Up)
 			f.awaitServing(f.daemons[0])
 		}
 	})
