--- a/internal/forward/rejectbudget/rejectbudget.go
+++ b/internal/forward/rejectbudget/rejectbudget.go
@@ -35,8 +35,8 @@
 	// rejectionWindow is how long a rejection counts. It is longer than the second of the server, since
 	// answers take different times to arrive.
 	rejectionWindow = 1500 * time.Millisecond
-	// answerTTL is how long the last answer of a server says more about it than later ones of the other
-	// servers of its service.
+	// answerTTL is how long the last answer of a server goes before later ones of the other servers of its
+	// service.
 	answerTTL = time.Second
 	// statementTTL is how long it is certain that a service which was not brittle lets as many requests wait
 	// as before: servers name their allowance at least three seconds earlier.
--- a/internal/transport/callerconn/closure.go
+++ b/internal/transport/callerconn/closure.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Loss says what a connection was closed with.
+// Loss is what was lost when a connection was closed.
 type Loss string
 
 // The losses. Their values are labels of the metric ConnectionsLost.
@@ -35,7 +35,7 @@
 	Cause error
 }
 
-// Observer is told of closures. It must be safe for concurrent use.
+// Observer receives closures. It must be safe for concurrent use.
 type Observer func(Closure)
 
 // closure returns how the connection is being closed. The caller holds c.mu.
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -34,7 +34,7 @@
 	empty chan struct{}
 }
 
-// Listen returns a Listener that tells onClosed of the connections that are closed without an answer, or
+// Listen returns a Listener that reports to onClosed the connections that are closed without an answer, or
 // can't be accepted.
 func Listen(l net.Listener, clock azurehitch.Clock, onClosed Observer) *Listener {
 	onFailure := func(err error) { onClosed(Closure{Loss: LossUnaccepted, Cause: err}) }
@@ -103,7 +103,7 @@
 	return server.ShutdownWithContext(ctx)
 }
 
-// observe tells the Observer of a connection that is being closed.
+// observe reports a connection that is being closed to the Observer.
 func (l *Listener) observe(c *conn) {
 	c.mu.Lock()
 	closure := c.closure(l.clock.Now())
--- a/internal/transport/retryaccept/listener.go
+++ b/internal/transport/retryaccept/listener.go
@@ -38,7 +38,7 @@
 	onFailure func(error)
 }
 
-// Listen returns a listener that goes on after errors that pass. It tells onFailure of each.
+// Listen returns a listener that goes on after errors that pass. It reports each to onFailure.
 func Listen(l net.Listener, clock azurehitch.Clock, onFailure func(error)) net.Listener {
 	return &listener{Listener: l, clock: clock, onFailure: onFailure}
 }
--- a/internal/transport/serverpath/dialer.go
+++ b/internal/transport/serverpath/dialer.go
@@ -86,8 +86,8 @@
 // errSlow is the cause of a blocked path whose direct dial had not ended.
 var errSlow = errors.New("the direct dial takes long")
 
-// ErrNoPath is returned if the path to a server is blocked, and no other daemon opens a connection to it. It says
-// nothing about the server.
+// ErrNoPath is returned if the path to a server is blocked, and no other daemon opens a connection to it. The server
+// may be sound.
 type ErrNoPath struct {
 	Address string
 	Cause   error
--- a/internal/transport/tunnelpeer/tunnelpeer.go
+++ b/internal/transport/tunnelpeer/tunnelpeer.go
@@ -48,7 +48,7 @@
 	Server string
 }
 
-// Outcome says whether a tunnel was opened.
+// Outcome is the result of an Opening.
 type Outcome string
 
 // The outcomes. Only OutcomeConnected opens a tunnel; after the others, no byte has reached the server.
