Read-through: one way to accept in spite of passing errors, fewer fields

tunnelpeer retried each failed accept by itself, every 50 ms and also after errors that don't pass; retryaccept does that for the other listeners of a daemon, with a log line, and now for this one. The client of tunnels needs no field of the daemon, a tunnel no SyscallConn of its own (it is never kept idle), and the retry budget counts the listed daemons like the budget of rejections.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -124,7 +124,6 @@
 	streams         *streams.Registry
 	streamPeers     *streampeer.Client
 	paths           *serverpath.Dialer
-	tunnelClient    *tunnelpeer.Client
 	tunnelServer    *tunnelpeer.Server
 
 	startedAt time.Time
--- a/internal/daemon/gateway/paths.go
+++ b/internal/daemon/gateway/paths.go
@@ -10,12 +10,12 @@
 // assemblePaths lets the connections for requests lead through another daemon while this one does not reach a
 // server.
 func (d *Daemon) assemblePaths() {
-	d.tunnelClient = tunnelpeer.NewClient(tunnelpeer.ClientDependencies{
+	tunnels := tunnelpeer.NewClient(tunnelpeer.ClientDependencies{
 		Self: d.settings.Name, FailureDomain: d.settings.FailureDomain, Peers: d.tunnelPeers, Clock: d.Clock,
 		OnOutcome: d.observer.tunnelAsked,
 	})
 	d.paths = serverpath.New(serverpath.Dependencies{
-		Direct: d.Connections.Dialer(), Indirect: d.tunnelClient, Servers: d.serverAddresses, OnSilent: d.closeSilent,
+		Direct: d.Connections.Dialer(), Indirect: tunnels, Servers: d.serverAddresses, OnSilent: d.closeSilent,
 		Observer: d.observer, Clock: d.Clock,
 	})
 	d.Connections.WithPathDialer(d.paths)
@@ -23,7 +23,7 @@
 
 // assembleTunnelServer opens connections to servers for daemons that do not reach them.
 func (d *Daemon) assembleTunnelServer() {
-	d.tunnelServer = tunnelpeer.NewServer(d.listeners.tunnels, tunnelpeer.ServerDependencies{
+	d.tunnelServer = tunnelpeer.NewServer(d.retrying("tunnels", d.listeners.tunnels), tunnelpeer.ServerDependencies{
 		Dialer: d.Connections.Dialer(), IsServer: d.isServer, IsBlocked: d.paths.IsBlocked, IsStopping: d.stopping.Load,
 		OnFailed: d.paths.Doubt, MaxTunnels: d.settings.MaxTunnels, Clock: d.Clock, OnOutcome: d.observer.tunnelServed,
 	})
--- a/internal/daemon/gateway/share.go
+++ b/internal/daemon/gateway/share.go
@@ -10,10 +10,7 @@
 
 // Count implements retrybudget.Members. It returns 0 before the other daemons have been read.
 func (m budgetMembers) Count() int {
-	if !m.daemon.members.IsListed() {
-		return 0
-	}
-	return m.daemon.daemonCount()
+	return len(m.daemon.listedDaemons())
 }
 
 // IsRestart implements retrybudget.Members.
--- a/internal/transport/tunnelpeer/conn.go
+++ b/internal/transport/tunnelpeer/conn.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"io"
 	"net"
-	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -71,15 +70,6 @@
 	return err
 }
 
-// SyscallConn implements syscall.Conn. It fails while bytes have been read from the connection that Read
-// has not returned.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if c.remaining > 0 || c.reader.Buffered() > 0 {
-		return nil, errors.New("the tunnel has unread bytes")
-	}
-	return c.TCPConn.SyscallConn()
-}
-
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.onClose()
--- a/internal/transport/tunnelpeer/server.go
+++ b/internal/transport/tunnelpeer/server.go
@@ -23,8 +23,6 @@
 	serverTimeout = 250 * time.Millisecond
 	// lingerTime is how long a client may take to close its end after the server has closed its connection.
 	lingerTime = time.Second
-	// acceptRetryDelay is the time until a failed accept is retried.
-	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // ServerDependencies holds what a Server needs.
@@ -57,7 +55,7 @@
 	active int
 }
 
-// NewServer returns a Server for the connections of a listener.
+// NewServer returns a Server for the connections of a listener, which goes on after errors that pass.
 func NewServer(listener net.Listener, dependencies ServerDependencies) *Server {
 	return &Server{ServerDependencies: dependencies, listener: listener}
 }
@@ -80,9 +78,7 @@
 			return group.Wait()
 		}
 		if err != nil {
-			// An error means that the context has ended, which the next accept notices.
-			_ = s.Clock.Sleep(ctx, acceptRetryDelay)
-			continue
+			return errors.Wrap(err, "accept tunnel")
 		}
 		group.Go(func() error {
 			s.serve(ctx, conn)
