--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,12 @@
 	placed   int
 	keep     time.Duration
 	loadTime time.Duration
-	fenced   bool
+	// timeoutMS is the route's timeout; 0 is 8000.
+	timeoutMS int
+	// events is the number of events of each stream, and gap the pause before each; 0 is 4 events, each after 20 ms.
+	events int
+	gap    time.Duration
+	fenced bool
 }
 
 // installation is a running installation.
@@ -57,6 +62,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.timeoutMS == 0 {
+		o.timeoutMS = 8000
+	}
+	if o.events == 0 {
+		o.events, o.gap = 4, 20*time.Millisecond
+	}
 	in := &installation{options: o, trouble: os.Getenv("TROUBLE") != "0", rec: rec, led: &ledger{runs: map[string][]string{}}}
 	if in.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
@@ -80,7 +91,7 @@
 		}
 		s := &server{
 			id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), address: serverListener.Addr().String(), zone: zones[i%len(zones)],
-			fenced: o.fenced, loadTime: o.loadTime, rec: rec, led: in.led, born: time.Now().UnixMilli(),
+			fenced: o.fenced, loadTime: o.loadTime, gap: o.gap, events: o.events, rec: rec, led: in.led, born: time.Now().UnixMilli(),
 			models: []string{}, disk: []string{},
 		}
 		if i < o.placed {
@@ -105,7 +116,7 @@
 		}
 		go d.watchReady()
 	}
-	in.clients = &clients{daemons: in.daemons, rec: rec, random: rand.New(rand.NewPCG(1, 2))}
+	in.clients = &clients{daemons: in.daemons, rec: rec, deadline: time.Duration(o.timeoutMS) * time.Millisecond, body: "hi", events: o.events, random: rand.New(rand.NewPCG(1, 2))}
 	return in, nil
 }
 
@@ -121,7 +132,7 @@
 	value, _ := json.Marshal(map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
-			"name": "r-1", "hostname": hostname, "path_prefix": prefix, "route_kind": "streaming", "timeout_ms": deadlineMS,
+			"name": "r-1", "hostname": hostname, "path_prefix": prefix, "route_kind": "streaming", "timeout_ms": in.timeoutMS,
 			"slo_ms": 600, "priority": 0, "service": serviceName, "max_attempts": 2, "sticky": true, "resumable": false,
 			"itl_target_ms": 600,
 		}},
@@ -191,6 +202,7 @@
 }{
 	"crashes": {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 20 * time.Second, loadTime: 2 * time.Second, fenced: true}, playCrashes},
 	"drill":   {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 300 * time.Second, loadTime: 2 * time.Second}, playDrill},
+	"bodies":  {options{daemons: 3, servers: 8, models: 8, placed: 8, keep: 300 * time.Second, loadTime: 9 * time.Second, timeoutMS: 30000, events: 12, gap: 500 * time.Millisecond}, playBodies},
 }
 
 func main() {
