--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -200,9 +200,10 @@
 	options
 	play func(*installation) int
 }{
-	"crashes": {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 20 * time.Second, loadTime: 2 * time.Second, fenced: true}, playCrashes},
-	"drill":   {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 300 * time.Second, loadTime: 2 * time.Second}, playDrill},
-	"bodies":  {options{daemons: 3, servers: 8, models: 8, placed: 8, keep: 300 * time.Second, loadTime: 9 * time.Second, timeoutMS: 30000, events: 12, gap: 500 * time.Millisecond}, playBodies},
+	"crashes":  {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 20 * time.Second, loadTime: 2 * time.Second, fenced: true}, playCrashes},
+	"drill":    {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 300 * time.Second, loadTime: 2 * time.Second}, playDrill},
+	"drillall": {options{daemons: 3, servers: 4, models: 24, placed: 4, keep: 300 * time.Second, loadTime: 2 * time.Second, fenced: true}, playDrillAll},
+	"bodies":   {options{daemons: 3, servers: 8, models: 8, placed: 8, keep: 300 * time.Second, loadTime: 9 * time.Second, timeoutMS: 30000, events: 12, gap: 500 * time.Millisecond}, playBodies},
 }
 
 func main() {
