--- a/review/standin/drillall.go
+++ b/review/standin/drillall.go
@@ -52,9 +52,14 @@
 	in.rec.say("demand moves to %v, which no server holds", models)
 	in.clients.traffic(rate, back.Add(lastSpan), models...)
 	in.clients.waiting.Wait()
+	return in.judgeRecovery(start, stopped, back.Add(recovery))
+}
+
+// judgeRecovery compares the requests from start to stopped with those from the time on.
+func (in *installation) judgeRecovery(start, stopped, from time.Time) int {
 	sentBefore, servedBefore := in.clients.share(start, stopped)
-	sent, served := in.clients.share(back.Add(recovery), time.Now())
-	accepted, refused := in.ordersSince(back.Add(recovery))
+	sent, served := in.clients.share(from, time.Now())
+	accepted, refused := in.ordersSince(from)
 	in.rec.say("before the stop: %d requests sent, %d served", sentBefore, servedBefore)
 	in.rec.say("from 12 s after all were back on: %d requests sent, %d served; %d orders not refused, %d refused with 412", sent, served, accepted, refused)
 	switch {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -77,11 +77,7 @@
 		return nil, err
 	}
 	in.store = newStore(o.keep, rec)
-	in.store.appended = func(topic string, offset int64, value []byte) {
-		if topic == "control" {
-			rec.add("store: record %d of the topic control, %d bytes", offset, len(value))
-		}
-	}
+	in.store.appended = in.recordControl
 	in.store.serve(listener)
 	zones := []string{"cantho-a", "cantho-b", "cantho-c"}
 	for i := range o.servers {
@@ -101,23 +97,35 @@
 		s.serve(serverListener, in.store)
 	}
 	in.store.put("keyed.op", "config", in.configuration())
-	network, err := freeNetwork(o.daemons)
+	in.clients = &clients{rec: rec, deadline: time.Duration(o.timeoutMS) * time.Millisecond, body: "hi", events: o.events, random: rand.New(rand.NewPCG(1, 2))}
+	return in, in.startDaemons(listener.Addr().String(), program, zones)
+}
+
+// recordControl records the appends to the stream that holds the leases.
+func (in *installation) recordControl(topic string, offset int64, value []byte) {
+	if topic == "control" {
+		in.rec.add("store: record %d of the topic control, %d bytes", offset, len(value))
+	}
+}
+
+func (in *installation) startDaemons(storeAddress, program string, zones []string) error {
+	network, err := freeNetwork(in.options.daemons)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	for i := range o.daemons {
-		d, err := newDaemon(network, i, zones[i%len(zones)], in.dir, program, listener.Addr().String(), o.fenced, o.keep, rec)
+	for i := range in.options.daemons {
+		d, err := newDaemon(network, i, zones[i%len(zones)], in.dir, program, storeAddress, in.fenced, in.keep, in.rec)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		in.daemons = append(in.daemons, d)
 		if err := d.start(); err != nil {
-			return nil, err
+			return err
 		}
 		go d.watchReady()
 	}
-	in.clients = &clients{daemons: in.daemons, rec: rec, deadline: time.Duration(o.timeoutMS) * time.Millisecond, body: "hi", events: o.events, random: rand.New(rand.NewPCG(1, 2))}
-	return in, nil
+	in.clients.daemons = in.daemons
+	return nil
 }
 
 // configuration returns the value of op/config.
