--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-in program that all cases of the review start.
 set -e
 cd "$(dirname "$0")/standin"
-GOWORK=off GOTOOLCHAIN=local go build -o standin .
+GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o standin .
