control stream: daemons agree on one lease holder after the store returned from an older copy

Cause: offsets of the control stream were used without the era in which the log gave them out. A daemon that lived through the return kept its fold and skipped the records at offsets that it knew; the restarted one folded those records, took back the lease that its former process holds in the copy without a wait, and got a token below the lost one. Their folds differed for good.

A follower that reads a new era folds the stream again from its first record. One daemon appends EraStart behind 4,096 records without content, in one append: its offset, and so all later tokens, are above what earlier eras gave out, and leases below it are not valid. The first claim after it waits a lease duration from when its writer first read the era, and claims name their era, so that late ones are rejected. Earlier releases fold the same log to the same leases: they ignore the new record and fields.

Why it works: all folds are a function of the same records again; the wait outlasts holders that haven't heard; tokens can't fall.

The soak kept entries of servers that had gone since the copy for good.

--- a/internal/daemon/observe/observer.go
+++ b/internal/daemon/observe/observer.go
@@ -10,6 +10,7 @@
 import (
 	"sync"
 
+	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 )
@@ -85,6 +86,12 @@
 	o.Metrics.Add(metrics.LeaseClaimsLost, 1)
 }
 
+// EraStarted implements leaserunner.Counters.
+func (o *Observer) EraStarted(start leaselog.EraStart, err error) {
+	o.Logs.Layer(logging.LayerLease).Warn().Int64("Era", start.Era).Int64("Above", start.Above).Int64("Gap", start.Gap).
+		Bool("First", start.IsFirst).Err(err).Msg("era started: leases of earlier eras are not valid")
+}
+
 // LeasesRenewed implements leaserunner.Counters.
 func (o *Observer) LeasesRenewed() { o.Metrics.Add(metrics.LeaseRenewals, 1) }
 
--- a/internal/idempotency/claimlog/claimlog_test.go
+++ b/internal/idempotency/claimlog/claimlog_test.go
@@ -27,6 +27,9 @@
 func (nopObserver) LogRead(error)     {}
 func (nopObserver) LogAppended(error) {}
 
+// EraChanged implements follow.Observer.
+func (nopObserver) EraChanged(string, int64, int64, int64) {}
+
 // daemon is the claim fold and the claimer of one daemon.
 type daemon struct {
 	fold    *claimlog.Fold
--- a/internal/idempotency/claimlog/fold.go
+++ b/internal/idempotency/claimlog/fold.go
@@ -104,6 +104,19 @@
 	return f.foldedTo
 }
 
+// EnterEra implements follow.Fold. The known claims stay: a key that was claimed in an earlier era is not
+// claimed again before they expire. Claims that are not known here may be lost, as after a gap.
+func (f *Fold) EnterEra(_ azurehitch.Batch, readAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.foldedTo == 0 {
+		return
+	}
+	f.foldedTo = 0
+	f.gaps++
+	f.gapAt = readAt
+}
+
 // HandleGap implements follow.Fold. It skips the records that the log has deleted. If the fold has
 // read no record yet, the deleted ones are older than the window and don't matter. Otherwise they
 // may contain unexpired claims, and HandleGap counts the gap.
--- /dev/null
+++ b/internal/lease/leaselog/era.go
@@ -0,0 +1,127 @@
+package leaselog
+
+import "time"
+
+// EraStart is the record with which daemons begin to use an era of the log, after it has returned from an
+// older copy. Its writer appends it with so many records before it that its offset, and with it the tokens
+// of all later claims, are above the offsets that earlier eras have given out. Leases that were claimed
+// before it are not valid any more.
+type EraStart struct {
+	Era int64
+	// Above is the highest offset of an earlier era that the writer knows, or the highest token that an
+	// engine may have seen.
+	Above int64
+	// Gap is the number of records that the writer appends just before it.
+	Gap int64
+	// IsFirst is true in the first era of a log that had no records. No earlier era has given out offsets.
+	IsFirst bool
+}
+
+const (
+	// eraGap is the number of records that are appended for each era that has ended. A stream of leases gets
+	// some records a second, and so far fewer between a copy of the log and its return.
+	eraGap = 4096
+	// maxErasInGap limits the eras that count for the gap if the last EraStart in the log is an old one.
+	maxErasInGap = 16
+	// firstEra is the era of a log that has never returned from an older copy.
+	firstEra = 1
+)
+
+// Era returns the era of the last EraStart that was accepted, and the offset that the tokens of valid leases
+// exceed.
+func (f *Fold) Era() (era, startedAt int64) { return f.era, f.eraStartedAt }
+
+// WithEra sets the era of a fold that is restored from a snapshot, and returns the fold.
+func (f *Fold) WithEra(era, startedAt int64) *Fold {
+	f.era, f.eraStartedAt = era, startedAt
+	return f
+}
+
+// StartEra applies an EraStart and reports whether it was accepted: it begins a later era, or the last one
+// had left tokens below an offset of an earlier era.
+func (f *Fold) StartEra(offset int64, start EraStart) bool {
+	raisesTokens := start.Era == f.era && start.Above > f.eraStartedAt
+	if start.Era <= f.era && !raisesTokens {
+		return false
+	}
+	f.era = start.Era
+	if !start.IsFirst {
+		f.eraStartedAt = offset
+	}
+	return true
+}
+
+// eraState is what a Manager knows of the era of the log.
+type eraState struct {
+	// era is the latest era that the log has named, and since is when this daemon read it first.
+	era   int64
+	since time.Time
+	// above is the highest offset or token of earlier eras that this daemon knows.
+	above int64
+	// isFirst is true if this is the first era, and the log had no records when this daemon read it first.
+	isFirst bool
+	// lastStartAt is when Decide last returned an EraStart.
+	lastStartAt time.Time
+}
+
+// EnterEra prepares for another era of the log, whose records are then applied from the first one on. The
+// daemon has applied the records of the eras before up to foldedTo. None of its leases is valid until it has
+// claimed it again. isEmpty reports whether the log has no records.
+func (m *Manager) EnterEra(era, foldedTo int64, isEmpty bool, now time.Time) {
+	m.era = eraState{
+		era: era, since: now, above: max(m.era.above, foldedTo),
+		isFirst: era == firstEra && isEmpty && foldedTo == 0,
+	}
+	m.Reset(NewFold(), now)
+}
+
+// RaiseTokens invalidates the lease of a pool under a token, because an engine has seen a higher one. The
+// tokens of all later claims are higher by a gap, so that a few repetitions reach any token.
+func (m *Manager) RaiseTokens(pool string, token int64) {
+	if current, held := m.Token(pool); held && current == token {
+		m.era.above = max(m.era.above, token+eraGap)
+	}
+}
+
+// awaitsEraStart reports whether no lease can be valid before another EraStart has been read.
+func (m *Manager) awaitsEraStart() bool {
+	era, startedAt := m.fold.Era()
+	return era < m.era.era || startedAt < m.era.above
+}
+
+// isCurrent reports whether a lease was claimed in the era of the log. In the first era, that includes leases
+// that were never claimed.
+func (m *Manager) isCurrent(lease Lease) bool {
+	_, startedAt := m.fold.Era()
+	return lease.Token >= startedAt && !m.awaitsEraStart()
+}
+
+// claimEra returns the era that claims name. A log that names an earlier era than the last EraStart shows
+// nothing about that one.
+func (m *Manager) claimEra() int64 {
+	era, _ := m.fold.Era()
+	return max(era, m.era.era)
+}
+
+// eraStartDue returns the EraStart that this daemon should append now, or nil. Daemons wait in turn, so that
+// one of them is read by the others before they append theirs.
+func (m *Manager) eraStartDue(now time.Time, environment Environment) *EraStart {
+	isDue := !environment.MembersIncomplete && !now.Before(m.era.since.Add(m.claimDelay("", environment)))
+	if !isDue || now.Sub(m.era.lastStartAt) < retryInterval {
+		return nil
+	}
+	m.era.lastStartAt = now
+	start := EraStart{Era: m.era.era, Above: m.era.above, IsFirst: m.era.isFirst && m.era.above == 0}
+	if !start.IsFirst {
+		era, _ := m.fold.Era()
+		ended := min(max(start.Era-era, 1), maxErasInGap)
+		start.Gap = max(eraGap*ended, start.Above-environment.FoldedTo)
+	}
+	return &start
+}
+
+// lapsedAt returns when all leases of earlier eras have expired, also those whose records are lost: their
+// holders have sent no renewal that they can read back since the log returned.
+func (m *Manager) lapsedAt(duration time.Duration) time.Time {
+	return m.era.since.Add(withDrift(duration))
+}
--- a/internal/lease/leaselog/fold.go
+++ b/internal/lease/leaselog/fold.go
@@ -19,6 +19,10 @@
 // The holder counts the duration of its lease from just before it sent the last renewal that it has
 // read back. Other daemons count from when they read that renewal, which is later, so they see the
 // lease expire later than the holder does. The holder and the other daemons allow for clock drift.
+//
+// The log may return from an older copy, without the records that came after it: another era begins. No
+// daemon then trusts a lease that was claimed before, or claims one until those that it can't know have
+// expired, and the tokens of the new era are above those of the eras before (see EraStart).
 package leaselog
 
 import (
@@ -55,7 +59,9 @@
 	Pool string
 	// Seen is the offset of the last record of this lease that the claimer has read; 0 if the
 	// claimer has read none.
-	Seen     int64
+	Seen int64
+	// Era is the era of the log that Seen is an offset of; 0 if the claimer knows none.
+	Era      int64
 	Duration time.Duration
 }
 
@@ -118,6 +124,10 @@
 type Fold struct {
 	leases  map[string]Lease
 	intents map[int64]Intent
+	// era is that of the last EraStart, and eraStartedAt its offset; 0 before the first, and in the first
+	// era of all.
+	era          int64
+	eraStartedAt int64
 }
 
 // NewFold returns an empty fold, the state before the first record.
@@ -163,8 +173,12 @@
 	return slices.DeleteFunc(f.Intents(), func(i Intent) bool { return i.Pool != pool })
 }
 
-// Claim applies a claim and reports whether it was accepted.
+// Claim applies a claim and reports whether it was accepted. A claim of an earlier era, which arrives late,
+// names a record that may be lost.
 func (f *Fold) Claim(offset int64, holder Holder, claim Claim) bool {
+	if claim.Era != 0 && claim.Era < f.era {
+		return false
+	}
 	if f.leases[claim.Pool].LastOffset != claim.Seen && !sabotage.Active(sabotage.SkipSeenCheck) {
 		return false
 	}
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -32,7 +32,9 @@
 
 // Environment is the input of Decide that does not come from the lease records.
 type Environment struct {
-	Pools []PoolSetting
+	// FoldedTo is the offset of the last record of the log that was applied.
+	FoldedTo int64
+	Pools    []PoolSetting
 	// Daemons are the names of the live daemons, this one included.
 	Daemons []string
 	// PreferredDaemons are the daemons on the hosts with the most processor time and bandwidth.
@@ -56,9 +58,10 @@
 
 // Action is a record to append. Exactly one field is set.
 type Action struct {
-	Claim   *Claim
-	Renew   bool
-	Release *Release
+	EraStart *EraStart
+	Claim    *Claim
+	Renew    bool
+	Release  *Release
 }
 
 // Manager tracks the leases as read by one daemon, and decides when this daemon claims, renews and
@@ -99,6 +102,7 @@
 	// released for balance, or when Decide last found that this daemon holds no more leases than
 	// Load.bound.
 	rebalanceWaitFrom time.Time
+	era               eraState
 }
 
 // NewManager returns the manager of a daemon that starts from a fold. The leases in the fold count
@@ -106,24 +110,37 @@
 func NewManager(self Holder, fold *Fold, now time.Time) *Manager {
 	m := &Manager{
 		self:             self,
-		fold:             fold,
-		lastReadAt:       map[string]time.Time{},
-		sentAt:           map[int64]time.Time{},
-		validFrom:        map[string]time.Time{},
-		pendingClaimAt:   map[string]time.Time{},
-		lastReleaseAt:    map[string]time.Time{},
-		releasing:        map[string]bool{},
 		orderedUntil:     map[string]time.Time{},
 		unreachableAt:    map[string]time.Time{},
 		unreachableToken: map[string]int64{},
-		claimingFull:     map[string]bool{},
 		claimedFullAt:    map[string]time.Time{},
 		startedAt:        now,
 	}
+	m.Reset(fold, now)
+	return m
+}
+
+// Reset replaces the leases by those of a fold, which count as read at now. This daemon may have sent orders
+// until now under the leases that it held.
+func (m *Manager) Reset(fold *Fold, now time.Time) {
+	if m.fold != nil {
+		for _, lease := range m.fold.Leases() {
+			if lease.Holder == m.self {
+				m.orderedUntil[lease.Pool] = now
+			}
+		}
+	}
+	m.fold = fold
+	m.lastReadAt = map[string]time.Time{}
+	m.sentAt = map[int64]time.Time{}
+	m.validFrom = map[string]time.Time{}
+	m.pendingClaimAt = map[string]time.Time{}
+	m.lastReleaseAt = map[string]time.Time{}
+	m.releasing = map[string]bool{}
+	m.claimingFull = map[string]bool{}
 	for _, lease := range fold.Leases() {
 		m.lastReadAt[lease.Pool] = now
 	}
-	return m
 }
 
 // Fold returns the leases that the manager has read.
@@ -192,7 +209,7 @@
 // the pool according to the log as read so far.
 func (m *Manager) Token(pool string) (int64, bool) {
 	lease := m.fold.Lease(pool)
-	return lease.Token, lease.Holder == m.self && lease.Token > 0
+	return lease.Token, lease.Holder == m.self && lease.Token > 0 && m.isCurrent(lease)
 }
 
 // IsValid reports whether this daemon holds a pool, is not releasing it, and its lease has not
@@ -223,6 +240,12 @@
 	if environment.Draining {
 		return actions
 	}
+	if m.awaitsEraStart() {
+		if start := m.eraStartDue(now, environment); start != nil {
+			actions = append(actions, Action{EraStart: start})
+		}
+		return actions
+	}
 	m.recordUnreachable(now, environment)
 	if release := m.rebalance(now, environment); release != nil {
 		actions = append(actions, Action{Release: release})
@@ -269,7 +292,7 @@
 func (m *Manager) renewalDue(now time.Time) bool {
 	var shortest time.Duration
 	for _, lease := range m.fold.Leases() {
-		if lease.Holder == m.self && (shortest == 0 || lease.Duration < shortest) {
+		if lease.Holder == m.self && m.isCurrent(lease) && (shortest == 0 || lease.Duration < shortest) {
 			shortest = lease.Duration
 		}
 	}
@@ -279,7 +302,7 @@
 // claimDue returns the claim of a pool if this daemon should make it now, or nil.
 func (m *Manager) claimDue(now time.Time, pool PoolSetting, environment Environment) *Claim {
 	lease := m.fold.Lease(pool.Name)
-	if lease.Holder == m.self && lease.Token > 0 {
+	if _, held := m.Token(pool.Name); held {
 		return nil
 	}
 	if m.wasUnreachable(pool.Name, now) {
@@ -288,8 +311,9 @@
 	if sent, waiting := m.pendingClaimAt[pool.Name]; waiting && now.Sub(sent) < retryInterval {
 		return nil
 	}
-	if environment.PredecessorEnded && lease.Holder.Daemon == m.self.Daemon {
-		return &Claim{Pool: pool.Name, Seen: lease.LastOffset, Duration: pool.Duration}
+	claim := &Claim{Pool: pool.Name, Seen: lease.LastOffset, Era: m.claimEra(), Duration: pool.Duration}
+	if environment.PredecessorEnded && lease.Holder.Daemon == m.self.Daemon && m.isCurrent(lease) {
+		return claim
 	}
 	if environment.MembersIncomplete && lease.Token == 0 {
 		return nil
@@ -301,11 +325,12 @@
 	if now.Before(claimableAt) || now.Before(claimableAt.Add(m.claimDelay(pool.Name, environment))) {
 		return nil
 	}
-	return &Claim{Pool: pool.Name, Seen: lease.LastOffset, Duration: pool.Duration}
+	return claim
 }
 
 // claimableAt returns when a pool becomes free for a claim: at once if it has no holder, otherwise
-// when its lease has expired with the allowance for clock drift.
+// when its lease has expired with the allowance for clock drift. A pool that was not claimed in the era of the
+// log yet may have a holder that is not known here.
 func (m *Manager) claimableAt(lease Lease, pool PoolSetting, now time.Time) time.Time {
 	seen, ok := m.lastReadAt[pool.Name]
 	if !ok {
@@ -313,12 +338,20 @@
 		m.lastReadAt[pool.Name] = now
 		seen = now
 	}
-	if lease.IsFree() {
-		return seen
+	expiresAt := seen
+	if !lease.IsFree() && lease.Holder != m.self {
+		expiresAt = seen.Add(withDrift(lease.Duration))
 	}
-	return seen.Add(lease.Duration + lease.Duration/driftDivisor)
+	lapsedAt := m.lapsedAt(max(lease.Duration, pool.Duration))
+	if !m.isCurrent(lease) && lapsedAt.After(expiresAt) {
+		return lapsedAt
+	}
+	return expiresAt
 }
 
+// withDrift returns the time after which others see a lease of a duration as expired.
+func withDrift(duration time.Duration) time.Duration { return duration + duration/driftDivisor }
+
 // claimDelay returns how long this daemon waits after a pool becomes claimable, so that preferred
 // daemons claim it first.
 func (m *Manager) claimDelay(pool string, environment Environment) time.Duration {
--- a/internal/lease/leaserunner/leaserunner.go
+++ b/internal/lease/leaserunner/leaserunner.go
@@ -25,6 +25,8 @@
 	ClaimDecided(won bool)
 	LeasesRenewed()
 	LeaseReleased()
+	// EraStarted is called after an attempt to append the record that starts an era.
+	EraStarted(start leaselog.EraStart, err error)
 	// IntentLeftOpen counts failed attempts to append the record that closes an intent.
 	IntentLeftOpen(pool string)
 }
@@ -78,6 +80,11 @@
 }
 
 func (r Runner) append(ctx context.Context, action leaselog.Action) error {
+	if action.EraStart != nil {
+		err := r.Writer.StartEra(ctx, *action.EraStart)
+		r.Counters.EraStarted(*action.EraStart, err)
+		return err
+	}
 	if action.Release != nil {
 		r.Store.BeginRelease(action.Release.Pool)
 		if r.AwaitOrders != nil {
--- a/internal/oplog/compacted/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -22,9 +22,9 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/oplog/logera"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -105,10 +105,8 @@
 	mu sync.Mutex
 	// next is the offset from which to read on; negative before the first list.
 	next int64
-	// era is the era of the log in which next is an offset; 0 means that it is not known. namedEra is the one
-	// that the last answer named.
-	era      int64
-	namedEra int64
+	// era is the era of the log in which next is an offset.
+	era logera.Tracker
 	// urgentNext is the offset after the last batch that contained an urgent change.
 	urgentNext int64
 	// readAt is when this follower last read the stream.
@@ -146,10 +144,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if position.Era > f.era {
+	if position.Era > f.era.Era() {
 		f.confirmedAt = time.Time{}
 	}
-	if position.Era != f.era {
+	if position.Era != f.era.Era() {
 		return
 	}
 	if readAt := askedAt.Add(-position.Age); readAt.After(f.confirmedAt) {
@@ -161,7 +159,7 @@
 func (f *Follower) Position() (Position, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Position{Stream: f.stream, Next: f.urgentNext, Era: f.era, Age: f.clock.Now().Sub(f.readAt)}, f.next >= 0
+	return Position{Stream: f.stream, Next: f.urgentNext, Era: f.era.Era(), Age: f.clock.Now().Sub(f.readAt)}, f.next >= 0
 }
 
 // Run reads the stream until the context ends. It always returns nil.
@@ -250,28 +248,20 @@
 	return nil
 }
 
-// errEarlierEra reports an answer from before the log returned from an older copy. It shows nothing of what
-// the log holds now.
-var errEarlierEra = errors.New("the answer is from an earlier era of the log")
-
 // enterEra records the era that an answer names, and reports whether it is a later one than that of the
-// offsets read so far, which then have no meaning any more. An answer that names no era belongs to the known
-// one.
+// offsets read so far, which then have no meaning any more.
 func (f *Follower) enterEra(era int64) (isNew bool, err error) {
-	if era != f.namedEra {
-		f.observer.EraChanged(f.stream, f.namedEra, era, f.next)
-		f.namedEra = era
-	}
-	if era != 0 && era < f.era {
-		return false, errEarlierEra
+	f.mu.Lock()
+	next := f.next
+	change, err := f.era.Enter(era)
+	if change.IsNew {
+		f.next, f.urgentNext, f.confirmedAt = -1, 0, time.Time{}
 	}
-	if era <= f.era {
-		return false, nil
+	f.mu.Unlock()
+	if change.Named != change.Before {
+		f.observer.EraChanged(f.stream, change.Before, change.Named, next)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.era, f.next, f.urgentNext, f.confirmedAt = era, -1, 0, time.Time{}
-	return true, nil
+	return change.IsNew, err
 }
 
 // list replaces the state with the newest record of each key.
--- a/internal/oplog/control/control_test.go
+++ b/internal/oplog/control/control_test.go
@@ -33,14 +33,16 @@
 	state.Retired = retired
 	for name, record := range map[string]control.Record{
 		"publication":    {Publication: &publication},
-		"claim":          {Claim: &leaselog.Claim{Pool: "llm", Seen: 3}},
+		"era start":      {EraStart: &leaselog.EraStart{Era: 2, Above: 7, Gap: 4096}},
+		"first era":      {EraStart: &leaselog.EraStart{Era: 1, IsFirst: true}},
+		"claim":          {Claim: &leaselog.Claim{Pool: "llm", Seen: 3, Era: 2}},
 		"renewal":        {Renewal: true},
 		"release":        {Release: &leaselog.Release{Pool: "llm", Token: 4}},
 		"intent":         {Intent: &leaselog.Intent{Pool: "llm", Token: 4, Server: "a", Memory: 9}},
 		"resolution":     {Resolution: &leaselog.Resolution{Pool: "llm", Intent: 8}},
 		"emptied":        {Emptied: &configlog.Emptied{RetiredKey: key, Token: 4, Since: 7}},
 		"history":        {History: &control.PoolHistory{Pool: "llm", Token: 4, Learned: []byte("x")}},
-		"snapshot":       {Snapshot: &control.Snapshot{FoldedTo: 9, Configuration: state, Histories: []control.PoolHistory{{Pool: "llm", Token: 4, Learned: []byte("x")}}}},
+		"snapshot":       {Snapshot: &control.Snapshot{FoldedTo: 9, LogEra: 3, Era: 2, EraStartedAt: 5, Configuration: state, Histories: []control.PoolHistory{{Pool: "llm", Token: 4, Learned: []byte("x")}}}},
 		"empty snapshot": {Snapshot: &control.Snapshot{FoldedTo: 9}},
 	} {
 		c.Run(name, func(c *qt.C) {
--- a/internal/oplog/control/conversions.go
+++ b/internal/oplog/control/conversions.go
@@ -24,11 +24,15 @@
 func Encode(r Record) ([]byte, error) {
 	message := &recordpb.Record{Holder: holderToProto(r.Writer), Sequence: r.Sequence}
 	switch {
+	case r.EraStart != nil:
+		message.Kind = &recordpb.Record_EraStart{EraStart: &recordpb.EraStart{
+			Era: r.EraStart.Era, Above: r.EraStart.Above, Gap: r.EraStart.Gap, First: r.EraStart.IsFirst,
+		}}
 	case r.Publication != nil:
 		message.Kind = &recordpb.Record_Publication{Publication: publicationToProto(*r.Publication)}
 	case r.Claim != nil:
 		message.Kind = &recordpb.Record_Claim{Claim: &recordpb.Claim{
-			Pool: r.Claim.Pool, Seen: r.Claim.Seen, DurationMs: r.Claim.Duration.Milliseconds(),
+			Pool: r.Claim.Pool, Seen: r.Claim.Seen, Era: r.Claim.Era, DurationMs: r.Claim.Duration.Milliseconds(),
 		}}
 	case r.Renewal:
 		message.Kind = &recordpb.Record_Renewal{Renewal: &recordpb.Renewal{}}
@@ -55,6 +59,12 @@
 	return payload, errors.Wrap(err, "encode record")
 }
 
+// encodeFiller encodes a record without content. Earlier releases ignore it as well.
+func encodeFiller() ([]byte, error) {
+	payload, err := proto.Marshal(&recordpb.Record{Sequence: 1})
+	return payload, errors.Wrap(err, "encode filler")
+}
+
 // Decode decodes the payload of a log record. A record of a kind that this release doesn't know
 // decodes without content, and the fold ignores it.
 func Decode(payload []byte) (Record, error) {
@@ -64,11 +74,17 @@
 	}
 	r := Record{Writer: holderFromProto(message.Holder), Sequence: message.Sequence}
 	switch kind := message.Kind.(type) {
+	case *recordpb.Record_EraStart:
+		r.EraStart = &leaselog.EraStart{
+			Era: kind.EraStart.Era, Above: kind.EraStart.Above, Gap: kind.EraStart.Gap, IsFirst: kind.EraStart.First,
+		}
 	case *recordpb.Record_Publication:
 		publication := publicationFromProto(kind.Publication)
 		r.Publication = &publication
 	case *recordpb.Record_Claim:
-		r.Claim = &leaselog.Claim{Pool: kind.Claim.Pool, Seen: kind.Claim.Seen, Duration: milliseconds(kind.Claim.DurationMs)}
+		r.Claim = &leaselog.Claim{
+			Pool: kind.Claim.Pool, Seen: kind.Claim.Seen, Era: kind.Claim.Era, Duration: milliseconds(kind.Claim.DurationMs),
+		}
 	case *recordpb.Record_Renewal:
 		r.Renewal = true
 	case *recordpb.Record_Release:
@@ -245,6 +261,9 @@
 	}
 	message := &recordpb.Snapshot{
 		FoldedTo:             s.FoldedTo,
+		LogEra:               s.LogEra,
+		Era:                  s.Era,
+		EraStartedAt:         s.EraStartedAt,
 		ConfigurationVersion: s.Configuration.Version,
 		ConfigurationAuthor:  s.Configuration.Author,
 		ConfigurationGzip:    compressed,
@@ -270,7 +289,10 @@
 		return Snapshot{}, err
 	}
 	snapshot := Snapshot{
-		FoldedTo: s.GetFoldedTo(),
+		FoldedTo:     s.GetFoldedTo(),
+		LogEra:       s.GetLogEra(),
+		Era:          s.GetEra(),
+		EraStartedAt: s.GetEraStartedAt(),
 		Configuration: configlog.State{
 			Version: s.GetConfigurationVersion(), Author: s.GetConfigurationAuthor(), Entries: entries,
 			Retired: retiredFromProto(s.GetRetired()),
--- /dev/null
+++ b/internal/oplog/control/era.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/configuration/configlog"
+	"azurehitch/internal/lease/leaselog"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoBatches is returned by StartEra if the log can't append several records at once.
+var ErrNoBatches = errors.New("the log appends single records only")
+
+// maxGapBatch limits the records of one append. If a longer gap is needed, EraStart is due again.
+const maxGapBatch = 1 << 16
+
+// EnterEra implements follow.Fold. It gives up the state that was folded in earlier eras. The last tables stay
+// in force for this daemon until it has read tables of the new era.
+func (s *Store) EnterEra(batch azurehitch.Batch, readAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logEra = batch.Era
+	isEmpty := s.foldedTo == 0 && batch.Next == 1
+	s.leases.EnterEra(batch.Era, s.foldedTo, isEmpty, readAt)
+	s.foldedTo = 0
+	s.state = configlog.State{}
+	s.histories = map[string]PoolHistory{}
+	s.pendingResolutions = nil
+	s.sentInEarlierEras = s.lastSent
+	s.lastSnapshotOffset, s.lastSnapshotAt = 0, readAt
+	s.notify()
+}
+
+// RaiseTokens invalidates the lease of a pool under a token because an engine has seen a higher token. Tokens
+// of later claims are higher by far.
+func (s *Store) RaiseTokens(pool string, token int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.RaiseTokens(pool, token)
+	s.notify()
+}
+
+// StartEra appends the record that starts an era, and the records of its gap just before it. It doesn't wait
+// for the verdict.
+func (w *Writer) StartEra(ctx context.Context, start leaselog.EraStart) error {
+	batches, ok := w.log.(azurehitch.BatchLog)
+	if !ok {
+		return ErrNoBatches
+	}
+	last, err := Encode(Record{EraStart: &start}.WithWriter(w.store.Self(), 0))
+	if err != nil {
+		return err
+	}
+	filler, err := encodeFiller()
+	if err != nil {
+		return err
+	}
+	payloads := make([][]byte, 0, start.Gap+1)
+	for range min(start.Gap, maxGapBatch) {
+		payloads = append(payloads, filler)
+	}
+	ctx, cancel := context.WithTimeout(ctx, eraStartTimeout)
+	defer cancel()
+	_, err = batches.AppendBatch(ctx, w.stream, append(payloads, last))
+	w.observer.LogAppended(err)
+	return err
+}
+
+// eraStartTimeout limits the append of an EraStart.
+const eraStartTimeout = 2 * time.Second
--- a/internal/oplog/control/fold.go
+++ b/internal/oplog/control/fold.go
@@ -33,6 +33,8 @@
 // it did not.
 func (s *Store) fold(offset int64, r Record, readAt time.Time) error {
 	switch {
+	case r.EraStart != nil:
+		return supersededUnless(s.leases.Fold().StartEra(offset, *r.EraStart))
 	case r.Publication != nil:
 		return s.applyPublication(offset, *r.Publication)
 	case r.Claim != nil:
@@ -113,9 +115,9 @@
 
 // deliver passes the verdict on a record of this daemon to the Append that waits for it. If Append
 // has stopped waiting for an accepted intent, its order was never sent, and the intent must be
-// closed by a resolution.
+// closed by a resolution. A record that is applied once more in a later era had its verdict before.
 func (s *Store) deliver(r Record, verdict Verdict) {
-	if s.pending.Deliver(r.Sequence, verdict) {
+	if s.pending.Deliver(r.Sequence, verdict) || r.Sequence <= s.sentInEarlierEras {
 		return
 	}
 	if r.Intent != nil && verdict.Err == nil {
--- a/internal/oplog/control/fuzz_test.go
+++ b/internal/oplog/control/fuzz_test.go
@@ -15,7 +15,7 @@
 func FuzzRecord(f *testing.F) {
 	writer := leaselog.Holder{Daemon: "a", Incarnation: "1"}
 	for _, record := range []control.Record{
-		{Claim: &leaselog.Claim{Pool: "llm", Duration: -1}}, {Renewal: true}, {Release: &leaselog.Release{Pool: "llm", Token: 4}},
+		{EraStart: &leaselog.EraStart{Era: -1, Above: 1 << 60, Gap: -1}}, {Claim: &leaselog.Claim{Pool: "llm", Duration: -1}}, {Renewal: true}, {Release: &leaselog.Release{Pool: "llm", Token: 4}},
 		{Intent: &leaselog.Intent{Pool: "llm", Token: 4, Server: "a", Memory: -9}}, {Resolution: &leaselog.Resolution{Pool: "llm", Intent: 8}},
 		{History: &control.PoolHistory{Pool: "llm", Token: 4, Learned: []byte("x")}}, {Snapshot: &control.Snapshot{FoldedTo: -9}},
 	} {
--- a/internal/oplog/control/record.go
+++ b/internal/oplog/control/record.go
@@ -28,6 +28,7 @@
 	Writer   leaselog.Holder
 	Sequence int64
 
+	EraStart    *leaselog.EraStart
 	Publication *configlog.Publication
 	Claim       *leaselog.Claim
 	Renewal     bool
@@ -57,7 +58,12 @@
 
 // Snapshot is the state after folding all records up to and including offset FoldedTo.
 type Snapshot struct {
-	FoldedTo      int64
+	FoldedTo int64
+	// LogEra is the era of the log that FoldedTo is an offset of.
+	LogEra int64
+	// Era is the era of the last EraStart, and EraStartedAt the offset that tokens of valid leases exceed.
+	Era           int64
+	EraStartedAt  int64
 	Configuration configlog.State
 	Leases        []leaselog.Lease
 	Intents       []leaselog.Intent
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -28,8 +28,12 @@
 func (s *Store) Snapshot() Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	era, startedAt := s.leases.Fold().Era()
 	return Snapshot{
 		FoldedTo:      s.foldedTo,
+		LogEra:        s.logEra,
+		Era:           era,
+		EraStartedAt:  startedAt,
 		Configuration: s.state,
 		Leases:        s.leases.Fold().Leases(),
 		Intents:       s.leases.Fold().Intents(),
@@ -60,7 +64,7 @@
 	for _, h := range snapshot.Histories {
 		s.histories[h.Pool] = h
 	}
-	s.leases = leaselog.NewManager(s.self, leaselog.Restore(snapshot.Leases, snapshot.Intents), s.clock.Now())
+	s.leases.Reset(leaselog.Restore(snapshot.Leases, snapshot.Intents).WithEra(snapshot.Era, snapshot.EraStartedAt), s.clock.Now())
 	s.notify()
 	return true
 }
@@ -89,15 +93,9 @@
 	if batch.First <= s.FoldedTo()+1 {
 		return nil
 	}
-	for i := len(batch.Records) - 1; i >= 0; i-- {
-		record, err := Decode(batch.Records[i].Payload)
-		if err != nil || record.Snapshot == nil {
-			continue
-		}
-		if record.Snapshot.FoldedTo+1 >= batch.First {
-			s.Restore(*record.Snapshot)
-			return nil
-		}
+	if snapshot := newestSnapshot(batch); snapshot != nil {
+		s.Restore(*snapshot)
+		return nil
 	}
 	if s.leasesOnly && len(batch.Records) == 0 {
 		s.Restore(Snapshot{FoldedTo: batch.First - 1})
@@ -105,3 +103,25 @@
 	}
 	return &ErrSnapshotMissing{FoldedTo: s.FoldedTo(), OldestOffset: batch.First}
 }
+
+// newestSnapshot returns the last snapshot in a batch that covers the deleted records before it, or nil. It
+// leaves out snapshots of earlier eras that were appended late: their offsets are not those of the batch.
+func newestSnapshot(batch azurehitch.Batch) *Snapshot {
+	var newest *Snapshot
+	era := int64(0)
+	for _, raw := range batch.Records {
+		record, err := Decode(raw.Payload)
+		switch {
+		case err != nil:
+		case record.EraStart != nil:
+			era = max(era, record.EraStart.Era)
+		case record.Snapshot != nil:
+			s := record.Snapshot
+			isOfEarlierEra := s.FoldedTo >= raw.Offset || s.LogEra != 0 && s.LogEra < era
+			if s.FoldedTo+1 >= batch.First && !isOfEarlierEra {
+				newest = s
+			}
+		}
+	}
+	return newest
+}
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -55,6 +55,12 @@
 	lastSnapshotAt     time.Time
 	// readAt is when the log was last read successfully.
 	readAt time.Time
+	// logEra is the era of the log that foldedTo is an offset of.
+	logEra int64
+	// sentInEarlierEras is the highest sequence number of a record that this daemon has sent in an earlier
+	// era of the log, and lastSent the highest of all.
+	sentInEarlierEras int64
+	lastSent          int64
 	// damaged is the number of records that could not be decoded.
 	damaged int
 	// leasesOnly is true if the stream contains no tables.
@@ -210,10 +216,14 @@
 	return token, s.leases.IsValid(pool, s.clock.Now().Add(span))
 }
 
-// Decide returns the lease records that this daemon should append now.
+// Decide returns the lease records that this daemon should append now; none before it has read the log.
 func (s *Store) Decide(environment leaselog.Environment) []leaselog.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.readAt.IsZero() {
+		return nil
+	}
+	environment.FoldedTo = s.foldedTo
 	return s.leases.Decide(s.clock.Now(), environment)
 }
 
@@ -258,6 +268,7 @@
 func (s *Store) markSending(sequence int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lastSent = max(s.lastSent, sequence)
 	s.leases.StoreSendTime(sequence, s.clock.Now())
 }
 
--- a/internal/oplog/control/writer.go
+++ b/internal/oplog/control/writer.go
@@ -9,13 +9,20 @@
 
 // Writer appends records to the control stream.
 type Writer struct {
+	log      azurehitch.Log
+	stream   string
 	store    *Store
+	observer follow.Observer
 	appender *follow.Appender[Verdict]
 }
 
-// NewWriter returns a writer to the stream that feeds the store.
+// NewWriter returns a writer to the stream that feeds the store. A log that names its era must be an
+// azurehitch.BatchLog.
 func NewWriter(log azurehitch.Log, stream string, store *Store, observer follow.Observer) *Writer {
-	return &Writer{store: store, appender: follow.NewAppender(log, stream, store.pending, observer)}
+	return &Writer{
+		log: log, stream: stream, store: store, observer: observer,
+		appender: follow.NewAppender(log, stream, store.pending, observer),
+	}
 }
 
 // Append appends a record and waits until this daemon has folded it. It returns an
--- a/internal/oplog/follow/follower.go
+++ b/internal/oplog/follow/follower.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/oplog/logera"
 
 	"github.com/cenkalti/backoff/v5"
 )
@@ -36,12 +37,19 @@
 	LogRead(err error)
 	// LogAppended is called after each append, with nil or its error.
 	LogAppended(err error)
+	// EraChanged is called when a read shows another era of the log than the reads before, with the offset
+	// that was to be read next.
+	EraChanged(stream string, before, after, next int64)
 }
 
 // Fold is the state to which a follower applies the records.
 type Fold interface {
 	// FoldedTo returns the offset of the last record that was folded.
 	FoldedTo() int64
+	// EnterEra prepares for another era of the log, which has returned from an older copy: records that were
+	// folded may be gone, and others have their offsets. The stream is folded again from its first record
+	// on. The batch is the first one of the era.
+	EnterEra(batch azurehitch.Batch, readAt time.Time)
 	// HandleGap prepares for a batch whose first record may come after the next record to fold,
 	// because the log deletes records after its retention time. The batch is not folded if it
 	// returns an error.
@@ -61,6 +69,7 @@
 	observer Observer
 	// mayDelay reports whether the next read may be delayed.
 	mayDelay func() bool
+	era      logera.Tracker
 }
 
 // NewFollower returns a follower that applies the records of a stream to a fold.
@@ -80,14 +89,17 @@
 	retryDelays := backoff.NewExponentialBackOff()
 	retryDelays.InitialInterval = minReadBackoff
 	retryDelays.MaxInterval = maxReadBackoff
+	// The first read doesn't wait for a record: no decision is made before the log was read.
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		err := f.Step(ctx, maxReadWait)
+		err := f.Step(ctx, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
 		f.observer.LogRead(err)
 		if err == nil {
 			retryDelays.Reset()
+			wait = maxReadWait
 			if err := f.delay(ctx); err != nil {
 				return nil
 			}
@@ -114,11 +126,22 @@
 func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	batch, err := f.log.Read(readCtx, f.stream, f.fold.FoldedTo()+1, wait)
+	from := f.fold.FoldedTo() + 1
+	batch, err := f.log.Read(readCtx, f.stream, from, wait)
 	if err != nil {
 		return err
 	}
 	readAt := f.clock.Now()
+	isNew, err := f.enterEra(batch.Era, from)
+	if err != nil {
+		return err
+	}
+	if isNew {
+		f.fold.EnterEra(batch, readAt)
+		if from > 1 {
+			return nil
+		}
+	}
 	if err := f.fold.HandleGap(batch); err != nil {
 		return err
 	}
@@ -128,3 +151,13 @@
 	f.fold.MarkRead(readAt)
 	return nil
 }
+
+// enterEra records the era of an answer to a read from an offset, and reports whether it is a new one. The
+// offsets read so far then have no meaning any more.
+func (f *Follower) enterEra(era, from int64) (isNew bool, err error) {
+	change, err := f.era.Enter(era)
+	if change.Named != change.Before {
+		f.observer.EraChanged(f.stream, change.Before, change.Named, from)
+	}
+	return change.IsNew, err
+}
--- a/internal/proof/poolsim/faults.go
+++ b/internal/proof/poolsim/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/lease/leaselog"
 	"azurehitch/internal/placement/enginepool"
 	"azurehitch/internal/placement/planner"
 	"azurehitch/internal/standin/engine"
@@ -123,6 +124,8 @@
 func (noopObserver) HistoryRestored(string)                                    {}
 func (noopObserver) EstimateEvaluated(string, enginepool.EstimateResult)       {}
 func (noopObserver) LogAppended(error)                                         {}
+func (noopObserver) EraChanged(string, int64, int64, int64)                    {}
+func (noopObserver) EraStarted(leaselog.EraStart, error)                       {}
 func (noopObserver) LoadFinished(string, bool, planner.Outcome, time.Duration) {}
 func (noopObserver) UnloadFinished(string, planner.Outcome)                    {}
 func (noopObserver) EngineReachable(string, string, bool)                      {}
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -585,6 +585,18 @@
 	}
 }
 
+// lastHolder returns the daemon whose order a server accepted last, and when; empty before the first.
+func (c *checker) lastHolder() (name string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, orders := range c.acceptedOrders {
+		if last := orders[len(orders)-1]; last.at.After(at) {
+			name, at = last.holder, last.at
+		}
+	}
+	return name, at
+}
+
 // checkLoads checks the number of loads from the weight store within the loadWindow that ends now.
 func (c *checker) checkLoads(now time.Time) {
 	c.remoteLoads = slices.DeleteFunc(c.remoteLoads, func(at time.Time) bool { return now.Sub(at) > loadWindow })
--- a/internal/proof/soak/oldercopy_test.go
+++ b/internal/proof/soak/oldercopy_test.go
@@ -1,6 +1,8 @@
 package soak_test
 
 import (
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -9,6 +11,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// lapseTime is how long the entry of a silent server stays in the store: three heartbeat intervals.
+const lapseTime = 3600 * time.Millisecond
+
 // olderCopyAway is how long the store is away before it returns from an older copy.
 const olderCopyAway = 300 * time.Millisecond
 
@@ -33,6 +38,23 @@
 		cl.republish()
 	}
 	end()
+	cl.lapseEntries()
+}
+
+// lapseEntries removes the entries of servers that the store has again from an older copy although they are
+// gone, as the platform does when their heartbeats are missing.
+func (cl *cluster) lapseEntries() {
+	time.Sleep(lapseTime)
+	for _, id := range cl.store.ServerIDs() {
+		isCurrent := slices.ContainsFunc(cl.servers, func(s *backendServer) bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.listed && s.current.Entry().ID == id
+		})
+		if !isCurrent {
+			cl.store.RemoveServer(id)
+		}
+	}
 }
 
 // olderCopies returns the returns of the store in a run.
@@ -121,3 +143,65 @@
 	}
 	runPlan(t, shortSeed, plan)
 }
+
+// injectOlderCopyAfterHandover lets another daemon take over the leases, and then the store return from a copy
+// that was made before. While the store is away, the former holder restarts, or all daemons do if the variant
+// is odd.
+func injectOlderCopyAfterHandover(cl *cluster, a action) {
+	former := cl.awaitHolder(func(string) bool { return true })
+	older := cl.store.Copy()
+	endFreeze := cl.disturbances.beginDaemonFault(former, "freeze")
+	cl.daemons[former].signal(syscall.SIGSTOP, 0)
+	cl.awaitHolder(func(name string) bool { return name != cl.daemons[former].settings.Name })
+	endStore := cl.disturbances.beginStoreFault(olderCopyName)
+	cl.store.SetFault(platformtest.StoreRefuses)
+	if a.variant%2 == 1 {
+		injectKillAll(cl, a)
+	} else {
+		cl.daemons[former].signal(syscall.SIGKILL, 0)
+		cl.awaitRestart(former)
+	}
+	endFreeze()
+	cl.store.Restore(older)
+	cl.republish()
+	cl.store.SetFault(platformtest.StoreHealthy)
+	endStore()
+	cl.lapseEntries()
+	time.Sleep(a.duration)
+}
+
+// awaitHolder returns the number of the next daemon that a server accepts an order of and whose name matches.
+func (cl *cluster) awaitHolder(matches func(name string) bool) int {
+	after, holder := time.Now(), ""
+	cl.await("a server accepts an order", 4*leaseDuration, func() bool {
+		name, at := cl.checker.lastHolder()
+		holder = name
+		return at.After(after) && matches(name)
+	})
+	for i, d := range cl.daemons {
+		if d.settings.Name == holder {
+			return i
+		}
+	}
+	return 0
+}
+
+// TestTwoHoldersAfterStoreReturnsFromOlderCopy guards against two daemons that order the same servers, the
+// later one under a lower token, after the store has lost a claim.
+func TestTwoHoldersAfterStoreReturnsFromOlderCopy(t *testing.T) {
+	t.Parallel()
+	runPlan(t, shortSeed, []action{{
+		fault:    fault{name: "store returns from an older copy after a handover", inject: injectOlderCopyAfterHandover},
+		startsAt: 2 * time.Second, duration: 10 * time.Second, variant: 0,
+	}})
+}
+
+// TestNoOrdersAfterStoreReturnsFromOlderCopy guards against a holder whose token is lower than those that
+// servers have seen: it kept the lease and gave no orders.
+func TestNoOrdersAfterStoreReturnsFromOlderCopy(t *testing.T) {
+	t.Parallel()
+	runPlan(t, shortSeed, []action{{
+		fault:    fault{name: "store returns from an older copy after a handover and a kill of all", inject: injectOlderCopyAfterHandover},
+		startsAt: 2 * time.Second, duration: 10 * time.Second, variant: 1,
+	}})
+}
--- a/internal/standin/platformlog/log.go
+++ b/internal/standin/platformlog/log.go
@@ -32,6 +32,8 @@
 type Options struct {
 	// Retention is the number of records that a stream keeps; 0 keeps all.
 	Retention int
+	// Era is the era of the log at first; 0 if it names none before it returns from an older copy.
+	Era int64
 	// AppendsPerSecond limits the appends to all streams together; 0 is unlimited.
 	AppendsPerSecond float64
 }
@@ -43,6 +45,8 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	outage  Outage
+	// era increases by one each time the log returns from an older copy.
+	era int64
 }
 
 // Outage is a failure of the service as a whole, for tests without HTTP.
@@ -65,7 +69,7 @@
 
 // New returns an empty log.
 func New(options Options) *Log {
-	l := &Log{options: options, streams: map[string]*stream{}}
+	l := &Log{options: options, streams: map[string]*stream{}, era: options.Era}
 	if options.AppendsPerSecond > 0 {
 		l.limiter = rate.NewLimiter(rate.Limit(options.AppendsPerSecond), int(options.AppendsPerSecond)+1)
 	}
@@ -90,7 +94,7 @@
 	if err != nil {
 		return 0, err
 	}
-	offset := l.appendRecord(name, payload)
+	offset := l.appendRecords(name, payload)
 	if outage.LoseAnswers {
 		return 0, &azurehitch.ErrLog{Operation: "append", MayHaveTakenEffect: true, Cause: errors.New("answer lost")}
 	}
@@ -106,7 +110,7 @@
 	defer timer.Stop()
 	for {
 		batch, appended := l.readBatch(name, from)
-		if len(batch.Records) > 0 || batch.First > from {
+		if len(batch.Records) > 0 || batch.First > from || from > batch.Next {
 			return batch, nil
 		}
 		select {
@@ -146,14 +150,24 @@
 	return outage, nil
 }
 
-// appendRecord appends a record, removes the records beyond the retention and returns the
-// offset of the record.
-func (l *Log) appendRecord(name string, payload []byte) int64 {
+// AppendBatch implements azurehitch.BatchLog. The rate limit counts a batch as one append.
+func (l *Log) AppendBatch(ctx context.Context, name string, payloads [][]byte) (int64, error) {
+	if _, err := l.applyOutage(ctx, "append"); err != nil {
+		return 0, err
+	}
+	return l.appendRecords(name, payloads...), nil
+}
+
+// appendRecords appends records, removes the records beyond the retention and returns the
+// offset of the first appended record.
+func (l *Log) appendRecords(name string, payloads ...[]byte) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	offset := s.next()
-	s.records = append(s.records, azurehitch.Record{Offset: offset, Payload: append([]byte(nil), payload...)})
+	for _, payload := range payloads {
+		s.records = append(s.records, azurehitch.Record{Offset: s.next(), Payload: append([]byte(nil), payload...)})
+	}
 	if excess := len(s.records) - l.options.Retention; l.options.Retention > 0 && excess > 0 {
 		s.records = s.records[excess:]
 		s.first += int64(excess)
@@ -169,7 +183,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	batch := azurehitch.Batch{First: s.first, Next: s.next()}
+	batch := azurehitch.Batch{First: s.first, Next: s.next(), Era: l.era}
 	if from < s.first {
 		from = s.first
 	}
--- a/log.go
+++ b/log.go
@@ -20,6 +20,8 @@
 	// Next is the offset that the next appended record will get.
 	Next    int64
 	Records []Record
+	// Era is the era of the log, see KeyedBatch.Era; 0 means that it is not known.
+	Era int64
 }
 
 // Log is the platform's append-only log service.
@@ -32,6 +34,14 @@
 	Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error)
 }
 
+// BatchLog is a Log that appends several records at once.
+type BatchLog interface {
+	Log
+	// AppendBatch adds records with consecutive offsets, all or none of them, and returns the offset of the
+	// first. Errors are as those of Append.
+	AppendBatch(ctx context.Context, stream string, payloads [][]byte) (int64, error)
+}
+
 // ErrLog is the error of a failed call to the log service.
 type ErrLog struct {
 	Operation string
