lease holder: a holder that servers reject as stale raises its tokens instead of giving no orders for good

Cause: the holder's token was below those that servers know. Its first order was answered 412; it took that for the claim of a later holder, stopped its orders and waited to read that claim, which doesn't exist, while it went on renewing the lease.

Change: after a 412 the holder sends no order under its token, as before. Once it has read back a renewal that it sent after the refusal and is still the holder, the log shows no later one: it appends an EraStart above its token by a gap, which ends its own lease, and claims again at once. The same process of a server causes at most three raises; after that its 412 is an order that failed.

Why it works: a holder that was replaced reads the claim before its renewal and raises nothing; one that was not gets a token thousands higher, and repeats that if needed.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -264,8 +264,9 @@
 	d.limits = serverlimit.New(d.settings.Name, d.members.Names, d.Clock, d)
 	d.rejections = d.newRejections()
 	d.heldServices = swapholder.NewSet(swapholder.Dependencies{
-		Self: d.settings.Name, Token: d.token, LeaseChanged: d.store.Changed, Routing: d.routing.Table,
-		Fleet: d.fleet.View, Limits: d.limits, Engines: d.Engines, OnNotice: d.handleNotice, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
+		Self: d.settings.Name, Token: d.token, LeaseChanged: d.store.Changed, RaiseTokens: d.store.RaiseTokens,
+		Routing: d.routing.Table,
+		Fleet:   d.fleet.View, Limits: d.limits, Engines: d.Engines, OnNotice: d.handleNotice, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
 	})
 	d.holderClient = swappeer.NewClient(swappeer.Dependencies{
 		Self:              d.settings.Name,
--- a/internal/lease/leaselog/era.go
+++ b/internal/lease/leaselog/era.go
@@ -75,12 +75,34 @@
 	m.Reset(NewFold(), now)
 }
 
-// RaiseTokens invalidates the lease of a pool under a token, because an engine has seen a higher one. The
-// tokens of all later claims are higher by a gap, so that a few repetitions reach any token.
-func (m *Manager) RaiseTokens(pool string, token int64) {
-	if current, held := m.Token(pool); held && current == token {
+// raise is a request to raise the tokens above that of a lease.
+type raise struct {
+	pool  string
+	token int64
+	at    time.Time
+}
+
+// RaiseTokens gives up the lease of a pool under a token, because an engine has seen a higher one, and makes the
+// tokens of all later claims higher by a gap. It does so once this daemon has read back a renewal that it
+// sent later than now: until then, the higher token may be that of a later holder whose claim it hasn't read.
+func (m *Manager) RaiseTokens(pool string, token int64, now time.Time) {
+	m.raise = raise{pool: pool, token: token, at: now}
+}
+
+// applyRaise carries out a request to raise the tokens if it is confirmed, and drops it if the lease was lost.
+func (m *Manager) applyRaise() {
+	if m.raise.token == 0 {
+		return
+	}
+	token, held := m.Token(m.raise.pool)
+	isSame := held && token == m.raise.token
+	if isSame && !m.validFrom[m.raise.pool].After(m.raise.at) {
+		return
+	}
+	if isSame {
 		m.era.above = max(m.era.above, token+eraGap)
 	}
+	m.raise = raise{}
 }
 
 // awaitsEraStart reports whether no lease can be valid before another EraStart has been read.
--- a/internal/lease/leaselog/era_test.go
+++ b/internal/lease/leaselog/era_test.go
@@ -259,17 +259,29 @@
 	s := newEraSimulation("a", "b")
 	s.settle(4 * duration)
 	before, token := s.holder()
-	s.daemons[before].manager.RaiseTokens("llm", token)
-	holder, _ := s.holder()
-	c.Assert(holder, qt.Equals, "")
-	s.settle(2 * time.Second)
-	holder, raised := s.holder()
+	raise := func(token int64) (holder string, raised int64) {
+		s.daemons[before].manager.RaiseTokens("llm", token, s.now)
+		s.settle(duration)
+		return s.holder()
+	}
+	holder, raised := raise(token)
 	c.Assert(holder, qt.Equals, before)
 	c.Assert(raised-token > 4096, qt.IsTrue, qt.Commentf("%d after %d", raised, token))
-	c.Run("a token of before is not raised again", func(c *qt.C) {
-		s.daemons[before].manager.RaiseTokens("llm", token)
-		_, now := s.holder()
-		c.Assert(now, qt.Equals, raised)
+	c.Run("an earlier token is not raised again", func(c *qt.C) {
+		_, again := raise(token)
+		c.Assert(again, qt.Equals, raised)
+	})
+	c.Run("the token of a holder that was replaced is not raised", func(c *qt.C) {
+		s.restart(before)
+		s.now = s.now.Add(2 * duration)
+		other := map[string]string{"a": "b", "b": "a"}[before]
+		s.names = []string{other}
+		s.settle(2 * duration)
+		s.names = []string{before, other}
+		_, replaced := s.holder()
+		holder, again := raise(raised)
+		c.Assert(holder, qt.Equals, other)
+		c.Assert(again, qt.Equals, replaced)
 	})
 }
 
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -103,6 +103,7 @@
 	// Load.bound.
 	rebalanceWaitFrom time.Time
 	era               eraState
+	raise             raise
 }
 
 // NewManager returns the manager of a daemon that starts from a fold. The leases in the fold count
@@ -240,6 +241,7 @@
 	if environment.Draining {
 		return actions
 	}
+	m.applyRaise()
 	if m.awaitsEraStart() {
 		if start := m.eraStartDue(now, environment); start != nil {
 			actions = append(actions, Action{EraStart: start})
--- a/internal/oplog/control/era.go
+++ b/internal/oplog/control/era.go
@@ -34,13 +34,12 @@
 	s.notify()
 }
 
-// RaiseTokens invalidates the lease of a pool under a token because an engine has seen a higher token. Tokens
-// of later claims are higher by far.
+// RaiseTokens gives up the lease of a pool under a token because an engine has seen a higher token, if this
+// daemon is the holder indeed, see leaselog.Manager.RaiseTokens.
 func (s *Store) RaiseTokens(pool string, token int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases.RaiseTokens(pool, token)
-	s.notify()
+	s.leases.RaiseTokens(pool, token, s.clock.Now())
 }
 
 // StartEra appends the record that starts an era, and the records of its gap just before it. It doesn't wait
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -58,8 +58,11 @@
 	Token func(service string) (token int64, valid bool)
 	// LeaseChanged returns a channel that is closed when a lease changes.
 	LeaseChanged func() <-chan struct{}
-	Routing      func() azurehitch.RoutingTable
-	Fleet        func() *fleet.View
+	// RaiseTokens is called when a server has seen a higher token than that of a valid lease. It makes the
+	// next holder's token higher by far.
+	RaiseTokens func(service string, token int64)
+	Routing     func() azurehitch.RoutingTable
+	Fleet       func() *fleet.View
 	// Limits contains the rate limits of servers.
 	Limits  *serverlimit.Tracker
 	Engines azurehitch.EngineControl
@@ -76,7 +79,9 @@
 	Dependencies
 	service string
 	token   int64
-	group   *errgroup.Group
+	// refusals counts the orders that servers have rejected as stale, for all holders of this daemon.
+	refusals *staleRefusals
+	group    *errgroup.Group
 
 	mu   sync.Mutex
 	plan *swap.Plan
@@ -99,11 +104,12 @@
 	inFlight int
 }
 
-func newHolder(d Dependencies, service string, token int64) *holder {
+func newHolder(d Dependencies, service string, token int64, refusals *staleRefusals) *holder {
 	h := &holder{
 		Dependencies:      d,
 		service:           service,
 		token:             token,
+		refusals:          refusals,
 		plan:              swap.New(azurehitch.EngineLimits{}, d.Settings, token),
 		reportRequestedAt: map[string]time.Time{},
 		pending:           map[string]chan swap.Verdict{},
--- a/internal/placement/swapholder/holder_test.go
+++ b/internal/placement/swapholder/holder_test.go
@@ -135,7 +135,7 @@
 	}}
 	return swapholder.NewSet(swapholder.Dependencies{
 		Self: "daemon-1", Token: token,
-		LeaseChanged: func() <-chan struct{} { return make(chan struct{}) },
+		LeaseChanged: func() <-chan struct{} { return make(chan struct{}) }, RaiseTokens: func(string, int64) {},
 		Routing: func() azurehitch.RoutingTable {
 			return azurehitch.RoutingTable{Services: map[string]azurehitch.BackendService{"llm": {Name: "llm", Engine: limits}}}
 		},
@@ -205,5 +205,64 @@
 	c.Assert(e.sent, qt.Equals, 1)
 }
 
+// raisedLease is a lease whose token rises when servers have seen a higher one.
+type raisedLease struct {
+	mu      sync.Mutex
+	token   int64
+	raises  int
+	changed chan struct{}
+}
+
+func (l *raisedLease) Token(string) (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.token, true
+}
+
+func (l *raisedLease) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *raisedLease) RaiseTokens(_ string, token int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if token != l.token {
+		return
+	}
+	l.token++
+	l.raises++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// TestTokenLowerThanTheServers guards against a holder that keeps its lease and gives no orders, because servers
+// know a higher token that no daemon has. A faulty server that rejects all tokens stops no holder for good.
+func TestTokenLowerThanTheServers(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		refusals int
+		raises   int
+	}{
+		{"one rejected order", 1, 1},
+		{"three", 3, 3},
+		{"a server that goes on rejecting", 5, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			e := &engine{}
+			for range test.refusals {
+				e.outcomes = append(e.outcomes, outcomeStale)
+			}
+			lease := &raisedLease{token: 7, changed: make(chan struct{})}
+			set := newSet(e, lease.Token)
+			set.RaiseTokens, set.LeaseChanged = lease.RaiseTokens, lease.Changed
+			c.Assert(requestUntilGranted(t, set, 5*time.Second).Kind, qt.Equals, swap.VerdictGranted)
+			c.Assert(lease.raises, qt.Equals, test.raises)
+		})
+	}
+}
+
 // LimitChanged implements serverlimit.Observer.
 func (noopObserver) LimitChanged(azurehitch.ServerIdentity, float64) {}
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -276,15 +276,3 @@
 	}
 	return swap.OutcomeUnknown
 }
-
-// stepDown stops sending orders under a token that a server has rejected as stale.
-func (h *holder) stepDown(order swap.Order) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.tokenStale {
-		return
-	}
-	h.tokenStale = true
-	h.Logs.Layer(logging.LayerLease).Warn().Str("Service", h.service).Int64("Token", h.token).
-		Str("Server", order.Server.ID).Msg("a server has seen a higher token: no more orders under this one")
-}
--- a/internal/placement/swapholder/set.go
+++ b/internal/placement/swapholder/set.go
@@ -21,13 +21,14 @@
 // Set contains a holder for each service that this daemon holds.
 type Set struct {
 	Dependencies
-	mu      sync.Mutex
-	holders map[string]*holder
+	refusals *staleRefusals
+	mu       sync.Mutex
+	holders  map[string]*holder
 }
 
 // NewSet returns an empty set.
 func NewSet(dependencies Dependencies) *Set {
-	return &Set{Dependencies: dependencies, holders: map[string]*holder{}}
+	return &Set{Dependencies: dependencies, refusals: newStaleRefusals(), holders: map[string]*holder{}}
 }
 
 // Run starts a holder for each lease that this daemon acquires, until the context ends. A holder
@@ -57,7 +58,7 @@
 		if current := s.holder(name); token == 0 || current != nil && current.token == token {
 			continue
 		}
-		h := newHolder(s.Dependencies, name, token)
+		h := newHolder(s.Dependencies, name, token, s.refusals)
 		s.set(h)
 		group.Go(func() error {
 			s.Logs.Layer(logging.LayerLease).Info().Str("Service", name).Int64("Token", token).Msg("lease held")
--- a/internal/proof/soak/oldercopy_test.go
+++ b/internal/proof/soak/oldercopy_test.go
@@ -170,6 +170,27 @@
 	time.Sleep(a.duration)
 }
 
+// injectHigherTokens makes all engines know a token that is higher than any that the log has given out.
+func injectHigherTokens(cl *cluster, a action) {
+	holder := cl.awaitHolder(func(string) bool { return true })
+	end := cl.disturbances.beginDaemonFault(holder, "servers know a higher token")
+	for _, s := range cl.servers {
+		s.backend().RaiseToken(3000)
+	}
+	cl.awaitHolder(func(string) bool { return true })
+	end()
+	time.Sleep(a.duration)
+}
+
+// TestNoOrdersWhileServersKnowHigherToken guards against a holder that renews a lease for good under which
+// servers accept no order.
+func TestNoOrdersWhileServersKnowHigherToken(t *testing.T) {
+	t.Parallel()
+	runPlan(t, shortSeed, []action{{
+		fault: fault{name: "servers know a higher token", inject: injectHigherTokens}, startsAt: 2 * time.Second, duration: 3 * time.Second,
+	}})
+}
+
 // awaitHolder returns the number of the next daemon that a server accepts an order of and whose name matches.
 func (cl *cluster) awaitHolder(matches func(name string) bool) int {
 	after, holder := time.Now(), ""
