--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -69,6 +69,8 @@
 	// endsCalm is set if callers send no more requests after the last action: their load comes near the
 	// capacity of the servers, so that rare models can't be loaded beside it.
 	endsCalm bool
+	// otherBinary is the program of an earlier build, which daemons run in turn with this one; empty for none.
+	otherBinary string
 	// work returns the work of a request at a server. A request that takes up a stream again has the
 	// origin of the stream's first request.
 	work func(origin, server string) platformtest.Work
@@ -324,7 +326,7 @@
 		// The lease holder reads the table and the list for all daemons, as in large deployments.
 		flags = []string{"--vouch-from", "2"}
 	}
-	p := &process{flags: flags, number: i, binary: cl.binary, dir: cl.dir, settings: settings, onExit: cl.checker.checkExit}
+	p := &process{flags: flags, number: i, binary: cl.binary, otherBinary: cl.setup.otherBinary, dir: cl.dir, settings: settings, onExit: cl.checker.checkExit}
 	cl.daemons = append(cl.daemons, p)
 }
 
@@ -355,6 +357,10 @@
 	return softwareVersions[s.index%len(softwareVersions)]
 }
 
+// ignoresTokens reports whether the model engines accept orders with lower tokens than they have seen, as in
+// half of the seeds.
+func (cl *cluster) ignoresTokens() bool { return cl.seed/2%2 == 1 }
+
 // startServer starts the next generation of a server, under another id at the same address.
 func (cl *cluster) startServer(s *backendServer, cached azurehitch.CachedModels) {
 	s.mu.Lock()
@@ -370,9 +376,9 @@
 	options := platformtest.BackendOptions{
 		ID: fmt.Sprintf("%s-%d", s.name, s.generation), Address: s.link.address(), Service: s.service, FailureDomain: "domain-0",
 		Slots: cl.setup.slots, Queue: cl.setup.queue, Incarnation: time.Now().UnixMilli(), Engine: cl.setup.services()[s.service].Engine, Cached: cached, Recorder: cl.checker,
-		SoftwareVersion: version,
-		Crashes:         func(request platformtest.BegunRequest) bool { return cl.crash(s, request) },
-		WorkFor:         func(request azurehitch.CallerRequest) platformtest.Work { return cl.setup.workFor(request, s.name) },
+		SoftwareVersion: version, IgnoresTokens: cl.ignoresTokens(),
+		Crashes: func(request platformtest.BegunRequest) bool { return cl.crash(s, request) },
+		WorkFor: func(request azurehitch.CallerRequest) platformtest.Work { return cl.setup.workFor(request, s.name) },
 	}
 	s.current, s.listed = platformtest.NewBackend(options), true
 	s.link.retarget(listener.Addr().String())
--- a/internal/proof/soak/process_test.go
+++ b/internal/proof/soak/process_test.go
@@ -34,13 +34,15 @@
 
 // process is a daemon that is restarted whenever its process exits.
 type process struct {
-	number   int
-	binary   string
-	flags    []string
-	dir      string
-	settings platformtest.Settings
-	onExit   func(exit)
-	group    errgroup.Group
+	number int
+	binary string
+	// otherBinary is run in turn with binary; empty for none.
+	otherBinary string
+	flags       []string
+	dir         string
+	settings    platformtest.Settings
+	onExit      func(exit)
+	group       errgroup.Group
 
 	// stopping is held while a run with planned work only stops the process.
 	stopping sync.Mutex
@@ -104,7 +106,7 @@
 	if p.stopped {
 		return nil, nil
 	}
-	cmd := exec.Command(p.binary, append([]string{"gateway"}, p.flags...)...)
+	cmd := exec.Command(p.nextBinary(), append([]string{"gateway"}, p.flags...)...)
 	cmd.Env = append(os.Environ(), settingsVariable+"="+p.settingsPath())
 	cmd.Stdout, cmd.Stderr = logs, logs
 	if err := cmd.Start(); err != nil {
@@ -115,6 +117,14 @@
 	return cmd, nil
 }
 
+// nextBinary returns the program of the next process. The caller holds the mutex.
+func (p *process) nextBinary() string {
+	if p.otherBinary != "" && (p.number+p.starts)%2 == 0 {
+		return p.otherBinary
+	}
+	return p.binary
+}
+
 func (p *process) recordExit(err error, silent bool) {
 	p.mu.Lock()
 	ended := exit{
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -23,6 +23,7 @@
 	soakDuration = flag.Duration("soak.duration", 20*time.Second, "period in which faults start")
 	regressions  = flag.Bool("soak.regressions", false, "run the seeds that failed in the past")
 	parallel     = flag.Int("soak.parallel", 4, "number of parallel runs")
+	otherBinary  = flag.String("soak.other", "", "program of an earlier build, which runs in turn with this one")
 	logFolder    = flag.String("soak.logs", "", "folder for the logs of failed runs")
 )
 
@@ -99,6 +100,29 @@
 	}
 }
 
+// TestTwoBuilds lets each daemon run this build and an earlier one in turn, as in an upgrade and when it is taken back.
+func TestTwoBuilds(t *testing.T) {
+	if *otherBinary == "" {
+		t.Skip("needs -soak.other and -soak.seeds")
+	}
+	runSeeds(t, freshSeeds(), func(t *testing.T, seed uint64) {
+		s := defaultSetup()
+		s.otherBinary = *otherBinary
+		plan := append(newPlan(seed, *soakDuration), rollingStops(seed, *soakDuration)...)
+		runSetup(t, seed, plan, s)
+	})
+}
+
+// rollingStops returns planned stops of all daemons in turn, each of which changes the build.
+func rollingStops(seed uint64, duration time.Duration) []action {
+	random := newRandom(seed, 7)
+	var stops []action
+	for at, i := firstFaultDelay, 0; at < duration; at, i = at+between(random, time.Second, 3*time.Second), i+1 {
+		stops = append(stops, action{fault: fault{name: "planned stop", inject: injectPlannedStop}, startsAt: at, target: i})
+	}
+	return stops
+}
+
 func TestRegressions(t *testing.T) {
 	if !*regressions {
 		t.Skip("needs -soak.regressions")
