control stream: a failed read is repeated after 0.3 s at most, as for the keyed streams

After an outage of the store a daemon read the leases up to 1 s later than the other streams, so that it noticed a new era, or a lapsed lease, that much later. While all streams fail, the circuit breaker still lets one read pass in 0.4 s, so an outage costs no more calls.

The lease lasts 4.5 s here, and 4.7 s with the allowance for drift: that is the wait that nothing may shorten.

--- a/internal/oplog/follow/follower.go
+++ b/internal/oplog/follow/follower.go
@@ -24,7 +24,7 @@
 	maxReadWait    = 2 * time.Second
 	readTimeout    = 15 * time.Second
 	minReadBackoff = 50 * time.Millisecond
-	maxReadBackoff = time.Second
+	maxReadBackoff = 300 * time.Millisecond
 	// maxReadDelay is the longest delay of a read by the condition of DelayReadsWhile.
 	// delayCheckInterval is the time between two checks of that condition during the delay.
 	maxReadDelay       = 3 * time.Second
