--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -102,6 +102,17 @@
 
 // TestTwoBuilds lets each daemon run this build and an earlier one in turn, as in an upgrade and when it is taken back.
 func TestTwoBuilds(t *testing.T) {
+	runTwoBuilds(t, func(uint64) []action { return nil })
+}
+
+// TestTwoBuildsWithOlderCopies adds returns of the store from older copies to the plans of TestTwoBuilds.
+func TestTwoBuildsWithOlderCopies(t *testing.T) {
+	runTwoBuilds(t, func(seed uint64) []action { return olderCopies(seed, *soakDuration) })
+}
+
+// runTwoBuilds runs two builds in turn, with the faults of newPlan and further ones.
+func runTwoBuilds(t *testing.T, further func(seed uint64) []action) {
+	t.Helper()
 	if *otherBinary == "" {
 		t.Skip("needs -soak.other and -soak.seeds")
 	}
@@ -109,7 +120,7 @@
 		s := defaultSetup()
 		s.otherBinary = *otherBinary
 		plan := append(newPlan(seed, *soakDuration), rollingStops(seed, *soakDuration)...)
-		runSetup(t, seed, plan, s)
+		runSetup(t, seed, append(plan, further(seed)...), s)
 	})
 }
 
