--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -289,15 +289,6 @@
 	end()
 }
 
-// injectLateAppends delays what daemons append to the store, and gives them no answer.
-func injectLateAppends(cl *cluster, a action) {
-	end := cl.disturbances.beginStoreFault("store appends late")
-	cl.store.SetFault(platformtest.StoreAppendsLate)
-	time.Sleep(a.duration)
-	cl.store.SetFault(platformtest.StoreHealthy)
-	end()
-}
-
 func injectStoreExpiry(cl *cluster, _ action) {
 	end := cl.disturbances.beginStoreFault("store expires its records")
 	cl.store.ExpireRecords()
