--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,13 @@
 demo: build
 	_scripts/demo.sh
 
-# The second step runs what the race detector can't, see chaos_test.go. The third runs
-# the tests of KNOWN-RED.txt, which the first leaves out, and prints their results. The
-# fourth checks the specification where spin is installed, as CI does.
+# The second step runs what the race detector can't, see chaos_test.go, and silence_test.go
+# for arm64. The third runs the tests of KNOWN-RED.txt, which the first leaves out, and prints
+# their results. The fourth checks the specification where spin is installed, as CI does.
 test: lint build
 	go test -race -skip '$(shell _scripts/known-red.sh skip)' ./...
 	go test -run 'TestProve($(VIRTUAL))' ./internal/proof/points
+	go test -run 'TestChangeReadLateAfterSilenceOfTheLog' ./internal/oplog/compacted
 	_scripts/known-red.sh run
 	_scripts/specification.sh
 
