Streams go on only at their software version also after a restart of all daemons

What callers saw: streams with events of servers of two software versions (ORDER), after all daemons had been killed beside servers that left the list and still served.

Cause: which version began a stream, and that a service had several, was only in the memory of daemons. After a restart of all, a list of servers with one version counted as all there was, and a stream that no daemon knew could go on anywhere.

Evidence: TestStreamsGoOnAtAnotherVersionAfterKillOfAll, real processes, no drill.

Change: entries of daemons list the services that had servers of several versions in the last minute; one daemon suffices, they take turns by ranking. A daemon that starts takes over what it finds for a minute and refuses streams of these services that no daemon knows as not run. Entries are also written again when the store has an older one.

Why it works: the entries are on the store before the kill, and outlive all daemons.

The callers of the new test wait 0.9 s before they take up a stream; those of the other runs are unchanged. The users' ORDER cases are only suspected to be this: their record names no cause.

--- a/internal/daemon/gateway/streams.go
+++ b/internal/daemon/gateway/streams.go
@@ -7,16 +7,20 @@
 
 	"azurehitch/internal/forward/streampeer"
 	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/membership/daemonrank"
 	"azurehitch/internal/membership/fleet"
 )
 
 const (
 	// versionInterval is how often the software versions in the list of servers are looked at.
 	versionInterval = 100 * time.Millisecond
-	// listTimeout is how long a request that takes up a stream waits for the first read of the list of
-	// servers, which is looked at every listPollInterval.
+	// listTimeout is how long a request that takes up a stream waits for the first reads of the lists of
+	// servers and daemons, which is looked at every listPollInterval.
 	listTimeout      = 400 * time.Millisecond
 	listPollInterval = 20 * time.Millisecond
+	// mixedStagger is the delay per daemon in the ranking of a service before the daemon lists it as mixed. It
+	// is shorter than the interval of reads, so that a few daemons do.
+	mixedStagger = 200 * time.Millisecond
 )
 
 // streamVersions implements passthrough.Streams.
@@ -51,6 +55,50 @@
 	return nil
 }
 
+// watchMixedServices lists the services with several software versions in the entry of this daemon until the
+// context ends.
+func (d *Daemon) watchMixedServices(ctx context.Context) error {
+	mixedSince := map[string]time.Time{}
+	for d.Clock.Sleep(ctx, versionInterval) == nil {
+		services := d.engineServices()
+		if len(services) == 0 {
+			// The configuration has not been read.
+			continue
+		}
+		var listed []string
+		for _, service := range services {
+			if d.isMixedListed(service, mixedSince) {
+				listed = append(listed, service)
+			}
+		}
+		slices.Sort(listed)
+		d.members.SetMixedServices(listed)
+	}
+	return nil
+}
+
+// isMixedListed reports whether this daemon has to list a service as mixed. One daemon suffices: the next one in
+// the ranking of the service lists it only if mixedStagger later still no other does.
+func (d *Daemon) isMixedListed(service string, mixedSince map[string]time.Time) bool {
+	now := d.Clock.Now()
+	if !d.streams.IsMixed(service) && !d.wasMixed(service) {
+		delete(mixedSince, service)
+		return false
+	}
+	if _, ok := mixedSince[service]; !ok {
+		mixedSince[service] = now
+	}
+	self, other := d.members.ListsMixed(service)
+	turn := time.Duration(daemonrank.Index(service, d.settings.Name, d.members.Names())) * mixedStagger
+	return self || !other && now.Sub(mixedSince[service]) >= turn
+}
+
+// wasMixed reports whether a service may have had servers of several software versions before this daemon
+// started, of which streams may still be taken up.
+func (d *Daemon) wasMixed(service string) bool {
+	return d.Clock.Now().Sub(d.startedAt) < streams.TTL && d.members.WasMixed(service)
+}
+
 // versionsOf returns the software versions of the listed servers of a service.
 func versionsOf(view *fleet.View, service string) []string {
 	var versions []string
@@ -61,9 +109,11 @@
 }
 
 // mayBeMixed reports whether servers of several software versions may run now: the list shows them, it
-// has not been read, or it may lack servers that this daemon has not seen since its start.
+// has not been read, it may lack servers that this daemon has not seen since its start, or daemons had seen
+// them before.
 func (d *Daemon) mayBeMixed(ctx context.Context, service string) bool {
-	for waited := time.Duration(0); d.fleet.View().ReadAt.IsZero() && waited < listTimeout; waited += listPollInterval {
+	isRead := func() bool { return !d.fleet.View().ReadAt.IsZero() && d.members.IsListed() }
+	for waited := time.Duration(0); !isRead() && waited < listTimeout; waited += listPollInterval {
 		if d.Clock.Sleep(ctx, listPollInterval) != nil {
 			return true
 		}
@@ -72,5 +122,5 @@
 	versions := versionsOf(view, service)
 	slices.Sort(versions)
 	mayLackServers := !view.Complete && d.Clock.Now().Sub(d.startedAt) < streams.TTL
-	return view.ReadAt.IsZero() || mayLackServers || len(slices.Compact(versions)) > 1
+	return view.ReadAt.IsZero() || mayLackServers || d.wasMixed(service) || len(slices.Compact(versions)) > 1
 }
--- a/internal/membership/members/members.go
+++ b/internal/membership/members/members.go
@@ -6,8 +6,11 @@
 //	group.Go(func() error { return directory.Run(ctx) })
 //	address, ok := directory.Address("daemon-2")
 //
-// Each daemon writes its address once per start, and again if a list of the stream lacks its entry: the log may
-// have lost it. An entry does not imply that its daemon is still running.
+// Each daemon writes its address once per start, and again if a list of the stream lacks its entry or has an
+// older one: the log may have lost it. An entry does not imply that its daemon is still running.
+//
+// Entries also list the services that have had servers of several software versions a short time ago, so that
+// daemons still know it after a restart of all.
 package members
 
 import (
@@ -51,23 +54,40 @@
 	// bits per second. 0 means unknown.
 	Processor float64
 	Bandwidth int64
+	// MixedServices are services that have had servers of several software versions a short time ago, sorted.
+	MixedServices []string `json:",omitempty"`
+}
+
+// WithMixedServices returns the entry with other mixed services.
+func (m Member) WithMixedServices(services []string) Member {
+	m.MixedServices = slices.Clone(services)
+	return m
+}
+
+// decode returns the entry of a record. Entries that can't be decoded, or whose key is not the daemon's name, are none.
+func decode(r azurehitch.KeyedRecord) (m Member, ok bool) {
+	err := json.Unmarshal(r.Value, &m)
+	return m, err == nil && m.Name == r.Key
 }
 
 // Directory holds the known daemons. It implements compacted.Fold.
 type Directory struct {
 	log      azurehitch.KeyedLog
 	stream   string
-	self     Member
 	clock    azurehitch.Clock
 	observer compacted.Observer
 
 	mu sync.Mutex
+	// self is the entry of this daemon. Its name does not change.
+	self Member
 	// members holds the known daemons, this one included, by name.
 	members map[string]Member
 	// listedAt is when all entries of the stream were first read; zero before.
 	listedAt time.Time
 	// hasPredecessor is true if the first list had an entry of an earlier process of this daemon.
 	hasPredecessor bool
+	// wereMixed are the mixed services of the first list.
+	wereMixed map[string]bool
 	// listed is closed after the first list, and unlisted wakes announce when the entry of this daemon is missing.
 	listed   chan struct{}
 	unlisted chan struct{}
@@ -77,7 +97,7 @@
 func New(log azurehitch.KeyedLog, stream string, self Member, clock azurehitch.Clock, observer compacted.Observer) *Directory {
 	return &Directory{
 		log: log, stream: stream, self: self, clock: clock, observer: observer,
-		members: map[string]Member{self.Name: self}, listed: make(chan struct{}), unlisted: make(chan struct{}, 1),
+		members: map[string]Member{self.Name: self}, wereMixed: map[string]bool{}, listed: make(chan struct{}), unlisted: make(chan struct{}, 1),
 	}
 }
 
@@ -92,18 +112,16 @@
 }
 
 // announce writes the entry of this daemon after the first list, in which that of an earlier process is still to be
-// seen, and again each time that a list lacks it, until the context ends.
+// seen, and again each time that it changes or that a list has no or an older one, until the context ends.
 func (d *Directory) announce(ctx context.Context) error {
-	value, err := json.Marshal(d.self)
-	if err != nil {
-		return err
-	}
-	record := azurehitch.KeyedRecord{Key: d.self.Name, Value: value}
 	select {
 	case <-ctx.Done():
 	case <-d.listed:
 	}
-	for d.put(ctx, record) {
+	for ctx.Err() == nil {
+		if err := d.put(ctx); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 		case <-d.unlisted:
@@ -112,18 +130,31 @@
 	return nil
 }
 
-// put writes a record. A failed write is retried; put returns false when the context has ended.
-func (d *Directory) put(ctx context.Context, record azurehitch.KeyedRecord) bool {
+// put writes the entry of this daemon. A failed write is retried until the context ends. The error is that of
+// the encoding.
+func (d *Directory) put(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := d.log.Put(ctx, d.stream, record)
+		record, err := d.record()
+		if err != nil {
+			return err
+		}
+		err = d.log.Put(ctx, d.stream, record)
 		d.observer.StreamRead(d.stream, err)
 		if err == nil {
-			return true
+			return nil
 		}
 		// An error means that the context has ended, which ends the loop.
 		_ = d.clock.Sleep(ctx, putInterval)
 	}
-	return false
+	return nil
+}
+
+// record returns the record of the entry of this daemon.
+func (d *Directory) record() (azurehitch.KeyedRecord, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	value, err := json.Marshal(d.self)
+	return azurehitch.KeyedRecord{Key: d.self.Name, Value: value}, err
 }
 
 // Address returns the address at which other daemons reach a daemon, and false if it is not known.
@@ -195,16 +226,24 @@
 	d.Apply(records, readAt)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	hasOwn := slices.ContainsFunc(records, func(r azurehitch.KeyedRecord) bool { return r.Key == d.self.Name })
+	own := slices.IndexFunc(records, func(r azurehitch.KeyedRecord) bool { return r.Key == d.self.Name })
 	switch {
 	case d.listedAt.IsZero():
-		d.listedAt, d.hasPredecessor = readAt, hasOwn
+		d.listedAt, d.hasPredecessor = readAt, own >= 0
+		d.keepMixedServices(records)
 		close(d.listed)
-	case !hasOwn:
+	case own < 0 || !d.isCurrent(records[own]):
 		d.announceAgain()
 	}
 }
 
+// isCurrent reports whether a record is the entry of this daemon as it is now. The log may have an older one. The
+// caller holds d.mu.
+func (d *Directory) isCurrent(record azurehitch.KeyedRecord) bool {
+	listed, ok := decode(record)
+	return ok && listed.Incarnation == d.self.Incarnation && slices.Equal(listed.MixedServices, d.self.MixedServices)
+}
+
 // announceAgain makes announce write the entry of this daemon once more.
 func (d *Directory) announceAgain() {
 	select {
@@ -218,12 +257,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range records {
-		var m Member
-		// Entries that can't be decoded, or whose key is not the daemon's name, are ignored.
-		if err := json.Unmarshal(r.Value, &m); err != nil || m.Name != r.Key || m.Name == d.self.Name {
-			continue
+		if m, ok := decode(r); ok && m.Name != d.self.Name {
+			d.members[m.Name] = m
 		}
-		d.members[m.Name] = m
 	}
 }
 
--- a/internal/membership/members/members_test.go
+++ b/internal/membership/members/members_test.go
@@ -89,3 +89,35 @@
 		})
 	}
 }
+
+// TestMixedServices checks that a daemon takes over the services that entries list as mixed when it starts, and
+// forgets them only when it is told to.
+func TestMixedServices(t *testing.T) {
+	const service = "llm"
+	mixed := func(name string) members.Member { return members.Member{Name: name, MixedServices: []string{service}} }
+	for _, test := range []struct {
+		name      string
+		listed    []members.Member
+		wasMixed  bool
+		listsSelf bool
+		other     bool
+	}{
+		{"no daemon has seen several versions", []members.Member{{Name: "a"}, {Name: "b"}}, false, false, false},
+		{"an earlier process of the daemon has", []members.Member{mixed("a")}, true, true, false},
+		{"another daemon has", []members.Member{{Name: "a"}, mixed("b")}, true, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			directory := members.New(nil, "members", members.Member{Name: "a"}, &fixedClock{}, nil)
+			c.Assert(directory.WasMixed(service), qt.IsTrue, qt.Commentf("before the first list"))
+			directory.SetMixedServices([]string{"early"})
+			directory.Replace(records(t, test.listed...), time.Unix(1000, 0))
+			c.Assert(directory.WasMixed(service), qt.Equals, test.wasMixed)
+			self, other := directory.ListsMixed(service)
+			c.Assert([]bool{self, other}, qt.DeepEquals, []bool{test.listsSelf, test.other})
+			directory.SetMixedServices(nil)
+			self, _ = directory.ListsMixed(service)
+			c.Assert(self, qt.IsFalse)
+		})
+	}
+}
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -69,6 +69,8 @@
 	// endsCalm is set if callers send no more requests after the last action: their load comes near the
 	// capacity of the servers, so that rare models can't be loaded beside it.
 	endsCalm bool
+	// callersWait is set if callers wait before they take up a stream.
+	callersWait bool
 	// otherBinary is the program of an earlier build, which daemons run in turn with this one; empty for none.
 	otherBinary string
 	// work returns the work of a request at a server. A request that takes up a stream again has the
--- a/internal/proof/soak/softwareversion_test.go
+++ b/internal/proof/soak/softwareversion_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"azurehitch/platform/platformtest"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// must be taken up again to compare their share with that of new streams (half of what the users need).
 	toleratedMixedStreams = 2
 	minResumed            = 6
+	// resumePause is how long callers that wait do so before they take up a stream: daemons that were killed
+	// start meanwhile.
+	resumePause = 900 * time.Millisecond
 )
 
 // softwareVersions are the versions of the software of servers, which run side by side.
@@ -74,13 +79,18 @@
 // resume takes up a stream again that was cut after its first event.
 func (c *caller) resume(x exchange) {
 	for range maxResumes {
-		if !x.isCutStream() || c.cluster.checker.isDisconnected(x.ID) || c.cluster.isDone() || !c.connect() {
+		if !x.isCutStream() || c.cluster.checker.isDisconnected(x.ID) || c.cluster.isDone() || !c.reconnect() {
 			return
 		}
 		x = c.performNext(x)
 	}
 }
 
+// reconnect opens a connection like connect, where callers wait after resumePause.
+func (c *caller) reconnect() bool {
+	return (!c.cluster.setup.callersWait || c.cluster.sleep(resumePause)) && c.connect()
+}
+
 // isCutStream reports whether a request brought a part of a stream that its caller may take up again.
 func (x exchange) isCutStream() bool {
 	if !x.route.Resumable || x.err != nil {
@@ -193,6 +203,53 @@
 	return fmt.Sprintf("%d of %d taken up again, %d of %d new", resumed.began, resumed.total, begun.began, begun.total)
 }
 
+// unlistedTime is how long the servers of a version are missing from the list before all daemons are killed.
+const unlistedTime = 250 * time.Millisecond
+
+// injectKillAllBesideUnlistedVersion kills all daemons while the servers of one version of the software have left
+// the list and still serve, as servers do that leave without an announcement.
+func injectKillAllBesideUnlistedVersion(cl *cluster, a action) {
+	gone := make(chan struct{})
+	var group errgroup.Group
+	for _, s := range cl.servers {
+		if s.service != engineService || cl.softwareVersion(s) != softwareVersions[a.variant%len(softwareVersions)] {
+			continue
+		}
+		group.Go(func() error {
+			cl.replace(s, "server leaves", true, func(old *platformtest.Backend) {
+				id := old.Entry().ID
+				cl.store.RemoveServer(id)
+				cl.checker.recordDeparture(id)
+				<-gone
+			})
+			return nil
+		})
+	}
+	time.Sleep(unlistedTime)
+	injectKillAll(cl, a)
+	time.Sleep(a.duration)
+	close(gone)
+	// The replacements return no errors.
+	_ = group.Wait()
+}
+
+// TestStreamsGoOnAtAnotherVersionAfterKillOfAll guards against daemons that take all servers for one version after
+// a restart of all, because the list has lost the servers at which streams began.
+func TestStreamsGoOnAtAnotherVersionAfterKillOfAll(t *testing.T) {
+	t.Parallel()
+	killAll := fault{name: "kill of all beside an unlisted version", inject: injectKillAllBesideUnlistedVersion}
+	var plan []action
+	for i := range 3 {
+		plan = append(plan, action{fault: killAll, startsAt: time.Duration(3+8*i) * time.Second, duration: 2 * time.Second, variant: i})
+	}
+	s := defaultSetup()
+	s.callersWait = true
+	s.work = func(string, string) platformtest.Work {
+		return platformtest.Work{Call: 15 * time.Millisecond, FirstEvent: 30 * time.Millisecond, Event: 250 * time.Millisecond, Events: streamEvents}
+	}
+	runSetup(t, shortSeed, plan, s)
+}
+
 // TestStreamsGoOnAtAnotherSoftwareVersion cuts streams by kills of daemons, resets of connections and crashes of servers while two versions run.
 func TestStreamsGoOnAtAnotherSoftwareVersion(t *testing.T) {
 	kill, crash := fault{name: "kill", inject: injectKill}, fault{name: "server crashes", inject: injectCrash}
