callerconn: a connection accepted as the listener closes ends no daemon and is waited for

What callers saw: a daemon could end with a panic in its planned stop, and with it the requests in progress. Seen once: "panic: close of closed channel" in Listener.remove, in the tests of the gateway at a load average of 20.

Cause: the moment without open connections was found again for a connection that Accept returned after CloseIdle had found none. The wait for the last connection was over by then, although its request was still to be handled.

Evidence: TestConnectionAcceptedAsListenerCloses holds an accept until the listener is closed. Before: the wait ends before the accept and before the connection, then the same panic. Ruled out: a second close of one connection (its removal found nothing and returned).

Change: calls of Accept in progress count like open connections, and the channel is closed once. Why it works: a closed listener accepts no more, so the count doesn't rise again.

--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -30,34 +30,60 @@
 	mu        sync.Mutex
 	isClosing bool
 	conns     map[*conn]struct{}
-	// empty is closed when CloseIdle has been called and no connection is open.
-	empty chan struct{}
+	// accepting is the number of calls of Accept in progress. They may return a connection that arrived
+	// before the listener was closed.
+	accepting int
+	// closeEmpty closes empty once CloseIdle has been called, and no connection is open or being accepted.
+	empty      chan struct{}
+	closeEmpty func()
 }
 
 // Listen returns a Listener that reports to onClosed the connections that are closed without an answer, or
 // can't be accepted.
 func Listen(l net.Listener, clock azurehitch.Clock, onClosed Observer) *Listener {
 	onFailure := func(err error) { onClosed(Closure{Loss: LossUnaccepted, Cause: err}) }
+	empty := make(chan struct{})
 	return &Listener{
 		Listener: retryaccept.Listen(l, clock, onFailure), clock: clock, onClosed: onClosed, close: sync.OnceValue(l.Close),
-		conns: map[*conn]struct{}{}, empty: make(chan struct{}),
+		conns: map[*conn]struct{}{}, empty: empty, closeEmpty: sync.OnceFunc(func() { close(empty) }),
 	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.countAccepting(1)
 	accepted, err := l.Listener.Accept()
+	defer l.countAccepting(-1)
 	if err != nil {
 		return nil, err
 	}
 	c := &conn{Conn: accepted, listener: l, isIdle: true, acceptedAt: l.clock.Now()}
+	l.add(c)
+	return c, nil
+}
+
+// countAccepting counts the calls of Accept in progress.
+func (l *Listener) countAccepting(change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting += change
+	l.checkEmpty()
+}
+
+func (l *Listener) add(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
 	if l.isClosing {
 		c.expire(l.clock.Now())
 	}
-	return c, nil
+}
+
+// checkEmpty closes empty if no connection is open any more, or will be. The caller holds l.mu.
+func (l *Listener) checkEmpty() {
+	if l.isClosing && l.accepting == 0 && len(l.conns) == 0 {
+		l.closeEmpty()
+	}
 }
 
 // Close implements net.Listener. Further calls return the result of the first.
@@ -68,17 +94,15 @@
 	err := l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.isClosing && len(l.conns) == 0 {
-		close(l.empty)
-	}
 	l.isClosing = true
+	l.checkEmpty()
 	for c := range l.conns {
 		c.expire(l.clock.Now())
 	}
 	return errors.Wrap(err, "close listener")
 }
 
-// Wait waits after CloseIdle until no connection is open.
+// Wait waits after CloseIdle until no connection is open or being accepted.
 func (l *Listener) Wait(ctx context.Context) error {
 	select {
 	case <-l.empty:
@@ -118,13 +142,8 @@
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, isOpen := l.conns[c]; !isOpen {
-		return
-	}
 	delete(l.conns, c)
-	if l.isClosing && len(l.conns) == 0 {
-		close(l.empty)
-	}
+	l.checkEmpty()
 }
 
 // StateChanged is the fasthttp.Server.ConnState of a server whose listener is a Listener.
