--- a/internal/oplog/control/fold.go
+++ b/internal/oplog/control/fold.go
@@ -52,7 +52,7 @@
 	case r.History != nil:
 		return supersededUnless(s.recordHistory(r.Writer, *r.History))
 	case r.Snapshot != nil:
-		s.lastSnapshotOffset, s.lastSnapshotAt = offset, readAt
+		s.recordSnapshot(offset, readAt)
 	}
 	return nil
 }
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -10,6 +10,13 @@
 	"azurehitch/internal/lease/leaselog"
 )
 
+const (
+	// catchUpTime is how long a daemon takes after its first read to fold what the log had before.
+	catchUpTime = time.Second
+	// firstSnapshotDelay is the time per rank from the first read of a daemon to its first snapshot.
+	firstSnapshotDelay = 2 * time.Second
+)
+
 // ErrSnapshotMissing is returned when the state can't be folded from the log: retention has deleted
 // records that were not read yet, and no snapshot replaces them.
 type ErrSnapshotMissing struct {
@@ -69,10 +76,20 @@
 	return true
 }
 
+// recordSnapshot records that a snapshot was read. One that the log had when this daemon started may be old,
+// and expire soon. The caller holds s.mu.
+func (s *Store) recordSnapshot(offset int64, readAt time.Time) {
+	s.lastSnapshotOffset = offset
+	if !s.firstReadAt.IsZero() && readAt.Sub(s.firstReadAt) >= catchUpTime {
+		s.lastSnapshotAt = readAt
+	}
+}
+
 // SnapshotDue reports whether a snapshot should be appended: since the last snapshot, at least the
 // given number of records were read or the interval has passed. The two thresholds grow with the
 // rank of the daemon, so that the daemon of rank 0 appends the snapshot and the others read it
-// before their own is due.
+// before their own is due. After the start of a daemon, the age of the last snapshot is not known, and
+// firstSnapshotDelay takes the place of the interval: daemons that start again and again append snapshots too.
 func (s *Store) SnapshotDue(records int64, interval time.Duration, rank int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,8 +99,12 @@
 	const rankDivisor = 8
 	records += records * int64(rank) / rankDivisor
 	interval += interval * time.Duration(rank) / rankDivisor
+	dueAt := s.lastSnapshotAt.Add(interval)
+	if s.lastSnapshotAt.IsZero() {
+		dueAt = s.firstReadAt.Add(min(interval, firstSnapshotDelay*time.Duration(1+rank)))
+	}
 	recordsSince := s.foldedTo - s.lastSnapshotOffset
-	return recordsSince >= records || recordsSince > 1 && s.clock.Now().Sub(s.lastSnapshotAt) >= interval
+	return recordsSince >= records || recordsSince > 1 && !s.clock.Now().Before(dueAt)
 }
 
 // HandleGap implements follow.Fold. If the log has deleted the next record to fold, HandleGap
--- /dev/null
+++ b/internal/oplog/control/snapshotdue_test.go
@@ -0,0 +1,94 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"azurehitch"
+	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/control"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// steppedClock is a clock that the test sets.
+type steppedClock struct {
+	azurehitch.SystemClock
+	now time.Time
+}
+
+// Now implements azurehitch.Clock.
+func (s *steppedClock) Now() time.Time { return s.now }
+
+// startedDaemon is the store of a daemon that has just started and follows a log.
+type startedDaemon struct {
+	*qt.C
+	*control.Store
+	clock *steppedClock
+	next  int64
+}
+
+// startDaemon returns a daemon whose log has a renewal and the given records.
+func startDaemon(t *testing.T, records ...control.Record) *startedDaemon {
+	t.Helper()
+	clock := &steppedClock{now: time.Unix(1000, 0)}
+	d := &startedDaemon{C: qt.New(t), Store: control.NewStore(leaselog.Holder{Daemon: "a"}, clock).WithoutTables(), clock: clock, next: 1}
+	for _, r := range append([]control.Record{{Renewal: true}}, records...) {
+		d.fold(r)
+	}
+	d.fold(control.Record{Renewal: true})
+	d.fold(control.Record{Renewal: true})
+	d.MarkRead(clock.now)
+	return d
+}
+
+// fold folds the next record of the log.
+func (d *startedDaemon) fold(r control.Record) {
+	payload, err := control.Encode(r.WithWriter(leaselog.Holder{Daemon: "b", Incarnation: "1"}, d.next))
+	d.Assert(err, qt.IsNil)
+	d.Apply(azurehitch.Record{Offset: d.next, Payload: payload}, d.clock.now)
+	d.next++
+}
+
+// assertDue checks whether a snapshot is due some time after the start, for an interval of 7 s.
+func (d *startedDaemon) assertDue(after time.Duration, rank int, want bool) {
+	d.Helper()
+	d.clock.now = time.Unix(1000, 0).Add(after)
+	d.fold(control.Record{Renewal: true})
+	d.fold(control.Record{Renewal: true})
+	d.MarkRead(d.clock.now)
+	d.Assert(d.SnapshotDue(1000, 7*time.Second, rank), qt.Equals, want, qt.Commentf("%v after the start", after))
+}
+
+// TestSnapshotOfDaemonThatStartsAgainAndAgain guards against daemons that put off their next snapshot by each
+// restart until the log has deleted the last one: none of them can fold the log any more.
+func TestSnapshotOfDaemonThatStartsAgainAndAgain(t *testing.T) {
+	snapshot := func(d *startedDaemon) control.Record {
+		s := d.Snapshot()
+		return control.Record{Snapshot: &s}
+	}
+	t.Run("without a snapshot, one is due soon", func(t *testing.T) {
+		d := startDaemon(t)
+		d.assertDue(time.Second, 0, false)
+		d.assertDue(2*time.Second, 0, true)
+		d.assertDue(3*time.Second, 1, false)
+		d.assertDue(4*time.Second, 1, true)
+	})
+	t.Run("the age of a snapshot from before the start is not known", func(t *testing.T) {
+		d := startDaemon(t, control.Record{Snapshot: &control.Snapshot{FoldedTo: 1}})
+		d.assertDue(time.Second, 0, false)
+		d.assertDue(2*time.Second, 0, true)
+	})
+	t.Run("a later one counts", func(t *testing.T) {
+		d := startDaemon(t)
+		d.assertDue(2*time.Second, 0, true)
+		d.fold(snapshot(d))
+		d.assertDue(8*time.Second, 0, false)
+		d.assertDue(9*time.Second, 0, true)
+	})
+	t.Run("a daemon of a high rank waits no longer than its interval", func(t *testing.T) {
+		d := startDaemon(t)
+		d.assertDue(7*time.Second, 8, false)
+		d.assertDue(14*time.Second, 8, true)
+	})
+}
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -52,9 +52,12 @@
 	// pendingResolutions resolve the open intents of this daemon whose orders were never sent.
 	pendingResolutions []leaselog.Resolution
 	lastSnapshotOffset int64
-	lastSnapshotAt     time.Time
-	// readAt is when the log was last read successfully.
-	readAt time.Time
+	// lastSnapshotAt is when the last snapshot was read that was appended after this daemon started; zero
+	// without one.
+	lastSnapshotAt time.Time
+	// readAt is when the log was last read successfully, and firstReadAt when it was first.
+	readAt      time.Time
+	firstReadAt time.Time
 	// logEra is the era of the log that foldedTo is an offset of.
 	logEra int64
 	// sentInEarlierEras is the highest sequence number of a record that this daemon has sent in an earlier
@@ -69,16 +72,14 @@
 
 // NewStore returns a store that has folded no records yet.
 func NewStore(self leaselog.Holder, clock azurehitch.Clock) *Store {
-	now := clock.Now()
 	return &Store{
-		self:           self,
-		clock:          clock,
-		leases:         leaselog.NewManager(self, leaselog.NewFold(), now),
-		changed:        make(chan struct{}),
-		pending:        follow.NewPendingVerdicts[Verdict](),
-		readTables:     configlog.State.Configuration,
-		histories:      map[string]PoolHistory{},
-		lastSnapshotAt: now,
+		self:       self,
+		clock:      clock,
+		leases:     leaselog.NewManager(self, leaselog.NewFold(), clock.Now()),
+		changed:    make(chan struct{}),
+		pending:    follow.NewPendingVerdicts[Verdict](),
+		readTables: configlog.State.Configuration,
+		histories:  map[string]PoolHistory{},
 	}
 }
 
@@ -277,4 +278,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readAt = readAt
+	if s.firstReadAt.IsZero() {
+		s.firstReadAt = readAt
+	}
 }
