--- a/internal/forward/passthrough/endless_test.go
+++ b/internal/forward/passthrough/endless_test.go
@@ -6,13 +6,13 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/proof/liveheap"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
@@ -194,12 +194,12 @@
 			route.Timeout = 5 * time.Second
 			withGateway(t, route, backends, func(g *gateway) {
 				ctx, cancel := context.WithCancel(context.Background())
-				var peak atomic.Uint64
+				var peak atomic.Int64
 				var group errgroup.Group
-				before := liveHeap()
+				before := liveheap.Size()
 				group.Go(func() error {
 					for (azurehitch.SystemClock{}).Sleep(ctx, 20*time.Millisecond) == nil {
-						peak.Store(max(peak.Load(), liveHeap()))
+						peak.Store(max(peak.Load(), liveheap.Size()))
 					}
 					return nil
 				})
@@ -213,17 +213,9 @@
 				g.Assert(callers.Wait(), qt.IsNil)
 				cancel()
 				g.Assert(group.Wait(), qt.IsNil)
-				grown := int64(peak.Load()) - int64(before)
+				grown := peak.Load() - before
 				g.Assert(grown < answerMemory+overhead, qt.IsTrue, qt.Commentf("heap grew by %d bytes", grown))
 			})
 		})
 	}
 }
-
-// liveHeap returns the size of the heap after a garbage collection, in bytes.
-func liveHeap() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/internal/peer/mux/endless_test.go
+++ b/internal/peer/mux/endless_test.go
@@ -7,13 +7,13 @@
 	"io"
 	"math"
 	"net"
-	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"azurehitch"
 	"azurehitch/internal/peer/mux"
+	"azurehitch/internal/proof/liveheap"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/yamux"
@@ -116,7 +116,7 @@
 			p := startFaultyPeer(c, serve)
 			client := mux.NewClient("daemon-1").WithMaxMessage(maxAnswer)
 			defer client.Close()
-			before := liveHeap()
+			before := liveheap.Size()
 			var calls errgroup.Group
 			for range endlessCalls {
 				calls.Go(func() error {
@@ -136,18 +136,10 @@
 
 // peakHeapFor returns the largest size of the heap within a period.
 func peakHeapFor(c *qt.C, period time.Duration) int64 {
-	peak := liveHeap()
+	peak := liveheap.Size()
 	for end := time.Now().Add(period); time.Now().Before(end); {
 		c.Assert(azurehitch.SystemClock{}.Sleep(c.Context(), 10*time.Millisecond), qt.IsNil)
-		peak = max(peak, liveHeap())
+		peak = max(peak, liveheap.Size())
 	}
 	return peak
 }
-
-// liveHeap returns the size of the heap after a garbage collection, in bytes.
-func liveHeap() int64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
--- a/internal/transport/tunnelpeer/endless_test.go
+++ b/internal/transport/tunnelpeer/endless_test.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"net"
-	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/proof/liveheap"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -37,26 +37,18 @@
 	})
 	d := startDaemon(c, "a", tunnels)
 	client := newClient(d)
-	before := liveHeap()
+	before := liveheap.Size()
 	for range tunnels {
 		conn := dial(c, client, address)
 		// A tunnel opens when the first bytes of a request are written.
 		_, err := conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 		c.Assert(err, qt.IsNil)
 	}
-	peak := uint64(0)
+	peak := before
 	for end := time.Now().Add(playFor); time.Now().Before(end); {
-		peak = max(peak, liveHeap())
+		peak = max(peak, liveheap.Size())
 		c.Assert(azurehitch.SystemClock{}.Sleep(t.Context(), 50*time.Millisecond), qt.IsNil)
 	}
 	c.Assert(sent.Load() > memory, qt.IsTrue, qt.Commentf("only %d bytes sent", sent.Load()))
-	c.Assert(int64(peak)-int64(before) < memory, qt.IsTrue, qt.Commentf("heap grew by %d bytes", int64(peak)-int64(before)))
-}
-
-// liveHeap returns the size of the heap after a garbage collection, in bytes.
-func liveHeap() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
+	c.Assert(peak-before < memory, qt.IsTrue, qt.Commentf("heap grew by %d bytes", peak-before))
 }
