--- a/internal/oplog/compacted/silence_test.go
+++ b/internal/oplog/compacted/silence_test.go
@@ -1,8 +1,8 @@
 //go:build !race || !arm64
 
 // This test crashes the race detector of Go 1.26 itself on arm64 (a segmentation violation in
-// __tsan::TraceSwitchPart, when a timer of a synctest bubble fires), without a reported race. On that
-// machine it runs in the second step of make test, without the race detector.
+// __tsan::TraceSwitchPart, when a timer of a synctest bubble fires), without a reported race. There
+// it runs in the second step of make test, without the race detector.
 
 package compacted_test
 
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -69,7 +69,7 @@
 	// endsCalm is set if callers send no more requests after the last action: their load comes near the
 	// capacity of the servers, so that rare models can't be loaded beside it.
 	endsCalm bool
-	// callersWait is set if callers wait before they take up a stream.
+	// callersWait is set if callers wait before they take up a stream. Some must do so in the run.
 	callersWait bool
 	// otherBinary is the program of an earlier build, which daemons run in turn with this one; empty for none.
 	otherBinary string
--- a/internal/proof/soak/softwareversion_test.go
+++ b/internal/proof/soak/softwareversion_test.go
@@ -203,6 +203,19 @@
 	return fmt.Sprintf("%d of %d taken up again, %d of %d new", resumed.began, resumed.total, begun.began, begun.total)
 }
 
+// takenUp returns how many requests that take up a stream have ended.
+func (c *checker) takenUp() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, r := range c.records {
+		if r.ended && r.exchange.LastEvent > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // unlistedTime is how long the servers of a version are missing from the list before all daemons are killed.
 const unlistedTime = 250 * time.Millisecond
 
