--- a/internal/oplog/control/era.go
+++ b/internal/oplog/control/era.go
@@ -30,7 +30,7 @@
 	s.histories = map[string]PoolHistory{}
 	s.pendingResolutions = nil
 	s.sentInEarlierEras = s.lastSent
-	s.lastSnapshotOffset, s.lastSnapshotAt = 0, readAt
+	s.lastSnapshotOffset, s.lastSnapshotAt, s.firstReadAt = 0, time.Time{}, time.Time{}
 	s.notify()
 }
 
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -93,7 +93,7 @@
 func (s *Store) SnapshotDue(records int64, interval time.Duration, rank int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.foldedTo == 0 {
+	if s.foldedTo == 0 || s.firstReadAt.IsZero() {
 		return false
 	}
 	const rankDivisor = 8
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -52,10 +52,10 @@
 	// pendingResolutions resolve the open intents of this daemon whose orders were never sent.
 	pendingResolutions []leaselog.Resolution
 	lastSnapshotOffset int64
-	// lastSnapshotAt is when the last snapshot was read that was appended after this daemon started; zero
-	// without one.
+	// lastSnapshotAt is when the last snapshot was read that was appended after this daemon started, or
+	// entered the era; zero without one.
 	lastSnapshotAt time.Time
-	// readAt is when the log was last read successfully, and firstReadAt when it was first.
+	// readAt is when the log was last read successfully, and firstReadAt when it was first in this era.
 	readAt      time.Time
 	firstReadAt time.Time
 	// logEra is the era of the log that foldedTo is an offset of.
