--- a/internal/daemon/gateway/streams.go
+++ b/internal/daemon/gateway/streams.go
@@ -88,9 +88,11 @@
 	if _, ok := mixedSince[service]; !ok {
 		mixedSince[service] = now
 	}
-	self, other := d.members.ListsMixed(service)
+	if self, other := d.members.ListsMixed(service); self || other {
+		return self
+	}
 	turn := time.Duration(daemonrank.Index(service, d.settings.Name, d.members.Names())) * mixedStagger
-	return self || !other && now.Sub(mixedSince[service]) >= turn
+	return now.Sub(mixedSince[service]) >= turn
 }
 
 // wasMixed reports whether a service may have had servers of several software versions before this daemon
--- a/internal/oplog/control/era.go
+++ b/internal/oplog/control/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"azurehitch"
@@ -14,8 +15,12 @@
 // ErrNoBatches is returned by StartEra if the log can't append several records at once.
 var ErrNoBatches = errors.New("the log appends single records only")
 
-// maxGapBatch limits the records of one append. If a longer gap is needed, EraStart is due again.
-const maxGapBatch = 1 << 16
+const (
+	// maxGapBatch limits the records of one append. If a longer gap is needed, EraStart is due again.
+	maxGapBatch = 1 << 16
+	// eraStartTimeout limits the append of an EraStart.
+	eraStartTimeout = 2 * time.Second
+)
 
 // EnterEra implements follow.Fold. It gives up the state that was folded in earlier eras. The last tables stay
 // in force for this daemon until it has read tables of the new era.
@@ -23,8 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.logEra = batch.Era
-	isEmpty := s.foldedTo == 0 && batch.Next == 1
-	s.leases.EnterEra(batch.Era, s.foldedTo, isEmpty, readAt)
+	s.leases.EnterEra(batch.Era, s.foldedTo, batch.Next == 1, readAt)
 	s.foldedTo = 0
 	s.state = configlog.State{}
 	s.histories = map[string]PoolHistory{}
@@ -57,16 +61,10 @@
 	if err != nil {
 		return err
 	}
-	payloads := make([][]byte, 0, start.Gap+1)
-	for range min(start.Gap, maxGapBatch) {
-		payloads = append(payloads, filler)
-	}
+	payloads := slices.Repeat([][]byte{filler}, int(min(start.Gap, maxGapBatch)))
 	ctx, cancel := context.WithTimeout(ctx, eraStartTimeout)
 	defer cancel()
 	_, err = batches.AppendBatch(ctx, w.stream, append(payloads, last))
 	w.observer.LogAppended(err)
 	return err
 }
-
-// eraStartTimeout limits the append of an EraStart.
-const eraStartTimeout = 2 * time.Second
