Logs and explain lead from an order to the claim behind it and show folds that differ

What was missing: the users' record of two daemons that order one server has no line on a lease, and none of ours led from an order (server, token) to the claim, its era and the state that the daemon had folded, so that the hypotheses of docs/incidents/two-holders-of-one-lease.md could not be told apart.

The lines are as rare as handovers, plus one for eight records.

Tests: TestObserver (control), TestLeases (explain). No decision is changed.

--- a/cmd/azurehitch/cmds/explain.go
+++ b/cmd/azurehitch/cmds/explain.go
@@ -14,6 +14,7 @@
 const (
 	flagRequest = "request"
 	flagWindow  = "window"
+	flagLeases  = "leases"
 )
 
 func newExplainCommand() *cli.Command {
@@ -23,9 +24,11 @@
 		ArgsUsage: "[FILE...]",
 		Description: `Reads the logs of any number of hosts, from files or from the standard input, and
 prints how many requests of each route were late, refused or failed, by cause. With
---request, it prints every line that names one request instead.`,
+--request, it prints every line that names one request or server instead, and with --leases
+who held which lease under which token, and where the daemons disagree.`,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagRequest, Usage: "print every line that names the request with this `ID`"},
+			&cli.StringFlag{Name: flagRequest, Usage: "print every line that names the request or server with this `ID`"},
+			&cli.BoolFlag{Name: flagLeases, Usage: "print the claims and releases of leases, with what each daemon made of them"},
 			&cli.DurationFlag{Name: flagWindow, Usage: "print what became of the requests of each `SPAN` of time instead of routes"},
 		},
 		Action: runExplain,
@@ -41,6 +44,9 @@
 	if id := cmd.String(flagRequest); id != "" {
 		return explain.WriteRequest(out, log, id)
 	}
+	if cmd.Bool(flagLeases) {
+		return explain.WriteLeases(out, log)
+	}
 	if span := cmd.Duration(flagWindow); span > 0 {
 		return explain.WriteWindows(out, log, max(span, time.Millisecond))
 	}
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -166,7 +166,7 @@
 }
 
 func (d *Daemon) assembleState() {
-	d.store = control.NewStore(d.self, d.LeaseClock).WithoutTables()
+	d.store = control.NewStore(d.self, d.LeaseClock).WithoutTables().WithObserver(d.observer)
 	d.writer = control.NewWriter(d.Log, controlStream, d.store, d.observer)
 	d.follower = follow.NewFollower(d.breakerLog, controlStream, d.store, d.LeaseClock, d.observer).DelayReadsWhile(d.canDelayLeaseReads)
 	d.routing = routing.NewFold(d.Platform.Routing, d.observer)
--- a/internal/daemon/observe/observer.go
+++ b/internal/daemon/observe/observer.go
@@ -8,9 +8,11 @@
 package observe
 
 import (
+	"strconv"
 	"sync"
 
 	"azurehitch/internal/lease/leaselog"
+	"azurehitch/internal/oplog/control"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 )
@@ -92,6 +94,27 @@
 		Bool("First", start.IsFirst).Err(err).Msg("era started: leases of earlier eras are not valid")
 }
 
+// LeaseFolded implements control.Observer.
+func (o *Observer) LeaseFolded(event control.LeaseEvent) {
+	o.Logs.Layer(logging.LayerLease).Info().Str("Event", string(event.Kind)).Str("Service", event.Pool).
+		Str("Holder", event.Writer.Daemon).Str("Incarnation", event.Writer.Incarnation).Int64("Era", event.Position.Era).
+		Int64("Offset", event.Position.Offset).Int64("Seen", event.Seen).Str("HolderBefore", event.Before.Holder.Daemon).
+		Int64("TokenBefore", event.Before.Token).Int64("LastOffset", event.Before.LastOffset).Msg("lease record folded")
+}
+
+// FoldDigested implements control.Observer.
+func (o *Observer) FoldDigested(at control.Position, digest uint64) {
+	o.Logs.Layer(logging.LayerLease).Info().Int64("Era", at.Era).Int64("Offset", at.Offset).
+		Str("Digest", strconv.FormatUint(digest, 16)).Msg("fold of the leases")
+}
+
+// FoldReplaced implements control.Observer.
+func (o *Observer) FoldReplaced(at control.Position, source control.FoldSource) {
+	o.Metrics.AddLabeled(metrics.FoldsReplaced, string(source), 1)
+	o.Logs.Layer(logging.LayerLease).Warn().Int64("Era", at.Era).Int64("Offset", at.Offset).Str("Source", string(source)).
+		Msg("leases are folded from here on")
+}
+
 // LeasesRenewed implements leaserunner.Counters.
 func (o *Observer) LeasesRenewed() { o.Metrics.Add(metrics.LeaseRenewals, 1) }
 
--- a/internal/oplog/control/era.go
+++ b/internal/oplog/control/era.go
@@ -28,13 +28,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.logEra = batch.Era
-	s.leases.EnterEra(batch.Era, s.foldedTo, batch.Next == 1, readAt)
+	before := s.foldedTo
+	s.leases.EnterEra(batch.Era, before, batch.Next == 1, readAt)
 	s.foldedTo = 0
 	s.state = configlog.State{}
 	s.histories = map[string]PoolHistory{}
 	s.pendingResolutions = nil
 	s.sentInEarlierEras = s.lastSent
 	s.lastSnapshotOffset, s.lastSnapshotAt, s.firstReadAt = 0, time.Time{}, time.Time{}
+	if before > 0 {
+		s.observer.FoldReplaced(s.position(), FoldFromNewEra)
+	}
 	s.notify()
 }
 
--- a/internal/oplog/control/fold.go
+++ b/internal/oplog/control/fold.go
@@ -22,7 +22,9 @@
 		s.damaged++
 		return
 	}
+	before := s.leaseBefore(record)
 	verdict := Verdict{Offset: raw.Offset, Err: s.fold(raw.Offset, record, readAt)}
+	s.observeRecord(record, before, verdict.Err)
 	if record.Writer == s.self {
 		s.deliver(record, verdict)
 	}
--- a/internal/oplog/control/record.go
+++ b/internal/oplog/control/record.go
@@ -47,6 +47,9 @@
 	return r
 }
 
+// isFiller reports whether the record is one of the gap before an EraStart.
+func (r Record) isFiller() bool { return r.Writer == leaselog.Holder{} }
+
 // PoolHistory is the usage history that the holder of a pool records for later holders.
 type PoolHistory struct {
 	Pool string
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -115,16 +115,25 @@
 		return nil
 	}
 	if snapshot := newestSnapshot(batch); snapshot != nil {
-		s.Restore(*snapshot)
+		s.restoreFrom(*snapshot, FoldFromSnapshot)
 		return nil
 	}
 	if s.leasesOnly && len(batch.Records) == 0 {
-		s.Restore(Snapshot{FoldedTo: batch.First - 1})
+		s.restoreFrom(Snapshot{FoldedTo: batch.First - 1}, FoldFromNothing)
 		return nil
 	}
 	return &ErrSnapshotMissing{FoldedTo: s.FoldedTo(), OldestOffset: batch.First}
 }
 
+// restoreFrom restores a snapshot and notifies the observer.
+func (s *Store) restoreFrom(snapshot Snapshot, source FoldSource) {
+	if s.Restore(snapshot) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.observer.FoldReplaced(s.position(), source)
+	}
+}
+
 // newestSnapshot returns the last snapshot in a batch that covers the deleted records before it, or nil. It
 // leaves out snapshots of earlier eras that were appended late: their offsets are not those of the batch.
 func newestSnapshot(batch azurehitch.Batch) *Snapshot {
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -68,6 +68,7 @@
 	damaged int
 	// leasesOnly is true if the stream contains no tables.
 	leasesOnly bool
+	observer   Observer
 }
 
 // NewStore returns a store that has folded no records yet.
@@ -80,6 +81,7 @@
 		pending:    follow.NewPendingVerdicts[Verdict](),
 		readTables: configlog.State.Configuration,
 		histories:  map[string]PoolHistory{},
+		observer:   noObserver{},
 	}
 }
 
--- a/internal/telemetry/explain/explain.go
+++ b/internal/telemetry/explain/explain.go
@@ -6,6 +6,7 @@
 //	lines, err := explain.Read(file)
 //	explain.WriteCauses(os.Stdout, explain.Causes(lines))
 //	explain.WriteRequest(os.Stdout, lines, "9c41d07be2a35f68")
+//	explain.WriteLeases(os.Stdout, lines)
 //
 // The logs of all hosts may be in one file or in several, in any order, and each line may have a
 // prefix before its JSON. Lines that are not log lines are skipped and counted.
@@ -49,6 +50,8 @@
 	// Attempts describes the attempts at servers, separated by "; ".
 	Attempts string
 
+	LeaseLine
+
 	// text is the JSON of the line as it was read.
 	text []byte
 }
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -80,6 +80,9 @@
 	StoreReadErrors Name = "StoreReadErrors"
 	// LogEras counts the changes of the era of the log, by stream.
 	LogEras Name = "LogEras"
+	// FoldsReplaced counts how often the state of the leases was not built from all records before it, by
+	// its source.
+	FoldsReplaced Name = "FoldsReplaced"
 	// RetriesDenied counts the retries that the retry budget did not allow, by service.
 	RetriesDenied   Name = "RetriesDenied"
 	LogLinesDropped Name = "LogLinesDropped"
