--- a/internal/oplog/control/observer.go
+++ b/internal/oplog/control/observer.go
@@ -20,6 +20,7 @@
 	LeaseClaimRejected LeaseEventKind = "ClaimRejected"
 	LeaseReleased      LeaseEventKind = "Released"
 	LeaseEraStarted    LeaseEventKind = "EraStarted"
+	LeaseEraIgnored    LeaseEventKind = "EraStartIgnored"
 )
 
 // LeaseEvent is a record that was folded and concerns the holder of leases.
@@ -28,7 +29,7 @@
 	// Position is that of the record. The offset of an accepted claim is the token of its lease.
 	Position Position
 	Writer   leaselog.Holder
-	// Pool is empty for LeaseEraStarted, which concerns all pools.
+	// Pool is empty for the start of an era, which concerns all pools.
 	Pool string
 	// Seen is the offset that a claim names, and Before the lease before the record.
 	Seen   int64
@@ -100,6 +101,8 @@
 		event.Kind = LeaseReleased
 	case r.EraStart != nil && err == nil:
 		event.Kind = LeaseEraStarted
+	case r.EraStart != nil:
+		event.Kind = LeaseEraIgnored
 	}
 	if event.Kind != "" {
 		s.observer.LeaseFolded(event)
