Leases: daemons agree to start over after the log dropped its history

Cause: a daemon that found no record in the log of the leases took it that all leases had expired, and began with no lease. The log may drop its history at once, while a holder renews its lease each second. From then on two folds of one log differ for good: the daemon that started claims naming no record, all others reject that claim, and each side holds the lease. Class: a state derived from what is missing, by one daemon alone.

If the log gets no record until all leases have expired, a daemon appends an EraStart with StartsOver: all folds, also those that had folded more, begin at that record without leases. It names the last record that its writer has read, and counts only directly behind it, so that a renewal that comes in between voids it. Claims of pools without a lease then name that record, so that a claim sent before it is rejected.

--- a/internal/lease/leaselog/era.go
+++ b/internal/lease/leaselog/era.go
@@ -15,6 +15,10 @@
 	Gap int64
 	// IsFirst is true in the first era of a log that had no records. No earlier era has given out offsets.
 	IsFirst bool
+	// StartsOver is true if all folds start over at this record, without leases, because the log has dropped
+	// records and holds no snapshot. Above is then the offset of the last record before the gap that its writer has
+	// read. If others came in between, the record has no effect.
+	StartsOver bool
 }
 
 const (
@@ -40,6 +44,9 @@
 // StartEra applies an EraStart and reports whether it was accepted: it begins a later era, or the last one
 // had left tokens below an offset of an earlier era.
 func (f *Fold) StartEra(offset int64, start EraStart) bool {
+	if start.StartsOver {
+		return f.startOver(offset, start)
+	}
 	raisesTokens := start.Era == f.era && start.Above > f.eraStartedAt
 	if start.Era <= f.era && !raisesTokens {
 		return false
@@ -72,6 +79,7 @@
 		era: era, since: now, above: max(m.era.above, foldedTo),
 		isFirst: era == firstEra && isEmpty && foldedTo == 0,
 	}
+	m.LeaveGap()
 	m.Reset(NewFold(), now)
 }
 
--- a/internal/lease/leaselog/fold.go
+++ b/internal/lease/leaselog/fold.go
@@ -57,8 +57,8 @@
 // Claim requests the lease of a pool.
 type Claim struct {
 	Pool string
-	// Seen is the offset of the last record of this lease that the claimer has read; 0 if the
-	// claimer has read none.
+	// Seen is the offset of the last record of this lease that the claimer has read. If the claimer has read
+	// none, it is Fold.StartedOver.
 	Seen int64
 	// Era is the era of the log that Seen is an offset of; 0 if the claimer knows none.
 	Era      int64
@@ -128,6 +128,8 @@
 	// era of all.
 	era          int64
 	eraStartedAt int64
+	// startedOver is the offset at which all folds last started over; 0 if they never did.
+	startedOver int64
 }
 
 // NewFold returns an empty fold, the state before the first record.
@@ -147,8 +149,13 @@
 	return f
 }
 
-// Lease returns the lease of a pool; the zero value if there never was one.
-func (f *Fold) Lease(pool string) Lease { return f.leases[pool] }
+// Lease returns the lease of a pool. If there was none since the fold last started over, only LastOffset may be set.
+func (f *Fold) Lease(pool string) Lease {
+	if lease, ok := f.leases[pool]; ok {
+		return lease
+	}
+	return Lease{LastOffset: f.startedOver}
+}
 
 // Leases returns all leases, sorted by pool.
 func (f *Fold) Leases() []Lease {
@@ -179,7 +186,7 @@
 	if claim.Era != 0 && claim.Era < f.era {
 		return false
 	}
-	if f.leases[claim.Pool].LastOffset != claim.Seen && !sabotage.Active(sabotage.SkipSeenCheck) {
+	if f.Lease(claim.Pool).LastOffset != claim.Seen && !sabotage.Active(sabotage.SkipSeenCheck) {
 		return false
 	}
 	f.leases[claim.Pool] = Lease{
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -104,6 +104,7 @@
 	rebalanceWaitFrom time.Time
 	era               eraState
 	raise             raise
+	gap               gap
 }
 
 // NewManager returns the manager of a daemon that starts from a fold. The leases in the fold count
@@ -233,6 +234,9 @@
 
 // Decide returns the records that the daemon should append now.
 func (m *Manager) Decide(now time.Time, environment Environment) []Action {
+	if m.gap.isOpen {
+		return m.closeGap(now, environment)
+	}
 	var actions []Action
 	if m.renewalDue(now) {
 		m.lastRenewalAt = now
@@ -263,6 +267,17 @@
 	return actions
 }
 
+// closeGap returns the record that closes the gap of the log, if it is due.
+func (m *Manager) closeGap(now time.Time, environment Environment) []Action {
+	if environment.Draining {
+		return nil
+	}
+	if start := m.startOverDue(now, environment); start != nil {
+		return []Action{{EraStart: start}}
+	}
+	return nil
+}
+
 // releasesDue returns the releases of pools that no longer need a holder or whose servers this daemon
 // can't reach, and releases that must be sent again because an earlier one was not read back.
 func (m *Manager) releasesDue(now time.Time, environment Environment) []Action {
--- a/internal/oplog/control/conversions.go
+++ b/internal/oplog/control/conversions.go
@@ -27,6 +27,7 @@
 	case r.EraStart != nil:
 		message.Kind = &recordpb.Record_EraStart{EraStart: &recordpb.EraStart{
 			Era: r.EraStart.Era, Above: r.EraStart.Above, Gap: r.EraStart.Gap, First: r.EraStart.IsFirst,
+			StartsOver: r.EraStart.StartsOver,
 		}}
 	case r.Publication != nil:
 		message.Kind = &recordpb.Record_Publication{Publication: publicationToProto(*r.Publication)}
@@ -77,6 +78,7 @@
 	case *recordpb.Record_EraStart:
 		r.EraStart = &leaselog.EraStart{
 			Era: kind.EraStart.Era, Above: kind.EraStart.Above, Gap: kind.EraStart.Gap, IsFirst: kind.EraStart.First,
+			StartsOver: kind.EraStart.StartsOver,
 		}
 	case *recordpb.Record_Publication:
 		publication := publicationFromProto(kind.Publication)
@@ -264,6 +266,7 @@
 		LogEra:               s.LogEra,
 		Era:                  s.Era,
 		EraStartedAt:         s.EraStartedAt,
+		StartedOver:          s.StartedOver,
 		ConfigurationVersion: s.Configuration.Version,
 		ConfigurationAuthor:  s.Configuration.Author,
 		ConfigurationGzip:    compressed,
@@ -293,6 +296,7 @@
 		LogEra:       s.GetLogEra(),
 		Era:          s.GetEra(),
 		EraStartedAt: s.GetEraStartedAt(),
+		StartedOver:  s.GetStartedOver(),
 		Configuration: configlog.State{
 			Version: s.GetConfigurationVersion(), Author: s.GetConfigurationAuthor(), Entries: entries,
 			Retired: retiredFromProto(s.GetRetired()),
--- a/internal/oplog/control/fold.go
+++ b/internal/oplog/control/fold.go
@@ -36,7 +36,7 @@
 func (s *Store) fold(offset int64, r Record, readAt time.Time) error {
 	switch {
 	case r.EraStart != nil:
-		return supersededUnless(s.leases.Fold().StartEra(offset, *r.EraStart))
+		return supersededUnless(s.startEra(offset, *r.EraStart, readAt))
 	case r.Publication != nil:
 		return s.applyPublication(offset, *r.Publication)
 	case r.Claim != nil:
@@ -59,6 +59,15 @@
 	return nil
 }
 
+// startEra applies an EraStart and reports whether it was accepted. The histories start over with the leases.
+func (s *Store) startEra(offset int64, start leaselog.EraStart, readAt time.Time) bool {
+	era, _ := s.leases.Fold().Era()
+	if s.leasesOnly && start.IsStartOver(offset, era) {
+		s.histories = map[string]PoolHistory{}
+	}
+	return s.leases.OnEraStart(offset, start, readAt)
+}
+
 func supersededUnless(accepted bool) error {
 	if accepted {
 		return nil
--- a/internal/oplog/control/observer.go
+++ b/internal/oplog/control/observer.go
@@ -49,9 +49,9 @@
 // The sources of folds.
 const (
 	FoldFromSnapshot FoldSource = "Snapshot"
-	// FoldFromNothing is the source of an empty fold: the log has dropped all records.
-	FoldFromNothing FoldSource = "Nothing"
-	FoldFromNewEra  FoldSource = "NewEra"
+	// FoldFromStartOver is the source of a fold that starts over together with those of all daemons.
+	FoldFromStartOver FoldSource = "StartOver"
+	FoldFromNewEra    FoldSource = "NewEra"
 )
 
 // Observer is notified of what a store folds, so that an order can be traced to the claim behind it, and folds
@@ -134,6 +134,7 @@
 	era, startedAt := fold.Era()
 	number(era)
 	number(startedAt)
+	number(fold.StartedOver())
 	for _, l := range fold.Leases() {
 		text(l.Pool)
 		text(l.Holder.Daemon)
--- a/internal/oplog/control/record.go
+++ b/internal/oplog/control/record.go
@@ -65,8 +65,10 @@
 	// LogEra is the era of the log that FoldedTo is an offset of.
 	LogEra int64
 	// Era is the era of the last EraStart, and EraStartedAt the offset that tokens of valid leases exceed.
-	Era           int64
-	EraStartedAt  int64
+	Era          int64
+	EraStartedAt int64
+	// StartedOver is the offset at which all folds last started over.
+	StartedOver   int64
 	Configuration configlog.State
 	Leases        []leaselog.Lease
 	Intents       []leaselog.Intent
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -15,6 +15,8 @@
 	catchUpTime = time.Second
 	// firstSnapshotDelay is the time per rank from the first read of a daemon to its first snapshot.
 	firstSnapshotDelay = 2 * time.Second
+	// droppedSnapshotDelay is the time per rank until a daemon replaces a snapshot that the log has dropped.
+	droppedSnapshotDelay = 500 * time.Millisecond
 )
 
 // ErrSnapshotMissing is returned when the state can't be folded from the log: retention has deleted
@@ -41,6 +43,7 @@
 		LogEra:        s.logEra,
 		Era:           era,
 		EraStartedAt:  startedAt,
+		StartedOver:   s.leases.Fold().StartedOver(),
 		Configuration: s.state,
 		Leases:        s.leases.Fold().Leases(),
 		Intents:       s.leases.Fold().Intents(),
@@ -71,7 +74,8 @@
 	for _, h := range snapshot.Histories {
 		s.histories[h.Pool] = h
 	}
-	s.leases.Reset(leaselog.Restore(snapshot.Leases, snapshot.Intents).WithEra(snapshot.Era, snapshot.EraStartedAt), s.clock.Now())
+	fold := leaselog.Restore(snapshot.Leases, snapshot.Intents).WithEra(snapshot.Era, snapshot.EraStartedAt).WithStartedOver(snapshot.StartedOver)
+	s.leases.Reset(fold, s.clock.Now())
 	s.notify()
 	return true
 }
@@ -79,7 +83,7 @@
 // recordSnapshot records that a snapshot was read. One that the log had when this daemon started may be old,
 // and expire soon. The caller holds s.mu.
 func (s *Store) recordSnapshot(offset int64, readAt time.Time) {
-	s.lastSnapshotOffset = offset
+	s.lastSnapshotOffset, s.snapshotDroppedAt = offset, time.Time{}
 	if !s.firstReadAt.IsZero() && readAt.Sub(s.firstReadAt) >= catchUpTime {
 		s.lastSnapshotAt = readAt
 	}
@@ -90,12 +94,16 @@
 // rank of the daemon, so that the daemon of rank 0 appends the snapshot and the others read it
 // before their own is due. After the start of a daemon, the age of the last snapshot is not known, and
 // firstSnapshotDelay takes the place of the interval: daemons that start again and again append snapshots too.
+// A snapshot that the log has dropped before its time is replaced soon.
 func (s *Store) SnapshotDue(records int64, interval time.Duration, rank int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.foldedTo == 0 || s.firstReadAt.IsZero() {
+	if s.foldedTo == 0 || s.firstReadAt.IsZero() || s.leases.InGap() {
 		return false
 	}
+	if !s.snapshotDroppedAt.IsZero() && !s.clock.Now().Before(s.snapshotDroppedAt.Add(droppedSnapshotDelay*time.Duration(rank))) {
+		return true
+	}
 	const rankDivisor = 8
 	records += records * int64(rank) / rankDivisor
 	interval += interval * time.Duration(rank) / rankDivisor
@@ -108,50 +116,71 @@
 }
 
 // HandleGap implements follow.Fold. If the log has deleted the next record to fold, HandleGap
-// restores the newest snapshot in the batch that covers the deleted records. It returns an
-// *ErrSnapshotMissing if the batch contains no such snapshot.
+// begins with the newest record in the batch that gives the whole state: a snapshot that covers the deleted
+// records, or the start of an era at which all folds start over. It returns an *ErrSnapshotMissing if
+// the batch contains neither.
 func (s *Store) HandleGap(batch azurehitch.Batch) error {
-	if batch.First <= s.FoldedTo()+1 {
+	if s.recordFirst(batch.First) {
 		return nil
 	}
-	if snapshot := newestSnapshot(batch); snapshot != nil {
-		s.restoreFrom(*snapshot, FoldFromSnapshot)
+	if start, source := s.newestStart(batch); start != nil {
+		s.restoreFrom(*start, source)
 		return nil
 	}
-	if s.leasesOnly && len(batch.Records) == 0 {
-		s.restoreFrom(Snapshot{FoldedTo: batch.First - 1}, FoldFromNothing)
-		return nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leasesOnly {
+		s.leases.EnterGap(batch.Next, s.clock.Now())
 	}
-	return &ErrSnapshotMissing{FoldedTo: s.FoldedTo(), OldestOffset: batch.First}
+	return &ErrSnapshotMissing{FoldedTo: s.foldedTo, OldestOffset: batch.First}
 }
 
-// restoreFrom restores a snapshot and notifies the observer.
+// recordFirst records the offset of the oldest record in the log, and reports whether the log has the next record to
+// fold.
+func (s *Store) recordFirst(first int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first > max(s.lastSnapshotOffset, 1) && s.snapshotDroppedAt.IsZero() {
+		s.snapshotDroppedAt = s.clock.Now()
+	}
+	if first > s.foldedTo+1 {
+		return false
+	}
+	s.leases.LeaveGap()
+	return true
+}
+
+// restoreFrom restores a snapshot that closes the gap of the log, and notifies the observer.
 func (s *Store) restoreFrom(snapshot Snapshot, source FoldSource) {
-	if s.Restore(snapshot) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
+	isNew := s.Restore(snapshot)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.LeaveGap()
+	if isNew {
 		s.observer.FoldReplaced(s.position(), source)
 	}
 }
 
-// newestSnapshot returns the last snapshot in a batch that covers the deleted records before it, or nil. It
+// newestStart returns the last state in a batch that covers the deleted records before it, with its source, or nil. It
 // leaves out snapshots of earlier eras that were appended late: their offsets are not those of the batch.
-func newestSnapshot(batch azurehitch.Batch) *Snapshot {
-	var newest *Snapshot
+func (s *Store) newestStart(batch azurehitch.Batch) (newest *Snapshot, source FoldSource) {
 	era := int64(0)
 	for _, raw := range batch.Records {
 		record, err := Decode(raw.Payload)
 		switch {
 		case err != nil:
 		case record.EraStart != nil:
+			if s.leasesOnly && record.EraStart.IsStartOver(raw.Offset, era) {
+				newest, source = &Snapshot{FoldedTo: raw.Offset - 1}, FoldFromStartOver
+			}
 			era = max(era, record.EraStart.Era)
 		case record.Snapshot != nil:
-			s := record.Snapshot
-			isOfEarlierEra := s.FoldedTo >= raw.Offset || s.LogEra != 0 && s.LogEra < era
-			if s.FoldedTo+1 >= batch.First && !isOfEarlierEra {
-				newest = s
+			snapshot := record.Snapshot
+			isOfEarlierEra := snapshot.FoldedTo >= raw.Offset || snapshot.LogEra != 0 && snapshot.LogEra < era
+			if snapshot.FoldedTo+1 >= batch.First && !isOfEarlierEra {
+				newest, source = snapshot, FoldFromSnapshot
 			}
 		}
 	}
-	return newest
+	return newest, source
 }
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -52,6 +52,8 @@
 	// pendingResolutions resolve the open intents of this daemon whose orders were never sent.
 	pendingResolutions []leaselog.Resolution
 	lastSnapshotOffset int64
+	// snapshotDroppedAt is when this daemon found that the log has dropped the last snapshot; zero if it hasn't.
+	snapshotDroppedAt time.Time
 	// lastSnapshotAt is when the last snapshot was read that was appended after this daemon started, or
 	// entered the era; zero without one.
 	lastSnapshotAt time.Time
@@ -96,8 +98,8 @@
 }
 
 // WithoutTables declares that the stream contains leases only, and returns the store. It must be
-// called before the first record is folded. If all records of such a stream have expired, so have
-// the leases, and the store starts empty instead of waiting for a snapshot.
+// called before the first record is folded. If the log has dropped records of such a stream and no daemon that
+// has folded them appends a snapshot, the daemons agree to start over without leases.
 func (s *Store) WithoutTables() *Store {
 	s.leasesOnly = true
 	return s
@@ -219,11 +221,12 @@
 	return token, s.leases.IsValid(pool, s.clock.Now().Add(span))
 }
 
-// Decide returns the lease records that this daemon should append now; none before it has read the log.
+// Decide returns the lease records that this daemon should append now; none before it has read the log, except to
+// close a gap of the log.
 func (s *Store) Decide(environment leaselog.Environment) []leaselog.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.readAt.IsZero() {
+	if s.readAt.IsZero() && !s.leases.InGap() {
 		return nil
 	}
 	environment.FoldedTo = s.foldedTo
--- a/internal/standin/platformlog/log.go
+++ b/internal/standin/platformlog/log.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// DropHistory deletes all records.
+func (l *Log) DropHistory() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.streams {
+		s.first, s.records = s.next(), nil
+	}
+}
+
 // Streams returns the number of records ever appended to each stream.
 func (l *Log) Streams() map[string]int64 {
 	l.mu.Lock()
