mux: a message takes at most twice its size while it is read

Cause, shown by TestFrameFillsMemory before the change: 9,574,608 bytes are allocated to read one message of 1,048,576 bytes that decodes as unknown fields. The buffer grew beyond the announced size, and each unknown field was copied into the message, in a slice that grew as well. Fields of other releases are read nowhere.

Change: the buffer grows to the announced size at most, and unknown fields are left out.

--- a/internal/peer/mux/frame.go
+++ b/internal/peer/mux/frame.go
@@ -12,7 +12,6 @@
 package mux
 
 import (
-	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -25,6 +24,8 @@
 const (
 	defaultMaxMessage = azurehitch.ByteSize(16 << 20)
 	frameHeaderBytes  = 4
+	// firstBufferBytes is the size of the buffer before any byte of a message has arrived.
+	firstBufferBytes = 4 << 10
 )
 
 func writeFrame(w io.Writer, message proto.Message) error {
@@ -48,9 +49,27 @@
 	if size > int64(maxMessage) {
 		return errors.Errorf("message of %d bytes is larger than %d", size, int64(maxMessage))
 	}
-	var encoded bytes.Buffer
-	if _, err := io.CopyN(&encoded, r, size); err != nil {
+	encoded, err := readBytes(r, int(size))
+	if err != nil {
 		return errors.Wrap(err, "read message")
 	}
-	return errors.Wrap(proto.Unmarshal(encoded.Bytes(), message), "decode message")
+	// Fields of other releases would be copied into the message.
+	return errors.Wrap(proto.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(encoded, message), "decode message")
+}
+
+// readBytes reads a number of bytes into a buffer that doubles each time that it is full, up to that number.
+func readBytes(r io.Reader, size int) ([]byte, error) {
+	buffer := make([]byte, min(size, firstBufferBytes))
+	for filled := 0; ; {
+		n, err := io.ReadFull(r, buffer[filled:])
+		if err != nil {
+			return nil, err
+		}
+		if filled += n; filled == size {
+			return buffer, nil
+		}
+		grown := make([]byte, min(size, 2*len(buffer)))
+		copy(grown, buffer)
+		buffer = grown
+	}
 }
