--- a/internal/lease/leaselog/era.go
+++ b/internal/lease/leaselog/era.go
@@ -35,6 +35,11 @@
 // exceed.
 func (f *Fold) Era() (era, startedAt int64) { return f.era, f.eraStartedAt }
 
+// StartedAfter reports whether the last EraStart of the fold came after that of another fold.
+func (f *Fold) StartedAfter(era, startedAt int64) bool {
+	return f.era > era || f.era == era && f.eraStartedAt > startedAt
+}
+
 // WithEra sets the era of a fold that is restored from a snapshot, and returns the fold.
 func (f *Fold) WithEra(era, startedAt int64) *Fold {
 	f.era, f.eraStartedAt = era, startedAt
--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -105,6 +105,8 @@
 	era               eraState
 	raise             raise
 	gap               gap
+	// replacedAt is when the fold was last replaced because it differed from that of another daemon.
+	replacedAt time.Time
 }
 
 // NewManager returns the manager of a daemon that starts from a fold. The leases in the fold count
@@ -145,6 +147,13 @@
 	}
 }
 
+// Replace replaces a fold that differed from that of another daemon. Leases of the former fold end here, but
+// daemons that read later may still hold them: this daemon claims none until they have expired.
+func (m *Manager) Replace(fold *Fold, now time.Time) {
+	m.Reset(fold, now)
+	m.replacedAt = now
+}
+
 // Fold returns the leases that the manager has read.
 func (m *Manager) Fold() *Fold { return m.fold }
 
@@ -322,7 +331,7 @@
 	if _, held := m.Token(pool.Name); held {
 		return nil
 	}
-	if m.wasUnreachable(pool.Name, now) {
+	if m.wasUnreachable(pool.Name, now) || now.Before(m.replacedAt.Add(withDrift(pool.Duration))) {
 		return nil
 	}
 	if sent, waiting := m.pendingClaimAt[pool.Name]; waiting && now.Sub(sent) < retryInterval {
--- a/internal/oplog/control/era.go
+++ b/internal/oplog/control/era.go
@@ -35,7 +35,7 @@
 	s.histories = map[string]PoolHistory{}
 	s.pendingResolutions = nil
 	s.sentInEarlierEras = s.lastSent
-	s.lastSnapshotOffset, s.lastSnapshotAt, s.snapshotDroppedAt, s.firstReadAt = 0, time.Time{}, time.Time{}, time.Time{}
+	s.lastSnapshotOffset, s.lastSnapshotAt, s.snapshotMissingSince, s.firstReadAt = 0, time.Time{}, time.Time{}, time.Time{}
 	if before > 0 {
 		s.observer.FoldReplaced(s.position(), FoldFromNewEra)
 	}
--- a/internal/oplog/control/fold.go
+++ b/internal/oplog/control/fold.go
@@ -55,6 +55,7 @@
 		return supersededUnless(s.recordHistory(r.Writer, *r.History))
 	case r.Snapshot != nil:
 		s.recordSnapshot(offset, readAt)
+		s.takeFold(offset, *r.Snapshot, readAt)
 	}
 	return nil
 }
--- a/internal/oplog/control/observer.go
+++ b/internal/oplog/control/observer.go
@@ -52,6 +52,8 @@
 	// FoldFromStartOver is the source of a fold that starts over together with those of all daemons.
 	FoldFromStartOver FoldSource = "StartOver"
 	FoldFromNewEra    FoldSource = "NewEra"
+	// FoldFromOtherDaemon is the source of a fold that differed from that of another daemon at the same offset.
+	FoldFromOtherDaemon FoldSource = "OtherDaemon"
 )
 
 // Observer is notified of what a store folds, so that an order can be traced to the claim behind it, and folds
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -15,8 +15,8 @@
 	catchUpTime = time.Second
 	// firstSnapshotDelay is the time per rank from the first read of a daemon to its first snapshot.
 	firstSnapshotDelay = 2 * time.Second
-	// droppedSnapshotDelay is the time per rank until a daemon replaces a snapshot that the log has dropped.
-	droppedSnapshotDelay = 500 * time.Millisecond
+	// missingSnapshotDelay is the time per rank until a daemon replaces a snapshot before its time.
+	missingSnapshotDelay = 500 * time.Millisecond
 )
 
 // ErrSnapshotMissing is returned when the state can't be folded from the log: retention has deleted
@@ -70,20 +70,47 @@
 	}
 	s.foldedTo = snapshot.FoldedTo
 	s.setConfiguration(snapshot.Configuration)
+	s.setHistories(snapshot.Histories)
+	s.leases.Reset(snapshot.fold(), s.clock.Now())
+	s.notify()
+	return true
+}
+
+func (s *Store) setHistories(histories []PoolHistory) {
 	s.histories = map[string]PoolHistory{}
-	for _, h := range snapshot.Histories {
+	for _, h := range histories {
 		s.histories[h.Pool] = h
 	}
-	fold := leaselog.Restore(snapshot.Leases, snapshot.Intents).WithEra(snapshot.Era, snapshot.EraStartedAt).WithStartedOver(snapshot.StartedOver)
-	s.leases.Reset(fold, s.clock.Now())
-	s.notify()
-	return true
+}
+
+// fold returns the fold of the leases in a snapshot.
+func (s Snapshot) fold() *leaselog.Fold {
+	return leaselog.Restore(s.Leases, s.Intents).WithEra(s.Era, s.EraStartedAt).WithStartedOver(s.StartedOver)
+}
+
+// takeFold replaces the fold of the leases by that of a snapshot at an offset, if they differ at that offset:
+// builds that begin without leases on a log without records leave snapshots of other folds in it. All daemons
+// that read the same snapshot have the same fold again. It has no effect if its writer had not read the last
+// record before it. If its tokens may be lower, another snapshot must replace it. The caller holds s.mu.
+func (s *Store) takeFold(offset int64, snapshot Snapshot, readAt time.Time) {
+	fold := snapshot.fold()
+	isCurrent := snapshot.FoldedTo == offset-1 && snapshot.LogEra == s.logEra
+	if !s.leasesOnly || !isCurrent || digest(fold) == digest(s.leases.Fold()) {
+		return
+	}
+	if s.leases.Fold().StartedAfter(snapshot.Era, snapshot.EraStartedAt) {
+		s.snapshotMissingSince = readAt
+		return
+	}
+	s.setHistories(snapshot.Histories)
+	s.leases.Replace(fold, readAt)
+	s.observer.FoldReplaced(s.position(), FoldFromOtherDaemon)
 }
 
 // recordSnapshot records that a snapshot was read. One that the log had when this daemon started may be old,
 // and expire soon. The caller holds s.mu.
 func (s *Store) recordSnapshot(offset int64, readAt time.Time) {
-	s.lastSnapshotOffset, s.snapshotDroppedAt = offset, time.Time{}
+	s.lastSnapshotOffset, s.snapshotMissingSince = offset, time.Time{}
 	if !s.firstReadAt.IsZero() && readAt.Sub(s.firstReadAt) >= catchUpTime {
 		s.lastSnapshotAt = readAt
 	}
@@ -94,14 +121,14 @@
 // rank of the daemon, so that the daemon of rank 0 appends the snapshot and the others read it
 // before their own is due. After the start of a daemon, the age of the last snapshot is not known, and
 // firstSnapshotDelay takes the place of the interval: daemons that start again and again append snapshots too.
-// A snapshot that the log has dropped before its time is replaced soon.
+// A snapshot that is missing is appended soon.
 func (s *Store) SnapshotDue(records int64, interval time.Duration, rank int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.foldedTo == 0 || s.firstReadAt.IsZero() || s.leases.InGap() {
 		return false
 	}
-	if !s.snapshotDroppedAt.IsZero() && !s.clock.Now().Before(s.snapshotDroppedAt.Add(droppedSnapshotDelay*time.Duration(rank))) {
+	if !s.snapshotMissingSince.IsZero() && !s.clock.Now().Before(s.snapshotMissingSince.Add(missingSnapshotDelay*time.Duration(rank))) {
 		return true
 	}
 	const rankDivisor = 8
@@ -140,8 +167,8 @@
 func (s *Store) recordFirst(first int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if first > max(s.lastSnapshotOffset, 1) && s.snapshotDroppedAt.IsZero() {
-		s.snapshotDroppedAt = s.clock.Now()
+	if first > max(s.lastSnapshotOffset, 1) && s.snapshotMissingSince.IsZero() {
+		s.snapshotMissingSince = s.clock.Now()
 	}
 	if first > s.foldedTo+1 {
 		return false
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -52,8 +52,9 @@
 	// pendingResolutions resolve the open intents of this daemon whose orders were never sent.
 	pendingResolutions []leaselog.Resolution
 	lastSnapshotOffset int64
-	// snapshotDroppedAt is when this daemon found that the log has dropped the last snapshot; zero if it hasn't.
-	snapshotDroppedAt time.Time
+	// snapshotMissingSince is when this daemon found that the log has dropped the last snapshot, or that another fold
+	// replaces the one in it; zero if the log has a snapshot.
+	snapshotMissingSince time.Time
 	// lastSnapshotAt is when the last snapshot was read that was appended after this daemon started, or
 	// entered the era; zero without one.
 	lastSnapshotAt time.Time
