Explain: list the positions at which folds of the leases differ

The differences could be read in a table only; a test that reads the logs of a run needs them as values. FoldDifferences returns the records by which daemons came to different results, and the positions with different digests.

--- a/internal/telemetry/explain/leases.go
+++ b/internal/telemetry/explain/leases.go
@@ -73,6 +73,39 @@
 	return errors.Wrap(table.Flush(), "write leases")
 }
 
+// FoldDifference is a position at which daemons have folded the log to different leases, or came to different results
+// by one record.
+type FoldDifference struct {
+	Era    int64
+	Offset int64
+	// Daemons maps each result to the daemons that came to it, in their order.
+	Daemons map[string][]string
+}
+
+// String implements fmt.Stringer.
+func (d FoldDifference) String() string {
+	text := fmt.Sprintf("era %d, offset %d:", d.Era, d.Offset)
+	for _, view := range slices.Sorted(maps.Keys(d.Daemons)) {
+		text += fmt.Sprintf(" %q by %s;", view, strings.Join(d.Daemons[view], " "))
+	}
+	return strings.TrimSuffix(text, ";")
+}
+
+// FoldDifferences returns the positions at which folds differ, in the order of the log.
+func FoldDifferences(log Log) []FoldDifference {
+	var differences []FoldDifference
+	for _, record := range foldedRecords(log) {
+		if len(record.views) < 2 {
+			continue
+		}
+		for _, daemons := range record.views {
+			slices.Sort(daemons)
+		}
+		differences = append(differences, FoldDifference{Era: record.at.era, Offset: record.at.offset, Daemons: record.views})
+	}
+	return differences
+}
+
 // foldedRecords returns the records that concern leases, and those at which folds with different digests were
 // logged, in the order of the log.
 func foldedRecords(log Log) []foldedRecord {
--- a/internal/telemetry/explain/leases_test.go
+++ b/internal/telemetry/explain/leases_test.go
@@ -52,4 +52,14 @@
 			"15:22:16.100 1 16 FOLDS DIFFER: digest b edge-1", "15:22:16.100 1 16 FOLDS DIFFER: digest c edge-2",
 		})
 	})
+	t.Run("positions at which folds differ", func(t *testing.T) {
+		c := qt.New(t)
+		digest := func(text string) string { return fmt.Sprintf(`"Digest":%q,"message":"fold of the leases"`, text) }
+		log := read(c, folded("edge-1", 6, claimed), folded("edge-2", 6, claimed), folded("edge-2", 7, rejected), folded("edge-3", 7, claimed),
+			folded("edge-1", 7, claimed), folded("edge-1", 8, digest("a")), folded("edge-2", 8, digest("b")))
+		c.Assert(explain.FoldDifferences(log), qt.DeepEquals, []explain.FoldDifference{
+			{Era: 1, Offset: 7, Daemons: map[string][]string{"Claimed": {"edge-1", "edge-3"}, "ClaimRejected: names 0, last 4": {"edge-2"}}},
+			{Era: 1, Offset: 8, Daemons: map[string][]string{"digest a": {"edge-1"}, "digest b": {"edge-2"}}},
+		})
+	})
 }
