Soak: a planned stop after a kill doesn't count as the signal that ended the process

A kill and a planned stop hit one process at the same moment; the later signal was recorded as the one that ended it. A process that was killed can't act on a later signal, so nothing replaces a kill. A kill after a planned stop counts as before, and an error at a planned stop without a kill is a violation as before.

Measured: TestSignalThatEndsProcess red before (terminated instead of killed), green after.

--- a/internal/proof/soak/process_test.go
+++ b/internal/proof/soak/process_test.go
@@ -6,10 +6,12 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"azurehitch/platform/platformtest"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
@@ -157,8 +159,11 @@
 		if p.endSignal == 0 {
 			p.signalledAt = time.Now()
 		}
-		// A later signal, such as a kill, replaces the one that was sent before.
-		if p.endSignal = signal; pause > 0 {
+		// A later kill replaces the signal that was sent before; nothing replaces a kill.
+		if p.endSignal != syscall.SIGKILL {
+			p.endSignal = signal
+		}
+		if pause > 0 {
 			p.pause = pause
 		}
 	}
@@ -180,3 +185,26 @@
 	p.signal(syscall.SIGKILL, 0)
 	return p.group.Wait()
 }
+
+func TestSignalThatEndsProcess(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		sent []syscall.Signal
+		want syscall.Signal
+	}{
+		{"planned stop", []syscall.Signal{syscall.SIGTERM}, syscall.SIGTERM},
+		{"kill after a planned stop", []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}, syscall.SIGKILL},
+		{"planned stop after a kill", []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}, syscall.SIGKILL},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := &process{cmd: exec.Command("sleep", "10")}
+			c.Assert(p.cmd.Start(), qt.IsNil)
+			for _, signal := range test.sent {
+				p.signal(signal, 0)
+			}
+			c.Check(p.endSignal, qt.Equals, test.want)
+			c.Assert(p.cmd.Wait(), qt.IsNotNil)
+		})
+	}
+}
