Soak: judge the holder by every order that servers receive, and compare the folds in the logs

The check for one holder counted accepted orders only, and let turns pass if any daemon had any fault within 300 ms. Servers that ignore tokens carry out what they get: there each order counts now, whatever the answer, unless its sender was resumed or a link between them restored within 300 ms; no token may be below the highest before (the last one, before). Servers that check tokens reject those of superseded holders: rejected orders count there for turns among holders in touch; accepted ones count as before and no longer pass beside faults of other kinds.

After each run, the logs of all daemons are read: a record by which two came to different results, or different digests at one position, fails the run. Builds that don't log their folds are passed over.

--- a/internal/proof/soak/checker_cases_test.go
+++ b/internal/proof/soak/checker_cases_test.go
@@ -57,9 +57,14 @@
 
 // order records that a server accepted a holder's order to load from the weight store.
 func (c *checkerHarness) order(server, holder string, token int64) {
+	c.answerOrder(server, holder, token, azurehitch.OrderAccepted)
+}
+
+// answerOrder records a server's answer to a holder's order to load from the weight store.
+func (c *checkerHarness) answerOrder(server, holder string, token int64, answer azurehitch.OrderAnswer) {
 	c.Ordered(platformtest.OrderArrival{
 		SwapOrder: azurehitch.SwapOrder{Kind: azurehitch.OrderLoad, Model: modelName(0), Holder: holder, Token: token},
-		Server:    azurehitch.ServerIdentity{ID: server}, Answer: azurehitch.OrderAccepted, Tier: azurehitch.CacheTierRemote,
+		Server:    azurehitch.ServerIdentity{ID: server, Address: server}, Answer: answer, Tier: azurehitch.CacheTierRemote,
 	})
 }
 
@@ -221,16 +226,21 @@
 		{"server memory exceeded", func(c *checkerHarness) { c.MemoryExceeded(azurehitch.ServerIdentity{ID: "a"}, azurehitch.SwapOrder{}) }, ruleMemory},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
 			harness := newCheckerHarness()
 			test.feed(harness)
-			found := harness.foundViolations()
-			if test.want == "" {
-				c.Assert(found, qt.HasLen, 0)
-				return
-			}
-			c.Assert(found, qt.Not(qt.HasLen), 0)
-			c.Assert(found[0].rule, qt.Equals, test.want)
+			assertViolates(qt.New(t), harness, test.want)
 		})
 	}
 }
+
+// assertViolates asserts that the first violation found is one of a rule, or that there is none if the rule is empty.
+func assertViolates(c *qt.C, harness *checkerHarness, want rule) {
+	c.Helper()
+	found := harness.foundViolations()
+	if want == "" {
+		c.Assert(found, qt.HasLen, 0)
+		return
+	}
+	c.Assert(found, qt.Not(qt.HasLen), 0)
+	c.Assert(found[0].rule, qt.Equals, want)
+}
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -23,8 +23,7 @@
 	// stopTimeout is how long a planned stop of a daemon may take.
 	stopTimeout   = 8 * time.Second
 	leaseDuration = 3 * time.Second
-	// resumeSlack is the period before an order in which no daemon may have a fault for alternating
-	// holders to count as a violation.
+	// resumeSlack is how long after its sender was resumed or a link was restored an order doesn't count.
 	resumeSlack = 300 * time.Millisecond
 	// answerSlack is how long after the timeout of its route a request doesn't count as late yet.
 	answerSlack = 500 * time.Millisecond
@@ -75,6 +74,7 @@
 	ruleSoundRequests      rule = "sound requests are served beside those that crash servers"
 	ruleConfiguration      rule = "requests follow the current configuration"
 	ruleSingleHolder       rule = "a service has at most one lease holder"
+	ruleEqualFolds         rule = "all daemons come to the same leases by the same records"
 	ruleMemory             rule = "server memory is not exceeded"
 	ruleLoadRate           rule = "loads from the weight store stay within the rate"
 	ruleRetryBudget        rule = "retries stay within the budget"
@@ -172,9 +172,9 @@
 	// are the streams that went on at another version.
 	serving      map[string]int
 	mixedStreams map[string]bool
-	// acceptedOrders is keyed by server id, and each list is in the order of arrival.
-	acceptedOrders map[string][]acceptedOrder
-	holderByToken  map[int64]string
+	// ignoresTokens is true if servers carry out orders with lower tokens than they have seen.
+	ignoresTokens bool
+	orders        orderLog
 	// remoteLoads holds when loads from the weight store were ordered within the loadWindow.
 	remoteLoads []time.Time
 	// requests and retries hold by service when callers sent requests and when servers received
@@ -194,13 +194,6 @@
 	stops []*stopRecord
 }
 
-// acceptedOrder is an order that a server accepted.
-type acceptedOrder struct {
-	holder string
-	token  int64
-	at     time.Time
-}
-
 // publishedTable is a routing table that may be in force once it was sent to the store, and must
 // be in force applyTime after the store acknowledged it.
 type publishedTable struct {
@@ -214,7 +207,7 @@
 		disturbances: disturbances, startedAt: time.Now(), setup: s, records: map[string]*requestRecord{}, departingSince: map[string]time.Time{},
 		shutdownForwardedAt: map[daemonServer]time.Time{}, backoffs: map[daemonServer]*backoff{},
 		rateLimits: map[string]*rateLimit{}, serving: map[string]int{}, mixedStreams: map[string]bool{},
-		acceptedOrders: map[string][]acceptedOrder{}, holderByToken: map[int64]string{}, requests: map[string][]time.Time{},
+		orders: newOrderLog(), requests: map[string][]time.Time{},
 		retries: map[string][]time.Time{}, suspectCounts: map[rule]int{},
 	}
 }
@@ -554,49 +547,6 @@
 	}
 }
 
-// Ordered implements platformtest.Recorder.
-func (c *checker) Ordered(order platformtest.OrderArrival) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	if holder, known := c.holderByToken[order.Token]; known && holder != order.Holder {
-		c.addViolation(ruleSingleHolder, "%s and %s sent orders under token %d", holder, order.Holder, order.Token)
-	}
-	c.holderByToken[order.Token] = order.Holder
-	if order.Answer != azurehitch.OrderAccepted {
-		return
-	}
-	accepted := c.acceptedOrders[order.Server.ID]
-	if last := len(accepted) - 1; last >= 0 && accepted[last].token > order.Token {
-		c.addViolation(ruleSingleHolder, "%s accepted token %d after %d", order.Server.ID, order.Token, accepted[last].token)
-	}
-	// Holders must not alternate within the duration of a lease.
-	for i := len(accepted) - 1; i >= 0 && now.Sub(accepted[i].at) < leaseDuration; i-- {
-		isAlternating := accepted[i].holder == order.Holder && slices.ContainsFunc(accepted[i:], func(o acceptedOrder) bool { return o.holder != order.Holder })
-		if isAlternating && c.disturbances.firstOverlapping(&c.disturbances.daemons, now.Add(-resumeSlack), now, func(d *disturbance) bool { return !d.planned }) == nil {
-			c.addViolation(ruleSingleHolder, "%s alternates with another holder at %s", order.Holder, order.Server.ID)
-			break
-		}
-	}
-	c.acceptedOrders[order.Server.ID] = append(accepted, acceptedOrder{holder: order.Holder, token: order.Token, at: now})
-	if order.Kind == azurehitch.OrderLoad && order.Tier == azurehitch.CacheTierRemote && c.disturbances.isStoreHealthy(now, now) {
-		c.remoteLoads = append(c.remoteLoads, now)
-		c.checkLoads(now)
-	}
-}
-
-// lastHolder returns the daemon whose order a server accepted last, and when; empty before the first.
-func (c *checker) lastHolder() (name string, at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, orders := range c.acceptedOrders {
-		if last := orders[len(orders)-1]; last.at.After(at) {
-			name, at = last.holder, last.at
-		}
-	}
-	return name, at
-}
-
 // checkLoads checks the number of loads from the weight store within the loadWindow that ends now.
 func (c *checker) checkLoads(now time.Time) {
 	c.remoteLoads = slices.DeleteFunc(c.remoteLoads, func(at time.Time) bool { return now.Sub(at) > loadWindow })
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -33,6 +33,8 @@
 	modelCount     = 14
 	busyModelCount = 2
 
+	daemonNameFormat = "daemon-%d"
+
 	engineService = "language"
 	deskService   = "desk"
 	callerHost    = "salon.example"
@@ -73,6 +75,8 @@
 	callersWait bool
 	// otherBinary is the program of an earlier build, which daemons run in turn with this one; empty for none.
 	otherBinary string
+	// ignoresTokens is set if model engines ignore tokens whatever the seed.
+	ignoresTokens bool
 	// work returns the work of a request at a server. A request that takes up a stream again has the
 	// origin of the stream's first request.
 	work func(origin, server string) platformtest.Work
@@ -240,6 +244,7 @@
 		stopSlots: semaphore.NewWeighted(int64(s.daemonCount+1) / 2),
 	}
 	cl.checker = newChecker(cl.disturbances, s)
+	cl.checker.ignoresTokens = cl.ignoresTokens()
 	cl.startStore()
 	cl.publish(0)
 	for i := range engineCount {
@@ -313,7 +318,7 @@
 	ip := cl.ip(10 + i)
 	storeLink := cl.newLink(ip, fmt.Sprintf("%s:%d", cl.ip(1), linkPort), linkPort)
 	settings := platformtest.Settings{
-		Name: fmt.Sprintf("daemon-%d", i), IP: ip, FailureDomain: fmt.Sprintf("domain-%d", i%2), Store: storeLink.address(),
+		Name: fmt.Sprintf(daemonNameFormat, i), IP: ip, FailureDomain: fmt.Sprintf("domain-%d", i%2), Store: storeLink.address(),
 		StopTimeout: stopTimeout, Lease: leaseDuration, RetryRatio: retryRatio, RetrySlack: cl.setup.retrySlack, RetryWindow: retryWindow,
 		LogRetention: 20 * time.Second, Memory: 284_000_000, Processor: 0.2, Bandwidth: 10_000_000,
 	}
@@ -361,7 +366,7 @@
 
 // ignoresTokens reports whether the model engines accept orders with lower tokens than they have seen, as in
 // half of the seeds.
-func (cl *cluster) ignoresTokens() bool { return cl.seed/2%2 == 1 }
+func (cl *cluster) ignoresTokens() bool { return cl.setup.ignoresTokens || cl.seed/2%2 == 1 }
 
 // startServer starts the next generation of a server, under another id at the same address.
 func (cl *cluster) startServer(s *backendServer, cached azurehitch.CachedModels) {
--- a/internal/proof/soak/disturbances_test.go
+++ b/internal/proof/soak/disturbances_test.go
@@ -18,6 +18,8 @@
 type disturbance struct {
 	name   string
 	daemon int
+	// server is the address of the server that alone is affected; empty for no such limit.
+	server string
 	// planned marks planned work, which must not fail any request.
 	planned bool
 	from    time.Time
@@ -26,12 +28,14 @@
 }
 
 // disturbanceLog records the disturbances of a run, in the order in which they start: those of
-// daemons (faults and planned work), faults of servers and faults of the store.
+// daemons (faults and planned work), faults of servers and faults of the store. resumed has the moments at
+// which daemons were resumed and links restored.
 type disturbanceLog struct {
 	mu      sync.Mutex
 	daemons []*disturbance
 	servers []*disturbance
 	store   []*disturbance
+	resumed []*disturbance
 }
 
 // begin records the start of a disturbance. The returned function records its end.
@@ -60,6 +64,33 @@
 	return l.begin(&l.store, disturbance{name: name, daemon: allDaemons})
 }
 
+// recordResumed records that a daemon is about to be resumed, or a link of it to be restored.
+func (l *disturbanceLog) recordResumed(daemon int) {
+	l.begin(&l.resumed, disturbance{name: "resumed", daemon: daemon})()
+}
+
+// recordRestored records that the link to a server is about to be restored.
+func (l *disturbanceLog) recordRestored(server string) {
+	l.begin(&l.resumed, disturbance{name: "link restored", daemon: allDaemons, server: server})()
+}
+
+// isJustResumed reports whether a daemon was resumed, or a link between it and a server was restored, within the
+// resumeSlack before a moment.
+func (l *disturbanceLog) isJustResumed(daemon int, server string, at time.Time) bool {
+	return l.firstOverlapping(&l.resumed, at.Add(-resumeSlack), at, func(d *disturbance) bool {
+		return (d.daemon == daemon || d.daemon == allDaemons) && (d.server == "" || d.server == server)
+	}) != nil
+}
+
+// isInTouch reports whether a daemon ran without any fault or planned stop in the settleTime before a moment, and
+// the store had no fault.
+func (l *disturbanceLog) isInTouch(daemon int, at time.Time) bool {
+	stop := l.firstOverlapping(&l.daemons, at.Add(-settleTime), at, func(d *disturbance) bool {
+		return d.name == plannedStop && d.daemon == daemon
+	})
+	return stop == nil && l.isDaemonHealthy(daemon, at, at) && l.isStoreHealthy(at, at)
+}
+
 // beginPlannedWork records the start of planned work on a daemon: a planned stop or a change of
 // settings or of the configuration, which must not fail any request. The returned function records
 // its end.
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -212,6 +212,7 @@
 	end := cl.disturbances.beginDaemonFault(i, "freeze")
 	daemon.signal(syscall.SIGSTOP, 0)
 	time.Sleep(a.duration)
+	cl.disturbances.recordResumed(i)
 	daemon.signal(syscall.SIGCONT, 0)
 	end()
 }
@@ -233,8 +234,8 @@
 	end()
 }
 
-// injectLinkFault injects one of the forms of fault on a link.
-func injectLinkFault(l *link, a action) {
+// injectLinkFault injects one of the forms of fault on a link, and calls restoring before it restores the link.
+func injectLinkFault(l *link, a action, restoring func()) {
 	states := []linkState{linkSilent, linkOneWay, linkRefuses, linkDelays}
 	switch form := a.variant % (len(states) + 2); form {
 	case len(states):
@@ -246,6 +247,7 @@
 	default:
 		l.set(states[form])
 		time.Sleep(a.duration)
+		restoring()
 		l.set(linkPasses)
 	}
 }
@@ -253,7 +255,7 @@
 func injectStoreLinkFault(cl *cluster, a action) {
 	i, _ := cl.targetDaemon(a)
 	end := cl.disturbances.beginDaemonFault(i, "link to the store")
-	injectLinkFault(cl.storeLinks[i], a)
+	injectLinkFault(cl.storeLinks[i], a, func() { cl.disturbances.recordResumed(i) })
 	end()
 }
 
@@ -261,14 +263,15 @@
 func injectPeerLinkFault(cl *cluster, a action) {
 	i, _ := cl.targetDaemon(a)
 	end := cl.disturbances.beginDaemonFault(allDaemons, "link between daemons")
-	injectLinkFault(cl.peerLinks[i], a)
+	injectLinkFault(cl.peerLinks[i], a, func() { cl.disturbances.recordResumed(i) })
 	end()
 }
 
 func injectServerLinkFault(cl *cluster, a action) {
 	endServers := cl.disturbances.beginServerFault("link to a server")
 	endDaemons := cl.disturbances.beginDaemonFault(allDaemons, "link to a server")
-	injectLinkFault(cl.targetServer(a).link, a)
+	l := cl.targetServer(a).link
+	injectLinkFault(l, a, func() { cl.disturbances.recordRestored(l.address()) })
 	endDaemons()
 	endServers()
 }
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -185,6 +185,7 @@
 	cl.checker.finish()
 	cl.stop()
 	cl.checkStops()
+	cl.checkFolds()
 	if s.callersWait {
 		cl.Check(cl.checker.takenUp() >= minResumed, qt.IsTrue, qt.Commentf("%d streams taken up", cl.checker.takenUp()))
 	}
