--- a/internal/proof/soak/doc.go
+++ b/internal/proof/soak/doc.go
@@ -6,6 +6,7 @@
 //	go test ./internal/proof/soak
 //	go test ./internal/proof/soak -run TestFreshSeeds -args -soak.seeds 50 -soak.duration 20s
 //	go test ./internal/proof/soak -run TestPlannedStopCutsAnswers -args -soak.seeds 50 -soak.daemons 9
+//	go test ./internal/proof/soak -run TestFreshSeedsWithTwoHolderTroubles -args -soak.seeds 50 -soak.other PROGRAM
 //	go test ./internal/proof/soak -run TestRegressions -args -soak.regressions
 //
 // A run starts each daemon as a separate process behind relays on loopback: one from the callers
@@ -25,5 +26,11 @@
 // Planned work (a planned stop, a change of settings or of the configuration) must not fail any
 // request. The lease holder of a service is the daemon that may order loads on its engines.
 //
+// That a service has one holder is checked at the servers, by each order that arrives: no two holders under one
+// token, no lower token after a higher one, and no holder that orders a server again within the duration of a lease
+// after another has. At servers that ignore tokens, orders that are rejected count too. After a run, the logs of
+// the daemons must show equal folds of the leases. TestFreshSeedsWithTwoHolderTroubles has all faults that may lead
+// to two holders.
+//
 // Clock faults are not covered: no process can shift the clock of another.
 package soak
