--- a/internal/standin/platformlog/log.go
+++ b/internal/standin/platformlog/log.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// DropBefore deletes the records of a stream before an offset.
+func (l *Log) DropBefore(name string, offset int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	deleted := min(max(offset-s.first, 0), int64(len(s.records)))
+	s.first += deleted
+	s.records = s.records[deleted:]
+}
+
 // Streams returns the number of records ever appended to each stream.
 func (l *Log) Streams() map[string]int64 {
 	l.mu.Lock()
