Leases: the gap of an era counts a start-over that the log has lost

Cause: a start-over raises the tokens by a gap for each era that has ended, in an era whose EraStart the log already has. If the log then returned from a copy without the start-over, the next EraStart counted one gap for that era, as for lost records. A daemon that had not read the start-over claimed under a token equal to, or lower than, that of the daemon that had started over: 12298 twice in era 2, 16394 after 20490 in era 3, 24586 after 36874 in era 5 (TestTokensRiseAfterLostStartOver, red before). It takes a dropped history, a start-over and a return within the age of a copy.

Change: the gap of the first EraStart of an era counts the gaps of one such start-over too. An EraStart of era 2 has the same gap as before, one of era 3 twice as many records.

--- a/internal/lease/leaselog/era.go
+++ b/internal/lease/leaselog/era.go
@@ -25,7 +25,7 @@
 	// eraGap is the number of records that are appended for each era that has ended. A stream of leases gets
 	// some records a second, and so far fewer between a copy of the log and its return.
 	eraGap = 4096
-	// maxErasInGap limits the eras that count for the gap if the last EraStart in the log is an old one.
+	// maxErasInGap limits the eras that count for the gap.
 	maxErasInGap = 16
 	// firstEra is the era of a log that has never returned from an older copy.
 	firstEra = 1
@@ -143,13 +143,23 @@
 	m.era.lastStartAt = now
 	start := EraStart{Era: m.era.era, Above: m.era.above, IsFirst: m.era.isFirst && m.era.above == 0}
 	if !start.IsFirst {
-		era, _ := m.fold.Era()
-		ended := min(max(start.Era-era, 1), maxErasInGap)
-		start.Gap = max(eraGap*ended, start.Above-environment.FoldedTo)
+		start.Gap = max(eraGap*m.erasInGap(), start.Above-environment.FoldedTo)
 	}
 	return &start
 }
 
+// erasInGap returns for how many eras an EraStart raises the tokens: those since the last EraStart in the log, and
+// those for which a start-over that the log has lost may have raised them, see erasReturned.
+func (m *Manager) erasInGap() int64 {
+	started, _ := m.fold.Era()
+	ended := m.era.era - started
+	if ended <= 0 {
+		return 1
+	}
+	lastEnded := m.era.era - 1
+	return min(ended+max(lastEnded-firstEra, 0), maxErasInGap)
+}
+
 // lapsedAt returns when all leases of earlier eras have expired, also those whose records are lost: their
 // holders have sent no renewal that they can read back since the log returned.
 func (m *Manager) lapsedAt(duration time.Duration) time.Time {
--- a/internal/oplog/control/provefolds_test.go
+++ b/internal/oplog/control/provefolds_test.go
@@ -415,3 +415,28 @@
 		"": func(*rapid.T) { check() },
 	}
 }
+
+// TestTokensRiseAfterLostStartOver covers a log that returns from a copy that lacks a start-over, whose gap raised
+// the tokens beyond the records that an era usually loses.
+func TestTokensRiseAfterLostStartOver(t *testing.T) {
+	for _, era := range []int64{2, 3, 5} {
+		t.Run(fmt.Sprintf("era %d", era), func(t *testing.T) {
+			s := newFoldSimulation(era, wholeLog, "a", "b")
+			check := func() {
+				if problem := s.problem(); problem != "" {
+					t.Fatal(problem)
+				}
+			}
+			s.run(2*leaseDuration, []string{"b"}, check)
+			s.restart("a")
+			s.copyLog()
+			s.log.DropHistory()
+			s.run(2*leaseDuration, []string{"a"}, check)
+			s.returnFrom(s.copies[0])
+			s.run(2*leaseDuration, []string{"b"}, check)
+			if s.lastOrder.holder.Daemon != "b" {
+				t.Fatalf("the last order is that of %v", s.lastOrder.holder)
+			}
+		})
+	}
+}
