--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -50,15 +50,17 @@
   report "$point" $result $sabotage $((SECONDS - started))
 }
 
-specify() { # POINT SPECIFICATION DEFINITION SABOTAGE
+specify() { # POINT SPECIFICATION DEFINITION SABOTAGE...
   is_selected "$1" || return 0
-  local started=$SECONDS result=proved sabotage=caught
+  local started=$SECONDS result=proved sabotage=caught mutation
   if ! command -v spin >/dev/null; then
     report "$1" unproved none 0
     return
   fi
   _scripts/spin.sh "$2" "$3" || result=red
-  if _scripts/spin.sh "$2" "$3" "$4" >/dev/null; then sabotage=missed; fi
+  for mutation in "${@:4}"; do
+    if _scripts/spin.sh "$2" "$3" "$mutation" >/dev/null; then sabotage=missed; fi
+  done
   report "$1" $result $sabotage $((SECONDS - started))
 }
 
@@ -75,6 +77,7 @@
 prove MemoryLimit points SkipMemoryBooking
 specify SpecificationTokenChecked lease CHECKED=1 SABOTAGE=1
 specify SpecificationTokenIgnored lease CHECKED=0 SABOTAGE=1
+specify SpecificationStartOver startover MAXPROCESSES=2 SABOTAGE=1 SABOTAGE=2 SABOTAGE=3 SABOTAGE=4
 specify SpecificationOrdersInTurn orders FREEZE=0 WAIT=0
 specify SpecificationOrdersRoom orders FREEZE=1 COUNTS=0
 prove WaitingRequests points SkipWaitLimit
--- a/_scripts/specification.sh
+++ b/_scripts/specification.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Checks the specifications with Spin: leases with engines that check tokens and with engines that
-# ignore them, leases on a log that returns from older copies, and order counts without and with
-# paused holders. If spin is not installed, prints so and succeeds.
+# ignore them, leases on a log that returns from older copies and on one that drops its history, and order counts
+# without and with paused holders. If spin is not installed, prints so and succeeds.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if ! command -v spin >/dev/null; then
@@ -11,5 +11,6 @@
 _scripts/spin.sh lease CHECKED=1
 _scripts/spin.sh lease CHECKED=0
 _scripts/spin.sh era SABOTAGE=0
+_scripts/spin.sh startover SABOTAGE=0
 _scripts/spin.sh orders FREEZE=0
 _scripts/spin.sh orders FREEZE=1
