--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -131,6 +131,10 @@
 	Direct bool
 	// DialBy is when the dial of a new connection is given up with ErrDialDeadline; zero sets no time.
 	DialBy time.Time
+	// DiscardUndelivered discards the bytes of the request that the server's host has not received by the deadline of
+	// the context, or when this process ends, also if the process is frozen or killed meanwhile. It is for requests
+	// with Fresh.
+	DiscardUndelivered bool
 	// MaySend is called immediately before the first byte is sent; if it returns false, nothing is
 	// sent. nil always allows the send.
 	MaySend func() bool
