Orders that were not delivered end with their process, also killed or frozen

Cause: the holder resets the connection of an order that got no answer within 0.4 s, so that the order never arrives, and leases rest on that. A process that is killed or frozen in that time resets nothing, and its kernel delivered what was in its buffer for up to 2 s: after the end of its lease, or beside the orders of the process that starts next.

Change: the connection of an order discards undelivered bytes by itself. The kernel ends it when bytes stay unacknowledged beyond the deadline of the order, and a close by the end of the process is a reset. A complete exchange closes as before.

Not run: packets that are lost between processes of the gateway and servers, which loopback doesn't lose.

--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -12,7 +12,8 @@
 )
 
 // OrderArrivalLimit is the longest time from the decision to send an order until the order arrives.
-// If it has not arrived by then, its connection is reset, so that the order never arrives.
+// If it has not arrived by then, its connection is reset, so that the order never arrives. The kernel does so even if
+// the process is killed or frozen.
 const OrderArrivalLimit = answerTimeout
 
 const (
--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch/internal/transport/idleconn"
+	"azurehitch/internal/transport/tcpoption"
 )
 
 const writeBufferBytes = 4 << 10
@@ -16,6 +17,8 @@
 	reader *bufio.Reader
 	// expires is when the idle connection must be closed; zero until it first becomes idle.
 	expires time.Time
+	// discardsUndelivered is true after discardUndelivered.
+	discardsUndelivered bool
 }
 
 // newConn returns a connection whose read buffer has headBytes, which bounds the size of a response
@@ -53,6 +56,17 @@
 	_ = c.tcp.SetDeadline(time.Unix(1, 0))
 }
 
+// discardUndelivered makes the kernel discard bytes that the server's host has not received after a timeout, or when this
+// process ends. It has no effect on connections of other kinds than TCP.
+func (c *conn) discardUndelivered(timeout time.Duration) error {
+	tcp, ok := c.tcp.(tcpoption.Conn)
+	if !ok {
+		return nil
+	}
+	c.discardsUndelivered = true
+	return tcpoption.DiscardUndelivered(tcp, timeout)
+}
+
 // reset closes a connection whose exchange is incomplete. Bytes that were written but not delivered
 // are discarded, so that they can't reach the server later.
 func (c *conn) reset() {
@@ -60,10 +74,15 @@
 		// A connection that can't take the option is closed already.
 		_ = tcp.SetLinger(0)
 	}
-	c.close()
+	// The connection is not used any more, even if closing it fails.
+	_ = c.tcp.Close()
 }
 
 func (c *conn) close() {
+	if tcp, ok := c.tcp.(tcpoption.Conn); ok && c.discardsUndelivered {
+		// A connection that can't take the option is closed already.
+		_ = tcpoption.KeepUndelivered(tcp)
+	}
 	// The connection is not used any more, even if closing it fails.
 	_ = c.tcp.Close()
 }
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -72,6 +72,11 @@
 		sending: &errgroup.Group{}, sent: make(chan struct{}),
 		memory: p.memory.NewReservation(), fresh: options.Fresh || c.isSingleUse(),
 	}
+	if err := e.limitDelivery(ctx, options); err != nil {
+		close(e.sent)
+		e.Close()
+		return nil, &ErrExchange{Address: address, NewConnection: e.conn.isNew(), Cause: err}
+	}
 	if options.MaySend != nil && !options.MaySend() {
 		close(e.sent)
 		e.Close()
@@ -88,6 +93,15 @@
 	return e, nil
 }
 
+// limitDelivery applies Options.DiscardUndelivered to the connection.
+func (e *Exchange) limitDelivery(ctx context.Context, options Options) error {
+	deadline, ok := ctx.Deadline()
+	if !ok || !options.DiscardUndelivered {
+		return nil
+	}
+	return e.conn.discardUndelivered(deadline.Sub(e.pool.clock.Now()))
+}
+
 func (e *Exchange) start(ctx context.Context, request Request) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := e.conn.tcp.SetDeadline(deadline); err != nil {
