Soak: orders that servers read or carry out late, after the holder has changed

Servers that ignore tokens fall silent while an order of the holder is in flight to them; the holder makes a planned stop, is killed or is frozen; the next one claims, and the servers go on. All orders are judged, also rejected ones, in the sequence in which servers read them: no lower token after a higher one, no token of two holders, no turns within a lease.

--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -175,6 +175,8 @@
 	// acceptedOrders is keyed by server id, and each list is in the order of arrival.
 	acceptedOrders map[string][]acceptedOrder
 	holderByToken  map[int64]string
+	// orders are all orders, also rejected ones, in the order in which servers carried them out.
+	orders []seenOrder
 	// remoteLoads holds when loads from the weight store were ordered within the loadWindow.
 	remoteLoads []time.Time
 	// requests and retries hold by service when callers sent requests and when servers received
@@ -559,6 +561,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.orders = append(c.orders, seenOrder{OrderArrival: order, at: now})
 	if holder, known := c.holderByToken[order.Token]; known && holder != order.Holder {
 		c.addViolation(ruleSingleHolder, "%s and %s sent orders under token %d", holder, order.Holder, order.Token)
 	}
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -73,6 +73,8 @@
 	callersWait bool
 	// otherBinary is the program of an earlier build, which daemons run in turn with this one; empty for none.
 	otherBinary string
+	// checkOrders checks the orders of the run at its end; nil for no further check.
+	checkOrders func(cl *cluster)
 	// work returns the work of a request at a server. A request that takes up a stream again has the
 	// origin of the stream's first request.
 	work func(origin, server string) platformtest.Work
@@ -112,6 +114,8 @@
 	ip      string
 	service string
 	link    *link
+	// hold is the listener of the current server.
+	hold *platformtest.HoldListener
 	// replacing is held while a fault replaces the server.
 	replacing  sync.Mutex
 	mu         sync.Mutex
@@ -384,8 +388,9 @@
 	}
 	s.current, s.listed = platformtest.NewBackend(options), true
 	s.link.retarget(listener.Addr().String())
-	backend := s.current
-	cl.group.Go(func() error { return backend.Serve(listener) })
+	s.hold = platformtest.NewHoldListener(listener)
+	backend, hold := s.current, s.hold
+	cl.group.Go(func() error { return backend.Serve(hold) })
 }
 
 // publishEntries writes the entry of the current server to the store whenever it changes.
--- a/internal/proof/soak/disturbances_test.go
+++ b/internal/proof/soak/disturbances_test.go
@@ -11,6 +11,9 @@
 // plannedStop is the disturbance name of a planned stop.
 const plannedStop = "planned stop"
 
+// freezeName is the disturbance name of a frozen daemon.
+const freezeName = "freeze"
+
 // settingsSignal is the disturbance name of changed settings with SIGHUP.
 const settingsSignal = "changed settings, SIGHUP"
 
--- a/internal/proof/soak/doc.go
+++ b/internal/proof/soak/doc.go
@@ -6,6 +6,7 @@
 //	go test ./internal/proof/soak
 //	go test ./internal/proof/soak -run TestFreshSeeds -args -soak.seeds 50 -soak.duration 20s
 //	go test ./internal/proof/soak -run TestPlannedStopCutsAnswers -args -soak.seeds 50 -soak.daemons 9
+//	go test ./internal/proof/soak -run TestFreshSeedsWithLateOrders -args -soak.seeds 20 -soak.late ReadAtOnce
 //	go test ./internal/proof/soak -run TestRegressions -args -soak.regressions
 //
 // A run starts each daemon as a separate process behind relays on loopback: one from the callers
@@ -22,6 +23,10 @@
 // that pause and callers that follow up what was refused or cut. It takes the flags of TestFreshSeeds
 // and -soak.daemons.
 //
+// TestFreshSeedsWithLateOrders changes the holder while its orders are in flight to silent servers, which ignore tokens.
+// With -soak.late ReadLate or CarriedOutLate, servers read or carry out orders later than newer ones, which no
+// holder can prevent in all cases: these runs measure how often.
+//
 // Planned work (a planned stop, a change of settings or of the configuration) must not fail any
 // request. The lease holder of a service is the daemon that may order loads on its engines.
 //
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -209,7 +209,7 @@
 
 func injectFreeze(cl *cluster, a action) {
 	i, daemon := cl.targetDaemon(a)
-	end := cl.disturbances.beginDaemonFault(i, "freeze")
+	end := cl.disturbances.beginDaemonFault(i, freezeName)
 	daemon.signal(syscall.SIGSTOP, 0)
 	time.Sleep(a.duration)
 	daemon.signal(syscall.SIGCONT, 0)
--- a/internal/proof/soak/oldercopy_test.go
+++ b/internal/proof/soak/oldercopy_test.go
@@ -150,7 +150,7 @@
 func injectOlderCopyAfterHandover(cl *cluster, a action) {
 	former := cl.awaitHolder(func(string) bool { return true })
 	older := cl.store.Copy()
-	endFreeze := cl.disturbances.beginDaemonFault(former, "freeze")
+	endFreeze := cl.disturbances.beginDaemonFault(former, freezeName)
 	cl.daemons[former].signal(syscall.SIGSTOP, 0)
 	cl.awaitHolder(func(name string) bool { return name != cl.daemons[former].settings.Name })
 	endStore := cl.disturbances.beginStoreFault(olderCopyName)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -24,6 +24,7 @@
 	regressions  = flag.Bool("soak.regressions", false, "run the seeds that failed in the past")
 	parallel     = flag.Int("soak.parallel", 4, "number of parallel runs")
 	otherBinary  = flag.String("soak.other", "", "program of an earlier build, which runs in turn with this one")
+	program      = flag.String("soak.program", "", "program of the daemons, in place of a fresh build")
 	logFolder    = flag.String("soak.logs", "", "folder for the logs of failed runs")
 )
 
@@ -175,6 +176,9 @@
 	t.Helper()
 	path, err := daemonBinary()
 	qt.New(t).Assert(err, qt.IsNil)
+	if *program != "" {
+		path = *program
+	}
 	cl := startCluster(t, path, seed, s)
 	cl.startCallers()
 	cl.execute(plan)
@@ -185,6 +189,9 @@
 	cl.checker.finish()
 	cl.stop()
 	cl.checkStops()
+	if s.checkOrders != nil {
+		s.checkOrders(cl)
+	}
 	if s.callersWait {
 		cl.Check(cl.checker.takenUp() >= minResumed, qt.IsTrue, qt.Commentf("%d streams taken up", cl.checker.takenUp()))
 	}
