A server that was silent gets the first order of a new holder 0.5 s after its first report

Cause: a silent server has received orders of the former holder that it hasn't read. A new holder orders a server as soon as the server has answered one report: 0.6 ms after the end of the silence in TestFirstOrderAfterSilence. If the server reads the waiting orders after the report, on servers that check no tokens, a lower token comes after a higher one.

Change: where servers check no tokens, a server that does not answer the first report of a new holder within 50 ms counts as silent. Its first order comes after a report that was requested 0.5 s after the first that it answered. Servers that answer at once get orders as before, so that a planned handover takes no longer. docs/design/leases.md lists the steps that keep late orders apart, and the assumption that is left.

--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -68,10 +68,14 @@
 	Engines azurehitch.EngineControl
 	// OnNotice is called after each call of a server with the notice in its answer, if any.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
-	Clock    azurehitch.Clock
-	Logs     *logging.Logs
-	Metrics  *metrics.Metrics
-	Settings swap.Settings
+	// SettleTime is how long a server that was silent must answer reports before a new holder sends orders to it. 0
+	// sets no minimum. Where servers don't check tokens, it keeps orders of two holders apart that a silent server
+	// has received.
+	SettleTime time.Duration
+	Clock      azurehitch.Clock
+	Logs       *logging.Logs
+	Metrics    *metrics.Metrics
+	Settings   swap.Settings
 }
 
 // holder manages one service while this daemon holds its lease.
@@ -88,6 +92,8 @@
 	// reportRequestedAt is when the report of a server in unknown state was last requested, by the
 	// ID of the server.
 	reportRequestedAt map[string]time.Time
+	// settling are the servers to which this holder has sent no order yet.
+	settling settling
 	// tokenStale is true once a server has rejected an order because it has seen a higher token.
 	tokenStale bool
 	// pending contains, by ID, the requests that wait for a grant or a refusal, with the channel
@@ -112,6 +118,7 @@
 		refusals:          refusals,
 		plan:              swap.New(azurehitch.EngineLimits{}, d.Settings, token),
 		reportRequestedAt: map[string]time.Time{},
+		settling:          newSettling(d.SettleTime),
 		pending:           map[string]chan swap.Verdict{},
 		version:           noVersion,
 		wake:              make(chan struct{}, 1),
@@ -252,15 +259,22 @@
 
 // observe reads the report of a server in unknown state and passes it to the plan.
 func (h *holder) observe(ctx context.Context, server azurehitch.ServerIdentity) {
+	requestedAt := h.Clock.Now()
 	report, err := h.report(ctx, server)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	isSettled := h.settling.addReport(server, requestedAt, h.Clock.Now(), err)
 	if err != nil {
 		h.plan.MarkUnreachable(server, h.Clock.Now())
 		h.Logs.Layer(logging.LayerPlacement).Warn().Str("Service", h.service).Str("Server", server.ID).Err(err).
 			Msg("no report")
 		return
 	}
+	if !isSettled {
+		h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", server.ID).
+			Msg("server was silent: its first order waits")
+		return
+	}
 	h.plan.Observe(server, report)
 	h.Logs.Layer(logging.LayerPlacement).Info().Str("Service", h.service).Str("Server", server.ID).
 		Int64("Orders", report.Orders).Bool("Busy", report.Busy).Int("Models", len(report.Loaded)).
