--- a/internal/proof/soak/lateorder_test.go
+++ b/internal/proof/soak/lateorder_test.go
@@ -17,6 +17,7 @@
 
 var (
 	lateOrders   = flag.String("soak.late", string(readAtOnce), "when servers read or carry out orders in TestFreshSeedsWithLateOrders")
+	lateActions  = flag.Int("soak.actions", 3, "changes of holder in a run of TestFreshSeedsWithLateOrders")
 	maxReadDelay = flag.Duration("soak.readdelay", 2*time.Second, "how much later than all else silent servers read orders at most")
 )
 
@@ -29,6 +30,8 @@
 	// readLate means that a silent server, when it goes on, reads the orders that have arrived up to
 	// *maxReadDelay later than all else.
 	readLate lateness = "ReadLate"
+	// leaseReturns means that all is read at once, and that the lease returns to the former holder soon after.
+	leaseReturns lateness = "LeaseReturns"
 	// carriedOutLate means that servers carry out a share of the orders late, and answer all else at once.
 	carriedOutLate lateness = "CarriedOutLate"
 )
@@ -103,8 +106,7 @@
 		holder := cl.awaitHolder(func(string) bool { return true })
 		endFault := cl.disturbances.beginServerFault("servers are silent")
 		arrived, goOn := cl.holdEngines(a, readDelay*time.Duration(a.variant)/variantCount)
-		for end := time.Now().Add(orderWait); arrived() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		}
+		awaitHeldOrder(arrived)
 		cl.Logf("%d orders of daemon-%d in flight to silent servers at its interruption", arrived(), holder)
 		began := time.Now()
 		timer := time.AfterFunc(a.duration, goOn)
@@ -117,6 +119,46 @@
 	}}
 }
 
+// awaitHeldOrder waits until an order has arrived at silent servers, for at most orderWait.
+func awaitHeldOrder(arrived func() int) {
+	for end := time.Now().Add(orderWait); arrived() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+}
+
+// returnFault freezes the holder while an order to silent servers is in flight, lets the servers go on once
+// another daemon holds the lease, and stops that one, so that the lease may return.
+var returnFault = fault{name: "lease returns", inject: func(cl *cluster, a action) {
+	holder := cl.awaitHolder(func(string) bool { return true })
+	endFault := cl.disturbances.beginServerFault("servers are silent")
+	arrived, goOn := cl.holdEngines(a, 0)
+	awaitHeldOrder(arrived)
+	cl.Logf("%d orders of daemon-%d in flight to silent servers at its interruption", arrived(), holder)
+	interruptByFreeze(cl, holder)
+	successor, ok := cl.findSuccessor(holder)
+	time.Sleep(afterSilence)
+	goOn()
+	time.Sleep(afterSilence)
+	if ok {
+		cl.stopDaemon(successor)
+		time.Sleep(leaseDuration)
+	}
+	endFault()
+}}
+
+// findSuccessor returns the daemon other than the former holder of which a server accepts the next order, and
+// false if no server needs one for orderWait.
+func (cl *cluster) findSuccessor(former int) (successor int, ok bool) {
+	for end := time.Now().Add(orderWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		name, _ := cl.checker.lastHolder()
+		successor = slices.IndexFunc(cl.daemons, func(d *process) bool { return d.settings.Name == name })
+		if successor >= 0 && successor != former {
+			return successor, true
+		}
+	}
+	cl.Logf("no order of a successor of daemon-%d", former)
+	return 0, false
+}
+
 // lateShareFault makes all model engines carry out a share of the orders late, interrupts the holder, and
 // waits until all orders have been carried out.
 var lateShareFault = fault{name: "servers carry out orders late", inject: func(cl *cluster, a action) {
@@ -148,11 +190,17 @@
 // the read delay by their size.
 func lateOrderPlan(seed uint64, late lateness, count int) []action {
 	random := newRandom(seed, 10)
-	f := map[lateness]fault{readAtOnce: silenceFault(0), readLate: silenceFault(*maxReadDelay), carriedOutLate: lateShareFault}[late]
+	f := map[lateness]fault{
+		readAtOnce: silenceFault(0), readLate: silenceFault(*maxReadDelay), leaseReturns: returnFault, carriedOutLate: lateShareFault,
+	}[late]
+	span := lateOrderSpan
+	if late == leaseReturns {
+		span *= 2
+	}
 	var plan []action
 	for i := range count {
 		plan = append(plan, action{
-			fault: f, startsAt: 2*time.Second + time.Duration(i)*lateOrderSpan, duration: between(random, minSilence, maxSilence),
+			fault: f, startsAt: 2*time.Second + time.Duration(i)*span, duration: between(random, minSilence, maxSilence),
 			target: random.IntN(engineCount), variant: len(interruptions)*random.IntN(variantCount/len(interruptions)) + (i+int(seed))%len(interruptions),
 		})
 	}
@@ -295,5 +343,12 @@
 	if *seedCount == 0 {
 		t.Skip("needs -soak.seeds")
 	}
-	runSeeds(t, freshSeeds(), func(t *testing.T, n uint64) { runLateOrders(t, ignoringSeed(n), lateness(*lateOrders), 3) })
+	runSeeds(t, freshSeeds(), func(t *testing.T, n uint64) { runLateOrders(t, ignoringSeed(n), lateness(*lateOrders), *lateActions) })
+}
+
+// TestLeaseReturnsAfterSilence guards against turns of two holders at servers that read the orders of the
+// first one only while the second one holds the lease.
+func TestLeaseReturnsAfterSilence(t *testing.T) {
+	t.Parallel()
+	runLateOrders(t, ignoringSeed(500), leaseReturns, 1)
 }
