A holder whose orders a server may have read late waits before it orders that server again

Cause: a daemon claims a lease again only a while after its own last orders, so that two holders don't take turns. A silent server reads these orders when it goes on, while another daemon holds the lease already. If the lease then returns, the server has read orders of A, B and A within a lease.

Change: a daemon remembers, for each server, an order that got no answer, until the server has answered a report in the same tenure. In a later tenure, such a server counts as silent, and gets its first order ReclaimDelay after the first report that it answers, where servers check no tokens. All other servers get orders as before.

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -263,12 +263,12 @@
 	d.backoffs = backoff.New(d.settings.Name, d.Clock)
 	d.limits = serverlimit.New(d.settings.Name, d.members.Names, d.Clock, d)
 	d.rejections = d.newRejections()
-	settleTime := swapholder.SettleTime
+	settleTime, returnDelay := swapholder.SettleTime, d.settings.ReclaimDelay
 	if d.settings.TokensChecked {
-		settleTime = 0
+		settleTime, returnDelay = 0, 0
 	}
 	d.heldServices = swapholder.NewSet(swapholder.Dependencies{
-		Self: d.settings.Name, SettleTime: settleTime, Token: d.token, LeaseChanged: d.store.Changed, RaiseTokens: d.store.RaiseTokens,
+		Self: d.settings.Name, SettleTime: settleTime, ReturnDelay: returnDelay, Token: d.token, LeaseChanged: d.store.Changed, RaiseTokens: d.store.RaiseTokens,
 		Routing: d.routing.Table,
 		Fleet:   d.fleet.View, Limits: d.limits, Engines: d.Engines, OnNotice: d.handleNotice, Clock: d.Clock, Logs: d.Logs, Metrics: d.Metrics, Settings: d.settings.Swap,
 	})
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -68,14 +68,17 @@
 	Engines azurehitch.EngineControl
 	// OnNotice is called after each call of a server with the notice in its answer, if any.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
-	// SettleTime is how long a server that was silent must answer reports before a new holder sends orders to it. 0
-	// sets no minimum. Where servers don't check tokens, it keeps orders of two holders apart that a silent server
-	// has received.
+	// SettleTime is how long a server that was silent must answer reports before a new holder sends orders to
+	// it. 0 sets no minimum. Where servers don't check tokens, it keeps orders of two holders apart that a
+	// silent server has received.
 	SettleTime time.Duration
-	Clock      azurehitch.Clock
-	Logs       *logging.Logs
-	Metrics    *metrics.Metrics
-	Settings   swap.Settings
+	// ReturnDelay replaces SettleTime at a server that may have read an order of an earlier tenure of this
+	// daemon only now.
+	ReturnDelay time.Duration
+	Clock       azurehitch.Clock
+	Logs        *logging.Logs
+	Metrics     *metrics.Metrics
+	Settings    swap.Settings
 }
 
 // holder manages one service while this daemon holds its lease.
@@ -85,7 +88,9 @@
 	token   int64
 	// refusals counts the orders that servers have rejected as stale, for all holders of this daemon.
 	refusals *staleRefusals
-	group    *errgroup.Group
+	// unanswered are the orders without an answer of all holders of this daemon.
+	unanswered *unansweredOrders
+	group      *errgroup.Group
 
 	mu   sync.Mutex
 	plan *swap.Plan
@@ -110,15 +115,16 @@
 	inFlight int
 }
 
-func newHolder(d Dependencies, service string, token int64, refusals *staleRefusals) *holder {
+func newHolder(d Dependencies, service string, token int64, refusals *staleRefusals, unanswered *unansweredOrders) *holder {
 	h := &holder{
 		Dependencies:      d,
 		service:           service,
 		token:             token,
 		refusals:          refusals,
+		unanswered:        unanswered,
 		plan:              swap.New(azurehitch.EngineLimits{}, d.Settings, token),
 		reportRequestedAt: map[string]time.Time{},
-		settling:          newSettling(d.SettleTime),
+		settling:          newSettling(),
 		pending:           map[string]chan swap.Verdict{},
 		version:           noVersion,
 		wake:              make(chan struct{}, 1),
@@ -263,7 +269,7 @@
 	report, err := h.report(ctx, server)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	isSettled := h.settling.addReport(server, requestedAt, h.Clock.Now(), err)
+	isSettled := h.settles(reportCall{server: server, requestedAt: requestedAt, answeredAt: h.Clock.Now(), err: err})
 	if err != nil {
 		h.plan.MarkUnreachable(server, h.Clock.Now())
 		h.Logs.Layer(logging.LayerPlacement).Warn().Str("Service", h.service).Str("Server", server.ID).Err(err).
@@ -287,6 +293,9 @@
 	defer cancel()
 	h.Metrics.Add(metrics.EngineReports, 1)
 	report, err := h.Engines.Report(ctx, server)
+	if err == nil && h.mayOrder() {
+		h.unanswered.removeOf(server, h.token)
+	}
 	h.OnNotice(server, report.Notice)
 	return report, err
 }
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -180,6 +180,7 @@
 		return
 	}
 	e.mayBeAccepted = true
+	e.holder.unanswered.add(e.order.Server, e.holder.token)
 	e.holder.Logs.Layer(logging.LayerPlacement).Warn().Str("Server", e.order.Server.ID).Str("Model", e.order.Model).
 		Int("Sends", e.sends).Err(err).Msg("order got no answer")
 }
--- a/internal/placement/swapholder/set.go
+++ b/internal/placement/swapholder/set.go
@@ -22,13 +22,15 @@
 type Set struct {
 	Dependencies
 	refusals *staleRefusals
-	mu       sync.Mutex
-	holders  map[string]*holder
+	// unanswered are the orders without an answer of all holders.
+	unanswered *unansweredOrders
+	mu         sync.Mutex
+	holders    map[string]*holder
 }
 
 // NewSet returns an empty set.
 func NewSet(dependencies Dependencies) *Set {
-	return &Set{Dependencies: dependencies, refusals: newStaleRefusals(), holders: map[string]*holder{}}
+	return &Set{Dependencies: dependencies, refusals: newStaleRefusals(), unanswered: newUnansweredOrders(), holders: map[string]*holder{}}
 }
 
 // Run starts a holder for each lease that this daemon acquires, until the context ends. A holder
@@ -58,7 +60,7 @@
 		if current := s.holder(name); token == 0 || current != nil && current.token == token {
 			continue
 		}
-		h := newHolder(s.Dependencies, name, token, s.refusals)
+		h := newHolder(s.Dependencies, name, token, s.refusals, s.unanswered)
 		s.set(h)
 		group.Go(func() error {
 			s.Logs.Layer(logging.LayerLease).Info().Str("Service", name).Int64("Token", token).Msg("lease held")
--- a/internal/placement/swapholder/settling.go
+++ b/internal/placement/swapholder/settling.go
@@ -15,34 +15,58 @@
 // settling decides, for each server, from which report on a holder may send orders. A server that was silent
 // may have received orders of the former holder that it has not read yet, while it answers reports already.
 type settling struct {
-	minimum time.Duration
 	// settled are the servers that may get orders.
 	settled map[azurehitch.ServerIdentity]bool
 	// answersSince is when a server that was silent answered its first report; zero if it is silent.
 	answersSince map[azurehitch.ServerIdentity]time.Time
 }
 
-func newSettling(minimum time.Duration) settling {
-	return settling{minimum: minimum, settled: map[azurehitch.ServerIdentity]bool{}, answersSince: map[azurehitch.ServerIdentity]time.Time{}}
+// reportCall is a request for a report.
+type reportCall struct {
+	server                  azurehitch.ServerIdentity
+	requestedAt, answeredAt time.Time
+	err                     error
+	// wasSilent is true if the server counts as silent even if it answers at once.
+	wasSilent bool
 }
 
-// addReport records the outcome of a request for a report, and reports whether the server may get orders.
-func (s settling) addReport(server azurehitch.ServerIdentity, requestedAt, answeredAt time.Time, err error) bool {
-	if s.minimum == 0 || s.settled[server] {
+func newSettling() settling {
+	return settling{settled: map[azurehitch.ServerIdentity]bool{}, answersSince: map[azurehitch.ServerIdentity]time.Time{}}
+}
+
+// addReport records a request for a report, and reports whether the server may get orders. A server that was
+// silent must have answered reports for the given time.
+func (s settling) addReport(call reportCall, minimum time.Duration) bool {
+	if minimum == 0 || s.settled[call.server] {
 		return true
 	}
-	since, wasSilent := s.answersSince[server]
+	since, wasSilent := s.answersSince[call.server]
+	wasSilent = wasSilent || call.wasSilent
 	switch {
-	case err != nil:
-		s.answersSince[server] = time.Time{}
+	case call.err != nil:
+		s.answersSince[call.server] = time.Time{}
 		return false
-	case !wasSilent && answeredAt.Sub(requestedAt) <= promptReport:
+	case !wasSilent && call.answeredAt.Sub(call.requestedAt) <= promptReport:
 	case since.IsZero():
-		s.answersSince[server] = answeredAt
+		s.answersSince[call.server] = call.answeredAt
 		return false
-	case requestedAt.Before(since.Add(s.minimum)):
+	case call.requestedAt.Before(since.Add(minimum)):
 		return false
 	}
-	s.settled[server] = true
+	s.settled[call.server] = true
 	return true
 }
+
+// settles records a request for a report, and reports whether this holder may send orders to the server. The
+// caller holds h.mu.
+func (h *holder) settles(call reportCall) bool {
+	minimum := h.SettleTime
+	if call.wasSilent = h.unanswered.hasFormer(call.server, h.token); call.wasSilent {
+		minimum = max(minimum, h.ReturnDelay)
+	}
+	isSettled := h.settling.addReport(call, minimum)
+	if isSettled && call.err == nil {
+		h.unanswered.remove(call.server)
+	}
+	return isSettled
+}
