--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -12,7 +12,8 @@
 )
 
 // OrderArrivalLimit is the longest time from the decision to send an order until the order arrives.
-// If it has not arrived by then, its connection is reset, so that the order never arrives.
+// If it has not arrived by then, its connection is reset, so that the order never arrives. The kernel does so even if
+// the process is killed or frozen.
 const OrderArrivalLimit = answerTimeout
 
 const (
@@ -179,6 +180,7 @@
 		return
 	}
 	e.mayBeAccepted = true
+	e.holder.unanswered.add(e.order.Server, e.holder.token)
 	e.holder.Logs.Layer(logging.LayerPlacement).Warn().Str("Server", e.order.Server.ID).Str("Model", e.order.Model).
 		Int("Sends", e.sends).Err(err).Msg("order got no answer")
 }
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -175,6 +175,8 @@
 	// ignoresTokens is true if servers carry out orders with lower tokens than they have seen.
 	ignoresTokens bool
 	orders        orderLog
+	// seenOrders are all orders, in the order in which servers carried them out.
+	seenOrders []seenOrder
 	// remoteLoads holds when loads from the weight store were ordered within the loadWindow.
 	remoteLoads []time.Time
 	// requests and retries hold by service when callers sent requests and when servers received
--- a/internal/proof/soak/leasecheck_test.go
+++ b/internal/proof/soak/leasecheck_test.go
@@ -48,6 +48,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.seenOrders = append(c.seenOrders, seenOrder{OrderArrival: order, at: now})
+	if isCarriedOutLate := !order.ReadAt.IsZero() && now.Sub(order.ReadAt) >= minLateness; isCarriedOutLate {
+		// It counts when the server has read it, see checkLateOrders.
+		return
+	}
 	if holder, known := c.orders.holderByToken[order.Token]; known && holder != order.Holder {
 		c.addViolation(ruleSingleHolder, "%s and %s sent orders under token %d", holder, order.Holder, order.Token)
 	}
