--- a/internal/oplog/control/fold.go
+++ b/internal/oplog/control/fold.go
@@ -54,7 +54,7 @@
 	case r.History != nil:
 		return supersededUnless(s.recordHistory(r.Writer, *r.History))
 	case r.Snapshot != nil:
-		s.recordSnapshot(offset, readAt)
+		s.recordSnapshot(offset, r.Snapshot.FoldedTo, readAt)
 		s.takeFold(offset, *r.Snapshot, readAt)
 	}
 	return nil
--- a/internal/oplog/control/gap_test.go
+++ b/internal/oplog/control/gap_test.go
@@ -134,6 +134,18 @@
 		c.Assert(started.store.FoldedTo(), qt.Equals, int64(0))
 		c.Assert(started.holder(), qt.Equals, "")
 	})
+	t.Run("a snapshot that covers too little doesn't stand for the dropped one", func(t *testing.T) {
+		c := qt.New(t)
+		log, clock, daemons := gapDaemons(c, "living")
+		steps(clock, 5*time.Second, daemons...)
+		stale := control.Snapshot{FoldedTo: 1, LogEra: 1}
+		log.DropHistory()
+		daemons[0].append(control.Record{Renewal: true})
+		daemons[0].append(control.Record{Snapshot: &stale})
+		started := newGapDaemon(c, log, clock, "started")
+		steps(clock, 2*time.Second, daemons[0], started)
+		c.Assert(started.holder(), qt.Equals, "living")
+	})
 	t.Run("a store with tables never starts over", func(t *testing.T) {
 		c := qt.New(t)
 		store := control.NewStore(leaselog.Holder{Daemon: "a"}, azurehitch.SystemClock{})
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -107,9 +107,12 @@
 	s.observer.FoldReplaced(s.position(), FoldFromOtherDaemon)
 }
 
-// recordSnapshot records that a snapshot was read. One that the log had when this daemon started may be old,
-// and expire soon. The caller holds s.mu.
-func (s *Store) recordSnapshot(offset int64, readAt time.Time) {
+// recordSnapshot records that a snapshot was read that replaces the records up to foldedTo, if it covers all that the
+// log has dropped. One that the log had when this daemon started may be old, and expire soon. The caller holds s.mu.
+func (s *Store) recordSnapshot(offset, foldedTo int64, readAt time.Time) {
+	if foldedTo+1 < s.first {
+		return
+	}
 	s.lastSnapshotOffset, s.snapshotMissingSince = offset, time.Time{}
 	if !s.firstReadAt.IsZero() && readAt.Sub(s.firstReadAt) >= catchUpTime {
 		s.lastSnapshotAt = readAt
@@ -167,6 +170,7 @@
 func (s *Store) recordFirst(first int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.first = first
 	if first > max(s.lastSnapshotOffset, 1) && s.snapshotMissingSince.IsZero() {
 		s.snapshotMissingSince = s.clock.Now()
 	}
