--- a/internal/oplog/control/era.go
+++ b/internal/oplog/control/era.go
@@ -35,6 +35,7 @@
 	s.histories = map[string]PoolHistory{}
 	s.pendingResolutions = nil
 	s.sentInEarlierEras = s.lastSent
+	s.snapshotFoldedTo = 0
 	s.lastSnapshotOffset, s.lastSnapshotAt, s.snapshotMissingSince, s.firstReadAt = 0, time.Time{}, time.Time{}, time.Time{}
 	if before > 0 {
 		s.observer.FoldReplaced(s.position(), FoldFromNewEra)
--- a/internal/oplog/control/snapshot.go
+++ b/internal/oplog/control/snapshot.go
@@ -113,7 +113,7 @@
 	if foldedTo+1 < s.first {
 		return
 	}
-	s.lastSnapshotOffset, s.snapshotMissingSince = offset, time.Time{}
+	s.lastSnapshotOffset, s.snapshotFoldedTo, s.snapshotMissingSince = offset, foldedTo, time.Time{}
 	if !s.firstReadAt.IsZero() && readAt.Sub(s.firstReadAt) >= catchUpTime {
 		s.lastSnapshotAt = readAt
 	}
@@ -171,7 +171,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.first = first
-	if first > max(s.lastSnapshotOffset, 1) && s.snapshotMissingSince.IsZero() {
+	if first > max(s.snapshotFoldedTo+1, 1) && s.snapshotMissingSince.IsZero() {
 		s.snapshotMissingSince = s.clock.Now()
 	}
 	if first > s.foldedTo+1 {
--- a/internal/oplog/control/store.go
+++ b/internal/oplog/control/store.go
@@ -52,6 +52,8 @@
 	// pendingResolutions resolve the open intents of this daemon whose orders were never sent.
 	pendingResolutions []leaselog.Resolution
 	lastSnapshotOffset int64
+	// snapshotFoldedTo is the offset up to which the last snapshot covers the log.
+	snapshotFoldedTo int64
 	// first is the offset of the oldest record in the log when it was last read.
 	first int64
 	// snapshotMissingSince is when this daemon found that the log has dropped the last snapshot, or that another fold
