quarantinelog: a record that was just read is not deleted as one whose subject is released

Cause: the holds of the tracker are compared with the records of the log. A record that is read is known there before it reaches the tracker; the daemon of rank 0 deleted it at once if it looked in between. Found by a review, by a forced sequence.

TestRecordReadBeforeItsHold: red before, deleted at the first look; green now, with -race 3 of 3.

--- a/internal/forward/quarantinelog/quarantinelog.go
+++ b/internal/forward/quarantinelog/quarantinelog.go
@@ -120,7 +120,12 @@
 		}
 	}
 	for k := range l.records {
-		if _, ok := wanted[k]; !ok && l.isDue(k, false, now) {
+		if _, ok := wanted[k]; ok {
+			continue
+		}
+		// A record that was just read reaches the tracker only after it is known here.
+		_, wasMissing := l.differsSince[k]
+		if l.isDue(k, false, now) && wasMissing {
 			due = append(due, azurehitch.KeyedRecord{Key: k})
 		}
 	}
