--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -354,7 +354,7 @@
 func (d *Daemon) awaitOrders(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, swapholder.OrderArrivalLimit)
 	defer cancel()
-	// An order that has not arrived after OrderArrivalLimit never arrives.
+	// What the server's host has not received after OrderArrivalLimit is discarded.
 	_ = d.heldServices.AwaitOrders(ctx, service)
 }
 
--- a/internal/placement/swapholder/order.go
+++ b/internal/placement/swapholder/order.go
@@ -11,9 +11,9 @@
 	"azurehitch/internal/telemetry/metrics"
 )
 
-// OrderArrivalLimit is the longest time from the decision to send an order until the order arrives.
-// If it has not arrived by then, its connection is reset, so that the order never arrives. The kernel does so even if
-// the process is killed or frozen.
+// OrderArrivalLimit is the longest time from the decision to send an order until the server's host has received
+// it. If it has not by then, the connection is reset, so that the order never arrives, also if the process is killed
+// or frozen.
 const OrderArrivalLimit = answerTimeout
 
 const (
