--- a/internal/oplog/control/gap_test.go
+++ b/internal/oplog/control/gap_test.go
@@ -110,6 +110,17 @@
 		c.Assert(a.holder(), qt.Not(qt.Equals), "")
 		c.Assert(a.store.Leases(), qt.DeepEquals, b.store.Leases())
 	})
+	t.Run("also where the log has records, but no snapshot", func(t *testing.T) {
+		c := qt.New(t)
+		log, clock, daemons := gapDaemons(c, "former")
+		steps(clock, 5*time.Second, daemons...)
+		log.DropHistory()
+		daemons[0].append(control.Record{Renewal: true})
+		a, b := newGapDaemon(c, log, clock, "a"), newGapDaemon(c, log, clock, "b")
+		steps(clock, expiredTime+2*time.Second, a, b)
+		c.Assert(a.holder(), qt.Not(qt.Equals), "")
+		c.Assert(a.store.Leases(), qt.DeepEquals, b.store.Leases())
+	})
 	t.Run("a daemon that was frozen meanwhile starts over with them", func(t *testing.T) {
 		c := qt.New(t)
 		log, clock, daemons := gapDaemons(c, "frozen")
