--- a/internal/lease/leaselog/manager.go
+++ b/internal/lease/leaselog/manager.go
@@ -276,17 +276,6 @@
 	return actions
 }
 
-// closeGap returns the record that closes the gap of the log, if it is due.
-func (m *Manager) closeGap(now time.Time, environment Environment) []Action {
-	if environment.Draining {
-		return nil
-	}
-	if start := m.startOverDue(now, environment); start != nil {
-		return []Action{{EraStart: start}}
-	}
-	return nil
-}
-
 // releasesDue returns the releases of pools that no longer need a holder or whose servers this daemon
 // can't reach, and releases that must be sent again because an earlier one was not read back.
 func (m *Manager) releasesDue(now time.Time, environment Environment) []Action {
--- a/internal/lease/leaselog/startover.go
+++ b/internal/lease/leaselog/startover.go
@@ -59,6 +59,17 @@
 // InGap reports whether the log lacks records that must be folded next.
 func (m *Manager) InGap() bool { return m.gap.isOpen }
 
+// closeGap returns the record that closes the gap of the log, if it is due.
+func (m *Manager) closeGap(now time.Time, environment Environment) []Action {
+	if environment.Draining {
+		return nil
+	}
+	if start := m.startOverDue(now, environment); start != nil {
+		return []Action{{EraStart: start}}
+	}
+	return nil
+}
+
 // startOverDue returns the EraStart with which all folds start over, or nil. It is due once the log has had no record for
 // so long that all leases have expired: a daemon that holds one renews it, and then appends a snapshot too.
 func (m *Manager) startOverDue(now time.Time, environment Environment) *EraStart {
--- a/internal/oplog/control/gap_test.go
+++ b/internal/oplog/control/gap_test.go
@@ -82,6 +82,13 @@
 
 func (d *gapDaemon) holder() string { return d.store.Lease("llm").Holder.Daemon }
 
+// assertAgree checks that there is a holder, and that two daemons have the same leases.
+func assertAgree(c *qt.C, a, b *gapDaemon) {
+	c.Helper()
+	c.Assert(a.holder(), qt.Not(qt.Equals), "")
+	c.Assert(a.store.Leases(), qt.DeepEquals, b.store.Leases())
+}
+
 // TestFoldsAgreeAfterDroppedHistory guards against a daemon that begins without leases, because the log has no records, beside
 // daemons that have folded the dropped ones.
 func TestFoldsAgreeAfterDroppedHistory(t *testing.T) {
@@ -107,8 +114,7 @@
 		steps(clock, expiredTime, a, b)
 		c.Assert(a.holder()+b.holder(), qt.Equals, "")
 		steps(clock, 2*time.Second, a, b)
-		c.Assert(a.holder(), qt.Not(qt.Equals), "")
-		c.Assert(a.store.Leases(), qt.DeepEquals, b.store.Leases())
+		assertAgree(c, a, b)
 	})
 	t.Run("also where the log has records, but no snapshot", func(t *testing.T) {
 		c := qt.New(t)
@@ -118,8 +124,7 @@
 		daemons[0].append(control.Record{Renewal: true})
 		a, b := newGapDaemon(c, log, clock, "a"), newGapDaemon(c, log, clock, "b")
 		steps(clock, expiredTime+2*time.Second, a, b)
-		c.Assert(a.holder(), qt.Not(qt.Equals), "")
-		c.Assert(a.store.Leases(), qt.DeepEquals, b.store.Leases())
+		assertAgree(c, a, b)
 	})
 	t.Run("a daemon that was frozen meanwhile starts over with them", func(t *testing.T) {
 		c := qt.New(t)
