Accounts at the gateway (whole): entries, keys, authentication, fail closed, ranks, and the hook for allowances

The gateway served every request that matched a route. A deployment may now list client accounts with API keys; the daemons check the keys and send the server the name of the account.

- Root types ClientAccount, Allowance, AccountEntry, Credential; RoutingTable.Accounts, PathRoute.Public, CallerRequest.Credential, Attempt.Account, Header.Values (two Authorization fields must be seen).
- 401 with invalid_credentials after the route is known; Authorization and a caller's Tenant are removed in WriteAttempt where the configuration has accounts, on public routes too.
- bounds.revoke_fail_closed and revoke_ms: 503 configuration_stale once the routing stream has not been read for that long.
The age counts from when the last read was sent, since a paused process may find an old answer, and includes suspensions; a holder's confirmation counts as a read.
- internal/forward/priority: account first, route second, in ten ranks.
- Allowances in passthrough's Dependencies, allowance_exceeded (429), refund of requests that were not run.
- The fingerprint of a request covers the account's name instead of the key: it is no cryptographic hash and is logged.

--- a/exchange.go
+++ b/exchange.go
@@ -6,6 +6,8 @@
 type Header interface {
 	// Get returns the value of a field, or an empty string if the field is absent.
 	Get(name string) string
+	// Values returns the values of all fields with a name, in order.
+	Values(name string) []string
 	Set(name, value string)
 	Delete(name string)
 }
@@ -33,6 +35,8 @@
 	// PromptTokens and MaxOutputTokens are the size of a generation in tokens; 0 means unknown.
 	PromptTokens    int
 	MaxOutputTokens int
+	// Credential is the API key of the caller.
+	Credential Credential
 }
 
 // Attempt holds what a daemon adds to the header of a request that it sends to a backend server.
@@ -44,6 +48,11 @@
 	Urgency int
 	// LastEvent is the ID of the last event that the caller has received; empty if there is none.
 	LastEvent string
+	// HasAccounts is true if the configuration has accounts. The credentials of the caller and its own
+	// statement of an account are then removed. Account is the name of the account that the server is sent;
+	// empty sends none.
+	HasAccounts bool
+	Account     string
 }
 
 // ServerAnswer holds what a daemon reads from the header of a server's response.
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -192,8 +192,9 @@
 
 func (d *Daemon) assembleFollowers() {
 	stream, _ := d.Platform.Routing.Stream()
-	d.routingFollower = compacted.NewAdaptiveFollower(d.breakerLog, stream, d.routing, d.Clock, d.observer,
-		compacted.Paces{Normal: routingPace, Confirming: confirmingPace, IsConfirming: d.isConfirming})
+	// The age of the keys must grow during a suspension, so this follower has the lease clock.
+	d.routingFollower = compacted.NewAdaptiveFollower(d.breakerLog, stream, d.routing, d.LeaseClock, d.observer,
+		compacted.Paces{Normal: d.routingPace(), Confirming: confirmingPace, IsConfirming: d.isConfirming})
 	d.fleetFollower = compacted.NewAdaptiveFollower(d.breakerLog, d.Platform.Fleet.Stream(), d.fleet, d.Clock, d.observer,
 		compacted.Paces{Normal: fleetPace, Confirming: confirmingPace, IsConfirming: d.isConfirming})
 }
@@ -224,11 +225,29 @@
 
 // recordPositions records the read positions that a holder sent in reply to a request of askedAt.
 func (d *Daemon) recordPositions(positions []compacted.Position, askedAt time.Time) {
-	for _, f := range d.sharedFollowers() {
-		for _, p := range positions {
-			f.ConfirmPosition(p, askedAt)
-		}
+	sinceAsked := d.Clock.Now().Sub(askedAt)
+	for _, p := range positions {
+		d.routingFollower.ConfirmPosition(p, d.LeaseClock.Now().Add(-sinceAsked))
+		d.fleetFollower.ConfirmPosition(p, askedAt)
+	}
+}
+
+// configurationAge returns the time for which the configuration in force has not been confirmed.
+func (d *Daemon) configurationAge() time.Duration {
+	return d.LeaseClock.Now().Sub(d.routingFollower.CurrentAsOf())
+}
+
+// readsPerConfigurationAge is the number of reads of the routing stream that end within the largest age of the
+// configuration: a read that takes long must not make the keys too old while the store answers.
+const readsPerConfigurationAge = 4
+
+// routingPace returns the pace at which the routing stream is read.
+func (d *Daemon) routingPace() compacted.Pace {
+	pace := routingPace
+	if d.settings.MaxConfigurationAge > 0 {
+		pace.Wait = min(pace.Wait, d.settings.MaxConfigurationAge/readsPerConfigurationAge)
 	}
+	return pace
 }
 
 // sharedFollowers returns the followers of the streams in which a holder confirms its positions.
@@ -295,21 +314,23 @@
 			Self: s.Name, FailureDomain: s.FailureDomain, Fleet: d.fleet.View, Holders: d.holderClient, Breakers: breakers,
 			Backoffs: d.backoffs, Limits: d.limits, Rejections: d.rejections, MaxHolderAbsence: s.LeaseDuration + takeoverTime, Clock: d.Clock,
 		}),
-		Connections:     d.Connections,
-		ConnectionShare: d.connectionShare,
-		Breakers:        breakers,
-		Backoffs:        d.backoffs,
-		Limits:          d.limits,
-		Rejections:      d.rejections,
-		Quarantine:      d.quarantine,
-		Streams:         streamVersions{d.streams, d.streamPeers},
-		OnNotice:        d.handleNotice,
-		Budget:          d.retryBudget,
-		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
+		Connections:      d.Connections,
+		ConnectionShare:  d.connectionShare,
+		Breakers:         breakers,
+		Backoffs:         d.backoffs,
+		Limits:           d.limits,
+		Rejections:       d.rejections,
+		ConfigurationAge: d.configurationAge,
+		Quarantine:       d.quarantine,
+		Streams:          streamVersions{d.streams, d.streamPeers},
+		OnNotice:         d.handleNotice,
+		Budget:           d.retryBudget,
+		Clock:            d.Clock, Logs: d.Logs, Metrics: d.Metrics,
 	}, passthrough.Settings{
 		MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes,
 		ReadTimeout: s.ReadTimeout, IdleTimeout: s.IdleTimeout, MaxConnections: s.MaxConnections,
 		MaxBufferedAnswer: s.MaxBufferedAnswer, MaxAnswer: s.MaxAnswer, MaxEvent: s.MaxEvent,
+		MaxConfigurationAge: s.MaxConfigurationAge,
 	})
 }
 
--- a/internal/daemon/gateway/observer.go
+++ b/internal/daemon/gateway/observer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/account/directory"
 	"azurehitch/internal/daemon/observe"
 	"azurehitch/internal/forward/quarantine"
 	"azurehitch/internal/membership/fleet"
@@ -24,7 +25,11 @@
 	o.Metrics.Add(metrics.ConfigurationChanges, 1)
 	o.Metrics.Set(metrics.ConfigurationVersion, table.Version)
 	o.Logs.Layer(logging.LayerConfiguration).Info().Int64("Version", table.Version).Int("Routes", len(table.Routes)).
-		Int("Services", len(table.Services)).Dur("SinceRead", sinceRead).Msg("configuration in force")
+		Int("Services", len(table.Services)).Int("Accounts", len(table.Accounts)).Dur("SinceRead", sinceRead).Msg("configuration in force")
+	for _, fault := range directory.New(table.Accounts).Faults() {
+		o.Logs.Layer(logging.LayerConfiguration).Error().Int64("Version", table.Version).Int("Entry", fault.Position).
+			Str("Account", fault.Account).Str("Reason", fault.Reason).Msg("account entry is invalid")
+	}
 }
 
 // TableUnreadable implements routing.Observer.
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -9,6 +9,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/forward/priority"
 	"azurehitch/internal/forward/rejectbudget"
 	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/telemetry/metrics"
@@ -98,6 +99,7 @@
 	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
 		Server: choice.Server, TimeLeft: r.deadline.Sub(r.server.Clock.Now()),
 		Urgency: r.urgency(), LastEvent: lastEventID,
+		HasAccounts: r.hasAccounts, Account: r.account.Name,
 	})
 	startedAt := r.server.Clock.Now()
 	r.sends++
@@ -178,11 +180,11 @@
 	if r.service.Engine == nil {
 		return -1
 	}
-	return min(max(r.route.Priority, 0), maxUrgency)
+	return r.rank()
 }
 
-// maxUrgency is the rank of the least urgent requests.
-const maxUrgency = 9
+// rank returns the priority rank of the request.
+func (r *request) rank() int { return priority.Rank(r.account, r.route.Priority) }
 
 // exchangeFailed records an exchange without a response, and returns the result of the attempt. A
 // server whose exchange was canceled, or whose dial was cut short, is not to blame.
--- a/internal/forward/passthrough/fingerprint.go
+++ b/internal/forward/passthrough/fingerprint.go
@@ -9,12 +9,12 @@
 
 // fingerprint identifies what a request asks a server for. A request that its caller sends again has the same
 // one, also on another connection and at another daemon: the hash covers the method, the host, the path with
-// its query, the caller's credentials and the body, and none of the fields that differ from one try to the next.
-func fingerprint(request *fasthttp.Request) string {
+// its query, the caller and the body, and none of the fields that differ from one try to the next.
+func fingerprint(request *fasthttp.Request, caller []byte) string {
 	hash := xxhash.New()
 	header := &request.Header
 	for _, field := range [][]byte{
-		header.Method(), header.Host(), header.RequestURI(), header.Peek(fasthttp.HeaderAuthorization), request.Body(),
+		header.Method(), header.Host(), header.RequestURI(), caller, request.Body(),
 	} {
 		// A hash never returns an error. The length keeps the fields apart.
 		_, _ = fmt.Fprintf(hash, "%d\n", len(field))
@@ -22,3 +22,13 @@
 	}
 	return fmt.Sprintf("%016x", hash.Sum64())
 }
+
+// callerIdentity returns what identifies the caller in the fingerprint. Where the configuration has accounts, it
+// is the name of the account: the hash is no cryptographic one and appears in log lines, so it must not cover
+// a key that the daemon checks, and a request keeps its fingerprint when a key is replaced.
+func (r *request) callerIdentity() []byte {
+	if r.hasAccounts {
+		return []byte(r.account.Name)
+	}
+	return r.http.Request.Header.Peek(fasthttp.HeaderAuthorization)
+}
--- a/internal/forward/passthrough/fingerprint_test.go
+++ b/internal/forward/passthrough/fingerprint_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"azurehitch"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 )
@@ -40,9 +42,33 @@
 		}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			request := base()
-			test.change(request)
-			qt.New(t).Assert(fingerprint(request) == fingerprint(base()), qt.Equals, test.isSame)
+			changed := base()
+			test.change(changed)
+			qt.New(t).Assert(fingerprintOf(changed, request{}) == fingerprintOf(base(), request{}), qt.Equals, test.isSame)
 		})
 	}
 }
+
+// fingerprintOf returns the fingerprint of a request whose header and body are those of message.
+func fingerprintOf(message *fasthttp.Request, r request) string {
+	r.http = &fasthttp.RequestCtx{}
+	message.CopyTo(&r.http.Request)
+	return fingerprint(&r.http.Request, r.callerIdentity())
+}
+
+// TestFingerprintWithAccounts guards against log lines from which a key could be computed, and against a held
+// request that escapes with another key of the same account.
+func TestFingerprintWithAccounts(t *testing.T) {
+	message := func(key string) *fasthttp.Request {
+		m := &fasthttp.Request{}
+		m.SetRequestURI("http://a.example/x")
+		m.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+key)
+		return m
+	}
+	of := func(key, account string) string {
+		return fingerprintOf(message(key), request{hasAccounts: true, account: azurehitch.ClientAccount{Name: account}})
+	}
+	c := qt.New(t)
+	c.Assert(of("k1", "a"), qt.Equals, of("k2", "a"))
+	c.Assert(of("k1", "a"), qt.Not(qt.Equals), of("k1", "b"))
+}
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -39,13 +39,23 @@
 // ReadRequest implements azurehitch.ExchangeProtocol.
 func (testProtocol) ReadRequest(h azurehitch.Header) azurehitch.CallerRequest {
 	ms, _ := strconv.Atoi(h.Get("X-Left"))
-	return azurehitch.CallerRequest{ID: h.Get("X-Id"), Resumes: h.Get("X-Resumes"), LastEvent: h.Get("X-Last"), TimeLeft: time.Duration(ms) * time.Millisecond, SharedParts: []string{"part"}}
+	credential := azurehitch.Credential{Key: h.Get("X-Key")}
+	if n := len(h.Values("X-Key")); n == 0 {
+		credential.Fault = azurehitch.CredentialMissing
+	} else if n > 1 {
+		credential = azurehitch.Credential{Fault: azurehitch.CredentialRepeated}
+	}
+	return azurehitch.CallerRequest{Credential: credential, ID: h.Get("X-Id"), Resumes: h.Get("X-Resumes"), LastEvent: h.Get("X-Last"), TimeLeft: time.Duration(ms) * time.Millisecond, SharedParts: []string{"part"}}
 }
 
 // WriteAttempt implements azurehitch.ExchangeProtocol.
 func (testProtocol) WriteAttempt(h azurehitch.Header, attempt azurehitch.Attempt) {
 	h.Delete("X-Ours")
 	h.Set("X-Server", attempt.Server.ID)
+	if attempt.HasAccounts {
+		h.Delete("X-Key")
+		h.Set("X-Account", attempt.Account)
+	}
 	if attempt.LastEvent != "" {
 		h.Set("X-Last", attempt.LastEvent)
 	}
@@ -158,6 +168,7 @@
 	address string
 	mu      sync.Mutex
 	heads   []string
+	headers []http.Header
 	closed  chan struct{}
 }
 
@@ -206,6 +217,7 @@
 	}
 	body, _ := io.ReadAll(request.Body)
 	b.mu.Lock()
+	b.headers = append(b.headers, request.Header)
 	b.heads = append(b.heads, request.Method+" "+request.RequestURI+" "+request.Header.Get("X-Server")+" "+
 		request.Header.Get("X-Last")+" "+request.Header.Get("X-Ours")+" "+string(body))
 	b.mu.Unlock()
@@ -248,6 +260,8 @@
 	// brittle holds what brittle servers stated and did.
 	brittle    brittleEvents
 	rejections *rejectbudget.Tracker
+	// configurationAge is the age of the configuration.
+	configurationAge atomic.Int64
 }
 
 func (g *gateway) recordNotice(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice) {
@@ -284,6 +298,8 @@
 	maxBufferedAnswer = 64 << 10
 	maxAnswer         = 1 << 20
 	maxEvent          = 128 << 10
+	// maxConfigurationAge is the age from which on requests that need a key are refused.
+	maxConfigurationAge = 5 * time.Second
 	// answerMemory is the shared memory budget of all responses.
 	answerMemory = 8 << 20
 )
@@ -323,11 +339,13 @@
 		Connections:     connpool.New(clock, limits),
 		ConnectionShare: func(azurehitch.BackendService) int { return 0 },
 		Breakers:        breaker.NewBreakers(clock), Backoffs: backoffs, Limits: serverlimit.New("daemon-1", nil, clock, discardLimits{}), OnNotice: noticed, Budget: g.budget, Clock: clock,
-		Quarantine: g.quarantine, Streams: g.streams, Rejections: g.rejections,
+		ConfigurationAge: func() time.Duration { return time.Duration(g.configurationAge.Load()) },
+		Quarantine:       g.quarantine, Streams: g.streams, Rejections: g.rejections,
 		Logs: logging.Discard(), Metrics: metrics.New(),
 	}, passthrough.Settings{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadTimeout: time.Second, IdleTimeout: time.Second, MaxConnections: 100,
 		MaxBufferedAnswer: maxBufferedAnswer, MaxAnswer: maxAnswer, MaxEvent: maxEvent,
+		MaxConfigurationAge: maxConfigurationAge,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
--- a/internal/forward/passthrough/head.go
+++ b/internal/forward/passthrough/head.go
@@ -14,6 +14,9 @@
 // Get implements azurehitch.Header.
 func (h requestHeader) Get(name string) string { return string(h.header.Peek(name)) }
 
+// Values implements azurehitch.Header.
+func (h requestHeader) Values(name string) []string { return texts(h.header.PeekAll(name)) }
+
 // Set implements azurehitch.Header.
 func (h requestHeader) Set(name, value string) { h.header.Set(name, value) }
 
@@ -26,12 +29,23 @@
 // Get implements azurehitch.Header.
 func (h responseHeader) Get(name string) string { return string(h.header.Peek(name)) }
 
+// Values implements azurehitch.Header.
+func (h responseHeader) Values(name string) []string { return texts(h.header.PeekAll(name)) }
+
 // Set implements azurehitch.Header.
 func (h responseHeader) Set(name, value string) { h.header.Set(name, value) }
 
 // Delete implements azurehitch.Header.
 func (h responseHeader) Delete(name string) { h.header.Del(name) }
 
+func texts(values [][]byte) []string {
+	var list []string
+	for _, value := range values {
+		list = append(list, string(value))
+	}
+	return list
+}
+
 // attemptHeader is the azurehitch.Header of a request to a backend server.
 type attemptHeader struct{ request *connpool.Request }
 
@@ -45,6 +59,17 @@
 	return ""
 }
 
+// Values implements azurehitch.Header.
+func (h attemptHeader) Values(name string) []string {
+	var list []string
+	for _, f := range h.request.Fields {
+		if strings.EqualFold(f.Name, name) {
+			list = append(list, f.Value)
+		}
+	}
+	return list
+}
+
 // Set implements azurehitch.Header.
 func (h attemptHeader) Set(name, value string) {
 	h.Delete(name)
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -41,6 +41,11 @@
 	server *Server
 	http   *fasthttp.RequestCtx
 	azurehitch.CallerRequest
+	// hasAccounts is true if the configuration has accounts, and account is that of the request; it has no name
+	// on public routes. refundAllowance returns what the request took from the allowance; nil if nothing.
+	hasAccounts     bool
+	account         azurehitch.ClientAccount
+	refundAllowance func()
 	// fingerprint identifies what the request asks for.
 	fingerprint          string
 	route                azurehitch.PathRoute
@@ -101,7 +106,12 @@
 		r.refuse(err)
 		return
 	}
-	r.fingerprint = fingerprint(&ctx.Request)
+	if err := r.authenticate(index); err != nil {
+		r.cancel = func(error) {}
+		r.refuse(err)
+		return
+	}
+	r.fingerprint = fingerprint(&ctx.Request, r.callerIdentity())
 	r.start()
 	r.forward()
 }
@@ -160,7 +170,7 @@
 func (r *request) placeRequest() place.Request {
 	return place.Request{
 		CallerRequest: r.CallerRequest, Service: r.service, Avoid: r.serversToAvoid,
-		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(r.startedAt), Urgency: r.route.Priority,
+		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(r.startedAt), Urgency: r.rank(),
 		SoftwareVersion: r.bound,
 	}
 }
@@ -193,6 +203,10 @@
 		r.refuse(err)
 		return
 	}
+	if err := r.takeAllowance(); err != nil {
+		r.refuse(err)
+		return
+	}
 	for {
 		choice, err := r.place()
 		if err != nil {
@@ -294,6 +308,12 @@
 	response.Header.SetContentType(refusal.ContentType)
 	r.server.Protocol.WriteRefusal(responseHeader{&response.Header}, r.CallerRequest, refused.RetryAfter)
 	response.SetBody(refusal.Encode(refused))
+	if refused.Code == azurehitch.CodeInvalidCredentials {
+		response.Header.Set(fasthttp.HeaderWWWAuthenticate, authenticationScheme)
+	}
+	if refused.Run == azurehitch.RunStateNotRun && r.refundAllowance != nil {
+		r.refundAllowance()
+	}
 	r.server.Metrics.AddLabeled(metrics.RequestsRefused, string(refused.Code), 1)
 	if r.ctx != nil && r.isCallerDisconnected() {
 		r.server.Metrics.Add(metrics.RequestsAbandoned, 1)
@@ -316,6 +336,7 @@
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
 	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).
 		Str("Fingerprint", r.fingerprint).Str("Resumes", r.Resumes).Str("LastEvent", r.LastEvent).Str("Route", r.route.Name).
+		Str("Account", r.account.Name).
 		Int64("Configuration", r.configurationVersion).Str("Model", r.Model).Str("Adapter", r.Adapter).
 		Strs("SharedParts", r.SharedParts[:min(len(r.SharedParts), maxLoggedParts)]).Int("Status", status).
 		Str("Reason", reason).Dur("Placed", r.placementTime).Dur("FirstEvent", r.timeToFirstEvent).
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -54,6 +54,9 @@
 	// MaxEvent limits the size of an event of a stream. Events are buffered until they are
 	// complete.
 	MaxEvent azurehitch.ByteSize
+	// MaxConfigurationAge is the age of the configuration from which on requests that need a key are refused; 0
+	// serves them with the last known keys.
+	MaxConfigurationAge time.Duration
 }
 
 // RetryBudget limits how many requests are sent again.
@@ -78,6 +81,15 @@
 	ProbablyAnswered(request quarantine.Request, server azurehitch.ServerIdentity)
 }
 
+// Allowances charges requests to the allowances of their accounts, which apply to all daemons together.
+type Allowances interface {
+	// Take charges a request that may be sent to a server next. It is called once for each request of an
+	// account with a limit. The error is an *azurehitch.ErrRefused with azurehitch.CodeAllowanceExceeded and a
+	// retry time that also holds at other daemons. The function refund, which is never nil without an error,
+	// is called at most once, and only if no server has run the request.
+	Take(ctx context.Context, account azurehitch.ClientAccount, cost float64) (refund func(), err error)
+}
+
 // Streams knows at which software version each stream began.
 type Streams interface {
 	// Began records that a stream is about to begin at a server of a version. The attempt counts the
@@ -108,6 +120,11 @@
 	Limits *serverlimit.Tracker
 	// Rejections limits the rejections by brittle servers.
 	Rejections *rejectbudget.Tracker
+	// Allowances charges requests to the allowances of their accounts; nil charges none.
+	Allowances Allowances
+	// ConfigurationAge returns the time for which the configuration in force has not been confirmed. It is
+	// needed only with Settings.MaxConfigurationAge.
+	ConfigurationAge func() time.Duration
 	// Quarantine refuses requests that crash servers.
 	Quarantine Quarantine
 	// Streams knows the software versions that began streams.
--- a/internal/forward/refusal/refusal.go
+++ b/internal/forward/refusal/refusal.go
@@ -45,6 +45,8 @@
 	azurehitch.CodeNotConfigured:      fasthttp.StatusServiceUnavailable,
 	azurehitch.CodeDraining:           fasthttp.StatusServiceUnavailable,
 	azurehitch.CodeQuarantined:        fasthttp.StatusServiceUnavailable,
+	azurehitch.CodeAllowanceExceeded:  fasthttp.StatusTooManyRequests,
+	azurehitch.CodeConfigurationStale: fasthttp.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of a refusal code, and 0 for an unknown code.
--- a/internal/forward/router/paths.go
+++ b/internal/forward/router/paths.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"azurehitch"
+	"azurehitch/internal/account/directory"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -13,13 +14,15 @@
 // PathIndex finds the route for a host and a path. It is immutable.
 type PathIndex struct {
 	Table azurehitch.RoutingTable
+	// Accounts finds the accounts of the table.
+	Accounts *directory.Index
 	// hosts holds the routes by lower-case host, longest path prefix first.
 	hosts map[string][]azurehitch.PathRoute
 }
 
 // NewPathIndex returns the index of a table.
 func NewPathIndex(table azurehitch.RoutingTable) *PathIndex {
-	x := &PathIndex{Table: table, hosts: map[string][]azurehitch.PathRoute{}}
+	x := &PathIndex{Table: table, Accounts: directory.New(table.Accounts), hosts: map[string][]azurehitch.PathRoute{}}
 	for _, r := range table.Routes {
 		host := strings.ToLower(r.Host)
 		x.hosts[host] = append(x.hosts[host], r)
--- a/internal/oplog/compacted/confirmation_test.go
+++ b/internal/oplog/compacted/confirmation_test.go
@@ -97,4 +97,34 @@
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Assert(log.reads.Load() < steps/3, qt.Equals, skipsReads, qt.Commentf("%d reads", log.reads.Load()))
 	c.Assert(time.Unix(0, fold.readAt.Load()).After(began.Add(step*steps/2)), qt.IsTrue, qt.Commentf("the state is up to date"))
+	c.Assert(follower.CurrentAsOf().After(began.Add(step*steps/2)), qt.IsTrue)
+}
+
+// lateLog answers a read of changes late, as it appears to a process that was paused, and ends the reads.
+type lateLog struct {
+	countingLog
+	askedAt time.Time
+	end     context.CancelFunc
+}
+
+// Changes implements azurehitch.KeyedLog.
+func (l *lateLog) Changes(ctx context.Context, _ string, _ int64, _ time.Duration) (azurehitch.KeyedBatch, error) {
+	if !l.askedAt.IsZero() {
+		l.end()
+	}
+	l.askedAt = time.Now()
+	return azurehitch.KeyedBatch{}, azurehitch.SystemClock{}.Sleep(ctx, 100*time.Millisecond)
+}
+
+// TestCurrentAsOfTheRequest guards against a state that counts as current because an old answer was read now.
+func TestCurrentAsOfTheRequest(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	log := &lateLog{end: cancel}
+	follower := compacted.NewFollower(log, "s", &unchangedFold{}, azurehitch.SystemClock{}, nopObserver{}, compacted.Pace{})
+	c.Assert(follower.CurrentAsOf().IsZero(), qt.IsTrue)
+	began := time.Now()
+	c.Assert(follower.Run(ctx), qt.IsNil)
+	c.Assert(follower.CurrentAsOf().After(began), qt.IsTrue)
+	c.Assert(log.askedAt.Sub(follower.CurrentAsOf()) >= 100*time.Millisecond, qt.IsTrue)
 }
--- a/internal/oplog/compacted/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -109,8 +109,9 @@
 	era logera.Tracker
 	// urgentNext is the offset after the last batch that contained an urgent change.
 	urgentNext int64
-	// readAt is when this follower last read the stream.
-	readAt time.Time
+	// readAt is when this follower last read the stream, and askedAt when it had sent the request of that read.
+	readAt  time.Time
+	askedAt time.Time
 	// isFailing is true after a failed read. Only Run uses it.
 	isFailing bool
 	// confirmedAt is when another daemon last read the stream. It found no urgent change at or
@@ -162,6 +163,18 @@
 	return Position{Stream: f.stream, Next: f.urgentNext, Era: f.era.Era(), Age: f.clock.Now().Sub(f.readAt)}, f.next >= 0
 }
 
+// CurrentAsOf returns a time of the follower's clock up to which all urgent changes of the stream have been read,
+// by the follower itself or according to a confirmation; zero before the first read. It is the time at which
+// the last read was sent: its answer may have waited long in a process that was paused.
+func (f *Follower) CurrentAsOf() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next >= 0 && f.confirmedNext <= f.next && f.confirmedAt.After(f.askedAt) {
+		return f.confirmedAt
+	}
+	return f.askedAt
+}
+
 // Run reads the stream until the context ends. It always returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	delays := backoff.NewExponentialBackOff()
@@ -233,6 +246,7 @@
 	if f.next < 0 {
 		return f.list(ctx)
 	}
+	askedAt := f.clock.Now()
 	batch, err := f.log.Changes(ctx, f.stream, f.next, f.wait())
 	if err != nil {
 		return err
@@ -244,7 +258,7 @@
 	if batch.Gap || isNew {
 		return f.list(ctx)
 	}
-	f.foldBatch(batch, f.fold.Apply)
+	f.foldBatch(batch, askedAt, f.fold.Apply)
 	return nil
 }
 
@@ -266,6 +280,7 @@
 
 // list replaces the state with the newest record of each key.
 func (f *Follower) list(ctx context.Context) error {
+	askedAt := f.clock.Now()
 	batch, err := f.log.Newest(ctx, f.stream)
 	if err != nil {
 		return err
@@ -273,19 +288,20 @@
 	if _, err := f.enterEra(batch.Era); err != nil {
 		return err
 	}
-	f.foldBatch(batch, f.fold.Replace)
+	f.foldBatch(batch, askedAt, f.fold.Replace)
 	return nil
 }
 
-// foldBatch passes a batch to a method of the fold and records how far the stream was read.
-func (f *Follower) foldBatch(batch azurehitch.KeyedBatch, apply func([]azurehitch.KeyedRecord, time.Time)) {
+// foldBatch passes a batch that was requested at askedAt to a method of the fold, and records how far the stream
+// was read.
+func (f *Follower) foldBatch(batch azurehitch.KeyedBatch, askedAt time.Time, apply func([]azurehitch.KeyedRecord, time.Time)) {
 	readAt := f.clock.Now()
 	before := f.fold.UrgentChanges()
 	apply(batch.Records, readAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	isFirst := f.next < 0
-	f.next, f.readAt = batch.Next, readAt
+	f.next, f.readAt, f.askedAt = batch.Next, readAt, askedAt
 	if isFirst || f.fold.UrgentChanges() != before {
 		f.urgentNext = batch.Next
 	}
--- a/refusal.go
+++ b/refusal.go
@@ -34,6 +34,8 @@
 	CodeNotConfigured      RefusalCode = "not_configured"
 	CodeDraining           RefusalCode = "draining"
 	CodeQuarantined        RefusalCode = "quarantined"
+	CodeAllowanceExceeded  RefusalCode = "allowance_exceeded"
+	CodeConfigurationStale RefusalCode = "configuration_stale"
 )
 
 // ErrRefused is the daemon's final answer to a request that no backend server has answered.
--- a/routing.go
+++ b/routing.go
@@ -23,6 +23,9 @@
 	Routes   []PathRoute
 	Services map[string]BackendService
 	Limits   CallerLimits
+	// Accounts are the entries of the list of accounts, including those that grant nothing. If there is any,
+	// only requests with the key of an account are served, except on public routes.
+	Accounts []AccountEntry
 }
 
 // PathRoute routes the requests with a host and a path prefix to services.
@@ -44,6 +47,8 @@
 	MaxAttempts int
 	// Priority is the rank of the route among the routes; 0 is the most urgent.
 	Priority int
+	// Public is true if the requests of the route need no key.
+	Public bool
 	// Resumable is true if the streams of the route can be resumed on another backend server.
 	Resumable bool
 }
