Accounts (whole): metrics, log line, explain, the command `azurehitch accounts`, documentation

Refusals because of keys and limits could not be traced to an account.

- CredentialsRefused by fault; AccountRequestsServed, AccountRequestsRefused (by account and code), AccountUnitsTaken and AccountUnitsRefunded; at most 1,024 accounts have labels of their own.
- The line of a request has its account; that of a 401 or 429, and of a stale configuration, also the code, the allowance, the cost and the age of the configuration.
- GET /accounts on the metrics address, and `azurehitch accounts ADDRESS...`: limits, use, refusals, invalid entries.
- explain counts 401 as refused and names the account of a 429.

--- a/account.go
+++ b/account.go
@@ -83,6 +83,8 @@
 	CredentialEmpty       CredentialFault = "Empty"
 	CredentialTooLong     CredentialFault = "TooLong"
 	CredentialUnknown     CredentialFault = "Unknown"
+	// CredentialShared is the fault of a key that several accounts have.
+	CredentialShared CredentialFault = "Shared"
 )
 
 // Credential is the API key of a request. It is formatted without the key.
--- a/cmd/azurehitch/cmds/commands.go
+++ b/cmd/azurehitch/cmds/commands.go
@@ -86,7 +86,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newServeCommand(), newGatewayCommand(), newConfigCommand(), newDaemonsCommand(), newPoolsCommand(), newDrainCommand(),
-			newExplainCommand(),
+			newExplainCommand(), newAccountsCommand(),
 		},
 	}
 	wrapUsageErrors(command)
--- a/cmd/azurehitch/cmds/docs_test.go
+++ b/cmd/azurehitch/cmds/docs_test.go
@@ -108,6 +108,8 @@
 			"--weight-store", "127.0.0.1:1", "--max-timeout", "0s"}, ExitUsage, "--max-timeout: 0s is not allowed: from 1s to 24h0m0s"},
 		{"file is missing", []string{"config", "check", "--routes", "nowhere.json"}, ExitFailure, "--routes: open nowhere.json"},
 		{"no daemon answers", []string{"daemons", "--admin", "127.0.0.1:1"}, ExitFailure, "got no answer"},
+		{"no address of a gateway", []string{"accounts"}, ExitUsage, "metrics address"},
+		{"no gateway answers", []string{"accounts", "127.0.0.1:1"}, ExitFailure, "read the accounts of 127.0.0.1:1"},
 		{"base is missing", []string{"config", "publish"}, ExitUsage, "base"},
 	} {
 		c.Run(test.about, func(c *qt.C) {
--- a/internal/account/directory/directory.go
+++ b/internal/account/directory/directory.go
@@ -19,8 +19,10 @@
 type Index struct {
 	hasEntries bool
 	accounts   map[azurehitch.KeyHash]*azurehitch.ClientAccount
-	sorted     []azurehitch.ClientAccount
-	faults     []Fault
+	// shared holds the keys that several accounts have.
+	shared map[azurehitch.KeyHash]bool
+	sorted []azurehitch.ClientAccount
+	faults []Fault
 }
 
 // Fault is a reason why an entry does not grant what it states. It holds no key.
@@ -35,22 +37,23 @@
 // them, whether these entries are usable or not. Entries with the same name are one account; if they differ in
 // priority or limit, all requests of the account are refused.
 func New(entries []azurehitch.AccountEntry) *Index {
-	x := &Index{hasEntries: len(entries) > 0, accounts: map[azurehitch.KeyHash]*azurehitch.ClientAccount{}}
+	x := &Index{
+		hasEntries: len(entries) > 0, accounts: map[azurehitch.KeyHash]*azurehitch.ClientAccount{}, shared: map[azurehitch.KeyHash]bool{},
+	}
 	byName := x.merge(entries)
 	owners := map[azurehitch.KeyHash]azurehitch.AccountEntry{}
-	shared := map[azurehitch.KeyHash]bool{}
 	for _, e := range entries {
 		for _, key := range e.Keys {
 			owner, isTaken := owners[key]
 			if isTaken && !isSameAccount(owner, e) {
-				shared[key] = true
+				x.shared[key] = true
 				x.fault(e, "has a key that another account has too: it belongs to neither")
 			}
 			owners[key] = e
 		}
 	}
 	for key, e := range owners {
-		if account := byName[e.Name]; account != nil && !shared[key] {
+		if account := byName[e.Name]; account != nil && !x.shared[key] {
 			x.accounts[key] = account
 		}
 	}
@@ -102,6 +105,14 @@
 	return *account, true
 }
 
+// Fault says why Lookup finds no account for a key.
+func (x *Index) Fault(key []byte) azurehitch.CredentialFault {
+	if x.shared[azurehitch.HashKey(key)] {
+		return azurehitch.CredentialShared
+	}
+	return azurehitch.CredentialUnknown
+}
+
 // HasEntries reports whether the list has any entry, usable or not. Requests then need a key.
 func (x *Index) HasEntries() bool { return x.hasEntries }
 
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
+	"azurehitch/internal/account/report"
 	"azurehitch/internal/forward/quarantine"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
@@ -118,6 +120,10 @@
 func (d *Daemon) runMetrics(ctx context.Context) error {
 	text := d.Metrics.TextHandler()
 	return serveHTTP(ctx, d.retrying("metrics", d.listeners.metrics), func(request *fasthttp.RequestCtx) {
+		if string(request.Path()) == report.Path {
+			d.reportAccounts(request)
+			return
+		}
 		d.Metrics.Set(metrics.LogLinesDropped, d.Logs.Dropped())
 		d.Metrics.Set(metrics.PartsHeld, d.quarantine.HeldCount(quarantine.KindPart))
 		d.Metrics.Set(metrics.RequestsHeld, d.quarantine.HeldCount(quarantine.KindRequest))
@@ -125,6 +131,19 @@
 	})
 }
 
+// reportAccounts answers with the client accounts as JSON.
+func (d *Daemon) reportAccounts(request *fasthttp.RequestCtx) {
+	index := d.routing.Index()
+	accounts := report.New(d.settings.Name, index.Table.Version, index.Accounts, d.Metrics)
+	if index.Table.Version > 0 {
+		accounts.ConfigurationAge = d.configurationAge().Seconds()
+	}
+	request.SetContentType("application/json")
+	if err := json.NewEncoder(request).Encode(accounts); err != nil {
+		request.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
 // retrying returns a listener that goes on after errors that pass, and logs them. That of the callers does
 // so by itself.
 func (d *Daemon) retrying(name string, listener net.Listener) net.Listener {
--- a/internal/forward/passthrough/authenticate.go
+++ b/internal/forward/passthrough/authenticate.go
@@ -5,6 +5,9 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/router"
+	"azurehitch/internal/telemetry/metrics"
+
+	"github.com/phuslu/log"
 )
 
 const (
@@ -31,17 +34,19 @@
 		return azurehitch.Refuse(azurehitch.CodeConfigurationStale, "the keys have not been confirmed for too long").WithRetryAfter(staleRetryAfter)
 	}
 	if credential.Fault != "" {
-		return invalidCredentials(credential.Fault)
+		return r.invalidCredentials(credential.Fault)
 	}
-	account, ok := index.Accounts.Lookup([]byte(credential.Key))
+	key := []byte(credential.Key)
+	account, ok := index.Accounts.Lookup(key)
 	if !ok {
-		return invalidCredentials(azurehitch.CredentialUnknown)
+		return r.invalidCredentials(index.Accounts.Fault(key))
 	}
 	r.account = account
 	return nil
 }
 
-func invalidCredentials(fault azurehitch.CredentialFault) error {
+func (r *request) invalidCredentials(fault azurehitch.CredentialFault) error {
+	r.server.Metrics.AddLabeled(metrics.CredentialsRefused, string(fault), 1)
 	return azurehitch.Refuse(azurehitch.CodeInvalidCredentials, "no valid API key: %s", fault)
 }
 
@@ -56,13 +61,61 @@
 func (r *request) takeAllowance() error {
 	allowance := r.account.Allowance
 	if allowance.Invalid != "" {
-		return azurehitch.Refuse(azurehitch.CodeAllowanceExceeded, "the allowance of account %s %s", r.account.Name, allowance.Invalid).
+		return azurehitch.Refuse(azurehitch.CodeAllowanceExceeded, "the entry of the account %s", allowance.Invalid).
 			WithRetryAfter(invalidAllowanceRetryAfter)
 	}
-	if !allowance.IsLimited() || r.server.Allowances == nil {
+	if r.account.Name == "" {
 		return nil
 	}
-	refund, err := r.server.Allowances.Take(r.searchCtx, r.account, allowance.Cost(r.CallerRequest))
-	r.refundAllowance = refund
-	return err
+	cost, refund := allowance.Cost(r.CallerRequest), func() {}
+	if allowance.IsLimited() && r.server.Allowances != nil {
+		var err error
+		if refund, err = r.server.Allowances.Take(r.searchCtx, r.account, cost); err != nil {
+			return err
+		}
+	}
+	r.countUnits(metrics.AccountUnitsTaken, cost)
+	r.refundAllowance = func() {
+		refund()
+		r.countUnits(metrics.AccountUnitsRefunded, cost)
+	}
+	return nil
+}
+
+func (r *request) countUnits(name metrics.Name, cost float64) {
+	r.server.Metrics.AddForAccount(name, r.account.Name, "", int64(cost))
+}
+
+// recordRefusal refunds the allowance of a request that was not run, and counts the refusal.
+func (r *request) recordRefusal(refused *azurehitch.ErrRefused) {
+	r.refusalCode = refused.Code
+	if refused.Run == azurehitch.RunStateNotRun && r.refundAllowance != nil {
+		r.refundAllowance()
+	}
+	if r.account.Name != "" {
+		r.server.Metrics.AddForAccount(metrics.AccountRequestsRefused, r.account.Name, string(refused.Code), 1)
+	}
+}
+
+// recordServed counts a complete answer.
+func (r *request) recordServed(reason string) {
+	if r.account.Name != "" && reason == answeredReason {
+		r.server.Metrics.AddForAccount(metrics.AccountRequestsServed, r.account.Name, "", 1)
+	}
+}
+
+// logAccount adds the account to the log line of the request and, for a refusal because of the account, what the
+// daemon knew about it. The line never has a key.
+func (r *request) logAccount(line *log.Entry) *log.Entry {
+	line = line.Str("Account", r.account.Name)
+	switch r.refusalCode {
+	case azurehitch.CodeInvalidCredentials, azurehitch.CodeConfigurationStale:
+		return line.Str("Code", string(r.refusalCode)).Dur("ConfigurationAge", r.server.ConfigurationAge())
+	case azurehitch.CodeAllowanceExceeded:
+		allowance := r.account.Allowance
+		return line.Str("Code", string(r.refusalCode)).Dur("ConfigurationAge", r.server.ConfigurationAge()).
+			Str("AllowanceUnit", string(allowance.Unit)).Float64("AllowancePerSecond", allowance.PerSecond).
+			Float64("AllowanceBurst", allowance.Burst).Float64("Cost", allowance.Cost(r.CallerRequest))
+	}
+	return line
 }
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -46,6 +46,8 @@
 	hasAccounts     bool
 	account         azurehitch.ClientAccount
 	refundAllowance func()
+	// refusalCode is the code of the refusal; empty if a server has answered.
+	refusalCode azurehitch.RefusalCode
 	// fingerprint identifies what the request asks for.
 	fingerprint          string
 	route                azurehitch.PathRoute
@@ -311,9 +313,7 @@
 	if refused.Code == azurehitch.CodeInvalidCredentials {
 		response.Header.Set(fasthttp.HeaderWWWAuthenticate, authenticationScheme)
 	}
-	if refused.Run == azurehitch.RunStateNotRun && r.refundAllowance != nil {
-		r.refundAllowance()
-	}
+	r.recordRefusal(refused)
 	r.server.Metrics.AddLabeled(metrics.RequestsRefused, string(refused.Code), 1)
 	if r.ctx != nil && r.isCallerDisconnected() {
 		r.server.Metrics.Add(metrics.RequestsAbandoned, 1)
@@ -332,11 +332,11 @@
 	r.server.requestEnded()
 	took := r.server.Clock.Now().Sub(r.startedAt)
 	r.recordRunTime(reason)
+	r.recordServed(reason)
 	r.recordStop(reason, took)
 	r.server.Metrics.Observe(metrics.RequestTime, r.route.Name, took)
-	r.server.Logs.Layer(logging.LayerForward).Info().Str("Request", r.ID).
+	r.logAccount(r.server.Logs.Layer(logging.LayerForward).Info()).Str("Request", r.ID).
 		Str("Fingerprint", r.fingerprint).Str("Resumes", r.Resumes).Str("LastEvent", r.LastEvent).Str("Route", r.route.Name).
-		Str("Account", r.account.Name).
 		Int64("Configuration", r.configurationVersion).Str("Model", r.Model).Str("Adapter", r.Adapter).
 		Strs("SharedParts", r.SharedParts[:min(len(r.SharedParts), maxLoggedParts)]).Int("Status", status).
 		Str("Reason", reason).Dur("Placed", r.placementTime).Dur("FirstEvent", r.timeToFirstEvent).
--- a/internal/telemetry/explain/cause.go
+++ b/internal/telemetry/explain/cause.go
@@ -15,7 +15,7 @@
 	// OutcomeLate means that the response, or an event of a stream, came later than the objective of
 	// the route allows.
 	OutcomeLate Outcome = "Late"
-	// OutcomeRefused means that the daemon refused the request with status 429 or 503.
+	// OutcomeRefused means that the daemon refused the request with status 401, 429 or 503.
 	OutcomeRefused Outcome = "Refused"
 	// OutcomeFailed means any other request without a response from a server, or a response with a 5xx
 	// status.
@@ -25,10 +25,11 @@
 )
 
 const (
-	statusTooMany     = 429
-	statusServerError = 500
-	statusUnavailable = 503
-	statusClientError = 400
+	statusUnauthorized = 401
+	statusTooMany      = 429
+	statusServerError  = 500
+	statusUnavailable  = 503
+	statusClientError  = 400
 	// reasonAnswered is the logged reason of a request that got a response from a server.
 	reasonAnswered = "answered"
 	// reasonCallerGone begins the logged reason of a request whose caller disconnected.
@@ -51,7 +52,9 @@
 	switch {
 	case strings.HasPrefix(l.Reason, reasonCallerGone):
 		return Cause{OutcomeAbandoned, generalize(l.Reason)}
-	case l.Reason != reasonAnswered && (l.Status == statusUnavailable || l.Status == statusTooMany):
+	case l.Reason != reasonAnswered && l.Status == statusTooMany && l.Account != "":
+		return Cause{OutcomeRefused, "account " + l.Account + ": " + generalize(l.Reason)}
+	case l.Reason != reasonAnswered && (l.Status == statusUnavailable || l.Status == statusTooMany || l.Status == statusUnauthorized):
 		return Cause{OutcomeRefused, generalize(l.Reason)}
 	case l.Reason != reasonAnswered:
 		return Cause{OutcomeFailed, generalize(l.Reason)}
--- a/internal/telemetry/explain/explain.go
+++ b/internal/telemetry/explain/explain.go
@@ -35,6 +35,8 @@
 	Route   string
 	Status  int
 	Reason  string
+	// Account is the client account of the request; empty if it has none.
+	Account string
 	// Placed is how long the request waited for servers. FirstEvent is the time until the first event
 	// of its stream; 0 if the response is no stream.
 	Placed     float64
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -15,6 +15,7 @@
 import (
 	"expvar"
 	"fmt"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 )
@@ -114,6 +115,16 @@
 	TunnelsServed Name = "TunnelsServed"
 	// RequestsTunneled counts the requests sent to servers through another daemon.
 	RequestsTunneled Name = "RequestsTunneled"
+	// CredentialsRefused counts the requests without a valid key, by the fault of their credentials.
+	CredentialsRefused Name = "CredentialsRefused"
+	// AccountRequestsServed counts the complete answers and AccountRequestsRefused the refusals, by account; the
+	// refusals also by their code.
+	AccountRequestsServed  Name = "AccountRequestsServed"
+	AccountRequestsRefused Name = "AccountRequestsRefused"
+	// AccountUnitsTaken and AccountUnitsRefunded count the units of the allowances, by account. Requests of
+	// accounts without a limit count too.
+	AccountUnitsTaken    Name = "AccountUnitsTaken"
+	AccountUnitsRefunded Name = "AccountUnitsRefunded"
 )
 
 // The gauges.
@@ -154,11 +165,38 @@
 	values  *expvar.Map
 	labeled *expvar.Map
 	times   *histograms
+
+	mu sync.Mutex
+	// accounts are the accounts that have their own labels.
+	accounts map[string]bool
 }
 
 // New returns metrics without values. A variable that was never set reads as 0.
 func New() *Metrics {
-	return &Metrics{values: new(expvar.Map).Init(), labeled: new(expvar.Map).Init(), times: newHistograms()}
+	return &Metrics{values: new(expvar.Map).Init(), labeled: new(expvar.Map).Init(), times: newHistograms(), accounts: map[string]bool{}}
+}
+
+// maxAccounts bounds the number of accounts with their own labels, since accounts come and go with the
+// configuration. The others have the label otherLabel.
+const maxAccounts = 1024
+
+// AddForAccount adds to a counter, to its value for an account and, unless cause is empty, to its value for both.
+func (m *Metrics) AddForAccount(name Name, account, cause string, n int64) {
+	account = m.accountLabel(account)
+	m.AddLabeled(name, account, n)
+	if cause != "" {
+		m.labeled.Add(string(name)+"."+account+"."+cause, n)
+	}
+}
+
+func (m *Metrics) accountLabel(account string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[account] && len(m.accounts) >= maxAccounts {
+		return otherLabel
+	}
+	m.accounts[account] = true
+	return account
 }
 
 // Add adds to a counter or gauge.
