--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -36,6 +36,8 @@
 	ended chan struct{}
 	// leaseClock is the LeaseClock of the daemon.
 	leaseClock *skippingClock
+	// accounts are the accounts of the tables that are published.
+	accounts []platformtest.Account
 }
 
 // withDaemon calls run with a daemon that has read a first routing table, and stops it afterwards.
@@ -115,7 +117,7 @@
 			Timeout: time.Second, Targets: []azurehitch.RouteTarget{{Service: "desk", Weight: 1}},
 		}},
 		Services: map[string]azurehitch.BackendService{"desk": {Name: "desk"}},
-	}), qt.IsNil)
+	}, env.accounts...), qt.IsNil)
 }
 
 // isTableInForce reports whether the daemon knows the route of the last table.
