Accounts (whole): the soak revokes keys under all faults

No run with faults had keys. TestKeysUnderFaults has an account whose key is in every table and one whose key each change of the configuration revokes; callers use both, revoked keys and an unknown one. Servers check the account and that no key arrives; the checker, that a revoked key is refused and a key in force is not.

--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -160,6 +160,7 @@
 		}
 	}
 	x.URI, x.TimeLeft = x.route.PathPrefix+"x?n=1", x.route.Timeout
+	x.Key = c.nextKey(x.route)
 	if x.Model != "" {
 		x.SharedParts = sharedParts(c.number, number)
 	}
@@ -178,6 +179,9 @@
 	defer c.disconnect()
 	x := c.nextExchange()
 	x.route, x.URI, x.TimeLeft, x.Model, x.Session = route, route.PathPrefix+"x", route.Timeout, model, lastSession
+	if x.Key != "" {
+		x.Key = steadyKey
+	}
 	cl.checker.recordRequest(x)
 	_ = c.conn.SetDeadline(time.Now().Add(x.route.Timeout + answerMargin))
 	if x.err = c.client.Send(x.CallerRequest); x.err == nil {
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -72,6 +72,7 @@
 	ruleCrashingPart       rule = "requests with a part that crashes servers reach no further servers"
 	ruleDeadlyRequest      rule = "a request that crashes servers reaches no further servers"
 	ruleSoundRequests      rule = "sound requests are served beside those that crash servers"
+	ruleKeys               rule = "requests run with a key in force only, under the name of its account"
 	ruleConfiguration      rule = "requests follow the current configuration"
 	ruleSingleHolder       rule = "a service has at most one lease holder"
 	ruleEqualFolds         rule = "all daemons come to the same leases by the same records"
@@ -199,7 +200,9 @@
 // publishedTable is a routing table that may be in force once it was sent to the store, and must
 // be in force applyTime after the store acknowledged it.
 type publishedTable struct {
-	table   azurehitch.RoutingTable
+	table azurehitch.RoutingTable
+	// keys holds the names of the accounts by key.
+	keys    map[string]string
 	sentAt  time.Time
 	ackedAt time.Time
 }
@@ -355,6 +358,7 @@
 	}
 	r.runs = append(r.runs, run)
 	c.checkSoftwareVersion(r, run)
+	c.checkAccount(r.exchange, run)
 	r.runsAt = append(r.runsAt, now)
 	r.progress = append(r.progress, progress{})
 	x := r.exchange
@@ -384,7 +388,7 @@
 // isRefusal reports whether a status is one with which daemons refuse requests.
 func isRefusal(status int) bool {
 	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	case http.StatusUnauthorized, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
 	}
 	return false
@@ -401,10 +405,10 @@
 
 // recordPublication records a routing table that is sent to the store. The returned function
 // records the acknowledgement.
-func (c *checker) recordPublication(table azurehitch.RoutingTable) (acked func()) {
+func (c *checker) recordPublication(table azurehitch.RoutingTable, accounts ...platformtest.Account) (acked func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tables = append(c.tables, publishedTable{table: table, sentAt: time.Now()})
+	c.tables = append(c.tables, publishedTable{table: table, keys: keysOf(accounts), sentAt: time.Now()})
 	i := len(c.tables) - 1
 	return func() {
 		c.mu.Lock()
@@ -434,6 +438,7 @@
 		return
 	}
 	c.checkAnswer(r)
+	c.checkKey(x, isHealthy)
 	c.checkQuarantined(x)
 	if isHealthy {
 		c.checkApplied(x)
@@ -528,11 +533,7 @@
 		return
 	}
 	hasRoute, lacksRoute := false, false
-	for i, published := range c.tables {
-		isReplaced := i+1 < len(c.tables) && !c.tables[i+1].ackedAt.IsZero() && x.sentAt.Sub(c.tables[i+1].ackedAt) > applyTime
-		if isReplaced || published.sentAt.After(x.endedAt) {
-			continue
-		}
+	for _, published := range c.tablesDuring(x) {
 		if slices.ContainsFunc(published.table.Routes, func(r azurehitch.PathRoute) bool { return r.PathPrefix == x.route.PathPrefix }) {
 			hasRoute = true
 		} else {
@@ -549,6 +550,18 @@
 	}
 }
 
+// tablesDuring returns the tables that may have been in force during a request, without a fault of the store.
+func (c *checker) tablesDuring(x exchange) []publishedTable {
+	var tables []publishedTable
+	for i, published := range c.tables {
+		isReplaced := i+1 < len(c.tables) && !c.tables[i+1].ackedAt.IsZero() && x.sentAt.Sub(c.tables[i+1].ackedAt) > applyTime
+		if !isReplaced && !published.sentAt.After(x.endedAt) {
+			tables = append(tables, published)
+		}
+	}
+	return tables
+}
+
 // checkLoads checks the number of loads from the weight store within the loadWindow that ends now.
 func (c *checker) checkLoads(now time.Time) {
 	c.remoteLoads = slices.DeleteFunc(c.remoteLoads, func(at time.Time) bool { return now.Sub(at) > loadWindow })
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -77,6 +77,8 @@
 	otherBinary string
 	// ignoresTokens is set if model engines ignore tokens whatever the seed.
 	ignoresTokens bool
+	// hasAccounts is set if the configuration has client accounts.
+	hasAccounts bool
 	// checkOrders checks the orders of the run at its end; nil for no further check.
 	checkOrders func(cl *cluster)
 	// work returns the work of a request at a server. A request that takes up a stream again has the
@@ -424,8 +426,8 @@
 		Version: int64(n + 1), Routes: append(slices.Clone(cl.setup.routes), probeRoute(n)), Services: cl.setup.services(),
 		Limits: azurehitch.CallerLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 20 * time.Second},
 	}
-	acked := cl.checker.recordPublication(cl.table)
-	cl.Check(cl.store.PutRouting(cl.table), qt.IsNil)
+	acked := cl.checker.recordPublication(cl.table, cl.accounts()...)
+	cl.Check(cl.store.PutRouting(cl.table, cl.accounts()...), qt.IsNil)
 	acked()
 }
 
--- a/internal/proof/soak/oldercopy_test.go
+++ b/internal/proof/soak/oldercopy_test.go
@@ -74,7 +74,7 @@
 func (cl *cluster) republish() {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.Check(cl.store.PutRouting(cl.table), qt.IsNil)
+	cl.Check(cl.store.PutRouting(cl.table, cl.accounts()...), qt.IsNil)
 }
 
 // TestFreshSeedsWithOlderCopies adds returns of the store to the plans of TestFreshSeeds.
