Allowances at the gateway: daemons exchange loans and units, and charge requests to them

Cause: passthrough charged requests to nothing; the limits of accounts apply to all daemons together.

Change: internal/allowance/allowancepeer carries the reports of sharedlimit over the connections between daemons and implements passthrough.Allowances. A daemon of an older release answers a report as it does any unknown request, and is passed over. Refunded units go back into the hand while they are valid.

--- a/internal/allowance/sharedlimit/bucket.go
+++ b/internal/allowance/sharedlimit/bucket.go
@@ -65,7 +65,7 @@
 		full     = 0.999
 	)
 	capacity := b.capacity(p)
-	return cost > capacity && capacity > 0 && p.share > majority && cost <= b.limit.Burst && available >= capacity*full
+	return cost > capacity && capacity > 0 && p.share > majority && available >= capacity*full
 }
 
 // timeUntil returns the time until the bucket has the units for a request and for those ahead of it.
--- a/internal/allowance/sharedlimit/fleet_test.go
+++ b/internal/allowance/sharedlimit/fleet_test.go
@@ -85,7 +85,7 @@
 	for _, other := range s.members[:s.known] {
 		names = append(names, other.name)
 	}
-	m.lender.SetFleet(s.now, sharedlimit.Fleet{Daemons: s.known, Candidates: names, IsListed: true})
+	m.lender.SetFleet(s.now, sharedlimit.Fleet{Daemons: s.known, Candidates: names})
 }
 
 func (s *simulation) after(d time.Duration, event func()) {
--- a/internal/allowance/sharedlimit/key.go
+++ b/internal/allowance/sharedlimit/key.go
@@ -1,6 +1,9 @@
 package sharedlimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // lot is units that were granted at once.
 type lot struct {
@@ -46,6 +49,16 @@
 	return units, expired
 }
 
+// putBack adds units that were taken and not used, which expire as before.
+func (k *key) putBack(units float64, o origin) {
+	back := lot{units: units, expires: o.expires, from: o.from, since: o.since}
+	i := slices.IndexFunc(k.lots, func(l lot) bool { return l.expires.After(back.expires) })
+	if i < 0 {
+		i = len(k.lots)
+	}
+	k.lots = slices.Insert(k.lots, i, back)
+}
+
 // spend removes units from the oldest lots, and returns where they came from.
 func (k *key) spend(units float64) origin {
 	o := origin{}
@@ -67,11 +80,16 @@
 	// from and since are as in lot; from is empty if the units are of several coordinators.
 	from  string
 	since Stamp
+	// expires is when the first of the units expires.
+	expires time.Time
 	// at is when units were taken from the home share.
 	at time.Time
 }
 
 func (o *origin) add(l lot) {
+	if o.expires.IsZero() || l.expires.Before(o.expires) {
+		o.expires = l.expires
+	}
 	switch {
 	case o.since.IsZero():
 		o.from, o.since = l.from, l.since
--- a/internal/allowance/sharedlimit/lender.go
+++ b/internal/allowance/sharedlimit/lender.go
@@ -1,6 +1,8 @@
 package sharedlimit
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -9,12 +11,11 @@
 
 // Fleet is what a daemon knows of the others.
 type Fleet struct {
-	// Daemons is the number of known daemons, this one included, and Candidates are the names of those
-	// that may be coordinators.
-	Daemons    int
+	// Daemons is the number of known daemons, this one included. It is 0 until their list has been read:
+	// the daemon has no share then.
+	Daemons int
+	// Candidates are the names of the daemons that may be coordinators.
 	Candidates []string
-	// IsListed is true once the list of daemons has been read. Before, the daemon has no share.
-	IsListed bool
 }
 
 // Lender is the side of a daemon that uses limits: it lends its share, and takes units for requests.
@@ -68,6 +69,19 @@
 // Counts returns what the lender has done since its start.
 func (l *Lender) Counts() LenderCounts { return l.counts }
 
+// Coordinators returns the coordinator of each slot; empty where there is none.
+func (l *Lender) Coordinators() []string {
+	var names []string
+	for _, s := range l.slots {
+		name := ""
+		if p, ok := l.coordinator(s); ok {
+			name = p.name
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // KeyCount returns the number of limits that the lender keeps.
 func (l *Lender) KeyCount() int {
 	n := 0
@@ -83,10 +97,10 @@
 // SetFleet sets what the daemon knows of the others.
 func (l *Lender) SetFleet(now time.Time, f Fleet) {
 	share := 0.0
-	if f.IsListed && f.Daemons > 0 {
+	if f.Daemons > 0 {
 		share = 1 / float64(f.Daemons)
 	}
-	isSame := f.IsListed == l.fleet.IsListed && slices.Equal(f.Candidates, l.fleet.Candidates)
+	isSame := slices.Equal(f.Candidates, l.fleet.Candidates)
 	l.fleet, l.share = f, share
 	count := slotCount(f.Daemons)
 	if len(l.slots) != count {
@@ -123,22 +137,12 @@
 	}
 }
 
-// rank returns the candidates for a slot by rendezvous hashing; none before the daemons are listed.
+// rank returns the candidates for a slot by rendezvous hashing.
 func rank(s Slot, f Fleet) []string {
-	if !f.IsListed {
-		return nil
-	}
 	order := slices.Clone(f.Candidates)
-	id := string(rune('0'+s.Count)) + "/" + string(rune('0'+s.Index))
+	id := fmt.Sprintf("%d/%d", s.Index, s.Count)
 	slices.SortFunc(order, func(a, b string) int {
-		wa, wb := daemonrank.Weight(id, a), daemonrank.Weight(id, b)
-		switch {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return 0
+		return cmp.Compare(daemonrank.Weight(id, b), daemonrank.Weight(id, a))
 	})
 	return order
 }
@@ -150,9 +154,19 @@
 	state TicketState
 	retry time.Duration
 	from  origin
+	knew  Knowledge
 	done  chan struct{}
 }
 
+// Knowledge is what a lender knew when it refused a request.
+type Knowledge struct {
+	// Coordinator is empty if there is none. Age is the time since its last answer, or -1 without one.
+	Coordinator string
+	Age         time.Duration
+	// InHand are the units in hand.
+	InHand float64
+}
+
 // TicketState is the state of a Ticket.
 type TicketState string
 
@@ -169,6 +183,9 @@
 // RetryAfter returns when a refused request can be granted, at any daemon.
 func (t *Ticket) RetryAfter() time.Duration { return t.retry }
 
+// Knew returns on what a refusal was based.
+func (t *Ticket) Knew() Knowledge { return t.knew }
+
 // Done returns a channel that is closed when the ticket waits no longer.
 func (t *Ticket) Done() <-chan struct{} { return t.done }
 
@@ -178,13 +195,16 @@
 // Take takes units for a request. If it has to wait for a coordinator, the ticket waits, and Due may
 // return a message at once. The caller ends the wait with GiveUp after MaxWait.
 func (l *Lender) Take(now time.Time, name string, limit Limit, cost float64) *Ticket {
-	k := l.key(now, name, limit)
+	s := l.slots[slotOf(name, len(l.slots)).Index]
+	k := s.key(now, name)
+	if k.limit != limit {
+		k.limit, k.retryAt = limit, time.Time{}
+	}
 	k.observe(now, cost)
 	t := &Ticket{key: k, cost: cost}
 	if len(k.waiting) == 0 && l.takeNow(now, t) {
 		return t
 	}
-	s := l.slot(k)
 	_, hasCoordinator := l.coordinator(s)
 	retry := k.retryAt.Sub(now)
 	if !limit.isValid() || !hasCoordinator || retry > MaxWait || len(k.waiting) >= maxWaiting {
@@ -197,17 +217,13 @@
 	return t
 }
 
-// key returns the state of a key with its current limit.
-func (l *Lender) key(now time.Time, name string, limit Limit) *key {
-	s := l.slots[slotOf(name, len(l.slots)).Index]
+// key returns the state of a key.
+func (s *slotState) key(now time.Time, name string) *key {
 	k, ok := s.keys[name]
 	if !ok {
 		k = &key{name: name, slot: s.Slot, forecastAt: now}
 		s.keys[name] = k
 	}
-	if k.limit != limit {
-		k.limit, k.retryAt = limit, time.Time{}
-	}
 	return k
 }
 
@@ -246,7 +262,11 @@
 func (l *Lender) refuse(now time.Time, t *Ticket) {
 	l.counts.Refused++
 	t.state, t.retry = TicketRefused, max(t.key.retryAt.Sub(now), ReportInterval)
-	if _, ok := l.coordinator(l.slot(t.key)); ok || !t.key.limit.isValid() {
+	t.knew = Knowledge{Age: -1, InHand: l.inHand(now, t.key)}
+	if p, ok := l.coordinator(l.slot(t.key)); ok || !t.key.limit.isValid() {
+		if ok && !p.receivedAt.IsZero() {
+			t.knew.Coordinator, t.knew.Age = p.name, now.Sub(p.receivedAt)
+		}
 		return
 	}
 	// Without a coordinator, the home share is all that there is.
@@ -276,12 +296,20 @@
 		if home := l.home(now, s); home != nil {
 			home.bucket(t.key.name, t.key.limit).giveBack(home, t.cost, t.from.at)
 		}
-	} else if t.from.from != "" {
-		k := l.key(now, t.key.name, t.key.limit)
-		k.usedAt = now
-		k.refund(t.cost, t.from)
-		l.counts.Returned += t.cost
+		return
+	}
+	if t.from.from == "" {
+		return
+	}
+	k := s.key(now, t.key.name)
+	k.usedAt, k.limit = now, t.key.limit
+	if now.Before(t.from.expires) {
+		k.putBack(t.cost, t.from)
+		l.serveWaiting(now, k)
+		return
 	}
+	k.refund(t.cost, t.from)
+	l.counts.Returned += t.cost
 }
 
 // serveWaiting grants units to the waiting tickets in their order, as far as there are some.
--- a/internal/allowance/sharedlimit/sharedlimit.go
+++ b/internal/allowance/sharedlimit/sharedlimit.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	lender := sharedlimit.NewLender("daemon-1", process, now)
-//	lender.SetFleet(now, sharedlimit.Fleet{Daemons: 66, Candidates: strong, IsListed: true})
+//	lender.SetFleet(now, sharedlimit.Fleet{Daemons: 66, Candidates: strong})
 //	ticket := lender.Take(now, "account", limit, cost)
 //	for _, message := range lender.Due(now) {
 //		// Send message.Report to the daemon message.To, whose Coordinator answers it.
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/allowance/allowancepeer"
 	"azurehitch/internal/configuration/routing"
 	"azurehitch/internal/daemon/lateness"
 	"azurehitch/internal/forward/backoff"
@@ -123,6 +124,7 @@
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
 	streamPeers     *streampeer.Client
+	allowances      *allowancepeer.Client
 	paths           *serverpath.Dialer
 	tunnelServer    *tunnelpeer.Server
 
@@ -159,6 +161,7 @@
 	d.assemblePlacement()
 	d.assembleQuarantine()
 	d.assembleStreams()
+	d.assembleAllowances()
 	d.assemblePaths()
 	d.assembleForwarding()
 	d.assembleTunnelServer()
@@ -321,6 +324,7 @@
 		Limits:           d.limits,
 		Rejections:       d.rejections,
 		ConfigurationAge: d.configurationAge,
+		Allowances:       d.allowances,
 		Quarantine:       d.quarantine,
 		Streams:          streamVersions{d.streams, d.streamPeers},
 		OnNotice:         d.handleNotice,
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -27,7 +27,7 @@
 	group, running := errgroup.WithContext(running)
 	for _, loop := range []func(context.Context) error{
 		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.heldServices.Run, d.holderClient.Run,
-		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.watchVersions, d.watchMixedServices,
+		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.allowances.Run, d.watchVersions, d.watchMixedServices,
 		d.Connections.Run, d.lateness.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers, d.runTunnels, d.paths.Run,
 	} {
 		group.Go(func() error { return loop(running) })
@@ -101,6 +101,9 @@
 		if request.GetStreamsBegan() != nil || request.GetStreamVersion() != nil {
 			return d.streamPeers.Handle(request)
 		}
+		if report := request.GetAllowance(); report != nil {
+			return d.allowances.Handle(request.GetDaemon(), report)
+		}
 		return server.Handle(ctx, request)
 	}
 	return mux.NewServer(d.retrying("peers", d.listeners.peers), handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
@@ -121,6 +124,7 @@
 		d.Metrics.Set(metrics.LogLinesDropped, d.Logs.Dropped())
 		d.Metrics.Set(metrics.PartsHeld, d.quarantine.HeldCount(quarantine.KindPart))
 		d.Metrics.Set(metrics.RequestsHeld, d.quarantine.HeldCount(quarantine.KindRequest))
+		d.allowances.UpdateMetrics()
 		text(request)
 	})
 }
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -112,6 +112,11 @@
 	// asked this daemon for, by outcome.
 	TunnelsAsked  Name = "TunnelsAsked"
 	TunnelsServed Name = "TunnelsServed"
+	// AllowanceUnits counts units of the limits of accounts, and AllowanceReports messages between daemons about
+	// them, by what happened to them. AllowanceRefusals counts the requests beyond an allowance.
+	AllowanceUnits    Name = "AllowanceUnits"
+	AllowanceReports  Name = "AllowanceReports"
+	AllowanceRefusals Name = "AllowanceRefusals"
 	// RequestsTunneled counts the requests sent to servers through another daemon.
 	RequestsTunneled Name = "RequestsTunneled"
 )
@@ -136,6 +141,10 @@
 	RecordsDamaged          Name = "RecordsDamaged"
 	KeysClaimed             Name = "KeysClaimed"
 	ClaimGaps               Name = "ClaimGaps"
+	// AllowanceShare is the part of the limits of accounts that other daemons and this one have lent to this one, in
+	// thousandths, and AllowancesKept the number of limits of which it keeps a state.
+	AllowanceShare Name = "AllowanceShare"
+	AllowancesKept Name = "AllowancesKept"
 )
 
 // The durations, which are kept as histograms.
