--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/allowance/allowancepeer"
 	"azurehitch/internal/configuration/routing"
 	"azurehitch/internal/daemon/lateness"
 	"azurehitch/internal/forward/backoff"
@@ -114,6 +115,7 @@
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
 	streamPeers     *streampeer.Client
+	allowances      *allowancepeer.Client
 	paths           *serverpath.Dialer
 	tunnelServer    *tunnelpeer.Server
 
@@ -150,6 +152,7 @@
 	d.assemblePlacement()
 	d.assembleQuarantine()
 	d.assembleStreams()
+	d.assembleAllowances()
 	d.assemblePaths()
 	d.assembleForwarding()
 	d.assembleTunnelServer()
@@ -247,6 +250,7 @@
 		Limits:           d.limits,
 		Rejections:       d.rejections,
 		ConfigurationAge: d.configurationAge,
+		Allowances:       d.allowances,
 		Quarantine:       d.quarantine,
 		Streams:          streamVersions{d.streams, d.streamPeers},
 		OnNotice:         d.handleNotice,
