Holder: waiting requests are ordered by their latest start

Cause: the queue was ordered by arrival with a lead of 300 ms for each rank. Where slots were short, a request with an objective of 6 s went before all new urgent ones after 0.6 s, although it could wait for 5 s more; the kind between (500 ms, rank 1) lost nearly all of its requests.

Change: internal/forward/priority defines the order: on time before late, then by latest start, corrected by what the kind has lost in the last seconds, so that a lasting overload is shared by all kinds, and by 20 ms for each rank.

With room, all kinds stay at 1.

--- /dev/null
+++ b/internal/placement/swap/losses.go
@@ -0,0 +1,58 @@
+package swap
+
+import (
+	"time"
+
+	"azurehitch/internal/forward/priority"
+)
+
+// losses are the requests for a model by rank of urgency, to compare how the kinds fare that wait for the same
+// servers.
+type losses map[int]*kindLosses
+
+// kindLosses are the requests of one kind.
+type kindLosses struct {
+	requested rate
+	// lost are those that were refused, or could no longer be answered by their objective.
+	lost rate
+	// credit was computed at the last evaluation of the queue. It is constant until the next one, so that the
+	// queue stays sorted.
+	credit time.Duration
+}
+
+func (l losses) of(urgency int) *kindLosses {
+	kind, ok := l[urgency]
+	if !ok {
+		kind = &kindLosses{}
+		l[urgency] = kind
+	}
+	return kind
+}
+
+// lostShare returns the share of requests that were lost in the last seconds.
+func (k *kindLosses) lostShare(now time.Time) float64 {
+	requested := k.requested.perSecond(now)
+	if requested <= 0 {
+		return 0
+	}
+	return k.lost.perSecond(now) / requested
+}
+
+// countLoss counts a request that is refused or has become late.
+func (p *Plan) countLoss(w *waiter, now time.Time) {
+	p.model(w.Model).losses.of(w.Urgency).lost.add(1, now)
+}
+
+// updateLossCredits computes the credit of each kind that waits.
+func (p *Plan) updateLossCredits(now time.Time) {
+	for name := range p.waiters.byModel {
+		for _, kind := range p.model(name).losses {
+			kind.credit = priority.LossCredit(kind.lostShare(now))
+		}
+	}
+}
+
+// lossCredit returns the credit of the kind of a request.
+func (p *Plan) lossCredit(w *waiter) time.Duration {
+	return p.model(w.Model).losses.of(w.Urgency).credit
+}
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -144,6 +144,7 @@
 	// misses is the number of requests that found no ready replica.
 	misses      int
 	requestRate rate
+	losses      losses
 	// startRate is the rate of requests started on its servers.
 	startRate rate
 	// refusalRate is the rate of requests refused for lack of capacity.
@@ -233,7 +234,7 @@
 func (p *Plan) model(name string) *model {
 	m, ok := p.models[name]
 	if !ok {
-		m = &model{}
+		m = &model{losses: losses{}}
 		p.models[name] = m
 	}
 	return m
--- a/internal/placement/swap/prefill.go
+++ b/internal/placement/swap/prefill.go
@@ -30,12 +30,23 @@
 	}
 	s.prefillEnds = slices.DeleteFunc(s.prefillEnds, func(until time.Time) bool { return !now.Before(until) })
 	until := request.Deadline
-	if remaining := until.Sub(now); int64(request.PromptTokens) < int64(remaining/prefillTimePerToken) {
-		until = now.Add(time.Duration(request.PromptTokens) * prefillTimePerToken)
+	if end := now.Add(prefillTime(request.PromptTokens)); end.Before(until) {
+		until = end
 	}
 	s.prefillEnds = append(s.prefillEnds, until)
 }
 
+// maxPrefillTime bounds the prefill time of the length that a request states.
+const maxPrefillTime = time.Hour
+
+// prefillTime returns the approximate prefill time of a prompt.
+func prefillTime(promptTokens int) time.Duration {
+	if promptTokens >= int(maxPrefillTime/prefillTimePerToken) {
+		return maxPrefillTime
+	}
+	return time.Duration(max(promptTokens, 0)) * prefillTimePerToken
+}
+
 // activePrefills returns the number of long prompts in prefill.
 func (s *server) activePrefills(now time.Time) int {
 	count := 0
--- a/internal/placement/swap/queue.go
+++ b/internal/placement/swap/queue.go
@@ -1,10 +1,11 @@
 package swap
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"azurehitch/internal/forward/priority"
 )
 
 // queue holds the waiting requests by ID and by model. The requests for a model are sorted in the
@@ -50,38 +51,52 @@
 // sorted returns all waiting requests in the order of service.
 func (q queue) sorted() []*waiter { return slices.SortedFunc(maps.Values(q.byID), compareWaiters) }
 
-// firstEventTime is the approximate time from a grant to the first event of the answer.
-const firstEventTime = 100 * time.Millisecond
-
-// urgencyLead is added to the arrival time of a request for each rank of its Urgency, so that less
-// urgent requests are served later.
-const urgencyLead = 300 * time.Millisecond
+const (
+	// firstEventTime is the approximate time from a grant to the first event of the answer, without the
+	// prefill of the prompt.
+	firstEventTime = 100 * time.Millisecond
+	// maxAnswerShare is the largest share of the time from arrival to objective that the expected time to
+	// the answer takes, whatever length of the prompt the request states.
+	maxAnswerShare = 0.5
+	// startMargin is the share of that time by which a request should start earlier than expected to be
+	// needed: a server may take longer.
+	startMargin = 0.1
+)
 
-// effectiveArrival returns the arrival time adjusted for urgency. Requests are served in the order
-// of this time. It bounds the lead of urgent requests, so that urgent requests for a busy model
-// don't starve the others.
-func (w *waiter) effectiveArrival() time.Time {
-	return w.arrivedAt.Add(time.Duration(w.Urgency) * urgencyLead)
+// timeToAnswer returns the expected time from the grant of a request to the first event of the answer, with a
+// margin.
+func (w *waiter) timeToAnswer() time.Duration {
+	allowed := max(w.Objective.Sub(w.arrivedAt), 0)
+	expected := firstEventTime + time.Duration(float64(allowed)*startMargin)
+	return min(expected+prefillTime(w.PromptTokens), max(time.Duration(float64(allowed)*maxAnswerShare), firstEventTime))
 }
 
-// compareWaiters orders requests: those that can still be on time first, then by effective arrival.
-func compareWaiters(a, b *waiter) int {
-	return cmp.Or(
-		compareBool(a.late, b.late), a.effectiveArrival().Compare(b.effectiveArrival()), cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(a.ID, b.ID),
-	)
+// standing returns the position of a request in the order of service.
+func (w *waiter) standing() priority.Standing {
+	return priority.Standing{
+		ID: w.ID, Rank: w.Urgency, Objective: w.Objective, TimeToAnswer: w.timeToAnswer(), Credit: w.credit, Excess: w.excess, IsLate: w.late,
+	}
 }
 
-// demoteLate moves requests that can no longer be on time behind those that can. Under overload,
-// serving the longest waits first would make all requests late.
-func (q queue) demoteLate(now time.Time) {
+// compareWaiters orders requests by when they are served.
+func compareWaiters(a, b *waiter) int { return priority.Compare(a.standing(), b.standing()) }
+
+// reorder updates what the order of the requests depends on: the credit of their kind, and which of them can
+// no longer be on time. These go behind those that can: under overload, serving the longest waits first would
+// make all requests late. It calls lost for each request that has become late.
+func (q queue) reorder(now time.Time, credit func(w *waiter) time.Duration, lost func(w *waiter)) {
 	for _, waiters := range q.byModel {
-		demoted := false
+		isChanged := false
 		for _, w := range waiters {
-			if !w.late && now.Add(firstEventTime).After(w.Objective) {
-				w.late, demoted = true, true
+			if current := credit(w); current != w.credit {
+				w.credit, isChanged = current, true
+			}
+			if !w.late && w.standing().MustBeLate(now) {
+				w.late, isChanged = true, true
+				lost(w)
 			}
 		}
-		if demoted {
+		if isChanged {
 			slices.SortFunc(waiters, compareWaiters)
 		}
 	}
--- a/internal/placement/swap/queue_test.go
+++ b/internal/placement/swap/queue_test.go
@@ -156,6 +156,50 @@
 	})
 }
 
+// TestCompetingKinds covers a replica that is short of slots for kinds of different objectives: with an order by
+// arrival, patient requests got nearly all slots that they asked for, and the kind between lost nearly all.
+func TestCompetingKinds(t *testing.T) {
+	hint := requestKind{name: "hint", urgency: 0, objective: 400 * time.Millisecond, deadline: 2 * time.Second}
+	check := requestKind{name: "check", urgency: 1, objective: 500 * time.Millisecond, deadline: 2 * time.Second}
+	tale := requestKind{name: "tale", urgency: 2, objective: 6 * time.Second, deadline: 24 * time.Second}
+	kinds := []requestKind{hint, tale, hint, check, hint, tale, hint, check, hint, tale}
+	const runTime = 500 * time.Millisecond
+	capacity := int(slots / runTime.Seconds())
+	// run returns the share of each kind that is on time; between 3 of 10 seconds, the rate is multiplied by burst.
+	run := func(t *testing.T, perSecond int, burst float64) (hints, checks, tales float64) {
+		s := newSimulation(t, overload{runTime: runTime, kindOf: func(i int) requestKind { return kinds[i%len(kinds)] }})
+		for i := 0; s.now.Before(start.Add(time.Minute)); i++ {
+			rate := float64(perSecond)
+			if int(s.now.Sub(start).Seconds())%10 < 3 {
+				rate *= burst
+			}
+			s.advance(time.Duration(float64(time.Second) / rate))
+			s.step(i)
+		}
+		return s.outcomes["hint"].onTimeShare(), s.outcomes["check"].onTimeShare(), s.outcomes["tale"].onTimeShare()
+	}
+	for name, load := range map[string]struct {
+		perSecond int
+		burst     float64
+		servable  float64
+	}{
+		"bursts":           {perSecond: capacity - 2, burst: 1.6, servable: 0.9},
+		"lasting overload": {perSecond: capacity * 5 / 4, burst: 1, servable: 0.8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			hints, checks, tales := run(t, load.perSecond, load.burst)
+			shares := qt.Commentf("on time: hints %.3f, checks %.3f, tales %.3f", hints, checks, tales)
+			c.Assert(hints >= checks && checks >= tales, qt.IsTrue, shares)
+			c.Assert(tales >= 0.85*load.servable, qt.IsTrue, shares)
+		})
+	}
+	t.Run("with room, all are on time", func(t *testing.T) {
+		hints, checks, tales := run(t, capacity-2, 1)
+		qt.New(t).Assert([]float64{hints, checks, tales}, qt.DeepEquals, []float64{1, 1, 1})
+	})
+}
+
 // TestRunTime sends a burst of 60 short requests, which the replica can serve within a second. None
 // may be refused, since the run time is estimated from the preceding requests.
 func TestRunTime(t *testing.T) {
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -50,6 +50,9 @@
 	renewedAt time.Time
 	// late is set once the request can no longer be answered by its Objective.
 	late bool
+	// credit and excess are as in priority.Standing.
+	credit time.Duration
+	excess time.Duration
 	// tier is the cache tier that the load on behalf of this request reads from; empty if none has
 	// been ordered.
 	tier azurehitch.CacheTier
@@ -66,6 +69,9 @@
 		w = &waiter{arrivedAt: now}
 	}
 	w.Request = request
+	if !waiting {
+		w.credit = p.lossCredit(w)
+	}
 	w.renewedAt = now
 	verdict := p.evaluate(w, p.availability(request.Model, now), now)
 	if verdict.Kind == VerdictWaiting {
@@ -84,7 +90,8 @@
 // EvaluateWaiting evaluates the waiting requests for which hasPendingCall is true, that is, whose
 // daemon awaits a verdict, and returns the grants and refusals.
 func (p *Plan) EvaluateWaiting(now time.Time, hasPendingCall func(id string) bool) []FinalVerdict {
-	p.waiters.demoteLate(now)
+	p.updateLossCredits(now)
+	p.waiters.reorder(now, p.lossCredit, func(w *waiter) { p.countLoss(w, now) })
 	var verdicts []FinalVerdict
 	for _, name := range p.waiters.models() {
 		avail := p.availability(name, now)
@@ -139,6 +146,9 @@
 // for further replicas.
 func (p *Plan) refuse(w *waiter, estimate time.Duration, reason string, now time.Time) Verdict {
 	p.waiters.remove(w.ID)
+	if !w.late {
+		p.countLoss(w, now)
+	}
 	switch reason {
 	case reasonServersFull, reasonServersRejecting, reasonRateLimits:
 		p.model(w.Model).refusalRate.add(1, now)
@@ -165,6 +175,7 @@
 	m := p.model(request.Model)
 	m.requests++
 	m.requestRate.add(1, now)
+	m.losses.of(request.Urgency).requested.add(1, now)
 	if len(p.readyServers(request.Model)) == 0 {
 		m.misses++
 	}
