Holder: the excess of an account waits behind the requests of others

Cause: where slots are short, an account that sends several times its usual traffic takes slots in proportion to what it sends, so all accounts lose alike.

Change: the account's name reaches the holder in the request for a server (new optional field). Among accounts that wait for the same model, each takes turns (priority.Turns); a request waits behind others for as long as the turns of its account before it take. What an account loses beyond its share doesn't count as a loss of its kind. Without accounts, and while no request waits, nothing changes. The request path doesn't set place.Request.Account yet.

--- a/internal/forward/place/model.go
+++ b/internal/forward/place/model.go
@@ -122,7 +122,7 @@
 func (p *Placer) holderRequest(r Request) swap.Request {
 	return swap.Request{
 		ID: r.ID, Daemon: p.Self, FailureDomain: p.FailureDomain, Model: r.Model, Adapter: r.Adapter,
-		PromptTokens: r.PromptTokens, Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Avoid: r.Avoid,
+		PromptTokens: r.PromptTokens, Objective: r.Objective, Deadline: r.Deadline, Urgency: r.Urgency, Account: r.Account, Avoid: r.Avoid,
 		SoftwareVersion: r.SoftwareVersion,
 	}
 }
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -59,8 +59,10 @@
 	// it.
 	Objective time.Time
 	Deadline  time.Time
-	// Urgency is the rank of the request's route; 0 is the most urgent.
+	// Urgency is the rank of the request; 0 is the most urgent.
 	Urgency int
+	// Account is the name of the client account that sent the request; empty without accounts.
+	Account string
 	// SoftwareVersion restricts the request to the servers of a version.
 	SoftwareVersion azurehitch.VersionBound
 }
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -46,8 +46,10 @@
 	// answer is useless.
 	Objective time.Time
 	Deadline  time.Time
-	// Urgency is the priority rank of the route; 0 is the most urgent.
+	// Urgency is the rank of the request; 0 is the most urgent.
 	Urgency int
+	// Account is the name of the client account that sent the request; empty without accounts.
+	Account string
 	// Avoid are the servers on which the request has failed.
 	Avoid []string
 	// SoftwareVersion restricts the request to the servers of a version.
--- a/internal/placement/swap/losses.go
+++ b/internal/placement/swap/losses.go
@@ -38,9 +38,21 @@
 	return k.lost.perSecond(now) / requested
 }
 
+// countKind counts a new request for its kind, and gives it the credit of the kind. Requests of an account beyond its
+// share don't count: what they lose is no reason to serve their kind earlier.
+func (p *Plan) countKind(w *waiter, now time.Time) {
+	kind := p.model(w.Model).losses.of(w.Urgency)
+	w.credit = kind.credit
+	if w.excess == 0 {
+		kind.requested.add(1, now)
+	}
+}
+
 // countLoss counts a request that is refused or has become late.
 func (p *Plan) countLoss(w *waiter, now time.Time) {
-	p.model(w.Model).losses.of(w.Urgency).lost.add(1, now)
+	if w.excess == 0 {
+		p.model(w.Model).losses.of(w.Urgency).lost.add(1, now)
+	}
 }
 
 // updateLossCredits computes the credit of each kind that waits.
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/priority"
 )
 
 // Settings are the limits and thresholds of the decisions.
@@ -147,6 +148,8 @@
 	misses      int
 	requestRate rate
 	losses      losses
+	// turns share the slots of its replicas between client accounts.
+	turns *priority.Turns
 	// startRate is the rate of requests started on its servers.
 	startRate rate
 	// refusalRate is the rate of requests refused for lack of capacity.
@@ -236,7 +239,7 @@
 func (p *Plan) model(name string) *model {
 	m, ok := p.models[name]
 	if !ok {
-		m = &model{losses: losses{}}
+		m = &model{losses: losses{}, turns: priority.NewTurns()}
 		p.models[name] = m
 	}
 	return m
--- a/internal/placement/swap/queue_test.go
+++ b/internal/placement/swap/queue_test.go
@@ -19,6 +19,8 @@
 	duration          time.Duration
 	// kindOf returns the kind of the i-th request.
 	kindOf func(i int) requestKind
+	// accountOf returns the client account of the i-th request; nil without accounts.
+	accountOf func(i int) string
 }
 
 // requestKind is a class of requests with the same urgency and time limits.
@@ -103,6 +105,9 @@
 	}
 	s.outcomes[k.name].requested++
 	request := s.newRequest(id, "m0")
+	if s.load.accountOf != nil {
+		request.Account = s.load.accountOf(i)
+	}
 	request.Objective, request.Deadline, request.Urgency = s.now.Add(k.objective), s.now.Add(k.deadline), k.urgency
 	s.recordVerdict(id, s.submit(request))
 }
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -53,6 +53,8 @@
 	// credit and excess are as in priority.Standing.
 	credit time.Duration
 	excess time.Duration
+	// turn is the turn of the request among those of its account; see priority.Turns.
+	turn float64
 	// tier is the cache tier that the load on behalf of this request reads from; empty if none has
 	// been ordered.
 	tier azurehitch.CacheTier
@@ -65,13 +67,10 @@
 	p.markShuttingDown(request.ShuttingDown)
 	w, waiting := p.waiters.byID[request.ID]
 	if !waiting {
-		p.countRequest(request, now)
-		w = &waiter{arrivedAt: now}
+		w = &waiter{Request: request, arrivedAt: now}
+		p.countRequest(w, now)
 	}
 	w.Request = request
-	if !waiting {
-		w.credit = p.lossCredit(w)
-	}
 	w.renewedAt = now
 	verdict := p.evaluate(w, p.availability(request.Model, now), now)
 	if verdict.Kind == VerdictWaiting {
@@ -120,6 +119,7 @@
 	if len(avail.ready) > 0 && p.waiters.ahead(w) < p.freeSlots(avail.ready, now) {
 		if s := p.chooseServer(w.Request, avail.ready, now); s != nil {
 			p.waiters.remove(w.ID)
+			p.model(w.Model).turns.Served(w.turn)
 			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Request, s, w.tier, now), Reason: "replica is ready"}
 		}
 	}
@@ -172,12 +172,14 @@
 // Withdraw removes a request from the queue, for example after its caller has disconnected.
 func (p *Plan) Withdraw(id string) { p.waiters.remove(id) }
 
-func (p *Plan) countRequest(request Request, now time.Time) {
-	m := p.model(request.Model)
+// countRequest counts a new request, and sets what its place in the order depends on.
+func (p *Plan) countRequest(w *waiter, now time.Time) {
+	m := p.model(w.Model)
 	m.requests++
 	m.requestRate.add(1, now)
-	m.losses.of(request.Urgency).requested.add(1, now)
-	if len(p.readyServers(request.Model)) == 0 {
+	p.takeTurn(w, now)
+	p.countKind(w, now)
+	if len(p.readyServers(w.Model)) == 0 {
 		m.misses++
 	}
 }
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -21,7 +21,7 @@
 		SoftwareVersion: version, Service: service, Id: request.ID, FailureDomain: request.FailureDomain, Model: request.Model, Adapter: request.Adapter,
 		ObjectiveMs: request.Objective.Sub(now).Milliseconds(), DeadlineMs: request.Deadline.Sub(now).Milliseconds(),
 		Urgency: int32(request.Urgency), Avoid: request.Avoid, Left: serversToProto(request.ShuttingDown),
-		Resting: backoffsToProto(request.Backoffs), PromptTokens: int32(min(request.PromptTokens, math.MaxInt32)),
+		Account: request.Account, Resting: backoffsToProto(request.Backoffs), PromptTokens: int32(min(request.PromptTokens, math.MaxInt32)),
 	}
 }
 
@@ -94,7 +94,7 @@
 		ID: r.Id, Daemon: daemon, FailureDomain: r.FailureDomain, Model: r.Model, Adapter: r.Adapter,
 		Objective: now.Add(time.Duration(r.ObjectiveMs) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(r.DeadlineMs) * time.Millisecond),
-		Urgency:   int(r.Urgency), Avoid: r.Avoid, ShuttingDown: serversFromProto(r.Left),
+		Urgency:   int(r.Urgency), Account: r.Account, Avoid: r.Avoid, ShuttingDown: serversFromProto(r.Left),
 		Backoffs: backoffsFromProto(r.Resting), PromptTokens: int(r.PromptTokens),
 		SoftwareVersion: azurehitch.VersionBound{IsSet: r.SoftwareVersion != nil, Version: r.GetSoftwareVersion()},
 	}
