--- a/internal/placement/swap/losses.go
+++ b/internal/placement/swap/losses.go
@@ -55,16 +55,14 @@
 	}
 }
 
-// updateLossCredits computes the credit of each kind that waits.
-func (p *Plan) updateLossCredits(now time.Time) {
-	for name := range p.waiters.byModel {
-		for _, kind := range p.model(name).losses {
+// updatedLosses returns the losses of a model with the current credit of each kind.
+func (p *Plan) updatedLosses(model string, now time.Time) losses {
+	kinds := p.model(model).losses
+	for _, kind := range kinds {
+		kind.credit = 0
+		if kind.lost.value > 0 {
 			kind.credit = priority.LossCredit(kind.lostShare(now))
 		}
 	}
-}
-
-// lossCredit returns the credit of the kind of a request.
-func (p *Plan) lossCredit(w *waiter) time.Duration {
-	return p.model(w.Model).losses.of(w.Urgency).credit
+	return kinds
 }
--- a/internal/placement/swap/queue.go
+++ b/internal/placement/swap/queue.go
@@ -84,11 +84,11 @@
 // reorder updates what the order of the requests depends on: the credit of their kind, and which of them can
 // no longer be on time. These go behind those that can: under overload, serving the longest waits first would
 // make all requests late. It calls lost for each request that has become late.
-func (q queue) reorder(now time.Time, credit func(w *waiter) time.Duration, lost func(w *waiter)) {
-	for _, waiters := range q.byModel {
-		isChanged := false
+func (q queue) reorder(now time.Time, lossesOf func(model string) losses, lost func(w *waiter)) {
+	for model, waiters := range q.byModel {
+		isChanged, kinds := false, lossesOf(model)
 		for _, w := range waiters {
-			if current := credit(w); current != w.credit {
+			if current := kinds.of(w.Urgency).credit; current != w.credit {
 				w.credit, isChanged = current, true
 			}
 			if !w.late && w.standing().MustBeLate(now) {
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -89,8 +89,7 @@
 // EvaluateWaiting evaluates the waiting requests for which hasPendingCall is true, that is, whose
 // daemon awaits a verdict, and returns the grants and refusals.
 func (p *Plan) EvaluateWaiting(now time.Time, hasPendingCall func(id string) bool) []FinalVerdict {
-	p.updateLossCredits(now)
-	p.waiters.reorder(now, p.lossCredit, func(w *waiter) { p.countLoss(w, now) })
+	p.waiters.reorder(now, func(model string) losses { return p.updatedLosses(model, now) }, func(w *waiter) { p.countLoss(w, now) })
 	var verdicts []FinalVerdict
 	for _, name := range p.waiters.models() {
 		avail := p.availability(name, now)
