Plain services: daemons avoid servers that are slow or rejected a request

Cause: a daemon that sends one or two requests per second has none in progress when it chooses, so its counts say nothing about a server, and a server that turned slow gets as many requests as the others: its slots are full, and it rejects.

Change: each daemon learns the response time of each server from its answers, and avoids, if the other of the two servers that it compares is better, one that takes twice as long as the fastest (for 5 s) or rejected a request (0.5 s, doubling to 4 s). A rejected request goes to another server at once, as before.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -122,6 +122,7 @@
 	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
 	if r.isOwn(exchange, answer) {
 		r.applyNotice(choice, exchange.Header.StatusCode(), answer, startedAt)
+		choice.Observe(place.Answer{Rejected: isRefusal(exchange.Header.StatusCode(), answer), Took: r.server.Clock.Now().Sub(startedAt)})
 	}
 	if res := r.checkAnswer(choice, exchange, answer); res.cause != nil {
 		// The body is not read, so this closes the connection. A refusal that the server writes on it once
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -82,6 +82,8 @@
 	SoftwareVersion string
 	// End stops counting the request as in progress at the server. Further calls have no effect.
 	End func()
+	// observe records the answer of a server that this daemon chose by itself; nil otherwise.
+	observe func(answer Answer)
 }
 
 // Dependencies holds the components that a Placer uses. Self and FailureDomain are the name and the
@@ -109,11 +111,13 @@
 	mu sync.Mutex
 	// inProgress counts the requests of this daemon in progress, by server id.
 	inProgress map[string]int
+	// paces are what this daemon has observed of the servers of plain services.
+	paces *paces
 }
 
 // New returns a Placer.
 func New(dependencies Dependencies) *Placer {
-	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}}
+	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}, paces: newPaces()}
 }
 
 // Place returns a server for the next attempt of a request. The error is or wraps an
@@ -186,8 +190,8 @@
 }
 
 // placePlain places a request without a model, or for a service without model engines. It compares
-// servers by the requests of this daemon in progress there, and prefers servers in the failure
-// domain of the daemon.
+// servers by the requests of this daemon in progress there and by what it has observed of them, and prefers
+// servers in the failure domain of the daemon.
 func (p *Placer) placePlain(ctx context.Context, r Request) (Choice, error) {
 	for waited := time.Duration(0); ; {
 		if choice, ok := p.placeOn(p.candidates(r), r, selection{reason: "own counts", waited: waited}); ok {
@@ -278,10 +282,11 @@
 // from this daemon and others, by swap.Cost. It does not compare all servers: a daemon learns the
 // counts of other daemons late, so all daemons would choose the same server and overload it.
 func (p *Placer) pickOfTwo(servers []azurehitch.FleetServer, r Request, otherRequests func(azurehitch.FleetServer) int) azurehitch.FleetServer {
+	penalties := p.paces.penalties(servers, p.Clock.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cost := func(s azurehitch.FleetServer) float64 {
-		return swap.Cost(p.inProgress[s.ID]+otherRequests(s), s.Slots, s.FailureDomain != p.FailureDomain)
+		return swap.Cost(p.inProgress[s.ID]+otherRequests(s), s.Slots, s.FailureDomain != p.FailureDomain) + penalties[s.ServerIdentity]
 	}
 	slices.SortFunc(servers, func(a, b azurehitch.FleetServer) int {
 		return cmp.Compare(hashRank(b.ID, r.ID), hashRank(a.ID, r.ID))
@@ -321,7 +326,8 @@
 	}
 	limit, _ := p.Limits.Limit(server)
 	return Choice{
-		Server: server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit,
+		observe: p.observer(server, sel),
+		Server:  server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit,
 		ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
 			p.addInProgress(server.ID, -1)
