Holder: requests and busy models are placed by the learnt speed of servers

Cause: servers of speeds 0.7, 0.7 and 1.7 were compared by their number of requests only.

Change: daemons add the mean pauses between the events of streams to their reports of demand (new optional fields, no further message). internal/ placement/speed fits a factor for each model and each server; a server that differs from the median by 1.4 or more has a slowness, between 1/3 and 3. The cost of a server is then what it has to do for a further request at its speed; pinned replicas and loads of busy models prefer faster servers; daemons get the slowness with the pinned replicas. Without observations for 20 s, or with smaller differences, counts decide as before. One observation changes the mean of a replica by at most a factor of 2 with weight 0.2.

--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -32,6 +32,8 @@
 	// ids describes the events that the caller has.
 	ids    eventIDs
 	events int
+	// sourceEvents is the number of events of the current source.
+	sourceEvents int
 	// lastEventAt is when the last event was passed on, or when the request started before the first
 	// one. firstEventAt is when the first event of the source was passed on; zero before.
 	lastEventAt  time.Time
@@ -78,7 +80,7 @@
 // attach makes a server the source of further events.
 func (s *relay) attach(from source) {
 	s.source = from
-	s.firstEventAt = time.Time{}
+	s.firstEventAt, s.sourceEvents = time.Time{}, 0
 	s.takeover = newTakeover(s.request, from)
 }
 
@@ -158,6 +160,7 @@
 	s.request.recordEvent(s.firstEventAt, now)
 	s.ids = s.ids.With(eventID(event))
 	s.events++
+	s.sourceEvents++
 	s.pending.Write(event)
 }
 
@@ -217,6 +220,7 @@
 	case s.done && s.pending.Len() == 0:
 		r.server.Breakers.Succeeded(s.choice.Server.Address)
 		r.recordComplete(s.choice, s.exchange)
+		s.observePause()
 		r.attempts.add(s.choice, strconv.Itoa(s.events)+" events")
 		r.server.Metrics.Add(metrics.RequestsAnswered, 1)
 		r.end(s.status(), answeredReason)
@@ -230,4 +234,16 @@
 	return nil
 }
 
+// minPauses is the number of pauses from which their mean says something about the speed of a server.
+const minPauses = 4
+
+// observePause records the mean pause between the events of the current source.
+func (s *relay) observePause() {
+	pauses := s.sourceEvents - 1
+	if pauses < minPauses {
+		return
+	}
+	s.choice.Observe(place.Answer{Pause: s.lastEventAt.Sub(s.firstEventAt) / time.Duration(pauses)})
+}
+
 func (s *relay) status() int { return s.request.http.Response.StatusCode() }
--- a/internal/forward/place/model.go
+++ b/internal/forward/place/model.go
@@ -152,9 +152,9 @@
 	if r.Adapter != "" || swap.IsLongPrompt(r.PromptTokens) {
 		return Choice{}, false
 	}
-	counts := map[string]int{}
+	counts, slowness := map[string]int{}, map[string]float64{}
 	for _, replica := range p.Holders.PinnedReplicas(r.Service.Name, r.Model) {
-		counts[replica.Server] = replica.Requests
+		counts[replica.Server], slowness[replica.Server] = replica.Requests, replica.Slowness
 	}
 	servers := slices.DeleteFunc(p.candidates(r), func(s azurehitch.FleetServer) bool {
 		requests, pinned := counts[s.ID]
@@ -163,7 +163,7 @@
 		return !pinned || isCounted || slices.Contains(r.Avoid, s.ID) || float64(requests) >= maxPinnedLoad*float64(s.Slots)
 	})
 	choice, ok := p.placeOn(servers, r, selection{
-		reason: "replica that stays", isReplica: true,
+		reason: "replica that stays", isReplica: true, slowness: slowness,
 		otherRequests: func(s azurehitch.FleetServer) int { return max(counts[s.ID]-p.inProgress[s.ID], 0) },
 	})
 	if ok {
--- a/internal/forward/place/observe.go
+++ b/internal/forward/place/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/placement/swap"
 )
 
 // Answer is what a daemon observes of a server's answer.
@@ -12,6 +13,9 @@
 	// to begin its answer.
 	Rejected bool
 	Took     time.Duration
+	// Pause is the mean pause between the events of a stream; 0 if this is no observation of a stream. The
+	// other fields don't count then.
+	Pause time.Duration
 }
 
 // Observe records the answer of the server.
@@ -21,17 +25,18 @@
 	}
 }
 
-// observer returns the function that records the answer of a server of a plain service. It returns nil for
-// replicas of models, which the holder compares.
-func (p *Placer) observer(server azurehitch.ServerIdentity, sel selection) func(answer Answer) {
-	if sel.isReplica {
-		return nil
-	}
+// observer returns the function that records the answer of a server. The holder compares the replicas of
+// models, by the pauses in their streams.
+func (p *Placer) observer(r Request, server azurehitch.ServerIdentity, sel selection) func(answer Answer) {
 	return func(answer Answer) {
-		if answer.Rejected {
+		switch {
+		case sel.isReplica && answer.Pause > 0:
+			p.Holders.ObservePause(r.Service.Name, swap.Replica{Server: server.ID, Model: r.Model}, answer.Pause)
+		case sel.isReplica || answer.Pause > 0:
+		case answer.Rejected:
 			p.paces.rejected(server, p.Clock.Now())
-			return
+		default:
+			p.paces.answered(server, answer.Took, p.Clock.Now())
 		}
-		p.paces.answered(server, answer.Took, p.Clock.Now())
 	}
 }
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -82,7 +82,7 @@
 	SoftwareVersion string
 	// End stops counting the request as in progress at the server. Further calls have no effect.
 	End func()
-	// observe records the answer of a server that this daemon chose by itself; nil otherwise.
+	// observe records the answer of the server; it may be nil.
 	observe func(answer Answer)
 }
 
@@ -215,6 +215,8 @@
 	// otherRequests returns the number of requests that other daemons have at a server; nil means
 	// unknown.
 	otherRequests func(azurehitch.FleetServer) int
+	// slowness is the slowness of servers by ID, as in swap.ServerLoad.
+	slowness map[string]float64
 	// isReplica is true for a request for a model: it counts at the replica as well as at the
 	// server.
 	isReplica bool
@@ -235,7 +237,7 @@
 		sel.otherRequests = func(azurehitch.FleetServer) int { return 0 }
 	}
 	for len(servers) > 0 {
-		picked := p.pickOfTwo(servers, r, sel.otherRequests)
+		picked := p.pickOfTwo(servers, r, sel)
 		if choice, ok := p.book(r, picked.ServerIdentity, sel); ok {
 			return choice, true
 		}
@@ -281,12 +283,15 @@
 // pickOfTwo picks two servers by a hash of the request id, and returns the one with fewer requests
 // from this daemon and others, by swap.Cost. It does not compare all servers: a daemon learns the
 // counts of other daemons late, so all daemons would choose the same server and overload it.
-func (p *Placer) pickOfTwo(servers []azurehitch.FleetServer, r Request, otherRequests func(azurehitch.FleetServer) int) azurehitch.FleetServer {
+func (p *Placer) pickOfTwo(servers []azurehitch.FleetServer, r Request, sel selection) azurehitch.FleetServer {
 	penalties := p.paces.penalties(servers, p.Clock.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cost := func(s azurehitch.FleetServer) float64 {
-		return swap.Cost(p.inProgress[s.ID]+otherRequests(s), s.Slots, s.FailureDomain != p.FailureDomain) + penalties[s.ServerIdentity]
+		return penalties[s.ServerIdentity] + swap.Cost(swap.ServerLoad{
+			Requests: p.inProgress[s.ID] + sel.otherRequests(s), Slots: s.Slots, Slowness: sel.slowness[s.ID],
+			IsCrossDomain: s.FailureDomain != p.FailureDomain,
+		})
 	}
 	slices.SortFunc(servers, func(a, b azurehitch.FleetServer) int {
 		return cmp.Compare(hashRank(b.ID, r.ID), hashRank(a.ID, r.ID))
@@ -326,7 +331,7 @@
 	}
 	limit, _ := p.Limits.Limit(server)
 	return Choice{
-		observe: p.observer(server, sel),
+		observe: p.observer(r, server, sel),
 		Server:  server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit,
 		ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -26,7 +26,7 @@
 
 // bestCachedServer returns the server of the right software version that can load a model from its
 // cached checkpoint soonest, or nil if no cached server accepts orders and can free enough memory. For a
-// busy model, servers with a rate limit are chosen last.
+// busy model, servers with a rate limit are chosen last, and faster servers before the others.
 func (p *Plan) bestCachedServer(name string, version azurehitch.VersionBound, now time.Time) *server {
 	limits := p.limits.Models[name]
 	isBusy := p.isBusy(name, now)
@@ -45,7 +45,9 @@
 			}
 			loadTime += p.settings.SwapOverhead
 		}
-		if best == nil || cmp.Or(compareBool(isUnfit(s), isUnfit(best)), cmp.Compare(loadTime, bestLoadTime)) < 0 {
+		if best == nil || cmp.Or(
+			compareBool(isUnfit(s), isUnfit(best)), p.compareForBusy(isBusy, s, best, now), cmp.Compare(loadTime, bestLoadTime),
+		) < 0 {
 			best, bestLoadTime = s, loadTime
 		}
 	}
@@ -53,8 +55,8 @@
 }
 
 // bestRemoteTarget returns the server of the right software version for a load from the weight store, or
-// nil if no server can free enough memory. For a busy model, it first prefers servers without a rate limit. Then it prefers
-// servers with enough free memory, then those with the fewest cached checkpoints, because the load
+// nil if no server can free enough memory. For a busy model, it first prefers servers without a rate limit, then faster
+// ones. Then it prefers servers with enough free memory, then those with the fewest cached checkpoints, because the load
 // blocks quick swaps on its server, then the server whose last load from the weight store was ordered
 // longest ago.
 func (p *Plan) bestRemoteTarget(name string, version azurehitch.VersionBound, now time.Time) *server {
@@ -75,6 +77,7 @@
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
 			compareBool(isBusy && a.hasRateLimit(), isBusy && b.hasRateLimit()),
+			p.compareForBusy(isBusy, a, b, now),
 			compareBool(a.freeMemory(p.limits) < memory, b.freeMemory(p.limits) < memory),
 			cmp.Compare(len(a.tiers), len(b.tiers)),
 			a.lastRemoteLoad.Compare(b.lastRemoteLoad),
@@ -82,6 +85,15 @@
 	})
 }
 
+// compareForBusy orders faster servers first for a busy model, which has requests all the time. A rare model
+// goes where it is loaded soonest.
+func (p *Plan) compareForBusy(isBusy bool, a, b *server, now time.Time) int {
+	if !isBusy {
+		return 0
+	}
+	return p.compareSpeed(a, b, now)
+}
+
 // uncachedModels returns the models without a cached checkpoint, most requested first.
 func (p *Plan) uncachedModels() []string {
 	var names []string
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/placement/speed"
 )
 
 // rateWindow is the time constant of the moving averages.
@@ -117,6 +118,8 @@
 	Arrivals map[string]int
 	// LastGrant is the number of the last grant included in InProgress.
 	LastGrant int64
+	// Pauses are the pauses in streams that the daemon observed since its last report.
+	Pauses []speed.Observation
 }
 
 // DemandAnswer is the answer to a daemon's report: the pinned replicas, and the servers of AwaitedServers.
@@ -145,6 +148,7 @@
 	p.replaceDemand(d, demand)
 	d.reportedAt = now
 	p.dropGrants(d, func(g issuedGrant) bool { return g.number <= demand.LastGrant })
+	p.addPauses(demand.Pauses, now)
 	for name, n := range demand.Arrivals {
 		m := p.model(name)
 		m.requests += n
--- a/internal/placement/swap/pin.go
+++ b/internal/placement/swap/pin.go
@@ -13,6 +13,8 @@
 	Replica
 	// Requests is the number of requests in progress at the server, from all daemons.
 	Requests int
+	// Slowness is as in ServerLoad.
+	Slowness float64
 }
 
 // PinnedReplicas returns the replicas pinned by the last call of Decide, sorted by model.
@@ -31,7 +33,7 @@
 			continue
 		}
 		for _, s := range p.serversToPin(name, now) {
-			pinned = append(pinned, PinnedReplica{Replica: Replica{Server: s.ID, Model: name}, Requests: p.inProgress.servers[s.ID]})
+			pinned = append(pinned, PinnedReplica{Replica: Replica{Server: s.ID, Model: name}, Requests: p.inProgress.servers[s.ID], Slowness: p.speeds.Slowness(s.ID, now)})
 		}
 	}
 	p.pinned = pinned
@@ -43,8 +45,8 @@
 
 // serversToPin returns the servers on which a busy model is pinned: one in each failure domain, and
 // as many as the demand requires. Requests for a server with a rate limit have to be counted by the
-// holder, so nothing is pinned there. Servers where it was pinned before come first, then those with
-// the most requests for it.
+// holder, so nothing is pinned there. Servers where it was pinned before come first, then faster ones, then those
+// with the most requests for it.
 func (p *Plan) serversToPin(name string, now time.Time) []*server {
 	ready := slices.DeleteFunc(p.readyServers(name), func(s *server) bool {
 		return p.isDraining(s.ID, name) || s.hasRateLimit()
@@ -52,6 +54,7 @@
 	slices.SortStableFunc(ready, func(a, b *server) int {
 		return cmp.Or(
 			-compareBool(p.isPinned(a.ID, name), p.isPinned(b.ID, name)),
+			p.compareSpeed(a, b, now),
 			cmp.Compare(p.inProgress.replicas[Replica{Server: b.ID, Model: name}], p.inProgress.replicas[Replica{Server: a.ID, Model: name}]),
 		)
 	})
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -38,6 +38,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/priority"
+	"azurehitch/internal/placement/speed"
 )
 
 // Settings are the limits and thresholds of the decisions.
@@ -134,6 +135,8 @@
 	// pinned are the replicas pinned by the last call of Decide; pinnedSet has the same for lookup.
 	pinned    []PinnedReplica
 	pinnedSet map[Replica]bool
+	// speeds is how fast the servers are.
+	speeds *speed.Table
 	// awaited is as in AwaitedServers.
 	awaited []string
 	// draining maps each replica draining for eviction to the time at which the mark expires.
@@ -173,6 +176,7 @@
 		daemons:      map[string]*daemon{},
 		inProgress:   newRequestCounts(),
 		draining:     map[Replica]time.Time{},
+		speeds:       speed.NewTable(),
 	}
 }
 
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -222,24 +222,6 @@
 	})
 }
 
-func (p *Plan) cost(s *server, domain string, now time.Time) float64 {
-	return Cost(p.inProgress.servers[s.ID], s.slots, s.domain != domain) + prefillSlotShare*float64(s.activePrefills(now))
-}
-
-// crossDomainPenalty is added to the cost of servers outside the failure domain of the calling
-// daemon: a local server is preferred unless its load is higher by this share of its slots.
-const crossDomainPenalty = 0.1
-
-// Cost is the load of a server as a share of its slots, plus a penalty if the server is in another
-// failure domain. The server with the lowest cost takes the next request.
-func Cost(requests, slots int, isCrossDomain bool) float64 {
-	cost := float64(requests) / float64(max(slots, 1))
-	if isCrossDomain {
-		cost += crossDomainPenalty
-	}
-	return cost
-}
-
 // freeSlots returns the number of further requests that the servers can start now.
 func (p *Plan) freeSlots(ready []*server, now time.Time) int {
 	free := 0
--- a/internal/placement/swappeer/client.go
+++ b/internal/placement/swappeer/client.go
@@ -341,6 +341,11 @@
 	}
 }
 
+// ObservePause records the mean pause between the events of a stream from a replica.
+func (c *Client) ObservePause(service string, replica swap.Replica, pause time.Duration) {
+	c.usage(service).addPause(replica, pause)
+}
+
 func (c *Client) recordGrant(service string, grant swap.Grant) {
 	c.usage(service).recordGrant(grant.Number)
 }
--- a/internal/placement/swappeer/conversions.go
+++ b/internal/placement/swappeer/conversions.go
@@ -7,6 +7,7 @@
 	"azurehitch"
 	"azurehitch/internal/oplog/compacted"
 	"azurehitch/internal/peer/peerpb"
+	"azurehitch/internal/placement/speed"
 	"azurehitch/internal/placement/swap"
 )
 
@@ -122,6 +123,9 @@
 	}
 }
 
+// maxPauseUS bounds the pauses in a report to what a duration can hold.
+const maxPauseUS = int64(time.Hour / time.Microsecond)
+
 func demandToProto(service string, demand swap.Demand, withdrawn []string) *peerpb.SwapReportRequest {
 	request := &peerpb.SwapReportRequest{Service: service, LastGrant: demand.LastGrant, Withdrawn: withdrawn}
 	for r, n := range demand.InProgress {
@@ -130,6 +134,9 @@
 	for model, n := range demand.Arrivals {
 		request.Arrived = append(request.Arrived, &peerpb.SwapCount{Model: model, Count: int32(n)})
 	}
+	for _, o := range demand.Pauses {
+		request.Pauses = append(request.Pauses, &peerpb.SwapPause{Server: o.Server, Model: o.Model, PauseUs: o.Pause.Microseconds()})
+	}
 	return request
 }
 
@@ -141,13 +148,17 @@
 	for _, c := range r.Arrived {
 		demand.Arrivals[c.Model] = int(c.Count)
 	}
+	for _, o := range r.Pauses {
+		pause := time.Duration(min(max(o.PauseUs, 0), maxPauseUS)) * time.Microsecond
+		demand.Pauses = append(demand.Pauses, speed.Observation{Server: o.Server, Model: o.Model, Pause: pause})
+	}
 	return demand
 }
 
 func pinnedToProto(pinned []swap.PinnedReplica) []*peerpb.SwapCount {
 	var counts []*peerpb.SwapCount
 	for _, k := range pinned {
-		counts = append(counts, &peerpb.SwapCount{Server: k.Server, Model: k.Model, Count: int32(k.Requests)})
+		counts = append(counts, &peerpb.SwapCount{Server: k.Server, Model: k.Model, Count: int32(k.Requests), Slowness: k.Slowness})
 	}
 	return counts
 }
@@ -155,7 +166,7 @@
 func pinnedFromProto(counts []*peerpb.SwapCount) []swap.PinnedReplica {
 	var pinned []swap.PinnedReplica
 	for _, c := range counts {
-		pinned = append(pinned, swap.PinnedReplica{Replica: swap.Replica{Server: c.Server, Model: c.Model}, Requests: int(c.Count)})
+		pinned = append(pinned, swap.PinnedReplica{Replica: swap.Replica{Server: c.Server, Model: c.Model}, Requests: int(c.Count), Slowness: c.Slowness})
 	}
 	return pinned
 }
--- a/internal/placement/swappeer/usage.go
+++ b/internal/placement/swappeer/usage.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"azurehitch/internal/placement/speed"
 	"azurehitch/internal/placement/swap"
 )
 
@@ -16,6 +17,8 @@
 	// holder, by model.
 	arrivals  map[string]int
 	lastGrant int64
+	// pauses are the pauses in streams since the last report.
+	pauses *speed.Recorder
 	// withdrawn are the IDs of requests that no longer wait for a verdict, to be removed from the
 	// holder's queue with the next report.
 	withdrawn []string
@@ -43,7 +46,7 @@
 }
 
 func newUsage() *usage {
-	return &usage{inProgress: map[swap.Replica]int{}, arrivals: map[string]int{}, changeSincePinned: map[string]int{}}
+	return &usage{inProgress: map[swap.Replica]int{}, arrivals: map[string]int{}, changeSincePinned: map[string]int{}, pauses: speed.NewRecorder()}
 }
 
 // takeDemand returns the demand to report and resets it, if a report is due.
@@ -57,7 +60,7 @@
 	if !u.reportDue && now.Sub(u.reportedAt) < interval {
 		return swap.Demand{}, nil, false
 	}
-	demand = swap.Demand{InProgress: maps.Clone(u.inProgress), Arrivals: u.arrivals, LastGrant: u.lastGrant}
+	demand = swap.Demand{InProgress: maps.Clone(u.inProgress), Arrivals: u.arrivals, LastGrant: u.lastGrant, Pauses: u.pauses.Take()}
 	withdrawn = u.withdrawn
 	u.arrivals, u.withdrawn = map[string]int{}, nil
 	u.reportDue, u.freed = false, false
@@ -173,6 +176,13 @@
 	return u.freed
 }
 
+// addPause adds the mean pause of a stream to the next report, which it does not make due.
+func (u *usage) addPause(r swap.Replica, pause time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pauses.Add(r.Server, r.Model, pause)
+}
+
 func (u *usage) requestReport() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
