--- a/internal/placement/swappeer/usage.go
+++ b/internal/placement/swappeer/usage.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"azurehitch/internal/placement/speed"
 	"azurehitch/internal/placement/swap"
 )
 
@@ -16,6 +17,8 @@
 	// holder, by model.
 	arrivals  map[string]int
 	lastGrant int64
+	// pauses are the pauses in streams since the last report.
+	pauses *speed.Recorder
 	// withdrawn are the IDs of requests that no longer wait for a verdict, to be removed from the
 	// holder's queue with the next report.
 	withdrawn []string
@@ -25,6 +28,10 @@
 	reportedAt time.Time
 	pinned     []swap.PinnedReplica
 	pinnedAt   time.Time
+	// awaited are the servers for whose slots requests waited at the last answer of the holder. freed is true
+	// if a request of this daemon has ended at one of them since the last report.
+	awaited map[string]bool
+	freed   bool
 	// answeredAt is when the holder last answered a report; zero after a failed call.
 	answeredAt time.Time
 	// unansweredSince is the time of the first failed call to the holder since the last answer;
@@ -39,7 +46,7 @@
 }
 
 func newUsage() *usage {
-	return &usage{inProgress: map[swap.Replica]int{}, arrivals: map[string]int{}, changeSincePinned: map[string]int{}}
+	return &usage{inProgress: map[swap.Replica]int{}, arrivals: map[string]int{}, changeSincePinned: map[string]int{}, pauses: speed.NewRecorder()}
 }
 
 // takeDemand returns the demand to report and resets it, if a report is due.
@@ -53,10 +60,10 @@
 	if !u.reportDue && now.Sub(u.reportedAt) < interval {
 		return swap.Demand{}, nil, false
 	}
-	demand = swap.Demand{InProgress: maps.Clone(u.inProgress), Arrivals: u.arrivals, LastGrant: u.lastGrant}
+	demand = swap.Demand{InProgress: maps.Clone(u.inProgress), Arrivals: u.arrivals, LastGrant: u.lastGrant, Pauses: u.pauses.Take()}
 	withdrawn = u.withdrawn
 	u.arrivals, u.withdrawn = map[string]int{}, nil
-	u.reportDue = false
+	u.reportDue, u.freed = false, false
 	u.reportedAt = now
 	return demand, withdrawn, true
 }
@@ -71,10 +78,15 @@
 	u.reportDue = true
 }
 
-func (u *usage) setPinned(pinned []swap.PinnedReplica, now time.Time) {
+// setAnswer records the answer of the holder to a report.
+func (u *usage) setAnswer(answer swap.DemandAnswer, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.pinned, u.pinnedAt = pinned, now
+	u.pinned, u.pinnedAt = answer.Pinned, now
+	u.awaited = map[string]bool{}
+	for _, server := range answer.Awaited {
+		u.awaited[server] = true
+	}
 	u.changeSincePinned = map[string]int{}
 	u.unansweredSince = time.Time{}
 }
@@ -153,6 +165,22 @@
 		delete(u.inProgress, r)
 	}
 	u.reportDue = true
+	u.freed = u.freed || n < 0 && u.awaited[r.Server]
+}
+
+// hasFreed reports whether a request has ended at a server for whose slots requests wait, and the holder does not know
+// it yet.
+func (u *usage) hasFreed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.freed
+}
+
+// addPause adds the mean pause of a stream to the next report, which it does not make due.
+func (u *usage) addPause(r swap.Replica, pause time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pauses.Add(r.Server, r.Model, pause)
 }
 
 func (u *usage) requestReport() {
