Placement: the account of a request reaches the holder's order

Cause: the holder orders waiting requests by account, but the request path did not pass the account on. Change: place.Request.Account is set.

--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -172,7 +172,7 @@
 func (r *request) placeRequest() place.Request {
 	return place.Request{
 		CallerRequest: r.CallerRequest, Service: r.service, Avoid: r.serversToAvoid,
-		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(r.startedAt), Urgency: r.rank(),
+		Objective: r.startedAt.Add(r.route.Objective), Deadline: r.placeDeadline(r.startedAt), Urgency: r.rank(), Account: r.account.Name,
 		SoftwareVersion: r.bound,
 	}
 }
