--- a/internal/allowance/sharedlimit/sharedlimit_test.go
+++ b/internal/allowance/sharedlimit/sharedlimit_test.go
@@ -1,6 +1,7 @@
 package sharedlimit_test
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -90,6 +91,9 @@
 	t.Logf("largest window %.3f of the bound", largest)
 }
 
+// seed is that of TestUtilization, whose log lines are the rows of the table in docs/CAPACITY.md.
+var seed = flag.Uint64("seed", 1, "seed of TestUtilization")
+
 // TestUtilization guards against units that expire or are lost while there is demand.
 func TestUtilization(t *testing.T) {
 	const (
@@ -101,11 +105,11 @@
 		for name, share := range traffics(daemons) {
 			t.Run(fmt.Sprintf("%d daemons, %s", daemons, name), func(t *testing.T) {
 				limit := sharedlimit.Limit{PerSecond: 3000, Burst: 3000}
-				s := newSimulation(1, daemons, limit)
+				s := newSimulation(*seed, daemons, limit)
 				start := s.now
 				s.run(duration, 10, func(i int) float64 { return 1.5 * limit.PerSecond * share(i, s.now.Sub(start)) })
 				utilization := s.sum(warmUp) / (limit.PerSecond * (duration - warmUp).Seconds())
-				t.Logf("utilization %.3f, largest window %.3f of the bound, %.0f messages/s", utilization,
+				t.Logf("| %d | %s | %d | %.3f | %.3f | %.0f |", daemons, name, *seed, utilization,
 					s.largestWindow()/bound(limit), float64(s.messages)/duration.Seconds())
 				qt.Check(t, utilization >= minUtilization, qt.IsTrue)
 				qt.Check(t, s.largestWindow() <= bound(limit), qt.IsTrue)
