Holder: estimated waits for a slot are corrected by the actual ones

Cause: the estimate counted the requests ahead in the queue. Later arrivals may be served earlier, so it was too short for patient requests and too long for urgent ones, and nothing said how wrong it was.

Change: for each rank, the holder compares the first estimate of a wait with its outcome, corrects further estimates by a factor between 0.5 and 4 that is learnt from them (for 30 s after the last wait), and logs error p50, p95, number and age every 10 s while requests wait.

--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -135,6 +135,7 @@
 	// pinned are the replicas pinned by the last call of Decide; pinnedSet has the same for lookup.
 	pinned    []PinnedReplica
 	pinnedSet map[Replica]bool
+	estimates estimates
 	// speeds is how fast the servers are.
 	speeds *speed.Table
 	// awaited is as in AwaitedServers.
@@ -177,6 +178,7 @@
 		inProgress:   newRequestCounts(),
 		draining:     map[Replica]time.Time{},
 		speeds:       speed.NewTable(),
+		estimates:    estimates{},
 	}
 }
 
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -53,6 +53,10 @@
 	// credit and excess are as in priority.Standing.
 	credit time.Duration
 	excess time.Duration
+	// estimate is the first estimate of the wait for a slot, made at estimatedAt; estimatedAt is zero if the
+	// request did not wait for a slot.
+	estimate    time.Duration
+	estimatedAt time.Time
 	// turn is the turn of the request among those of its account; see priority.Turns.
 	turn float64
 	// tier is the cache tier that the load on behalf of this request reads from; empty if none has
@@ -118,11 +122,15 @@
 	if len(avail.ready) > 0 && p.waiters.ahead(w) < p.freeSlots(avail.ready, now) {
 		if s := p.chooseServer(w.Request, avail.ready, now); s != nil {
 			p.waiters.remove(w.ID)
+			p.estimates.ended(w, true, now)
 			p.model(w.Model).turns.Served(w.turn)
 			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Request, s, w.tier, now), Reason: "replica is ready"}
 		}
 	}
 	estimate, reason := p.estimateWait(w, avail, now)
+	if reason == reasonServersFull && w.estimatedAt.IsZero() {
+		w.estimate, w.estimatedAt = estimate, now
+	}
 	margin := time.Duration(p.settings.AnswerTimeShare * float64(w.Deadline.Sub(w.arrivedAt)))
 	if estimate > p.settings.MaxWait || now.Add(estimate+margin).After(w.Deadline) {
 		return p.refuse(w, estimate, reason, now)
@@ -146,6 +154,7 @@
 // for further replicas.
 func (p *Plan) refuse(w *waiter, estimate time.Duration, reason string, now time.Time) Verdict {
 	p.waiters.remove(w.ID)
+	p.estimates.ended(w, false, now)
 	if !w.late {
 		p.countLoss(w, now)
 	}
@@ -300,7 +309,7 @@
 		return avail.wait, avail.reason
 	}
 	if behind := p.waiters.ahead(w) - p.freeSlots(avail.ready, now); behind >= 0 {
-		return p.estimateSlotWait(w.Model, behind, avail.ready, now)
+		return p.estimateSlotWait(w, behind, avail.ready, now)
 	}
 	if p.hasNoUsableReplica(w.Request, p.readyServers(w.Model), now) {
 		return p.estimateReplicaWait(w, avail, now), reasonNoUsableReplica
@@ -312,10 +321,11 @@
 
 // estimateSlotWait returns the expected wait for a free slot of a request behind others, and its
 // cause. If all servers name rate limits, a further replica may be ready earlier.
-func (p *Plan) estimateSlotWait(name string, behind int, ready []*server, now time.Time) (time.Duration, string) {
+func (p *Plan) estimateSlotWait(w *waiter, behind int, ready []*server, now time.Time) (time.Duration, string) {
+	name := w.Model
 	if unlimited := withoutRateLimit(ready); len(unlimited) > 0 {
 		rate := p.usableSlots(ready, name, now) / p.runTime(name, now).Seconds()
-		return time.Duration(float64(behind+1) / rate * float64(time.Second)), reasonServersFull
+		return time.Duration(float64(behind+1) / rate * p.estimates.correction(w.Urgency, now) * float64(time.Second)), reasonServersFull
 	}
 	wait := time.Duration(math.MaxInt64)
 	for _, s := range ready {
--- a/internal/placement/swapholder/holder.go
+++ b/internal/placement/swapholder/holder.go
@@ -101,6 +101,8 @@
 	settling settling
 	// unloadTime says when the next order is sent after an unload.
 	unloadTime *unloadTime
+	// estimatesLoggedAt is when the errors of estimated waits were last logged.
+	estimatesLoggedAt time.Time
 	// tokenStale is true once a server has rejected an order because it has seen a higher token.
 	tokenStale bool
 	// pending contains, by ID, the requests that wait for a grant or a refusal, with the channel
@@ -255,6 +257,7 @@
 		h.pending[decided.ID] <- decided.Verdict
 		delete(h.pending, decided.ID)
 	}
+	h.logEstimates(now)
 	if !mayOrder {
 		return
 	}
