Holder: callers refused by full servers come back spread over time

Cause: requests that were refused at about the same moment got about the same Retry-After, so their callers came back together and were refused again.

Change: the retry time is the estimated wait and a part, by the request's id, of the time that it takes to serve as many as were refused within a second, 1 s at most.

--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -162,6 +162,9 @@
 	case reasonServersFull, reasonServersRejecting, reasonRateLimits:
 		p.model(w.Model).refusalRate.add(1, now)
 	}
+	if reason == reasonServersFull {
+		estimate += p.returnSpread(w, now)
+	}
 	return Verdict{Kind: VerdictRefused, Estimate: estimate, Reason: reason}
 }
 
