Plain services: requests that wait at a daemon get units in the order of service

Cause: requests that wait for a unit of a brittle server or for a server in slow start poll for it, so the one that polls next got it, a patient one as well as an urgent one.

Change: a waiting request takes a unit only if no other one goes before it in the order of internal/forward/priority, the same as at the holder. Requests that may use only some servers, and services without waiting requests, are as before.

--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -113,11 +113,13 @@
 	inProgress map[string]int
 	// paces are what this daemon has observed of the servers of plain services.
 	paces *paces
+	// waiting are the requests that wait for servers of plain services.
+	waiting *waitlist
 }
 
 // New returns a Placer.
 func New(dependencies Dependencies) *Placer {
-	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}, paces: newPaces()}
+	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}, paces: newPaces(), waiting: newWaitlist()}
 }
 
 // Place returns a server for the next attempt of a request. The error is or wraps an
@@ -194,13 +196,23 @@
 // servers in the failure domain of the daemon.
 func (p *Placer) placePlain(ctx context.Context, r Request) (Choice, error) {
 	for waited := time.Duration(0); ; {
-		if choice, ok := p.placeOn(p.candidates(r), r, selection{reason: "own counts", waited: waited}); ok {
-			return choice, nil
+		isFirst := p.waiting.mayTry(r, p.Clock.Now())
+		if isFirst {
+			if choice, ok := p.placeOn(p.candidates(r), r, selection{reason: "own counts", waited: waited}); ok {
+				return choice, nil
+			}
 		}
 		pause := p.pollInterval(r.Service.Name)
+		if !isFirst && pause == 0 {
+			// The servers have room, which the requests that go before this one take at their next poll.
+			pause = unitPollInterval
+		}
 		if waited >= slowStartTimeout || pause == 0 {
 			return Choice{}, p.refusal(r)
 		}
+		if waited == 0 {
+			defer p.waiting.add(r)()
+		}
 		if err := p.Clock.Sleep(ctx, pause); err != nil {
 			return Choice{}, errors.Wrap(err, "wait for a server that comes back")
 		}
