Allowances: daemons that restart together lend their shares at once, and requests wait for that

Change: the list that a restarted daemon reads first is complete; requests wait for units for up to 1.5 s after the start; a coordinator without loans is asked again after 50 ms.

--- a/internal/allowance/allowancepeer/client.go
+++ b/internal/allowance/allowancepeer/client.go
@@ -61,12 +61,22 @@
 	countsMu sync.Mutex
 	counted  counts
 
+	startedAt time.Time
+
 	// wake makes Run look for messages to send.
 	wake chan struct{}
 	// coordinators are those of the last log line. Only Run uses them.
 	coordinators []string
 }
 
+const (
+	// startTime is how long after the start of a daemon requests wait for units, as far as their time allows: the
+	// list of daemons, the first stamp of a coordinator and a loan take several messages. A request that waits
+	// tries again every startPollInterval.
+	startTime         = 1500 * time.Millisecond
+	startPollInterval = 20 * time.Millisecond
+)
+
 // NewClient returns a client of a process that has just started.
 func NewClient(dependencies Dependencies) *Client {
 	now := dependencies.Clock.Now()
@@ -76,6 +86,7 @@
 		lender:       sharedlimit.NewLender(dependencies.Self, process, now),
 		coordinator:  sharedlimit.NewCoordinator(process, dependencies.Limit),
 		wake:         make(chan struct{}, 1),
+		startedAt:    now,
 	}
 }
 
@@ -94,13 +105,12 @@
 	if !ok {
 		return func() {}, nil
 	}
-	c.mu.Lock()
-	ticket := c.lender.Take(c.Clock.Now(), account.Name, limit, cost)
-	state := ticket.State()
-	c.mu.Unlock()
-	if state == sharedlimit.TicketWaiting {
-		c.wakeUp()
-		state = c.await(ctx, ticket)
+	ticket, state := c.take(ctx, account.Name, limit, cost)
+	for state != sharedlimit.TicketGranted && c.isStarting() && ctx.Err() == nil {
+		if err := c.Clock.Sleep(ctx, startPollInterval); err != nil {
+			break
+		}
+		ticket, state = c.take(ctx, account.Name, limit, cost)
 	}
 	if state != sharedlimit.TicketGranted {
 		return nil, refusal(account, cost, ticket)
@@ -112,6 +122,23 @@
 	}, nil
 }
 
+// take takes a ticket, and waits while it does.
+func (c *Client) take(ctx context.Context, account string, limit sharedlimit.Limit, cost float64) (*sharedlimit.Ticket, sharedlimit.TicketState) {
+	c.mu.Lock()
+	ticket := c.lender.Take(c.Clock.Now(), account, limit, cost)
+	state := ticket.State()
+	c.mu.Unlock()
+	if state == sharedlimit.TicketWaiting {
+		c.wakeUp()
+		state = c.await(ctx, ticket)
+	}
+	return ticket, state
+}
+
+// isStarting reports whether this daemon and others that started with it may not have lent their shares yet.
+// Refusals would then lose requests within the limit.
+func (c *Client) isStarting() bool { return c.Clock.Now().Sub(c.startedAt) < startTime }
+
 // await waits until a ticket is granted or refused.
 func (c *Client) await(ctx context.Context, ticket *sharedlimit.Ticket) sharedlimit.TicketState {
 	timer := time.NewTimer(sharedlimit.MaxWait)
--- a/internal/allowance/allowancepeer/run.go
+++ b/internal/allowance/allowancepeer/run.go
@@ -32,11 +32,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	describedAt := time.Time{}
 	for ctx.Err() == nil {
-		if now := c.Clock.Now(); now.Sub(describedAt) >= sharedlimit.ReportInterval {
+		if now := c.Clock.Now(); now.Sub(describedAt) >= sharedlimit.ReportInterval || c.isStarting() && now.Sub(describedAt) >= startPollInterval {
 			c.describe(now)
 			describedAt = now
 		}
-		timer := time.NewTimer(c.sendDue(ctx, group))
+		pause := c.sendDue(ctx, group)
+		if c.isStarting() {
+			pause = min(pause, startPollInterval)
+		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 		case <-c.wake:
--- a/internal/allowance/sharedlimit/bucket.go
+++ b/internal/allowance/sharedlimit/bucket.go
@@ -77,9 +77,9 @@
 	return noShareRetry
 }
 
-// noShareRetry is the retry time where a coordinator has no loans: the time until reports have renewed
-// them.
-const noShareRetry = LoanTime
+// noShareRetry is the retry time where a coordinator has no loans. Daemons that have just started lend their
+// shares within a few messages, so that requests are worth waiting.
+const noShareRetry = MaxWait / 2
 
 // claim is the units that the waiting requests of a lender are about to get.
 type claim struct {
--- a/internal/daemon/gateway/allowance.go
+++ b/internal/daemon/gateway/allowance.go
@@ -54,13 +54,14 @@
 }
 
 // allowanceFleet returns what this daemon knows of the others. It has no share while entries of daemons that
-// started together may still be missing: its share would be too large.
+// started together for the first time may still be missing: its share would be too large. After a restart, the
+// first list has the entries of all daemons that ran before.
 func (d *Daemon) allowanceFleet() sharedlimit.Fleet {
 	if !d.members.IsListed() {
 		return sharedlimit.Fleet{}
 	}
 	fleet := sharedlimit.Fleet{Candidates: d.members.StrongDaemons()}
-	if !d.members.IsIncomplete() {
+	if !d.members.IsIncomplete() || d.members.IsRestart() {
 		fleet.Daemons = d.daemonCount()
 	}
 	return fleet
