--- a/internal/allowance/sharedlimit/key.go
+++ b/internal/allowance/sharedlimit/key.go
@@ -28,6 +28,7 @@
 	refunds map[string][]Return
 	// retryAt is when a coordinator estimated that units are available.
 	retryAt time.Time
+	backlog backlog
 	usedAt  time.Time
 	// used and requests are the costs and the number of requests since forecastAt, and forecast is what the
 	// requests of a ReportInterval cost, as far as they are so many that units are worth asking for ahead.
--- a/internal/allowance/sharedlimit/lender.go
+++ b/internal/allowance/sharedlimit/lender.go
@@ -235,6 +235,7 @@
 	units := l.inHand(now, t.key)
 	if units >= t.cost {
 		t.from, t.state = t.key.spend(t.cost), TicketGranted
+		t.key.backlog.grant(now, t.cost)
 		return true
 	}
 	home := l.home(now, l.slot(t.key))
@@ -248,6 +249,7 @@
 	b.take(t.cost - units)
 	l.counts.Home += t.cost - units
 	t.key.spend(units)
+	t.key.backlog.grant(now, t.cost)
 	t.from, t.state = origin{isHome: units == 0, at: now}, TicketGranted
 	return true
 }
@@ -261,7 +263,7 @@
 // refuse ends a ticket without units.
 func (l *Lender) refuse(now time.Time, t *Ticket) {
 	l.counts.Refused++
-	t.state, t.retry = TicketRefused, max(t.key.retryAt.Sub(now), ReportInterval)
+	t.state, t.retry = TicketRefused, max(t.key.retryAt.Sub(now), ReportInterval, t.key.backlog.refuse(now, t.cost))
 	t.knew = Knowledge{Age: -1, InHand: l.inHand(now, t.key)}
 	if p, ok := l.coordinator(l.slot(t.key)); ok || !t.key.limit.isValid() {
 		if ok && !p.receivedAt.IsZero() {
@@ -271,7 +273,7 @@
 	}
 	// Without a coordinator, the home share is all that there is.
 	if home := l.home(now, l.slot(t.key)); home != nil {
-		t.retry = home.bucket(t.key.name, t.key.limit).timeUntil(home, t.cost, 0)
+		t.retry = max(t.retry, home.bucket(t.key.name, t.key.limit).timeUntil(home, t.cost, 0))
 	}
 }
 
