Gateway: bodies of requests are admitted by bytes, within one memory budget

Cause: the HTTP library read whole bodies before the handler ran, in buffers that doubled, and kept them until the answer had ended; nothing bounded them together. Every connection up to max_fds was accepted.

Change: internal/memory/admission is the one budget for what a daemon holds for others; it replaces transport/membudget. Bodies are read by the handler (StreamRequestBody) into pooled blocks, admitted before they are read: announced ones whole, chunked ones by block. A quarter is reserved for small requests; when there is no room, requests without progress give way first, then those of a caller beyond its part, then large ones to small ones. Answers: 503 with Retry-After, 413 beyond max_body_bytes (now that of the configuration), 408 for requests without progress; the connection lingers for 0.5 s, so that the answer can be read. Bodies are released when the answer begins, unless a stream may be resumed. The budget is 0.3 of memory_mb. Connections of callers are half of max_fds less 200, and a quarter of the memory at 48 KiB each.

The fuzz test of connpool has a larger budget for the same bound of answers, which take two fifths of it.

--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -103,15 +103,42 @@
 	}
 }
 
-// bufferMemoryDivisor is the divisor of the process memory that gives the limit on the memory of
-// buffered responses.
-const bufferMemoryDivisor = 8
+const (
+	// budgetMemoryRatio is the part of the process memory that the process holds for others. The garbage collector
+	// lets memory reach memoryLimitRatio, which leaves room for garbage and for the state of the daemon. The memory
+	// above it is for the program, and for bytes that connections have received and the process has not read yet.
+	budgetMemoryRatio = 0.3
+	// connectionMemoryRatio is the part for the connections of callers, each of which takes connectionBytes for its
+	// buffers and its goroutine.
+	connectionMemoryRatio = 0.25
+	connectionBytes       = 48 << 10
+)
 
 // WithMemory returns a copy for a process with the given memory limit.
 func (s Settings) WithMemory(memory azurehitch.ByteSize) Settings {
 	s.Memory = memory
 	if memory > 0 {
-		s.Answers.Memory = memory / bufferMemoryDivisor
+		s.Answers.Memory = azurehitch.ByteSize(float64(memory) * budgetMemoryRatio)
+		s.MaxConnections = min(s.MaxConnections, int(float64(memory)*connectionMemoryRatio)/connectionBytes)
+	}
+	return s
+}
+
+const (
+	// reservedDescriptors is for files and listeners.
+	reservedDescriptors = 200
+	// callerDescriptorRatio is the part of the other descriptors for the connections of callers. The rest is for
+	// connections to servers, other daemons and the store: a request uses one of each kind at most, and idle
+	// connections to servers are closed when others are needed.
+	callerDescriptorRatio = 0.5
+)
+
+// WithMaxDescriptors returns a copy for a process that may have a number of descriptors open.
+func (s Settings) WithMaxDescriptors(descriptors int) Settings {
+	if descriptors > 0 {
+		available := max(descriptors-reservedDescriptors, descriptors/4)
+		s.MaxConnections = min(s.MaxConnections, int(float64(available)*callerDescriptorRatio))
+		s.MaxTunnels = min(s.MaxTunnels, available/8)
 	}
 	return s
 }
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -11,9 +11,9 @@
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/rejectbudget"
 	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/memory/admission"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
-	"azurehitch/internal/transport/membudget"
 	"azurehitch/internal/transport/serverpath"
 
 	"github.com/pkg/errors"
@@ -94,7 +94,10 @@
 	if err := r.checkSend(choice); err != nil {
 		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: err}
 	}
-	request := attemptRequest(&r.http.Request)
+	if !r.body.Retain() {
+		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: errBodyReleased}
+	}
+	request := attemptRequest(&r.http.Request, r.body)
 	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
 		Server: choice.Server, TimeLeft: r.deadline.Sub(r.server.Clock.Now()),
 		Urgency: r.urgency(), LastEvent: lastEventID,
@@ -219,7 +222,7 @@
 // limit or the shared memory budget. Other errors are ignored.
 func (r *request) countTooLarge(err error) {
 	var tooLarge *connpool.ErrTooLarge
-	var exhausted *membudget.ErrExhausted
+	var exhausted *admission.ErrExhausted
 	switch {
 	case errors.As(err, &tooLarge):
 		r.server.Metrics.AddLabeled(metrics.AnswersTooLarge, string(tooLarge.Part), 1)
--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -33,6 +33,7 @@
 		r.attempts.add(choice, err.Error())
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
+	r.releaseBody()
 	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
 	passed := &passedBody{request: r, choice: choice, exchange: exchange, buffered: body, complete: complete}
 	if complete && len(body) <= maxInlineBodyBytes {
--- a/internal/forward/passthrough/event.go
+++ b/internal/forward/passthrough/event.go
@@ -6,8 +6,8 @@
 	"io"
 
 	"azurehitch"
+	"azurehitch/internal/memory/admission"
 	"azurehitch/internal/transport/connpool"
-	"azurehitch/internal/transport/membudget"
 
 	"github.com/pkg/errors"
 )
@@ -21,7 +21,7 @@
 	// maxSize limits the size of an event. Events longer than unbudgetedEventBytes are charged to
 	// memory.
 	maxSize azurehitch.ByteSize
-	memory  *membudget.Reservation
+	memory  *admission.Reservation
 	// peeked is the result of peek until next returns it; nil without one.
 	peeked *readEvent
 }
@@ -32,7 +32,7 @@
 	err   error
 }
 
-func newEventReader(stream io.Reader, maxSize azurehitch.ByteSize, memory *membudget.Reservation) *eventReader {
+func newEventReader(stream io.Reader, maxSize azurehitch.ByteSize, memory *admission.Reservation) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(stream, relayBufferBytes), maxSize: maxSize, memory: memory}
 }
 
--- a/internal/forward/passthrough/event_test.go
+++ b/internal/forward/passthrough/event_test.go
@@ -6,8 +6,9 @@
 	"strings"
 	"testing"
 
+	"azurehitch"
+	"azurehitch/internal/memory/admission"
 	"azurehitch/internal/transport/connpool"
-	"azurehitch/internal/transport/membudget"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -18,7 +19,7 @@
 func TestEventBound(t *testing.T) {
 	read := func(size int) error {
 		stream := strings.NewReader(strings.Repeat("x", size-2) + "\n\n")
-		_, err := newEventReader(stream, testMaxSize, membudget.New(4*testMaxSize).NewReservation()).next()
+		_, err := newEventReader(stream, testMaxSize, admission.New(admission.NewLimits(10*testMaxSize), azurehitch.SystemClock{}).NewReservation()).next()
 		return err
 	}
 	c := qt.New(t)
@@ -41,7 +42,7 @@
 	}
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		c := qt.New(t)
-		budget := membudget.New(4 * testMaxSize)
+		budget := admission.New(admission.NewLimits(10*testMaxSize), azurehitch.SystemClock{})
 		memory := budget.NewReservation()
 		reader := newEventReader(bytes.NewReader(stream), testMaxSize, memory)
 		rest := stream
--- a/internal/forward/passthrough/fingerprint_test.go
+++ b/internal/forward/passthrough/fingerprint_test.go
@@ -1,8 +1,13 @@
 package passthrough
 
 import (
+	"bytes"
 	"testing"
 
+	"azurehitch"
+	"azurehitch/internal/memory/admission"
+	"azurehitch/internal/memory/requestbody"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 )
@@ -42,7 +47,19 @@
 		t.Run(test.name, func(t *testing.T) {
 			request := base()
 			test.change(request)
-			qt.New(t).Assert(fingerprint(request) == fingerprint(base()), qt.Equals, test.isSame)
+			qt.New(t).Assert(fingerprintOf(t, request) == fingerprintOf(t, base()), qt.Equals, test.isSame)
 		})
 	}
 }
+
+// fingerprintOf returns the fingerprint of a request with its body as it is received.
+func fingerprintOf(t *testing.T, request *fasthttp.Request) string {
+	t.Helper()
+	c := qt.New(t)
+	budget := admission.New(admission.NewLimits(1<<20), azurehitch.SystemClock{})
+	limits := requestbody.Limits{Length: len(request.Body()), Max: 1 << 10}
+	body, err := requestbody.Read(t.Context(), bytes.NewReader(request.Body()), limits, budget.NewRequest("", nil))
+	c.Assert(err, qt.IsNil)
+	defer body.Release()
+	return fingerprint(&request.Header, body)
+}
--- a/internal/forward/passthrough/head.go
+++ b/internal/forward/passthrough/head.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"azurehitch/internal/memory/requestbody"
 	"azurehitch/internal/transport/connpool"
 
 	"github.com/valyala/fasthttp"
@@ -86,13 +87,15 @@
 }
 
 // attemptRequest copies a caller's request: method, path, query and body unchanged, and all
-// end-to-end header fields.
-func attemptRequest(from *fasthttp.Request) connpool.Request {
+// end-to-end header fields. The body must be retained for it.
+func attemptRequest(from *fasthttp.Request, body *requestbody.Body) connpool.Request {
 	request := connpool.Request{
 		Method: string(from.Header.Method()),
 		URI:    string(from.Header.RequestURI()),
 		Host:   string(from.Header.Host()),
-		Body:   from.Body(),
+	}
+	if body != nil {
+		request.Source = body
 	}
 	dropped := connectionFields(string(from.Header.Peek(fasthttp.HeaderConnection)))
 	for name, value := range from.Header.All() {
--- a/internal/forward/passthrough/invalid.go
+++ b/internal/forward/passthrough/invalid.go
@@ -29,8 +29,13 @@
 
 // handleProtocolError responds to a malformed, oversized or incomplete HTTP request.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	s.respondInvalid(ctx, protocolErrorStatus(err))
+}
+
+// respondInvalid responds with a status and closes the connection.
+func (s *Server) respondInvalid(ctx *fasthttp.RequestCtx, status int) {
 	ctx.Response.Reset()
-	ctx.SetStatusCode(protocolErrorStatus(err))
+	ctx.SetStatusCode(status)
 	ctx.SetConnectionClose()
 	s.Metrics.Add(metrics.RequestsInvalid, 1)
 }
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -54,6 +54,9 @@
 		r.bound = unbound
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
+	if !r.route.MayRepeat() {
+		r.releaseBody()
+	}
 	r.timeToFirstEvent = r.server.Clock.Now().Sub(r.startedAt)
 	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.timeToFirstEvent)
 	copyAnswerHead(&r.http.Response.Header, &stream.exchange.Header)
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"azurehitch"
@@ -11,6 +12,7 @@
 	"azurehitch/internal/forward/router"
 	"azurehitch/internal/forward/runtimes"
 	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/memory/requestbody"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
@@ -41,6 +43,10 @@
 	server *Server
 	http   *fasthttp.RequestCtx
 	azurehitch.CallerRequest
+	// body is released as soon as no further attempt can need it; nil for none.
+	body *requestbody.Body
+	// releaseBody releases body at its first call.
+	releaseBody func()
 	// fingerprint identifies what the request asks for.
 	fingerprint          string
 	route                azurehitch.PathRoute
@@ -87,9 +93,13 @@
 var errCallerDisconnected = errors.New("the caller has gone")
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	body, ok := s.receiveBody(ctx)
+	if !ok {
+		return
+	}
 	s.requestStarted()
 	r := &request{
-		server: s, http: ctx, startedAt: s.Clock.Now(),
+		server: s, http: ctx, body: body, releaseBody: sync.OnceFunc(body.Release), startedAt: s.Clock.Now(),
 		CallerRequest: s.Protocol.ReadRequest(requestHeader{&ctx.Request.Header}),
 		unwatch:       func() {},
 	}
@@ -101,7 +111,7 @@
 		r.refuse(err)
 		return
 	}
-	r.fingerprint = fingerprint(&ctx.Request)
+	r.fingerprint = fingerprint(&ctx.Request.Header, body)
 	r.start()
 	r.forward()
 }
@@ -308,6 +318,7 @@
 	}
 	r.unwatch()
 	r.cancel(nil)
+	r.releaseBody()
 	r.refundCharge()
 	r.server.requestEnded()
 	took := r.server.Clock.Now().Sub(r.startedAt)
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -33,6 +33,7 @@
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
 	"azurehitch/internal/transport/connpool"
+	"azurehitch/internal/transport/lingerconn"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -151,6 +152,8 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleProtocolError,
 		HeaderReceived:               s.headReceived,
+		ExpectHandler:                s.expectBody,
+		StreamRequestBody:            true,
 		MaxRequestBodySize:           settings.MaxBodyBytes,
 		ReadBufferSize:               settings.MaxHeaderBytes,
 		ReadTimeout:                  settings.ReadTimeout,
@@ -181,7 +184,7 @@
 func (s *Server) listen(listener net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = callerconn.Listen(listener, s.Clock, s.recordClosure)
+	s.listener = callerconn.Listen(lingerconn.Listen(listener, s.Clock, refusedLinger), s.Clock, s.recordClosure)
 	return s.listener
 }
 
--- a/internal/forward/passthrough/takeover.go
+++ b/internal/forward/passthrough/takeover.go
@@ -8,8 +8,8 @@
 
 	"azurehitch"
 	"azurehitch/internal/forward/place"
+	"azurehitch/internal/memory/admission"
 	"azurehitch/internal/transport/connpool"
-	"azurehitch/internal/transport/membudget"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -28,7 +28,7 @@
 	reader   *eventReader
 	// memory is the part of the shared memory budget that is reserved for long events until they
 	// are passed on.
-	memory *membudget.Reservation
+	memory *admission.Reservation
 }
 
 func (r *request) newSource(choice place.Choice, exchange *connpool.Exchange) source {
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -100,6 +100,8 @@
 	// placement.
 	RequestsToLimited Name = "RequestsToLimited"
 	AnswersTooLarge   Name = "AnswersTooLarge"
+	// BodiesRefused counts the requests whose bodies were not received, by cause.
+	BodiesRefused Name = "BodiesRefused"
 	// ServerCrashes counts the crashes of servers that this daemon found because they broke off its
 	// requests.
 	ServerCrashes Name = "ServerCrashes"
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/transport/membudget"
+	"azurehitch/internal/memory/admission"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -38,7 +38,7 @@
 	conn    *conn
 	body    io.Reader
 	// memory accounts for the body bytes that ReadWhole and ReadUpTo hold.
-	memory *membudget.Reservation
+	memory *admission.Reservation
 	// complete is true when the body has been read to its end.
 	complete bool
 	// readErr is the error that ended the body, or io.EOF.
@@ -47,6 +47,8 @@
 	sending *errgroup.Group
 	// sent is closed when the request has been sent or the send has failed.
 	sent chan struct{}
+	// releaseBody releases the body of the request, which is not used after it.
+	releaseBody func()
 	// stopInterrupt detaches the exchange from the context. It returns false if the context has
 	// ended.
 	stopInterrupt func() bool
@@ -61,15 +63,17 @@
 // of the body, is aborted when the context ends. The error is an *ErrExchange.
 func (p *Pool) Do(ctx context.Context, address string, request Request, options Options) (*Exchange, error) {
 	if err := request.check(); err != nil {
+		request.release()
 		return nil, &ErrExchange{Address: address, Cause: err}
 	}
 	c, err := p.acquire(ctx, address, options)
 	if err != nil {
+		request.release()
 		return nil, &ErrExchange{Address: address, Cause: err}
 	}
 	e := &Exchange{
 		pool: p, address: address, conn: c,
-		sending: &errgroup.Group{}, sent: make(chan struct{}),
+		sending: &errgroup.Group{}, sent: make(chan struct{}), releaseBody: request.releaseOnce(),
 		memory: p.memory.NewReservation(), fresh: options.Fresh || c.isSingleUse(),
 	}
 	if err := e.limitDelivery(ctx, options); err != nil {
@@ -124,11 +128,13 @@
 // send sends the request. A long body is sent in the background while the response is read, because
 // a server may respond before it has read the body.
 func (e *Exchange) send(request Request) error {
-	if len(request.Body) <= syncSendBytes {
+	if request.bodyLen() <= syncSendBytes {
+		defer e.releaseBody()
 		defer close(e.sent)
 		return errors.Wrap(request.write(e.conn.tcp), "send request")
 	}
 	e.sending.Go(func() error {
+		defer e.releaseBody()
 		defer close(e.sent)
 		return errors.Wrap(request.write(e.conn.tcp), "send request")
 	})
@@ -195,7 +201,7 @@
 
 // ReadWhole reads the rest of the body, which must be complete and at most size bytes. The body
 // counts against the memory budget of the pool until the exchange is closed. The error is an
-// *ErrExchange; its cause is an *ErrTooLarge for a longer body, or a *membudget.ErrExhausted.
+// *ErrExchange; its cause is an *ErrTooLarge for a longer body, or a *admission.ErrExhausted.
 func (e *Exchange) ReadWhole(size azurehitch.ByteSize) ([]byte, error) {
 	body, complete, err := e.ReadUpTo(size)
 	switch {
@@ -284,6 +290,7 @@
 	}
 	// A failure to send shows in the response, or in its absence.
 	_ = e.sending.Wait()
+	e.releaseBody()
 	e.pool.release(e.address)
 }
 
--- a/internal/transport/connpool/fuzz_test.go
+++ b/internal/transport/connpool/fuzz_test.go
@@ -47,7 +47,7 @@
 	})
 	const bound = 4 << 10
 	limits := connpool.DefaultLimits()
-	limits.Memory = 4 * bound
+	limits.Memory = 10 * bound
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		c := qt.New(t)
 		pool := connpool.New(azurehitch.SystemClock{}, limits)
--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -24,7 +24,7 @@
 	"time"
 
 	"azurehitch"
-	"azurehitch/internal/transport/membudget"
+	"azurehitch/internal/memory/admission"
 	"azurehitch/internal/transport/tcpoption"
 
 	"github.com/pkg/errors"
@@ -162,7 +162,7 @@
 	// direct opens the connections of exchanges with Options.Direct, and dialer those of the others.
 	direct Dialer
 	dialer Dialer
-	memory *membudget.Budget
+	memory *admission.Budget
 
 	mu sync.Mutex
 	// servers is keyed by address.
@@ -185,7 +185,7 @@
 func New(clock azurehitch.Clock, limits Limits) *Pool {
 	return &Pool{
 		clock: clock, limits: limits, direct: DirectDialer{}, dialer: DirectDialer{},
-		memory: membudget.New(limits.Memory), servers: map[string]*serverConns{},
+		memory: admission.New(admission.NewLimits(limits.Memory), clock), servers: map[string]*serverConns{},
 	}
 }
 
@@ -217,7 +217,7 @@
 }
 
 // Memory returns the memory budget that the response bodies of all exchanges share.
-func (p *Pool) Memory() *membudget.Budget { return p.memory }
+func (p *Pool) Memory() *admission.Budget { return p.memory }
 
 // Run closes expired idle connections until the context ends, and then all idle connections. It
 // always returns nil.
--- a/internal/transport/connpool/request.go
+++ b/internal/transport/connpool/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -25,6 +26,32 @@
 	Host   string
 	Fields []Field
 	Body   []byte
+	// Source is the body in place of Body; nil for none.
+	Source Source
+}
+
+// Source is a body that its owner releases once all requests that retain it have been sent.
+type Source interface {
+	io.WriterTo
+	// Len returns the size of the body.
+	Len() int
+	// Release is called once when the body is needed no longer for the request, whether it was sent or not.
+	Release()
+}
+
+// bodyLen returns the size of the body.
+func (r *Request) bodyLen() int {
+	if r.Source != nil {
+		return r.Source.Len()
+	}
+	return len(r.Body)
+}
+
+// release releases the body.
+func (r *Request) release() {
+	if r.Source != nil {
+		r.Source.Release()
+	}
 }
 
 // Add appends a header field.
@@ -35,7 +62,7 @@
 // hasContentLength reports whether the request is sent with a Content-Length field. A GET or HEAD
 // request without a body needs none.
 func (r *Request) hasContentLength() bool {
-	return len(r.Body) > 0 || r.Method != fasthttp.MethodGet && r.Method != fasthttp.MethodHead
+	return r.bodyLen() > 0 || r.Method != fasthttp.MethodGet && r.Method != fasthttp.MethodHead
 }
 
 // errLineBreak is returned for a request that would end a line of its head early.
@@ -65,13 +92,25 @@
 		writeField(buffered, f.Name, f.Value)
 	}
 	if r.hasContentLength() {
-		writeField(buffered, fasthttp.HeaderContentLength, strconv.Itoa(len(r.Body)))
+		writeField(buffered, fasthttp.HeaderContentLength, strconv.Itoa(r.bodyLen()))
 	}
 	_, _ = buffered.WriteString("\r\n")
-	_, _ = buffered.Write(r.Body)
+	if r.Source == nil {
+		_, _ = buffered.Write(r.Body)
+	} else if _, err := r.Source.WriteTo(buffered); err != nil {
+		return err
+	}
 	return buffered.Flush()
 }
 
+// releaseOnce returns a function that releases the body at its first call.
+func (r *Request) releaseOnce() func() {
+	if r.Source == nil {
+		return func() {}
+	}
+	return sync.OnceFunc(r.Source.Release)
+}
+
 func writeField(w *bufio.Writer, name, value string) {
 	_, _ = w.WriteString(name + ": " + value + "\r\n")
 }
--- a/internal/transport/lingerconn/conn.go
+++ b/internal/transport/lingerconn/conn.go
@@ -17,6 +17,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"azurehitch"
@@ -68,6 +69,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return raw.SyscallConn()
+}
+
 // Close implements net.Conn. If Linger was called, it blocks until the peer stops sending or a
 // limit is reached.
 func (c *conn) Close() error {
