Callers' connections: cut those that read nothing, close idle ones when too many are open

Cause: a caller that read nothing held its answer and its connection to the server for as long as it wanted. Idle connections up to the limit kept others out until the read timeout of 10 s.

Change: a write to a caller fails when the caller accepts no byte for 4 to 5 s (loss Stuck), before a server cuts off an answer that stays unread; the send and receive buffers of a connection are 64 KiB, so that a slow reader shows progress in that time. From MaxConnections on, an idle connection expires for each new one: unused ones first, then those idle for longest (loss Surplus). The log line of a lost connection names its caller.

Measured: go test -race of callerconn, passthrough, connpool and platform passes.

--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -39,6 +39,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// surplusConnections is the number of connections beyond MaxConnections that may be open while idle ones expire in
+// favor of new ones. Others are answered with 503 and closed.
+const surplusConnections = 32
+
 // Settings holds the limits for the connections, requests and responses of callers.
 type Settings struct {
 	MaxBodyBytes   int
@@ -158,7 +162,7 @@
 		ReadBufferSize:               settings.MaxHeaderBytes,
 		ReadTimeout:                  settings.ReadTimeout,
 		IdleTimeout:                  settings.IdleTimeout,
-		Concurrency:                  settings.MaxConnections,
+		Concurrency:                  settings.MaxConnections + surplusConnections,
 		Logger:                       discardLogger{},
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
@@ -184,7 +188,7 @@
 func (s *Server) listen(listener net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = callerconn.Listen(lingerconn.Listen(listener, s.Clock, refusedLinger), s.Clock, s.recordClosure)
+	s.listener = callerconn.Listen(lingerconn.Listen(listener, s.Clock, refusedLinger), s.Clock, s.recordClosure).WithMaxConns(s.settings.MaxConnections)
 	return s.listener
 }
 
--- a/internal/transport/callerconn/closure.go
+++ b/internal/transport/callerconn/closure.go
@@ -18,6 +18,10 @@
 	LossUnread Loss = "Unread"
 	// LossUnused is a new connection that was closed by CloseIdle before its first request arrived.
 	LossUnused Loss = "Unused"
+	// LossStuck is a response that was cut because its caller read nothing for some seconds.
+	LossStuck Loss = "Stuck"
+	// LossSurplus is an idle connection that was closed because too many were open.
+	LossSurplus Loss = "Surplus"
 	// LossUnaccepted is a connection that could not be accepted.
 	LossUnaccepted Loss = "Unaccepted"
 )
@@ -25,6 +29,8 @@
 // Closure describes a connection that was closed without an answer to the last request on it.
 type Closure struct {
 	Loss Loss
+	// Caller is the address of the caller; empty if it is not known.
+	Caller string
 	// BytesRead is how much of the request was read.
 	BytesRead int
 	// Age is the time since the connection was accepted.
@@ -42,10 +48,14 @@
 func (c *conn) closure(now time.Time) Closure {
 	closure := Closure{BytesRead: c.unanswered, Age: now.Sub(c.acceptedAt), Expired: !c.expiresAt.IsZero(), Cause: c.lastErr}
 	switch {
+	case c.isStuck:
+		closure.Loss = LossStuck
 	case c.unanswered > 0:
 		closure.Loss = LossRead
 	case closure.Expired && hasUnread(c.Conn):
 		closure.Loss = LossUnread
+	case closure.Expired && c.isSurplus:
+		closure.Loss = LossSurplus
 	case closure.Expired && !c.isUsed:
 		closure.Loss = LossUnused
 	}
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -42,6 +42,8 @@
 	// is closed; zero until CloseIdle.
 	isIdle    bool
 	expiresAt time.Time
+	// idleSince is when the connection was accepted or became idle last.
+	idleSince time.Time
 	// readDeadline is the last one that was set. It is not in force while the connection expires.
 	readDeadline time.Time
 	// readAhead holds the bytes that were read while the connection was watched, one each time.
@@ -56,6 +58,13 @@
 	isUsed     bool
 	// lastErr is the error of the last read; nil if it had none.
 	lastErr error
+	// isStuck is true once the caller has read nothing of a response for too long.
+	isStuck bool
+	// isSurplus is true if the connection expired because too many were open.
+	isSurplus bool
+
+	// writeBy is the write deadline in force. Only the writer uses it.
+	writeBy time.Time
 }
 
 // Watch calls onDisconnect when the caller closes a connection that a listener of Listen accepted,
@@ -154,14 +163,6 @@
 // NetConn returns the connection that this one reads from.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.unanswered = 0
-	c.mu.Unlock()
-	return c.Conn.Write(p)
-}
-
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.observe(c)
@@ -194,10 +195,11 @@
 	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
-func (c *conn) setIdle() {
+func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isIdle = true
+	c.idleSince = now
 }
 
 func (c *conn) isExpired() bool {
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -26,6 +26,8 @@
 	clock    azurehitch.Clock
 	onClosed Observer
 	close    func() error
+	// maxConns is the number of open connections from which on idle ones are closed; 0 sets no bound.
+	maxConns int
 
 	mu        sync.Mutex
 	isClosing bool
@@ -57,7 +59,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l, isIdle: true, acceptedAt: l.clock.Now()}
+	limitBuffers(accepted)
+	now := l.clock.Now()
+	c := &conn{Conn: accepted, listener: l, isIdle: true, acceptedAt: now, idleSince: now}
 	l.add(c)
 	return c, nil
 }
@@ -76,7 +80,9 @@
 	l.conns[c] = struct{}{}
 	if l.isClosing {
 		c.expire(l.clock.Now())
+		return
 	}
+	l.expireSurplus(c.acceptedAt)
 }
 
 // checkEmpty closes empty if no connection is open any more, or will be. The caller holds l.mu.
@@ -132,9 +138,10 @@
 	c.mu.Lock()
 	closure := c.closure(l.clock.Now())
 	// Further calls of Close lose nothing.
-	c.unanswered, c.expiresAt = 0, time.Time{}
+	c.unanswered, c.expiresAt, c.isStuck, c.isSurplus = 0, time.Time{}, false, false
 	c.mu.Unlock()
 	if closure.Loss != lossNone {
+		closure.Caller = c.RemoteAddr().String()
 		l.onClosed(closure)
 	}
 }
@@ -152,7 +159,7 @@
 	if !ok || state != fasthttp.StateIdle {
 		return
 	}
-	idle.setIdle()
+	idle.setIdle(idle.listener.clock.Now())
 	idle.listener.expireIfClosing(idle)
 }
 
--- /dev/null
+++ b/internal/transport/callerconn/write.go
@@ -0,0 +1,89 @@
+package callerconn
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// stuckTime is how long a caller may read nothing of a response that fills the buffers of its connection.
+	// Servers cut off a response that stays unread for longer.
+	stuckTime = 4 * time.Second
+	// deadlineStep is by how much a write deadline is later than needed, so that few writes have to set it.
+	deadlineStep = time.Second
+	// sendBufferBytes and receiveBufferBytes bound what the system holds for a connection. With a larger send buffer,
+	// the system would report no progress of a slow reader for longer than stuckTime.
+	sendBufferBytes    = 64 << 10
+	receiveBufferBytes = 64 << 10
+)
+
+// errStuck is the error of a write to a caller that reads nothing.
+var errStuck = errors.New("the caller reads nothing")
+
+// Write implements net.Conn. It fails when the caller reads nothing for stuckTime.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.unanswered = 0
+	c.mu.Unlock()
+	written := 0
+	for {
+		if err := c.extendWrite(); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return written, err
+		case n == 0:
+			c.setStuck()
+			return written, errStuck
+		}
+	}
+}
+
+// extendWrite sets the write deadline if less than stuckTime is left until it.
+func (c *conn) extendWrite() error {
+	now := c.listener.clock.Now()
+	if c.writeBy.Sub(now) >= stuckTime {
+		return nil
+	}
+	c.writeBy = now.Add(stuckTime + deadlineStep)
+	return c.Conn.SetWriteDeadline(c.writeBy)
+}
+
+// setStuck records that the caller reads nothing, and makes Close drop what the system still holds for it.
+func (c *conn) setStuck() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isStuck = true
+	if tcp := tcpConn(c.Conn); tcp != nil {
+		// A connection that can't take an option is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// limitBuffers bounds what the system holds for a connection. An error means that it is closed already.
+func limitBuffers(c net.Conn) {
+	if tcp := tcpConn(c); tcp != nil {
+		_ = tcp.SetReadBuffer(receiveBufferBytes)
+		_ = tcp.SetWriteBuffer(sendBufferBytes)
+	}
+}
+
+// tcpConn returns the TCP connection inside of others that have a method NetConn; nil if there is none.
+func tcpConn(c net.Conn) *net.TCPConn {
+	for {
+		switch inner := c.(type) {
+		case *net.TCPConn:
+			return inner
+		case interface{ NetConn() net.Conn }:
+			c = inner.NetConn()
+		default:
+			return nil
+		}
+	}
+}
--- a/internal/transport/lingerconn/conn.go
+++ b/internal/transport/lingerconn/conn.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// NetConn returns the connection that this one reads from.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	raw, ok := c.Conn.(syscall.Conn)
