--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -164,7 +164,7 @@
 // newBackend starts a server that sends text to each request, in which %ID% stands for the id of
 // the request. It closes the connection after keepOpen; if the caller closes it earlier, it sends
 // to the closed channel.
-func newBackend(t *testing.T, text string, keepOpen time.Duration) *backend {
+func newBackend(t testing.TB, text string, keepOpen time.Duration) *backend {
 	t.Helper()
 	b := &backend{closed: make(chan struct{}, 10)}
 	b.address = listen(t, func(conn net.Conn) { b.play(conn, text, keepOpen) })
