--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -130,7 +130,7 @@
 	// callerDescriptorRatio is the part of the other descriptors for the connections of callers. The rest is for
 	// connections to servers, other daemons and the store: a request uses one of each kind at most, and idle
 	// connections to servers are closed when others are needed.
-	callerDescriptorRatio = 0.5
+	callerDescriptorRatio = 0.4
 )
 
 // WithMaxDescriptors returns a copy for a process that may have a number of descriptors open.
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -310,7 +310,7 @@
 	}
 	clock := azurehitch.SystemClock{}
 	limits := connpool.DefaultLimits()
-	limits.Memory = answerMemory
+	limits.Memory = answerMemory * 5 / 2 // of which responses have two fifths
 	backoffs := backoff.New("daemon-1", clock)
 	g := &gateway{C: c, placer: placer, budget: &testBudget{}, quarantine: &testQuarantine{}, streams: &testStreams{}}
 	g.rejections = rejectbudget.New(rejectbudget.Dependencies{
