Passthrough: answers are read ahead of callers that accept nothing

Cause: a server's answer was read at the pace of its caller, and a server cuts off a response that stays unread for some seconds.

--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -43,11 +43,11 @@
 		_ = passed.Close()
 		return result{answered: true}
 	}
-	length := len(body)
-	if !complete {
-		length = max(exchange.Header.ContentLength(), unknownLength)
+	if complete {
+		r.http.Response.SetBodyStream(passed, len(body))
+		return result{answered: true}
 	}
-	r.http.Response.SetBodyStream(passed, length)
+	r.http.Response.SetBodyStream(r.readAhead(passed), max(exchange.Header.ContentLength(), unknownLength))
 	return result{answered: true}
 }
 
--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -60,7 +60,7 @@
 	r.timeToFirstEvent = r.server.Clock.Now().Sub(r.startedAt)
 	r.server.Metrics.Observe(metrics.FirstEventTime, r.route.Name, r.timeToFirstEvent)
 	copyAnswerHead(&r.http.Response.Header, &stream.exchange.Header)
-	r.http.Response.SetBodyStream(stream, unknownLength)
+	r.http.Response.SetBodyStream(r.readAhead(stream), unknownLength)
 	return result{answered: true}
 }
 
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -63,8 +63,10 @@
 	// isSurplus is true if the connection expired because too many were open.
 	isSurplus bool
 
-	// writeBy is the write deadline in force. Only the writer uses it.
-	writeBy time.Time
+	// writeBy is the write deadline in force, and onBlocked is called while a write makes no progress; nil for
+	// nothing. Only the writer uses them.
+	writeBy   time.Time
+	onBlocked func()
 }
 
 // Watch calls onDisconnect when the caller closes a connection that a listener of Listen accepted,
--- a/internal/transport/callerconn/write.go
+++ b/internal/transport/callerconn/write.go
@@ -12,8 +12,10 @@
 	// stuckTime is how long a caller may read nothing of a response that fills the buffers of its connection.
 	// Servers cut off a response that stays unread for longer.
 	stuckTime = 4 * time.Second
-	// deadlineStep is by how much a write deadline is later than needed, so that few writes have to set it.
-	deadlineStep = time.Second
+	// A write that makes no progress is noticed after minWriteTime to maxWriteTime. The difference is the time in
+	// which further writes don't set the deadline again.
+	minWriteTime = 500 * time.Millisecond
+	maxWriteTime = 1500 * time.Millisecond
 	// sendBufferBytes and receiveBufferBytes bound what the system holds for a connection. With a larger send buffer,
 	// the system would report no progress of a slow reader for longer than stuckTime.
 	sendBufferBytes    = 64 << 10
@@ -23,36 +25,55 @@
 // errStuck is the error of a write to a caller that reads nothing.
 var errStuck = errors.New("the caller reads nothing")
 
+// OnBlocked calls onBlocked from a write to a connection that a listener of Listen accepted, as long as the caller
+// accepts nothing, until stop is called. It does nothing for other connections. Neither may be called during a write.
+func OnBlocked(c net.Conn, onBlocked func()) (stop func()) {
+	blocking, ok := c.(*conn)
+	if !ok {
+		return func() {}
+	}
+	blocking.onBlocked = onBlocked
+	return func() { blocking.onBlocked = nil }
+}
+
 // Write implements net.Conn. It fails when the caller reads nothing for stuckTime.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.unanswered = 0
 	c.mu.Unlock()
 	written := 0
+	var blockedSince time.Time
 	for {
-		if err := c.extendWrite(); err != nil {
+		now, err := c.extendWrite()
+		if err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
-		case n == 0:
+		}
+		if n > 0 || blockedSince.IsZero() {
+			blockedSince = now
+		}
+		if c.listener.clock.Now().Sub(blockedSince) >= stuckTime {
 			c.setStuck()
 			return written, errStuck
 		}
+		if c.onBlocked != nil {
+			c.onBlocked()
+		}
 	}
 }
 
-// extendWrite sets the write deadline if less than stuckTime is left until it.
-func (c *conn) extendWrite() error {
-	now := c.listener.clock.Now()
-	if c.writeBy.Sub(now) >= stuckTime {
-		return nil
+// extendWrite sets the write deadline if less than minWriteTime is left until it. It returns the time.
+func (c *conn) extendWrite() (now time.Time, err error) {
+	now = c.listener.clock.Now()
+	if c.writeBy.Sub(now) >= minWriteTime {
+		return now, nil
 	}
-	c.writeBy = now.Add(stuckTime + deadlineStep)
-	return c.Conn.SetWriteDeadline(c.writeBy)
+	c.writeBy = now.Add(maxWriteTime)
+	return now, c.Conn.SetWriteDeadline(c.writeBy)
 }
 
 // setStuck records that the caller reads nothing, and makes Close drop what the system still holds for it.
