Callers' connections: slow senders give way when too many connections are open

Cause: at the limit on connections, heads that don't end kept others out until the read timeout of 10 s.

A request that is handled is never interrupted.

Measured: go test -race of callerconn passes.

--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -42,8 +42,10 @@
 	// is closed; zero until CloseIdle.
 	isIdle    bool
 	expiresAt time.Time
-	// idleSince is when the connection was accepted or became idle last.
-	idleSince time.Time
+	// idleSince is when the connection was accepted or became idle last, or when the reception of the current request
+	// began. isReceiving is true from then on until the request is handled.
+	idleSince   time.Time
+	isReceiving bool
 	// readDeadline is the last one that was set. It is not in force while the connection expires.
 	readDeadline time.Time
 	// readAhead holds the bytes that were read while the connection was watched, one each time.
@@ -79,6 +81,7 @@
 	}
 	watched.mu.Lock()
 	watched.stopping = false
+	watched.isReceiving = false
 	watched.mu.Unlock()
 	// The deadline for reading a request must not bound the time to handle it. A connection that
 	// can't take a deadline is closed already.
@@ -189,18 +192,20 @@
 
 // setBusyLocked records that a part of a request has been read. The request has its usual time.
 func (c *conn) setBusyLocked() error {
-	c.isIdle = false
+	if c.isIdle {
+		c.isIdle, c.isReceiving, c.idleSince = false, true, c.listener.clock.Now()
+	}
 	if c.expiresAt.IsZero() {
 		return nil
 	}
-	c.expiresAt = time.Time{}
+	c.expiresAt, c.isSurplus = time.Time{}, false
 	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isIdle = true
+	c.isIdle, c.isReceiving = true, false
 	c.idleSince = now
 }
 
@@ -214,6 +219,10 @@
 func (c *conn) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.expireLocked(now)
+}
+
+func (c *conn) expireLocked(now time.Time) {
 	if !c.isIdle {
 		return
 	}
--- a/internal/transport/callerconn/crowd_test.go
+++ b/internal/transport/callerconn/crowd_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/standin/manualclock"
 	"azurehitch/internal/transport/callerconn"
 
 	qt "github.com/frankban/quicktest"
@@ -84,3 +86,35 @@
 	_, err = used.Read(make([]byte, 1))
 	c.Assert(err, qt.IsNil)
 }
+
+// TestSlowHeadGivesWay guards against heads that don't end and keep others out until the read timeout.
+func TestSlowHeadGivesWay(t *testing.T) {
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	clock := manualclock.New()
+	listener := callerconn.Listen(inner, clock, func(callerconn.Closure) {}).WithMaxConns(1)
+	c.Cleanup(func() { listener.Close() })
+	open := func() net.Conn {
+		peer, err := net.Dial("tcp", inner.Addr().String())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { peer.Close() })
+		accepted, err := listener.Accept()
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { accepted.Close() })
+		_, err = io.WriteString(peer, "G")
+		c.Assert(err, qt.IsNil)
+		_, err = accepted.Read(make([]byte, 1))
+		c.Assert(err, qt.IsNil)
+		return accepted
+	}
+	slow := open()
+	clock.Time = clock.Time.Add(3 * time.Second)
+	recent := open()
+	_, err = slow.Read(make([]byte, 1))
+	c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	handled := callerconn.Watch(recent, func() { c.Error("a request that is handled was interrupted") })
+	clock.Time = clock.Time.Add(3 * time.Second)
+	open()
+	handled()
+}
--- a/internal/transport/callerconn/listener.go
+++ b/internal/transport/callerconn/listener.go
@@ -82,7 +82,7 @@
 		c.expire(l.clock.Now())
 		return
 	}
-	l.expireSurplus(c.acceptedAt)
+	l.closeSurplus(c)
 }
 
 // checkEmpty closes empty if no connection is open any more, or will be. The caller holds l.mu.
--- a/internal/transport/callerconn/write.go
+++ b/internal/transport/callerconn/write.go
@@ -40,6 +40,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.unanswered = 0
+	c.isReceiving = false
 	c.mu.Unlock()
 	written := 0
 	var blockedSince time.Time
