--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -33,6 +33,7 @@
 		r.attempts.add(choice, err.Error())
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
+	r.releaseBody()
 	copyAnswerHead(&r.http.Response.Header, &exchange.Header)
 	passed := &passedBody{request: r, choice: choice, exchange: exchange, buffered: body, complete: complete}
 	if complete && len(body) <= maxInlineBodyBytes {
@@ -42,11 +43,11 @@
 		_ = passed.Close()
 		return result{answered: true}
 	}
-	length := len(body)
-	if !complete {
-		length = max(exchange.Header.ContentLength(), unknownLength)
+	if complete {
+		r.http.Response.SetBodyStream(passed, len(body))
+		return result{answered: true}
 	}
-	r.http.Response.SetBodyStream(passed, length)
+	r.http.Response.SetBodyStream(r.readAhead(passed), max(exchange.Header.ContentLength(), unknownLength))
 	return result{answered: true}
 }
 
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -33,11 +33,16 @@
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
 	"azurehitch/internal/transport/connpool"
+	"azurehitch/internal/transport/lingerconn"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
+// surplusConnections is the number of connections beyond MaxConnections that may be open while idle ones expire in
+// favor of new ones. Others are answered with 503 and closed.
+const surplusConnections = 32
+
 // Settings holds the limits for the connections, requests and responses of callers.
 type Settings struct {
 	MaxBodyBytes   int
@@ -168,11 +173,13 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleProtocolError,
 		HeaderReceived:               s.headReceived,
+		ExpectHandler:                s.expectBody,
+		StreamRequestBody:            true,
 		MaxRequestBodySize:           settings.MaxBodyBytes,
 		ReadBufferSize:               settings.MaxHeaderBytes,
 		ReadTimeout:                  settings.ReadTimeout,
 		IdleTimeout:                  settings.IdleTimeout,
-		Concurrency:                  settings.MaxConnections,
+		Concurrency:                  settings.MaxConnections + surplusConnections,
 		Logger:                       discardLogger{},
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
@@ -198,7 +205,7 @@
 func (s *Server) listen(listener net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = callerconn.Listen(listener, s.Clock, s.recordClosure)
+	s.listener = callerconn.Listen(lingerconn.Listen(listener, s.Clock, refusedLinger), s.Clock, s.recordClosure).WithMaxConns(s.settings.MaxConnections)
 	return s.listener
 }
 
