--- a/internal/forward/runtimes/quantile.go
+++ b/internal/forward/runtimes/quantile.go
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// quantile is the fraction of the requests of a route that take no longer than the estimate.
-const quantile = 0.99
-
 // observation is the part of a request that was observed, as times since its start.
 type observation struct {
 	from, to time.Duration
@@ -18,7 +15,7 @@
 
 // upperQuantile returns the duration that a request exceeds with a probability of 1 - quantile, by the
 // Kaplan-Meier estimator with delayed entry. It returns false if the observations don't reach so far.
-func upperQuantile(observed []observation) (time.Duration, bool) {
+func upperQuantile(observed []observation, quantile float64) (time.Duration, bool) {
 	entries := make([]time.Duration, 0, len(observed))
 	for _, o := range observed {
 		entries = append(entries, o.from)
--- a/internal/forward/runtimes/tracker.go
+++ b/internal/forward/runtimes/tracker.go
@@ -22,16 +22,25 @@
 	"azurehitch"
 )
 
-const (
-	// window is the time for which a request is remembered, and maxSamples the number of requests of
+// refreshInterval is how often an estimate is computed anew.
+const refreshInterval = 50 * time.Millisecond
+
+// Settings say which requests count, and what is estimated from them.
+type Settings struct {
+	// Quantile is the fraction of the requests of a route that take no longer than the estimate.
+	Quantile float64
+	// Window is the time for which a request is remembered, and MaxSamples the number of requests of
 	// a route that are remembered.
-	window     = 5 * time.Minute
-	maxSamples = 256
-	// minSamples is the number of complete requests below which there is no estimate.
-	minSamples = 100
-	// refreshInterval is how often an estimate is computed anew.
-	refreshInterval = 50 * time.Millisecond
-)
+	Window     time.Duration
+	MaxSamples int
+	// MinSamples is the number of complete requests below which there is no estimate.
+	MinSamples int
+}
+
+// DefaultSettings returns the settings of an upper estimate of whole requests.
+func DefaultSettings() Settings {
+	return Settings{Quantile: 0.99, Window: 5 * time.Minute, MaxSamples: 256, MinSamples: 100}
+}
 
 // Outcome says how a request ended.
 type Outcome string
@@ -45,14 +54,16 @@
 
 // Tracker remembers durations of requests. It is safe for concurrent use.
 type Tracker struct {
-	clock  azurehitch.Clock
-	mu     sync.Mutex
-	routes map[string]*history
+	clock    azurehitch.Clock
+	settings Settings
+	mu       sync.Mutex
+	routes   map[string]*history
 }
 
 // history holds the requests of one route.
 type history struct {
-	running map[*Run]struct{}
+	settings Settings
+	running  map[*Run]struct{}
 	// samples are the requests that ended last, in that order.
 	samples []sample
 	current estimate
@@ -62,6 +73,8 @@
 type estimate struct {
 	madeAt   time.Time
 	duration time.Duration
+	// newestAt is when the last complete request ended.
+	newestAt time.Time
 	// isKnown is false if too few requests have ended.
 	isKnown bool
 }
@@ -80,9 +93,14 @@
 	startedAt time.Time
 }
 
-// NewTracker returns a tracker that remembers nothing yet.
+// NewTracker returns a tracker with the default settings that remembers nothing yet.
 func NewTracker(clock azurehitch.Clock) *Tracker {
-	return &Tracker{clock: clock, routes: map[string]*history{}}
+	return NewTrackerWith(clock, DefaultSettings())
+}
+
+// NewTrackerWith returns a tracker that remembers nothing yet.
+func NewTrackerWith(clock azurehitch.Clock, settings Settings) *Tracker {
+	return &Tracker{clock: clock, settings: settings, routes: map[string]*history{}}
 }
 
 // Begin records that a request of a route is about to be sent to a server.
@@ -92,7 +110,7 @@
 	run := &Run{tracker: t, route: route, startedAt: t.clock.Now()}
 	if t.routes[route] == nil {
 		t.forgetUnused(run.startedAt)
-		t.routes[route] = &history{running: map[*Run]struct{}{}}
+		t.routes[route] = &history{settings: t.settings, running: map[*Run]struct{}{}}
 	}
 	t.routes[route].running[run] = struct{}{}
 	return run
@@ -123,7 +141,7 @@
 }
 
 func (h *history) add(s sample) {
-	if len(h.samples) == maxSamples {
+	if len(h.samples) == h.settings.MaxSamples {
 		h.samples = slices.Delete(h.samples, 0, 1)
 	}
 	h.samples = append(h.samples, s)
@@ -131,7 +149,7 @@
 
 // forgetOld forgets the requests that ended before the window.
 func (h *history) forgetOld(now time.Time) {
-	for len(h.samples) > 0 && now.Sub(h.samples[0].endedAt) > window {
+	for len(h.samples) > 0 && now.Sub(h.samples[0].endedAt) > h.settings.Window {
 		h.samples = slices.Delete(h.samples, 0, 1)
 	}
 }
@@ -151,6 +169,20 @@
 	return timeout
 }
 
+// Learnt returns the estimate of a route and its age: the time since the last complete request ended. It
+// returns false without enough requests.
+func (t *Tracker) Learnt(route string) (estimate, age time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.routes[route]
+	if h == nil {
+		return 0, 0, false
+	}
+	now := t.clock.Now()
+	e := h.estimate(now)
+	return e.duration, now.Sub(e.newestAt), e.isKnown
+}
+
 // estimate returns the current estimate.
 func (h *history) estimate(now time.Time) estimate {
 	if h.current.madeAt.IsZero() || now.Sub(h.current.madeAt) >= refreshInterval {
@@ -161,17 +193,18 @@
 
 func (h *history) newEstimate(now time.Time) estimate {
 	h.forgetOld(now)
-	ended := 0
+	ended, newestAt := 0, time.Time{}
 	for _, s := range h.samples {
 		if s.outcome == OutcomeComplete {
 			ended++
+			newestAt = s.endedAt
 		}
 	}
-	if ended < minSamples {
+	if ended < h.settings.MinSamples {
 		return estimate{madeAt: now}
 	}
-	duration, ok := upperQuantile(h.observations(now))
-	return estimate{madeAt: now, duration: duration, isKnown: ok}
+	duration, ok := upperQuantile(h.observations(now), h.settings.Quantile)
+	return estimate{madeAt: now, duration: duration, newestAt: newestAt, isKnown: ok}
 }
 
 // observations returns what was seen of each request since observedSince.
@@ -195,10 +228,10 @@
 
 // observedSince returns the time since which all requests that ended are remembered.
 func (h *history) observedSince(now time.Time) time.Time {
-	if len(h.samples) == maxSamples {
+	if len(h.samples) == h.settings.MaxSamples {
 		return h.samples[0].endedAt
 	}
-	return now.Add(-window)
+	return now.Add(-h.settings.Window)
 }
 
 // Estimates returns the estimates of the routes that have one.
