--- a/internal/forward/retrybudget/budget.go
+++ b/internal/forward/retrybudget/budget.go
@@ -37,6 +37,8 @@
 	// startFraction is the part of its share that a daemon may use in the first window after a restart. Together
 	// with what an earlier process of this host has used, it stays within what usableFraction leaves unused.
 	startFraction = (1 - usableFraction) / usableFraction
+	// spareFraction is the fraction of the share up to which hedges may be charged.
+	spareFraction = 0.5
 	// bucketsPerWindow is the number of time buckets in a window. A window may begin inside a bucket, so
 	// that one more is kept.
 	bucketsPerWindow = 20
@@ -129,9 +131,21 @@
 func (b *Budget) Spend(service string) (retry azurehitch.RetryCharge, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.counts(service)
+	return b.spend(b.counts(service), 1)
+}
+
+// SpendSpare charges a hedge: a retry that is not needed for an answer. It returns false unless spareFraction of the
+// budget allows it. The rest is kept for the other retries, which may use all of it.
+func (b *Budget) SpendSpare(service string) (hedge azurehitch.RetryCharge, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spend(b.counts(service), spareFraction)
+}
+
+// spend charges a retry if a fraction of the share allows it. The caller holds b.mu.
+func (b *Budget) spend(c *counts, fraction float64) (azurehitch.RetryCharge, bool) {
 	bucket := b.bucket()
-	if float64(c.retries.sum(bucket, keptBuckets)+c.pending+1) > b.share(c, bucket) {
+	if float64(c.retries.sum(bucket, keptBuckets)+c.pending+1) > fraction*b.share(c, bucket) {
 		return nil, false
 	}
 	c.pending++
--- a/routing.go
+++ b/routing.go
@@ -65,6 +65,8 @@
 	// MaxConnections is the number of connections that one server accepts from all of its clients
 	// together.
 	MaxConnections int
+	// HedgeShare limits the hedged requests of the service.
+	HedgeShare HedgeShare
 	// Engine is nil unless the servers are model engines.
 	Engine *EngineLimits
 }
