Hedging: late calls are sent to a second server (whole, off by default)

A call whose server is late waited for it although another one was idle. Calls of idempotent routes with two attempts or more, at services without a holder, are now sent to a second server when no head has come within the learnt time; the first good answer is passed on and the other connection closed. One goroutine changes the request, so the run states of both attempts are counted in order: a refusal is "not run" only if neither can have run.

--- a/cmd/azurehitch/cmds/gateway.go
+++ b/cmd/azurehitch/cmds/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -27,6 +28,7 @@
 	path := platform.SettingsPath()
 	level := "info"
 	confirmFrom := gateway.DefaultSettings().ConfirmFrom
+	hedgeShare := ""
 	return &cli.Command{
 		Name:  "gateway",
 		Usage: "run the daemon that passes requests through by host and path, on the users' platform",
@@ -37,14 +39,36 @@
 				Name: "vouch-from", Usage: "`NUMBER` of daemons from which on a holder reads the table and the list for all",
 				Value: confirmFrom, Destination: &confirmFrom,
 			},
+			stringFlag(&hedgeShare, "hedge-share", "hedged calls for each request of a service, from 0 to 1; empty leaves it to the configuration"),
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return runGateway(ctx, path, level, confirmFrom, cmd.Root().Writer)
+			share, err := parseHedgeShare(hedgeShare)
+			if err != nil {
+				return err
+			}
+			override := func(s gateway.Settings) gateway.Settings {
+				s.ConfirmFrom, s.HedgeShare = confirmFrom, share
+				return s
+			}
+			return runGateway(ctx, path, level, override, cmd.Root().Writer)
 		},
 	}
 }
 
-func runGateway(ctx context.Context, path, level string, confirmFrom int, output io.Writer) error {
+// parseHedgeShare parses a share of hedged calls; empty is none. The error is a *gateway.ErrSetting.
+func parseHedgeShare(text string) (azurehitch.HedgeShare, error) {
+	if text == "" {
+		return azurehitch.HedgeShare{}, nil
+	}
+	share, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(share >= 0 && share <= 1) {
+		return azurehitch.HedgeShare{}, &gateway.ErrSetting{Field: "--hedge-share", Reason: strconv.Quote(text) + " is not a number from 0 to 1"}
+	}
+	return azurehitch.NewHedgeShare(share), nil
+}
+
+// runGateway runs a gateway with the settings of a file, changed by override.
+func runGateway(ctx context.Context, path, level string, override func(gateway.Settings) gateway.Settings, output io.Writer) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -56,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	s.ConfirmFrom = confirmFrom
+	s = override(s)
 	logs := logging.New(logging.Options{Output: output, Level: level, Daemon: s.Name, NonBlocking: true})
 	daemon, err := gateway.New(s, platform.Connect(s, azurehitch.SystemClock{}, logs))
 	if err != nil {
--- a/cmd/azurehitch/cmds/gateway_test.go
+++ b/cmd/azurehitch/cmds/gateway_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"azurehitch"
 	"azurehitch/internal/daemon/gateway"
 	"azurehitch/internal/telemetry/logging"
 
@@ -64,3 +65,19 @@
 		})
 	}
 }
+
+// TestHedgeShare guards against a share of hedges that operators did not mean.
+func TestHedgeShare(t *testing.T) {
+	for text, want := range map[string]azurehitch.HedgeShare{
+		"": {}, "0": azurehitch.NewHedgeShare(0), "0.02": azurehitch.NewHedgeShare(0.02), "1": azurehitch.NewHedgeShare(1),
+	} {
+		got, err := parseHedgeShare(text)
+		qt.New(t).Assert(err, qt.IsNil)
+		qt.New(t).Assert(got, qt.Equals, want)
+	}
+	for _, text := range []string{"-0.1", "1.1", "NaN", "2%", "Inf"} {
+		code, _, stderr := runCommand("gateway", "--hedge-share", text)
+		qt.New(t).Assert(code, qt.Equals, ExitUsage)
+		qt.New(t).Assert(stderr, qt.Contains, "--hedge-share")
+	}
+}
--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -22,6 +22,7 @@
 	"azurehitch/internal/forward/backoff"
 	"azurehitch/internal/forward/breaker"
 	"azurehitch/internal/forward/crashcheck"
+	"azurehitch/internal/forward/hedge"
 	"azurehitch/internal/forward/passthrough"
 	"azurehitch/internal/forward/place"
 	"azurehitch/internal/forward/quarantine"
@@ -305,6 +306,8 @@
 		Streams:         streamVersions{d.streams, d.streamPeers},
 		OnNotice:        d.handleNotice,
 		Budget:          d.retryBudget,
+		Hedges:          hedge.New(d.Clock, d.retryBudget, s.HedgeShare),
+		ListedServers:   func(service string) []azurehitch.FleetServer { return d.fleet.View().Service(service) },
 		Clock:           d.Clock, Logs: d.Logs, Metrics: d.Metrics,
 	}, passthrough.Settings{
 		MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes,
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -65,7 +65,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	LogLevel    string
+	// HedgeShare limits the hedged requests of each service, together with BackendService.HedgeShare.
+	HedgeShare azurehitch.HedgeShare
+	LogLevel   string
 	// ConfirmFrom is the lowest number of daemons at which the holder of a service reports to the other
 	// daemons how far it has read the streams that all daemons follow, so that the others read these
 	// streams less often. With fewer daemons, it takes fewer calls if each daemon reads the streams
--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -72,6 +72,9 @@
 
 // attempt sends the request to a server and returns its response to the caller.
 func (r *request) attempt(choice place.Choice) result {
+	if r.mayHedge() {
+		return r.hedgedAttempt(choice)
+	}
 	exchange, answer, res := r.exchange(r.ctx, choice, "")
 	if exchange == nil {
 		choice.End()
@@ -91,15 +94,42 @@
 func (r *request) exchange(
 	ctx context.Context, choice place.Choice, lastEventID string,
 ) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
-	if err := r.checkSend(choice); err != nil {
+	out, err := r.prepare(choice, lastEventID)
+	if err != nil {
 		return nil, azurehitch.ServerAnswer{}, result{run: azurehitch.RunStateNotRun, isBarred: true, cause: err}
 	}
-	request := attemptRequest(&r.http.Request)
-	r.server.Protocol.WriteAttempt(attemptHeader{&request}, azurehitch.Attempt{
+	out.options.MaySend = func() bool {
+		r.countSend()
+		return true
+	}
+	exchange, err := r.server.Connections.Do(ctx, choice.Server.Address, out.message, out.options)
+	return r.receive(ctx, out, exchange, err)
+}
+
+// outgoing is a request that is about to be sent to a server.
+type outgoing struct {
+	choice    place.Choice
+	message   connpool.Request
+	options   connpool.Options
+	startedAt time.Time
+}
+
+// prepare returns the request as it is sent to a server now, and counts it as sent. The error is an
+// *azurehitch.ErrRefused if the request must not be sent.
+func (r *request) prepare(choice place.Choice, lastEventID string) (outgoing, error) {
+	if err := r.checkSend(choice); err != nil {
+		return outgoing{}, err
+	}
+	out := outgoing{
+		choice: choice, message: attemptRequest(&r.http.Request), startedAt: r.server.Clock.Now(),
+		options: connpool.Options{
+			Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service), DialBy: r.dialDeadline(lastEventID),
+		},
+	}
+	r.server.Protocol.WriteAttempt(attemptHeader{&out.message}, azurehitch.Attempt{
 		Server: choice.Server, TimeLeft: r.deadline.Sub(r.server.Clock.Now()),
 		Urgency: r.urgency(), LastEvent: lastEventID,
 	})
-	startedAt := r.server.Clock.Now()
 	r.sends++
 	if r.isNewStream() && lastEventID == "" {
 		r.server.Streams.Began(streams.Stream{Service: r.service.Name, ID: r.ID}, choice.SoftwareVersion, r.sends)
@@ -107,21 +137,23 @@
 	if choice.RateLimit > 0 {
 		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
 	}
-	exchange, err := r.server.Connections.Do(ctx, choice.Server.Address, request, connpool.Options{
-		Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service), DialBy: r.dialDeadline(lastEventID),
-		MaySend: func() bool {
-			r.countSend()
-			return true
-		},
-	})
+	return out, nil
+}
+
+// receive checks the head of the response to a request that was sent with the context, or records err. On
+// failure it returns a nil exchange and a result with the cause.
+func (r *request) receive(
+	ctx context.Context, out outgoing, exchange *connpool.Exchange, err error,
+) (*connpool.Exchange, azurehitch.ServerAnswer, result) {
+	choice := out.choice
 	if err != nil {
 		return nil, azurehitch.ServerAnswer{}, r.exchangeFailed(ctx, choice, err)
 	}
 	r.noteTunnel(exchange.Through())
-	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(startedAt))
+	r.server.Metrics.Observe(metrics.FirstByteTime, r.route.Name, r.server.Clock.Now().Sub(out.startedAt))
 	answer := r.server.Protocol.ReadAnswer(responseHeader{&exchange.Header})
 	if r.isOwn(exchange, answer) {
-		r.applyNotice(choice, exchange.Header.StatusCode(), answer, startedAt)
+		r.applyNotice(choice, exchange.Header.StatusCode(), answer, out.startedAt)
 	}
 	if res := r.checkAnswer(choice, exchange, answer); res.cause != nil {
 		// The body is not read, so this closes the connection. A refusal that the server writes on it once
--- a/internal/forward/passthrough/body.go
+++ b/internal/forward/passthrough/body.go
@@ -24,6 +24,12 @@
 // so that the request can be sent again if its server fails midway. A longer one is streamed.
 func (r *request) passBody(choice place.Choice, exchange *connpool.Exchange) result {
 	body, complete, err := exchange.ReadUpTo(r.server.settings.MaxBufferedAnswer)
+	return r.passRead(choice, exchange, body, complete, err)
+}
+
+// passRead responds with a body of which the first part was read, or all of it if complete is true. An error
+// of the read fails the attempt.
+func (r *request) passRead(choice place.Choice, exchange *connpool.Exchange, body []byte, complete bool, err error) result {
 	if err != nil {
 		exchange.Close()
 		choice.End()
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -150,6 +150,7 @@
 	}
 	r.unwatch = callerconn.Watch(r.http.Conn(), func() { cancel(errCallerDisconnected) })
 	r.server.Budget.Earn(r.service.Name)
+	r.earnHedge()
 }
 
 func (r *request) isCallerDisconnected() bool {
--- a/internal/forward/passthrough/retry.go
+++ b/internal/forward/passthrough/retry.go
@@ -62,6 +62,16 @@
 	return nil
 }
 
+// countOutcome counts the outcome of an attempt beside which another one goes on.
+func (r *request) countOutcome(res result) {
+	if res.run != azurehitch.RunStateNotRun {
+		r.unknownOutcomes++
+	}
+	if res.unsent {
+		r.unsent++
+	}
+}
+
 // spendRetry reports whether the retry budget allows to send the request again, and charges it if so.
 func (r *request) spendRetry() bool {
 	charge, ok := r.server.Budget.Spend(r.service.Name)
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -116,9 +116,13 @@
 	// names a rate limit. Rejections handles that of a brittle server.
 	OnNotice func(server azurehitch.ServerIdentity, notice azurehitch.ServerNotice)
 	Budget   RetryBudget
-	Clock    azurehitch.Clock
-	Logs     *logging.Logs
-	Metrics  *metrics.Metrics
+	// Hedges decides about second tries of calls; nil means that there are none. ListedServers returns the
+	// listed servers of a service for them.
+	Hedges        Hedges
+	ListedServers func(service string) []azurehitch.FleetServer
+	Clock         azurehitch.Clock
+	Logs          *logging.Logs
+	Metrics       *metrics.Metrics
 }
 
 // Server serves the callers.
--- a/internal/forward/passthrough/silence_test.go
+++ b/internal/forward/passthrough/silence_test.go
@@ -52,6 +52,9 @@
 	if err != nil {
 		return
 	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
 	b.mu.Lock()
 	b.heads = append(b.heads, request.Header.Get("X-Server")+" "+request.Header.Get("X-Last"))
 	b.mu.Unlock()
--- a/internal/forward/passthrough/takeover.go
+++ b/internal/forward/passthrough/takeover.go
@@ -202,12 +202,7 @@
 
 // countTakeover counts an attempt that did not take the stream over.
 func (r *request) countTakeover(res result) {
-	if res.run != azurehitch.RunStateNotRun {
-		r.unknownOutcomes++
-	}
-	if res.unsent {
-		r.unsent++
-	}
+	r.countOutcome(res)
 	r.refundCharge()
 }
 
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -86,6 +86,13 @@
 	// RetriesDenied counts the retries that the retry budget did not allow, by service.
 	RetriesDenied   Name = "RetriesDenied"
 	LogLinesDropped Name = "LogLinesDropped"
+	// HedgesSent counts the calls sent to a second server while the first one was late, HedgesWon those of them
+	// whose answer was passed on, and HedgesCanceled those that were ended because the first server answered.
+	HedgesSent     Name = "HedgesSent"
+	HedgesWon      Name = "HedgesWon"
+	HedgesCanceled Name = "HedgesCanceled"
+	// HedgesDenied counts the calls that were not hedged, by cause.
+	HedgesDenied Name = "HedgesDenied"
 	// LeavesSaid counts shutdown notices of servers, by their source.
 	LeavesSaid Name = "LeavesSaid"
 	// ServerRests counts the backoffs that servers requested from this daemon.
