--- a/hedge.go
+++ b/hedge.go
@@ -6,12 +6,14 @@
 	IsSet bool
 	// Share is from 0 to 1; 0 allows no hedges.
 	Share float64
+	// IsInvalid is true if the share was not a number from 0 to 1. It allows no hedges.
+	IsInvalid bool
 }
 
 // NewHedgeShare returns a share that is set. Anything but a number from 0 to 1 allows no hedges.
 func NewHedgeShare(share float64) HedgeShare {
 	if !(share >= 0 && share <= 1) {
-		share = 0
+		return HedgeShare{IsSet: true, IsInvalid: true}
 	}
 	return HedgeShare{IsSet: true, Share: share}
 }
--- a/routing.go
+++ b/routing.go
@@ -23,6 +23,18 @@
 	Routes   []PathRoute
 	Services map[string]BackendService
 	Limits   CallerLimits
+	// Faults are what the table shows otherwise than the operators have stated it.
+	Faults []TableFault
+	// Accounts are the entries of the list of accounts, including those that grant nothing. If there is any,
+	// only requests with the key of an account are served, except on public routes.
+	Accounts []AccountEntry
+}
+
+// TableFault is a value in a routing table that could not be taken as it is. The table has another one instead.
+type TableFault struct {
+	// Field is the path of the field in the operators' text.
+	Field  string
+	Reason string
 }
 
 // PathRoute routes the requests with a host and a path prefix to services.
@@ -44,6 +56,8 @@
 	MaxAttempts int
 	// Priority is the rank of the route among the routes; 0 is the most urgent.
 	Priority int
+	// Public is true if the requests of the route need no key.
+	Public bool
 	// Resumable is true if the streams of the route can be resumed on another backend server.
 	Resumable bool
 }
