--- a/cmd/azurehitch/cmds/commands.go
+++ b/cmd/azurehitch/cmds/commands.go
@@ -29,6 +29,8 @@
 	ExitUsage = 2
 	// ExitRefused reports that the tables were refused as invalid.
 	ExitRefused = 3
+	// ExitDifferences reports that a configuration differs from the one in force, if that was asked for.
+	ExitDifferences = 3
 	// ExitConflict reports that another publication came first.
 	ExitConflict = 4
 )
@@ -58,6 +60,7 @@
 	var gatewaySetting *gateway.ErrSetting
 	var usage *errUsage
 	var failure *operator.ErrFailure
+	var differs *errDiffers
 	switch {
 	case err == nil:
 		return ExitSuccess
@@ -67,6 +70,8 @@
 		return ExitRefused
 	case errors.As(err, &failure) && failure.Code == operator.FailureConflict:
 		return ExitConflict
+	case errors.As(err, &differs):
+		return ExitDifferences
 	}
 	return ExitFailure
 }
@@ -81,12 +86,13 @@
 Each flag can be set by the environment variable that its help names.
 
 Exit codes: 0 success, 1 failure, 2 a command line or setting that is not
-allowed, 3 tables that were refused, 4 a publication that lost against another.`,
+allowed, 3 tables that were refused, or differences that were asked for,
+4 a publication that lost against another.`,
 		// Run prints errors and maps them to exit codes.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newServeCommand(), newGatewayCommand(), newConfigCommand(), newDaemonsCommand(), newPoolsCommand(), newDrainCommand(),
-			newExplainCommand(),
+			newExplainCommand(), newCheckConfigCommand(),
 		},
 	}
 	wrapUsageErrors(command)
