--- a/cmd/azurehitch/cmds/commands.go
+++ b/cmd/azurehitch/cmds/commands.go
@@ -92,7 +92,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newServeCommand(), newGatewayCommand(), newConfigCommand(), newDaemonsCommand(), newPoolsCommand(), newDrainCommand(),
-			newExplainCommand(), newCheckConfigCommand(),
+			newExplainCommand(), newAccountsCommand(), newCheckConfigCommand(),
 		},
 	}
 	wrapUsageErrors(command)
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
+	"azurehitch/internal/account/report"
 	"azurehitch/internal/forward/quarantine"
 	"azurehitch/internal/peer/mux"
 	"azurehitch/internal/peer/peerpb"
@@ -27,7 +29,7 @@
 	group, running := errgroup.WithContext(running)
 	for _, loop := range []func(context.Context) error{
 		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.heldServices.Run, d.holderClient.Run,
-		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.watchVersions, d.watchMixedServices,
+		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.allowances.Run, d.watchVersions, d.watchMixedServices,
 		d.Connections.Run, d.lateness.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers, d.runTunnels, d.paths.Run,
 	} {
 		group.Go(func() error { return loop(running) })
@@ -101,6 +103,9 @@
 		if request.GetStreamsBegan() != nil || request.GetStreamVersion() != nil {
 			return d.streamPeers.Handle(request)
 		}
+		if report := request.GetAllowance(); report != nil {
+			return d.allowances.Handle(request.GetDaemon(), report)
+		}
 		return server.Handle(ctx, request)
 	}
 	return mux.NewServer(d.retrying("peers", d.listeners.peers), handle).WithMaxMessage(d.settings.MaxPeerMessage).Run(ctx)
@@ -118,13 +123,31 @@
 func (d *Daemon) runMetrics(ctx context.Context) error {
 	text := d.Metrics.TextHandler()
 	return serveHTTP(ctx, d.retrying("metrics", d.listeners.metrics), func(request *fasthttp.RequestCtx) {
+		if string(request.Path()) == report.Path {
+			d.reportAccounts(request)
+			return
+		}
 		d.Metrics.Set(metrics.LogLinesDropped, d.Logs.Dropped())
 		d.Metrics.Set(metrics.PartsHeld, d.quarantine.HeldCount(quarantine.KindPart))
 		d.Metrics.Set(metrics.RequestsHeld, d.quarantine.HeldCount(quarantine.KindRequest))
+		d.allowances.UpdateMetrics()
 		text(request)
 	})
 }
 
+// reportAccounts answers with the client accounts as JSON.
+func (d *Daemon) reportAccounts(request *fasthttp.RequestCtx) {
+	index := d.routing.Index()
+	accounts := report.New(d.settings.Name, index.Table.Version, index.Accounts, d.Metrics)
+	if index.Table.Version > 0 {
+		accounts.ConfigurationAge = d.configurationAge().Seconds()
+	}
+	request.SetContentType("application/json")
+	if err := json.NewEncoder(request).Encode(accounts); err != nil {
+		request.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
 // retrying returns a listener that goes on after errors that pass, and logs them. That of the callers does
 // so by itself.
 func (d *Daemon) retrying(name string, listener net.Listener) net.Listener {
--- a/internal/placement/swap/demand.go
+++ b/internal/placement/swap/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/placement/speed"
 )
 
 // rateWindow is the time constant of the moving averages.
@@ -46,8 +47,10 @@
 	// answer is useless.
 	Objective time.Time
 	Deadline  time.Time
-	// Urgency is the priority rank of the route; 0 is the most urgent.
+	// Urgency is the rank of the request; 0 is the most urgent.
 	Urgency int
+	// Account is the name of the client account that sent the request; empty without accounts.
+	Account string
 	// Avoid are the servers on which the request has failed.
 	Avoid []string
 	// SoftwareVersion restricts the request to the servers of a version.
@@ -115,6 +118,14 @@
 	Arrivals map[string]int
 	// LastGrant is the number of the last grant included in InProgress.
 	LastGrant int64
+	// Pauses are the pauses in streams that the daemon observed since its last report.
+	Pauses []speed.Observation
+}
+
+// DemandAnswer is the answer to a daemon's report: the pinned replicas, and the servers of AwaitedServers.
+type DemandAnswer struct {
+	Pinned  []PinnedReplica
+	Awaited []string
 }
 
 // daemon is the last demand report of a daemon, and the grants issued to the daemon that the report
@@ -137,6 +148,7 @@
 	p.replaceDemand(d, demand)
 	d.reportedAt = now
 	p.dropGrants(d, func(g issuedGrant) bool { return g.number <= demand.LastGrant })
+	p.addPauses(demand.Pauses, now)
 	for name, n := range demand.Arrivals {
 		m := p.model(name)
 		m.requests += n
--- a/internal/placement/swap/plan.go
+++ b/internal/placement/swap/plan.go
@@ -37,6 +37,8 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/priority"
+	"azurehitch/internal/placement/speed"
 )
 
 // Settings are the limits and thresholds of the decisions.
@@ -133,6 +135,10 @@
 	// pinned are the replicas pinned by the last call of Decide; pinnedSet has the same for lookup.
 	pinned    []PinnedReplica
 	pinnedSet map[Replica]bool
+	// speeds is how fast the servers are.
+	speeds *speed.Table
+	// awaited is as in AwaitedServers.
+	awaited []string
 	// draining maps each replica draining for eviction to the time at which the mark expires.
 	draining map[Replica]time.Time
 }
@@ -144,6 +150,9 @@
 	// misses is the number of requests that found no ready replica.
 	misses      int
 	requestRate rate
+	losses      losses
+	// turns share the slots of its replicas between client accounts.
+	turns *priority.Turns
 	// startRate is the rate of requests started on its servers.
 	startRate rate
 	// refusalRate is the rate of requests refused for lack of capacity.
@@ -167,6 +176,7 @@
 		daemons:      map[string]*daemon{},
 		inProgress:   newRequestCounts(),
 		draining:     map[Replica]time.Time{},
+		speeds:       speed.NewTable(),
 	}
 }
 
@@ -233,7 +243,7 @@
 func (p *Plan) model(name string) *model {
 	m, ok := p.models[name]
 	if !ok {
-		m = &model{}
+		m = &model{losses: losses{}, turns: priority.NewTurns()}
 		p.models[name] = m
 	}
 	return m
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -50,6 +50,11 @@
 	renewedAt time.Time
 	// late is set once the request can no longer be answered by its Objective.
 	late bool
+	// credit and excess are as in priority.Standing.
+	credit time.Duration
+	excess time.Duration
+	// turn is the turn of the request among those of its account; see priority.Turns.
+	turn float64
 	// tier is the cache tier that the load on behalf of this request reads from; empty if none has
 	// been ordered.
 	tier azurehitch.CacheTier
@@ -62,8 +67,8 @@
 	p.markShuttingDown(request.ShuttingDown)
 	w, waiting := p.waiters.byID[request.ID]
 	if !waiting {
-		p.countRequest(request, now)
-		w = &waiter{arrivedAt: now}
+		w = &waiter{Request: request, arrivedAt: now}
+		p.countRequest(w, now)
 	}
 	w.Request = request
 	w.renewedAt = now
@@ -84,7 +89,7 @@
 // EvaluateWaiting evaluates the waiting requests for which hasPendingCall is true, that is, whose
 // daemon awaits a verdict, and returns the grants and refusals.
 func (p *Plan) EvaluateWaiting(now time.Time, hasPendingCall func(id string) bool) []FinalVerdict {
-	p.waiters.demoteLate(now)
+	p.waiters.reorder(now, func(model string) losses { return p.updatedLosses(model, now) }, func(w *waiter) { p.countLoss(w, now) })
 	var verdicts []FinalVerdict
 	for _, name := range p.waiters.models() {
 		avail := p.availability(name, now)
@@ -97,6 +102,7 @@
 			}
 		}
 	}
+	p.updateAwaited(now)
 	return verdicts
 }
 
@@ -112,6 +118,7 @@
 	if len(avail.ready) > 0 && p.waiters.ahead(w) < p.freeSlots(avail.ready, now) {
 		if s := p.chooseServer(w.Request, avail.ready, now); s != nil {
 			p.waiters.remove(w.ID)
+			p.model(w.Model).turns.Served(w.turn)
 			return Verdict{Kind: VerdictGranted, Grant: p.grant(w.Request, s, w.tier, now), Reason: "replica is ready"}
 		}
 	}
@@ -139,6 +146,9 @@
 // for further replicas.
 func (p *Plan) refuse(w *waiter, estimate time.Duration, reason string, now time.Time) Verdict {
 	p.waiters.remove(w.ID)
+	if !w.late {
+		p.countLoss(w, now)
+	}
 	switch reason {
 	case reasonServersFull, reasonServersRejecting, reasonRateLimits:
 		p.model(w.Model).refusalRate.add(1, now)
@@ -161,11 +171,14 @@
 // Withdraw removes a request from the queue, for example after its caller has disconnected.
 func (p *Plan) Withdraw(id string) { p.waiters.remove(id) }
 
-func (p *Plan) countRequest(request Request, now time.Time) {
-	m := p.model(request.Model)
+// countRequest counts a new request, and sets what its place in the order depends on.
+func (p *Plan) countRequest(w *waiter, now time.Time) {
+	m := p.model(w.Model)
 	m.requests++
 	m.requestRate.add(1, now)
-	if len(p.readyServers(request.Model)) == 0 {
+	p.takeTurn(w, now)
+	p.countKind(w, now)
+	if len(p.readyServers(w.Model)) == 0 {
 		m.misses++
 	}
 }
@@ -209,24 +222,6 @@
 	})
 }
 
-func (p *Plan) cost(s *server, domain string, now time.Time) float64 {
-	return Cost(p.inProgress.servers[s.ID], s.slots, s.domain != domain) + prefillSlotShare*float64(s.activePrefills(now))
-}
-
-// crossDomainPenalty is added to the cost of servers outside the failure domain of the calling
-// daemon: a local server is preferred unless its load is higher by this share of its slots.
-const crossDomainPenalty = 0.1
-
-// Cost is the load of a server as a share of its slots, plus a penalty if the server is in another
-// failure domain. The server with the lowest cost takes the next request.
-func Cost(requests, slots int, isCrossDomain bool) float64 {
-	cost := float64(requests) / float64(max(slots, 1))
-	if isCrossDomain {
-		cost += crossDomainPenalty
-	}
-	return cost
-}
-
 // freeSlots returns the number of further requests that the servers can start now.
 func (p *Plan) freeSlots(ready []*server, now time.Time) int {
 	free := 0
