--- a/internal/forward/passthrough/hedge_test.go
+++ b/internal/forward/passthrough/hedge_test.go
@@ -21,6 +21,9 @@
 // lateTime is a time after which a hedge has been sent. Hedges are due after 10 ms, some more on a busy host.
 const lateTime = 400 * time.Millisecond
 
+// bodyGraceLimit is the time within which the late server must learn that the other one has begun its answer.
+const bodyGraceLimit = 500 * time.Millisecond
+
 // lateBackend starts a server that answers with text after a time.
 func lateBackend(t *testing.T, after time.Duration, text string) *backend {
 	return newPausingBackend(t, step{after, text})
@@ -43,11 +46,24 @@
 // hedgeBudget charges hedges to the retry budget of the test.
 type hedgeBudget struct{ *testBudget }
 
+// unsettled is what a hedge counts for in the budget of the test until it is sent, which counts for 1, or refunded.
+const unsettled = 1000
+
 // SpendSpare implements hedge.Budget.
-func (b hedgeBudget) SpendSpare(service string) (azurehitch.RetryCharge, bool) {
-	return b.Spend(service)
+func (b hedgeBudget) SpendSpare(string) (azurehitch.RetryCharge, bool) {
+	if b.isSpent {
+		return nil, false
+	}
+	b.charged.Add(unsettled)
+	return b, true
 }
 
+// Sent implements azurehitch.RetryCharge.
+func (b hedgeBudget) Sent() { b.charged.Add(1 - unsettled) }
+
+// Refund implements azurehitch.RetryCharge.
+func (b hedgeBudget) Refund() { b.charged.Add(-unsettled) }
+
 // timeLeftProtocol records the time that is left in the head of each attempt.
 type timeLeftProtocol struct {
 	testProtocol
@@ -190,6 +206,46 @@
 	}
 }
 
+// TestHedgeAttemptsUsed guards against a call that more servers may run than its route allows.
+func TestHedgeAttemptsUsed(t *testing.T) {
+	broken, late, third := lateBackend(t, 0, silent), lateBackend(t, lateTime, whole), lateBackend(t, 0, whole)
+	withHedges(t, idempotent, []*backend{broken, late, third}, func(g *gateway) {
+		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
+		g.Check(third.requests(), qt.HasLen, 0)
+		g.Check(g.server.Metrics.GetLabeled(metrics.HedgesDenied, string(hedge.DenialAttemptsUsed)), qt.Equals, int64(1))
+	})
+}
+
+// TestHedgeNotSent guards against hedges that are charged, or counted as sent, although their server was not reached.
+func TestHedgeNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	ended := &backend{address: listener.Addr().String()}
+	qt.New(t).Assert(listener.Close(), qt.IsNil)
+	withHedges(t, idempotent, []*backend{lateBackend(t, lateTime, whole), ended}, func(g *gateway) {
+		g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
+		g.assertHedges(hedgeCounts{})
+	})
+}
+
+// TestHedgeLongBody guards against a late server that goes on while the body of the other answer arrives.
+func TestHedgeLongBody(t *testing.T) {
+	first := lateBackend(t, 3*time.Second, whole)
+	second := newPausingBackend(t, step{0, whole[:len(whole)-1]}, step{1500 * time.Millisecond, whole[len(whole)-1:]})
+	withHedges(t, idempotent, []*backend{first, second}, func(g *gateway) {
+		var group errgroup.Group
+		group.Go(func() error {
+			g.Check(g.send("POST", "/x/y", "").body, qt.Equals, "ok")
+			return nil
+		})
+		g.awaitRequest(first)
+		g.awaitRequest(second)
+		g.assertClosed(first, bodyGraceLimit)
+		g.Assert(group.Wait(), qt.IsNil)
+		g.assertHedges(hedgeCounts{1, 1, 0, 0})
+	})
+}
+
 // TestHedgeTimeLeft guards against a hedge whose server works for longer than the caller waits.
 func TestHedgeTimeLeft(t *testing.T) {
 	withHedges(t, idempotent, []*backend{lateBackend(t, lateTime, silent), lateBackend(t, lateTime, silent), lateBackend(t, 0, whole)}, func(g *gateway) {
--- a/internal/forward/passthrough/hedgerace.go
+++ b/internal/forward/passthrough/hedgerace.go
@@ -193,6 +193,7 @@
 		a.observed.End(hedge.OutcomeAnswered)
 		return exchange, answer, res
 	case a.ctx.Err() != nil:
+		c.observeLate(a)
 		a.observed.End(hedge.OutcomeCanceled)
 	case res.run == azurehitch.RunStateNotRun && !res.unsent:
 		a.observed.End(hedge.OutcomeRejected)
@@ -204,6 +205,15 @@
 	return nil, answer, res
 }
 
+// observeLate has the placer learn that a server is slow whose late exchange was ended. It would have taken longer, but
+// without this the placer would know no time at all of a server that loses all races.
+func (c *race) observeLate(a *callAttempt) {
+	took := c.request.server.Clock.Now().Sub(a.startedAt)
+	if a.isSent && a.observed.Delay.IsLearnt && took > a.observed.Delay.Duration {
+		a.choice.Observe(place.Answer{Took: took})
+	}
+}
+
 func (c *race) remove(a *callAttempt) {
 	for i, running := range c.running {
 		if running == a {
