--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -65,6 +65,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// HedgeShare limits the hedged requests of each service, together with BackendService.HedgeShare.
+	HedgeShare azurehitch.HedgeShare
 	// MaxConfigurationAge is the age of the configuration from which on requests that need a key are refused; 0
 	// serves them with the last known keys.
 	MaxConfigurationAge time.Duration
--- a/routing.go
+++ b/routing.go
@@ -23,11 +23,20 @@
 	Routes   []PathRoute
 	Services map[string]BackendService
 	Limits   CallerLimits
+	// Faults are what the table shows otherwise than the operators have stated it.
+	Faults []TableFault
 	// Accounts are the entries of the list of accounts, including those that grant nothing. If there is any,
 	// only requests with the key of an account are served, except on public routes.
 	Accounts []AccountEntry
 }
 
+// TableFault is a value in a routing table that could not be taken as it is. The table has another one instead.
+type TableFault struct {
+	// Field is the path of the field in the operators' text.
+	Field  string
+	Reason string
+}
+
 // PathRoute routes the requests with a host and a path prefix to services.
 type PathRoute struct {
 	Name string
@@ -70,6 +79,8 @@
 	// MaxConnections is the number of connections that one server accepts from all of its clients
 	// together.
 	MaxConnections int
+	// HedgeShare limits the hedged requests of the service.
+	HedgeShare HedgeShare
 	// Engine is nil unless the servers are model engines.
 	Engine *EngineLimits
 }
