Accounts (whole): a key beyond the limit of the header gets 401, not 431

A key of 100 KB exceeds the 32 KiB of a header, so the request got 431 although its key is the fault. The connection now keeps the first 14 bytes of the last line it has read (never a part of a value), which name the field at which the limit was exceeded. Where the configuration has accounts, an Authorization field there gets 401, and 503 before the first configuration; other fields and deployments without accounts keep 431. Larger read buffers would cost 100 KB for each connection.

--- a/internal/forward/passthrough/accounts_test.go
+++ b/internal/forward/passthrough/accounts_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"azurehitch/internal/forward/router"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
 )
 
 // testAllowances is an Allowances with a balance.
@@ -65,6 +67,24 @@
 			g.Assert(b.requests(), qt.HasLen, 0)
 		})
 	})
+	t.Run("a key beyond the limit of the header is refused as a key", func(t *testing.T) {
+		long := strings.Repeat("k", 100_000)
+		withAccounts(t, idempotent, nil, func(g *gateway) {
+			for _, connections := range []int{1, 20} {
+				for range connections {
+					g.Check(statusOfField(g, fasthttp.HeaderAuthorization, long), qt.Equals, 401)
+				}
+			}
+			g.Check(statusOfField(g, "authorization", long), qt.Equals, 401)
+			g.Check(statusOfField(g, "X-Other", long), qt.Equals, 431)
+			index := g.routing.Swap(router.NewPathIndex(azurehitch.RoutingTable{}))
+			g.Check(statusOfField(g, fasthttp.HeaderAuthorization, long), qt.Equals, 503)
+			g.routing.Store(index)
+		})
+		withGateway(t, idempotent, nil, func(g *gateway) {
+			g.Assert(statusOfField(g, fasthttp.HeaderAuthorization, long), qt.Equals, 431, qt.Commentf("without accounts"))
+		})
+	})
 	t.Run("an unknown route is refused as such whatever the key", func(t *testing.T) {
 		withAccounts(t, idempotent, nil, func(g *gateway) {
 			g.Assert(g.send("GET", "/z/", "").status, qt.Equals, 404)
@@ -90,6 +110,11 @@
 	})
 }
 
+// statusOfField sends a request with a header field.
+func statusOfField(g *gateway, name, value string) int {
+	return statusOf(g, "X-First: 1\r\n"+name+": Bearer "+value+"\r\n")
+}
+
 // statusOf sends a request with raw header fields, and returns the status of the answer.
 func statusOf(g *gateway, fields string) int {
 	conn, err := net.Dial("tcp", g.address)
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -303,16 +303,7 @@
 func (r *request) refuse(err error) {
 	refused := &azurehitch.ErrRefused{Code: azurehitch.CodeBackendFailed, Run: azurehitch.RunStateUnknown, Reason: "internal"}
 	errors.As(err, &refused)
-	response := &r.http.Response
-	response.Reset()
-	response.Header.SetNoDefaultContentType(true)
-	response.SetStatusCode(refusal.Status(refused.Code))
-	response.Header.SetContentType(refusal.ContentType)
-	r.server.Protocol.WriteRefusal(responseHeader{&response.Header}, r.CallerRequest, refused.RetryAfter)
-	response.SetBody(refusal.Encode(refused))
-	if refused.Code == azurehitch.CodeInvalidCredentials {
-		response.Header.Set(fasthttp.HeaderWWWAuthenticate, authenticationScheme)
-	}
+	r.server.writeRefusal(&r.http.Response, r.CallerRequest, refused)
 	r.recordRefusal(refused)
 	r.server.Metrics.AddLabeled(metrics.RequestsRefused, string(refused.Code), 1)
 	if r.ctx != nil && r.isCallerDisconnected() {
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -56,6 +56,8 @@
 	isUsed     bool
 	// lastErr is the error of the last read; nil if it had none.
 	lastErr error
+	// line is the beginning of the last line that was read.
+	line lineStart
 }
 
 // Watch calls onDisconnect when the caller closes a connection that a listener of Listen accepted,
@@ -114,7 +116,7 @@
 		return n, err
 	}
 	n, err := c.Conn.Read(p)
-	c.recordRead(n, err)
+	c.recordRead(p[:n], err)
 	if n > 0 {
 		return n, c.setBusy()
 	}
@@ -170,11 +172,14 @@
 }
 
 // recordRead records what a read returned.
-func (c *conn) recordRead(n int, err error) {
+func (c *conn) recordRead(p []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered += n
-	c.isUsed = c.isUsed || n > 0
+	if c.unanswered < maxHeadBytes {
+		c.line.add(p)
+	}
+	c.unanswered += len(p)
+	c.isUsed = c.isUsed || len(p) > 0
 	c.lastErr = err
 }
 
