Accounts (whole): the bound of fail closed holds with confirmed reads and paused holders; the soak checks it

A confirmation of a holder that was paused between an answer of the store and its reading named an old read as new, so that a daemon with revoke_fail_closed could serve a revoked key for longer than revoke_ms.

- A position counts from the request of its read if the answer came more than 0.8 s later, and a confirmation counts from 0.8 s before its read in the age of the keys.
Below a revoke_ms of 3 s, confirmations don't replace reads of the configuration, since they alone make the keys up to 2 s old.
- A changed revoke_ms needs a restart, and settings reloaded says so.

--- a/internal/daemon/gateway/followers.go
+++ b/internal/daemon/gateway/followers.go
@@ -53,7 +53,9 @@
 func (d *Daemon) recordPositions(positions []compacted.Position, askedAt time.Time) {
 	sinceAsked := d.Clock.Now().Sub(askedAt)
 	for _, p := range positions {
-		d.routingFollower.ConfirmPosition(p, d.LeaseClock.Now().Add(-sinceAsked))
+		if d.settings.MaxConfigurationAge == 0 || d.settings.MaxConfigurationAge >= minConfirmedAge {
+			d.routingFollower.ConfirmPosition(p, d.LeaseClock.Now().Add(-sinceAsked))
+		}
 		d.fleetFollower.ConfirmPosition(p, askedAt)
 	}
 }
@@ -63,6 +65,10 @@
 	return d.LeaseClock.Now().Sub(d.routingFollower.CurrentAsOf())
 }
 
+// minConfirmedAge is the lowest MaxConfigurationAge with which confirmations replace reads of the routing stream. The
+// keys are up to 2 s old with them, because a confirmation counts from before its read.
+const minConfirmedAge = 3 * time.Second
+
 // readsPerConfigurationAge is the number of reads of the routing stream that end within the largest age of the
 // configuration: a read that takes long must not make the keys too old while the store answers.
 const readsPerConfigurationAge = 4
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -126,7 +126,8 @@
 // needsRestart reports whether a setting differs that takes effect only at the next start.
 func (s Settings) needsRestart(running Settings) bool {
 	return s.Name != running.Name || s.FailureDomain != running.FailureDomain || s.Callers != running.Callers ||
-		s.Ready != running.Ready || s.Peers != running.Peers || s.Tunnels != running.Tunnels || s.Store != running.Store
+		s.Ready != running.Ready || s.Peers != running.Peers || s.Tunnels != running.Tunnels || s.Store != running.Store ||
+		s.MaxConfigurationAge != running.MaxConfigurationAge
 }
 
 // ErrSetting reports a setting that is missing or not allowed.
--- a/internal/oplog/compacted/confirmation_test.go
+++ b/internal/oplog/compacted/confirmation_test.go
@@ -97,12 +97,13 @@
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Assert(log.reads.Load() < steps/3, qt.Equals, skipsReads, qt.Commentf("%d reads", log.reads.Load()))
 	c.Assert(time.Unix(0, fold.readAt.Load()).After(began.Add(step*steps/2)), qt.IsTrue, qt.Commentf("the state is up to date"))
-	c.Assert(follower.CurrentAsOf().After(began.Add(step*steps/2)), qt.IsTrue)
+	c.Assert(clock.Now().Sub(follower.CurrentAsOf()) < time.Second, qt.IsTrue)
 }
 
 // lateLog answers a read of changes late, as it appears to a process that was paused, and ends the reads.
 type lateLog struct {
 	countingLog
+	delay   time.Duration
 	askedAt time.Time
 	end     context.CancelFunc
 }
@@ -113,18 +114,32 @@
 		l.end()
 	}
 	l.askedAt = time.Now()
-	return azurehitch.KeyedBatch{}, azurehitch.SystemClock{}.Sleep(ctx, 100*time.Millisecond)
+	return azurehitch.KeyedBatch{}, azurehitch.SystemClock{}.Sleep(ctx, l.delay)
 }
 
-// TestCurrentAsOfTheRequest guards against a state that counts as current because an old answer was read now.
+// TestCurrentAsOfTheRequest guards against a state that counts as current because an old answer was read now, here
+// and at the daemons to which the position is confirmed.
 func TestCurrentAsOfTheRequest(t *testing.T) {
+	for _, test := range []struct{ delay, minAge time.Duration }{{100 * time.Millisecond, 0}, {900 * time.Millisecond, 900 * time.Millisecond}} {
+		t.Run(test.delay.String(), func(t *testing.T) {
+			t.Parallel()
+			checkCurrentAsOf(t, test.delay, test.minAge)
+		})
+	}
+}
+
+// checkCurrentAsOf reads an answer that comes after a delay. The position must be at least minAge old then.
+func checkCurrentAsOf(t *testing.T, delay, minAge time.Duration) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	log := &lateLog{end: cancel}
+	log := &lateLog{delay: delay, end: cancel}
 	follower := compacted.NewFollower(log, "s", &unchangedFold{}, azurehitch.SystemClock{}, nopObserver{}, compacted.Pace{})
 	c.Assert(follower.CurrentAsOf().IsZero(), qt.IsTrue)
 	began := time.Now()
 	c.Assert(follower.Run(ctx), qt.IsNil)
 	c.Assert(follower.CurrentAsOf().After(began), qt.IsTrue)
-	c.Assert(log.askedAt.Sub(follower.CurrentAsOf()) >= 100*time.Millisecond, qt.IsTrue)
+	c.Assert(log.askedAt.Sub(follower.CurrentAsOf()) >= delay, qt.IsTrue)
+	position, _ := follower.Position()
+	c.Assert(position.Age >= minAge, qt.IsTrue, qt.Commentf("%v", position.Age))
+	c.Assert(position.Age < minAge+delay, qt.IsTrue, qt.Commentf("%v", position.Age))
 }
--- a/internal/oplog/compacted/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -34,6 +34,10 @@
 	// confirmationCheckInterval is the time between two checks of that age while reads are skipped.
 	confirmationMaxAge        = 900 * time.Millisecond
 	confirmationCheckInterval = 50 * time.Millisecond
+	// maxConfirmedWait is the longest time from the request of a read to its answer for which a position counts as
+	// read when the answer came. An answer that comes later may have waited in a process that was paused. It is
+	// longer than the wait of a read while positions are confirmed.
+	maxConfirmedWait = 800 * time.Millisecond
 	// maxReadInterval is the longest time for which reads are skipped. Changes that aren't urgent
 	// are read with that delay.
 	maxReadInterval = 5 * time.Second
@@ -71,7 +75,7 @@
 	Next int64
 	// Era is the era of the log in which Next is an offset; 0 means that it is not known.
 	Era int64
-	// Age is the time since the stream was read.
+	// Age is the time since the stream was read; since the request of the read if its answer came late.
 	Age time.Duration
 }
 
@@ -160,17 +164,22 @@
 func (f *Follower) Position() (Position, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Position{Stream: f.stream, Next: f.urgentNext, Era: f.era.Era(), Age: f.clock.Now().Sub(f.readAt)}, f.next >= 0
+	confirmedRead := f.readAt
+	if f.readAt.Sub(f.askedAt) > maxConfirmedWait {
+		confirmedRead = f.askedAt
+	}
+	return Position{Stream: f.stream, Next: f.urgentNext, Era: f.era.Era(), Age: f.clock.Now().Sub(confirmedRead)}, f.next >= 0
 }
 
 // CurrentAsOf returns a time of the follower's clock up to which all urgent changes of the stream have been read,
 // by the follower itself or according to a confirmation; zero before the first read. It is the time at which
-// the last read was sent: its answer may have waited long in a process that was paused.
+// the last read was sent: its answer may have waited long in a process that was paused. A confirmation counts from
+// maxConfirmedWait before its read, for the same reason.
 func (f *Follower) CurrentAsOf() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next >= 0 && f.confirmedNext <= f.next && f.confirmedAt.After(f.askedAt) {
-		return f.confirmedAt
+	if confirmed := f.confirmedAt.Add(-maxConfirmedWait); f.next >= 0 && f.confirmedNext <= f.next && confirmed.After(f.askedAt) {
+		return confirmed
 	}
 	return f.askedAt
 }
--- a/internal/proof/soak/accounts_test.go
+++ b/internal/proof/soak/accounts_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"azurehitch"
 	"azurehitch/platform/platformtest"
@@ -20,7 +21,9 @@
 	// keyRoute is the route on which callers use keys that may be revoked.
 	keyRoute = "lookup"
 	// revokedKeys is the number of keys that callers still use after they were revoked.
-	revokedKeys = 6
+	revokedKeys = 3
+	// revokeTime is shorter than the longest faults.
+	revokeTime = 3 * time.Second
 )
 
 func rotatingKey(n int) string { return fmt.Sprintf("rotating-key-%d", n) }
@@ -57,7 +60,8 @@
 	}
 	added, _ := c.cluster.probes()
 	revoked := rotatingKey(max(added-1-c.random.IntN(revokedKeys), 0))
-	return []string{rotatingKey(added), rotatingKey(added), revoked, revoked, unknownKey}[c.random.IntN(5)]
+	last := rotatingKey(int(c.cluster.lastKeyInTouch.Load()))
+	return []string{rotatingKey(added), last, last, last, revoked, unknownKey}[c.random.IntN(6)]
 }
 
 // checkAccount checks that a request runs under the name of the account whose key it had, and that the key does not
@@ -86,6 +90,9 @@
 		c.addViolation(ruleKeys, "%s with key %s was refused by daemon-%d as unauthorized", x.ID, x.Key, x.daemon)
 	}
 	isServed := x.answer.Status < http.StatusMultipleChoices
+	if since := c.revokedFor(x); isServed && c.setup.revokeTime > 0 && since > c.setup.revokeTime {
+		c.addViolation(ruleKeys, "%s with key %s was served by daemon-%d %v after the key was revoked", x.ID, x.Key, x.daemon, since)
+	}
 	if x.Key == "" || !isHealthy || !isRefused && !isServed || !c.disturbances.isStoreHealthy(x.sentAt, x.endedAt) {
 		return
 	}
@@ -102,17 +109,53 @@
 	}
 }
 
+// revokedFor returns the time from the acknowledgement of the table that revoked a key to its request; 0 if it was
+// not revoked. The caller holds the mutex.
+func (c *checker) revokedFor(x exchange) time.Duration {
+	wasKnown := false
+	for _, published := range c.tables {
+		_, ok := published.keys[x.Key]
+		if wasKnown && !ok && !published.ackedAt.IsZero() {
+			return max(x.sentAt.Sub(published.ackedAt), 0)
+		}
+		wasKnown = wasKnown || ok
+	}
+	return 0
+}
+
+// revocationOutOfTouch returns faults in which a key is revoked while two daemons don't reach the store for longer than
+// revokeTime.
+func revocationOutOfTouch(seed uint64, duration time.Duration) []action {
+	const refuses = 2
+	at, target := duration/3, int(seed)
+	link := fault{name: "link to the store", inject: injectStoreLinkFault}
+	revoke := fault{name: "configuration change", inject: func(cl *cluster, a action) {
+		added, _ := cl.probes()
+		cl.lastKeyInTouch.Store(int64(added))
+		injectConfigurationChange(cl, a)
+	}}
+	return []action{
+		{fault: link, startsAt: at, duration: 3 * revokeTime, target: target, variant: refuses},
+		{fault: link, startsAt: at, duration: 3 * revokeTime, target: target + 1, variant: refuses},
+		{fault: revoke, startsAt: at + 300*time.Millisecond, duration: minFaultDuration},
+	}
+}
+
 // TestKeysUnderFaults guards against revoked keys that are served, keys in force that are refused and keys that
-// reach servers, under all faults. Without -soak.seeds, it makes one short run.
+// reach servers, under all faults. In two of three seeds, daemons out of touch refuse keys, so that a revoked key is served
+// nowhere after that time. Without -soak.seeds, it makes one short run.
 func TestKeysUnderFaults(t *testing.T) {
 	seeds, duration := freshSeeds(), *soakDuration
 	if len(seeds) == 0 {
 		seeds, duration = []uint64{shortSeed}, shortDuration
 	}
 	runSeeds(t, seeds, func(t *testing.T, seed uint64) {
-		s := defaultSetup()
+		s, plan := defaultSetup(), newPlan(seed, duration)
 		s.hasAccounts = true
-		plan := newPlan(seed, duration)
+		if seed%3 != 2 {
+			s.revokeTime = revokeTime
+			plan = append(plan, revocationOutOfTouch(seed, duration)...)
+		}
 		// Each change of the configuration revokes a key.
 		random := newRandom(seed, 9)
 		for at := firstFaultDelay; at < duration; at += between(random, 2*minFaultDuration, 2*maxFaultDuration) {
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -79,6 +79,8 @@
 	ignoresTokens bool
 	// hasAccounts is set if the configuration has client accounts.
 	hasAccounts bool
+	// revokeTime is set if daemons refuse keys that they have not read again for as long.
+	revokeTime time.Duration
 	// checkOrders checks the orders of the run at its end; nil for no further check.
 	checkOrders func(cl *cluster)
 	// work returns the work of a request at a server. A request that takes up a stream again has the
@@ -181,6 +183,8 @@
 	probe        int
 	removedProbe int
 	nextID       atomic.Int64
+	// lastKeyInTouch is the number of the last key that daemons have read which are then out of touch.
+	lastKeyInTouch atomic.Int64
 }
 
 // services returns the services of every table by name: the engines and the desk, a plain service
@@ -327,6 +331,7 @@
 		Name: fmt.Sprintf(daemonNameFormat, i), IP: ip, FailureDomain: fmt.Sprintf("domain-%d", i%2), Store: storeLink.address(),
 		StopTimeout: stopTimeout, Lease: leaseDuration, RetryRatio: retryRatio, RetrySlack: cl.setup.retrySlack, RetryWindow: retryWindow,
 		LogRetention: 20 * time.Second, Memory: 284_000_000, Processor: 0.2, Bandwidth: 10_000_000,
+		RevokeTime: cl.setup.revokeTime,
 	}
 	if i < largeHostCount {
 		settings.Processor, settings.Bandwidth = 0.8, 200_000_000
