Order of service: tests of the order itself and of losses beyond an account's share

Switched off one by one, the lead of ranks and the exception for losses beyond an account's share were noticed by no test. TestWaitingOrder failed by not ending.

--- a/internal/forward/place/waitlist_test.go
+++ b/internal/forward/place/waitlist_test.go
@@ -60,7 +60,11 @@
 	urgent, urgentPlaced := wait("urgent", 0, 400*time.Millisecond)
 	running[0].End()
 	patient.wake <- struct{}{}
-	<-patient.asleep
+	select {
+	case <-patient.asleep:
+	case <-patientPlaced:
+		h.Fatal("the patient request got the unit")
+	}
 	urgent.wake <- struct{}{}
 	h.Assert(<-urgentPlaced, qt.IsNil)
 	running[1].End()
--- a/internal/placement/swap/accounts_test.go
+++ b/internal/placement/swap/accounts_test.go
@@ -44,3 +44,26 @@
 	c.Assert(other >= 0.97, qt.IsTrue, shares)
 	c.Assert(all >= allBefore-0.02, qt.IsTrue, shares)
 }
+
+// TestHotAccountOfOtherKind covers an account whose urgent requests alone are more than a replica can serve, beside
+// patient ones of others. The losses of the account are no reason to serve its kind before the others.
+func TestHotAccountOfOtherKind(t *testing.T) {
+	const runTime = 500 * time.Millisecond
+	hint := requestKind{name: "hint", urgency: 0, objective: 400 * time.Millisecond, deadline: 2 * time.Second}
+	tale := requestKind{name: "tale", urgency: 2, objective: 2 * time.Second, deadline: 8 * time.Second}
+	load := overload{runTime: runTime, requestsPerSecond: 2 * slots * 2, duration: 30 * time.Second}
+	load.kindOf = func(i int) requestKind {
+		if i%6 == 0 {
+			return tale
+		}
+		return hint
+	}
+	load.accountOf = func(i int) string {
+		if i%6 == 0 {
+			return "other"
+		}
+		return "hot"
+	}
+	share := load.run(t)["tale"].onTimeShare()
+	qt.New(t).Assert(share >= 0.9, qt.IsTrue, qt.Commentf("%.3f on time", share))
+}
