--- a/internal/daemon/gateway/followers.go
+++ b/internal/daemon/gateway/followers.go
@@ -9,11 +9,11 @@
 
 // routingPace and fleetPace are the read rates of the streams of the routing table and of the server
 // entries. confirmingPace replaces them at a holder that confirms its read positions to the other
-// daemons.
+// daemons; its interval bounds the calls where the entries of many servers change all the time.
 var (
 	routingPace    = compacted.Pace{Wait: 1500 * time.Millisecond}
 	fleetPace      = compacted.Pace{Wait: time.Second, Interval: 850 * time.Millisecond}
-	confirmingPace = compacted.Pace{Wait: 300 * time.Millisecond}
+	confirmingPace = compacted.Pace{Wait: 300 * time.Millisecond, Interval: 150 * time.Millisecond}
 )
 
 func (d *Daemon) assembleFollowers() {
--- a/internal/oplog/compacted/follower.go
+++ b/internal/oplog/compacted/follower.go
@@ -40,7 +40,7 @@
 	maxConfirmedWait = 800 * time.Millisecond
 	// maxReadInterval is the longest time for which reads are skipped. Changes that aren't urgent
 	// are read with that delay.
-	maxReadInterval = 5 * time.Second
+	maxReadInterval = 8 * time.Second
 )
 
 // Observer is notified of what happens to a stream.
