--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -12,9 +12,9 @@
 	"azurehitch/internal/forward/priority"
 	"azurehitch/internal/forward/rejectbudget"
 	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/memory/admission"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/connpool"
-	"azurehitch/internal/transport/membudget"
 	"azurehitch/internal/transport/serverpath"
 
 	"github.com/pkg/errors"
@@ -115,14 +115,17 @@
 	startedAt time.Time
 }
 
-// prepare returns the request as it is sent to a server now, and counts it as sent. The error is an
-// *azurehitch.ErrRefused if the request must not be sent.
+// prepare returns the request as it is sent to a server now, and counts it as sent. The error is why the request
+// must not be sent. What is prepared must be sent, which releases the body.
 func (r *request) prepare(choice place.Choice, lastEventID string) (outgoing, error) {
 	if err := r.checkSend(choice); err != nil {
 		return outgoing{}, err
 	}
+	if !r.body.Retain() {
+		return outgoing{}, errBodyReleased
+	}
 	out := outgoing{
-		choice: choice, message: attemptRequest(&r.http.Request), startedAt: r.server.Clock.Now(),
+		choice: choice, message: attemptRequest(&r.http.Request, r.body), startedAt: r.server.Clock.Now(),
 		options: connpool.Options{
 			Fresh: !r.route.MayRepeat(), MaxOpen: r.server.ConnectionShare(r.service), DialBy: r.dialDeadline(lastEventID),
 		},
@@ -254,7 +257,7 @@
 // limit or the shared memory budget. Other errors are ignored.
 func (r *request) countTooLarge(err error) {
 	var tooLarge *connpool.ErrTooLarge
-	var exhausted *membudget.ErrExhausted
+	var exhausted *admission.ErrExhausted
 	switch {
 	case errors.As(err, &tooLarge):
 		r.server.Metrics.AddLabeled(metrics.AnswersTooLarge, string(tooLarge.Part), 1)
--- a/internal/forward/passthrough/fingerprint_test.go
+++ b/internal/forward/passthrough/fingerprint_test.go
@@ -1,9 +1,12 @@
 package passthrough
 
 import (
+	"bytes"
 	"testing"
 
 	"azurehitch"
+	"azurehitch/internal/memory/admission"
+	"azurehitch/internal/memory/requestbody"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
@@ -44,16 +47,23 @@
 		t.Run(test.name, func(t *testing.T) {
 			changed := base()
 			test.change(changed)
-			qt.New(t).Assert(fingerprintOf(changed, request{}) == fingerprintOf(base(), request{}), qt.Equals, test.isSame)
+			qt.New(t).Assert(fingerprintOf(t, changed, request{}) == fingerprintOf(t, base(), request{}), qt.Equals, test.isSame)
 		})
 	}
 }
 
-// fingerprintOf returns the fingerprint of a request whose header and body are those of message.
-func fingerprintOf(message *fasthttp.Request, r request) string {
+// fingerprintOf returns the fingerprint of a request whose header and body, as it is received, are those of message.
+func fingerprintOf(t *testing.T, message *fasthttp.Request, r request) string {
+	t.Helper()
+	c := qt.New(t)
+	budget := admission.New(admission.NewLimits(1<<20), azurehitch.SystemClock{})
+	limits := requestbody.Limits{Length: len(message.Body()), Max: 1 << 10}
+	body, err := requestbody.Read(t.Context(), bytes.NewReader(message.Body()), limits, budget.NewRequest("", nil))
+	c.Assert(err, qt.IsNil)
+	defer body.Release()
 	r.http = &fasthttp.RequestCtx{}
 	message.CopyTo(&r.http.Request)
-	return fingerprint(&r.http.Request, r.callerIdentity())
+	return fingerprint(&r.http.Request.Header, r.callerIdentity(), body)
 }
 
 // TestFingerprintWithAccounts guards against log lines from which a key could be computed, and against a held
@@ -66,7 +76,7 @@
 		return m
 	}
 	of := func(key, account string) string {
-		return fingerprintOf(message(key), request{hasAccounts: true, account: azurehitch.ClientAccount{Name: account}})
+		return fingerprintOf(t, message(key), request{hasAccounts: true, account: azurehitch.ClientAccount{Name: account}})
 	}
 	c := qt.New(t)
 	c.Assert(of("k1", "a"), qt.Equals, of("k2", "a"))
--- a/internal/forward/passthrough/hedgerace.go
+++ b/internal/forward/passthrough/hedgerace.go
@@ -37,7 +37,7 @@
 
 // race sends a call to a server, and to a second one if the first is late. Its goroutines only send the call
 // and wait; the goroutine of the request receives their events and alone changes the request. A race ends
-// when both exchanges have ended, or one of them has the answer: the body of the request belongs to the HTTP server.
+// when both exchanges have ended, so that the outcomes of both are counted.
 type race struct {
 	request *request
 	group   errgroup.Group
@@ -83,8 +83,8 @@
 	}
 }
 
-// begin sends the call to a server. A hedge has a permit, which is used or given back. The error is an
-// *azurehitch.ErrRefused if the call must not be sent.
+// begin sends the call to a server. A hedge has a permit. The error is why the call must not be sent; the
+// permit is then not used.
 func (c *race) begin(choice place.Choice, permit *hedge.Permit) error {
 	r := c.request
 	out, err := r.prepare(choice, "")
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"azurehitch"
@@ -11,6 +12,7 @@
 	"azurehitch/internal/forward/router"
 	"azurehitch/internal/forward/runtimes"
 	"azurehitch/internal/forward/streams"
+	"azurehitch/internal/memory/requestbody"
 	"azurehitch/internal/telemetry/logging"
 	"azurehitch/internal/telemetry/metrics"
 	"azurehitch/internal/transport/callerconn"
@@ -48,6 +50,10 @@
 	refundAllowance func()
 	// refusalCode is the code of the refusal; empty if a server has answered.
 	refusalCode azurehitch.RefusalCode
+	// body is released as soon as no further attempt can need it; nil for none.
+	body *requestbody.Body
+	// releaseBody releases body at its first call.
+	releaseBody func()
 	// fingerprint identifies what the request asks for.
 	fingerprint          string
 	route                azurehitch.PathRoute
@@ -94,9 +100,13 @@
 var errCallerDisconnected = errors.New("the caller has gone")
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	body, ok := s.receiveBody(ctx)
+	if !ok {
+		return
+	}
 	s.requestStarted()
 	r := &request{
-		server: s, http: ctx, startedAt: s.Clock.Now(),
+		server: s, http: ctx, body: body, releaseBody: sync.OnceFunc(body.Release), startedAt: s.Clock.Now(),
 		CallerRequest: s.Protocol.ReadRequest(requestHeader{&ctx.Request.Header}),
 		unwatch:       func() {},
 	}
@@ -113,7 +123,7 @@
 		r.refuse(err)
 		return
 	}
-	r.fingerprint = fingerprint(&ctx.Request, r.callerIdentity())
+	r.fingerprint = fingerprint(&ctx.Request.Header, r.callerIdentity(), body)
 	r.start()
 	r.forward()
 }
@@ -329,6 +339,7 @@
 	}
 	r.unwatch()
 	r.cancel(nil)
+	r.releaseBody()
 	r.refundCharge()
 	r.server.requestEnded()
 	took := r.server.Clock.Now().Sub(r.startedAt)
