--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -115,9 +115,8 @@
 	startedAt time.Time
 }
 
-// prepare returns the request as it is sent to a server now, and counts it as sent. The error is an
-// *azurehitch.ErrRefused if the request must not be sent, or errBodyReleased. The connection pool releases the
-// body that the message retains.
+// prepare returns the request as it is sent to a server now, and counts it as sent. The error is why the request
+// must not be sent. What is prepared must be sent, which releases the body.
 func (r *request) prepare(choice place.Choice, lastEventID string) (outgoing, error) {
 	if err := r.checkSend(choice); err != nil {
 		return outgoing{}, err
