--- a/internal/forward/passthrough/readahead.go
+++ b/internal/forward/passthrough/readahead.go
@@ -27,7 +27,7 @@
 
 	mu sync.Mutex
 	// changed signals that held, err or isRunning has changed.
-	changed *sync.Cond
+	changed sync.Cond
 	held    bytes.Buffer
 	// isRunning is true while the answer is read ahead, and isAwaited while Read waits for that.
 	isRunning bool
@@ -45,7 +45,7 @@
 
 func newReadAhead(answer io.ReadCloser, memory *admission.Reservation, cancel func(cause error)) *readAhead {
 	a := &readAhead{inner: answer, cancel: cancel, memory: memory, unhook: func() {}}
-	a.changed = sync.NewCond(&a.mu)
+	a.changed.L = &a.mu
 	return a
 }
 
--- a/internal/forward/passthrough/receive.go
+++ b/internal/forward/passthrough/receive.go
@@ -81,6 +81,13 @@
 	return ctx.RemoteAddr().String()
 }
 
+// releaseBody releases the body of the request, which no further attempt can need. Further calls do nothing.
+func (r *request) releaseBody() {
+	if !r.isReleased.Swap(true) {
+		r.body.Release()
+	}
+}
+
 // expectBody answers "Expect: 100-continue": with another status than 100, the body is not sent.
 func (s *Server) expectBody(ctx *fasthttp.RequestCtx) int {
 	length := ctx.Request.Header.ContentLength()
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"azurehitch"
@@ -44,9 +44,8 @@
 	http   *fasthttp.RequestCtx
 	azurehitch.CallerRequest
 	// body is released as soon as no further attempt can need it; nil for none.
-	body *requestbody.Body
-	// releaseBody releases body at its first call.
-	releaseBody func()
+	body       *requestbody.Body
+	isReleased atomic.Bool
 	// fingerprint identifies what the request asks for.
 	fingerprint          string
 	route                azurehitch.PathRoute
@@ -99,7 +98,7 @@
 	}
 	s.requestStarted()
 	r := &request{
-		server: s, http: ctx, body: body, releaseBody: sync.OnceFunc(body.Release), startedAt: s.Clock.Now(),
+		server: s, http: ctx, body: body, startedAt: s.Clock.Now(),
 		CallerRequest: s.Protocol.ReadRequest(requestHeader{&ctx.Request.Header}),
 		unwatch:       func() {},
 	}
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http/httputil"
+	"sync/atomic"
 	"time"
 
 	"azurehitch"
@@ -47,8 +48,9 @@
 	sending *errgroup.Group
 	// sent is closed when the request has been sent or the send has failed.
 	sent chan struct{}
-	// releaseBody releases the body of the request, which is not used after it.
-	releaseBody func()
+	// requestBody is the body of the request until it is released; nil for none.
+	requestBody Source
+	released    atomic.Bool
 	// stopInterrupt detaches the exchange from the context. It returns false if the context has
 	// ended.
 	stopInterrupt func() bool
@@ -73,7 +75,7 @@
 	}
 	e := &Exchange{
 		pool: p, address: address, conn: c,
-		sending: &errgroup.Group{}, sent: make(chan struct{}), releaseBody: request.releaseOnce(),
+		sending: &errgroup.Group{}, sent: make(chan struct{}), requestBody: request.Source,
 		memory: p.memory.NewReservation(), fresh: options.Fresh || c.isSingleUse(),
 	}
 	if err := e.limitDelivery(ctx, options); err != nil {
@@ -141,6 +143,13 @@
 	return nil
 }
 
+// releaseBody releases the body of the request, which is not used after it. Further calls do nothing.
+func (e *Exchange) releaseBody() {
+	if e.requestBody != nil && !e.released.Swap(true) {
+		e.requestBody.Release()
+	}
+}
+
 func (e *Exchange) readHead(method string) error {
 	if err := e.readFinalHead(); err != nil {
 		return err
--- a/internal/transport/connpool/request.go
+++ b/internal/transport/connpool/request.go
@@ -5,7 +5,6 @@
 	"io"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -103,14 +102,6 @@
 	return buffered.Flush()
 }
 
-// releaseOnce returns a function that releases the body at its first call.
-func (r *Request) releaseOnce() func() {
-	if r.Source == nil {
-		return func() {}
-	}
-	return sync.OnceFunc(r.Source.Release)
-}
-
 func writeField(w *bufio.Writer, name, value string) {
 	_, _ = w.WriteString(name + ": " + value + "\r\n")
 }
