--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"azurehitch"
@@ -51,9 +51,8 @@
 	// refusalCode is the code of the refusal; empty if a server has answered.
 	refusalCode azurehitch.RefusalCode
 	// body is released as soon as no further attempt can need it; nil for none.
-	body *requestbody.Body
-	// releaseBody releases body at its first call.
-	releaseBody func()
+	body       *requestbody.Body
+	isReleased atomic.Bool
 	// fingerprint identifies what the request asks for.
 	fingerprint          string
 	route                azurehitch.PathRoute
@@ -106,7 +105,7 @@
 	}
 	s.requestStarted()
 	r := &request{
-		server: s, http: ctx, body: body, releaseBody: sync.OnceFunc(body.Release), startedAt: s.Clock.Now(),
+		server: s, http: ctx, body: body, startedAt: s.Clock.Now(),
 		CallerRequest: s.Protocol.ReadRequest(requestHeader{&ctx.Request.Header}),
 		unwatch:       func() {},
 	}
