Fingerprint: tests pass the request by reference

Cause: the merged request holds an atomic value, which must not be copied (go vet). Result: go vet clean, TestFingerprint passes.

--- a/internal/forward/passthrough/fingerprint_test.go
+++ b/internal/forward/passthrough/fingerprint_test.go
@@ -47,13 +47,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			changed := base()
 			test.change(changed)
-			qt.New(t).Assert(fingerprintOf(t, changed, request{}) == fingerprintOf(t, base(), request{}), qt.Equals, test.isSame)
+			qt.New(t).Assert(fingerprintOf(t, changed, &request{}) == fingerprintOf(t, base(), &request{}), qt.Equals, test.isSame)
 		})
 	}
 }
 
 // fingerprintOf returns the fingerprint of a request whose header and body, as it is received, are those of message.
-func fingerprintOf(t *testing.T, message *fasthttp.Request, r request) string {
+func fingerprintOf(t *testing.T, message *fasthttp.Request, r *request) string {
 	t.Helper()
 	c := qt.New(t)
 	budget := admission.New(admission.NewLimits(1<<20), azurehitch.SystemClock{})
@@ -76,7 +76,7 @@
 		return m
 	}
 	of := func(key, account string) string {
-		return fingerprintOf(t, message(key), request{hasAccounts: true, account: azurehitch.ClientAccount{Name: account}})
+		return fingerprintOf(t, message(key), &request{hasAccounts: true, account: azurehitch.ClientAccount{Name: account}})
 	}
 	c := qt.New(t)
 	c.Assert(of("k1", "a"), qt.Equals, of("k2", "a"))
