Allowances: a bucket that is idle gains nothing from a share that rises

Cause (found in review): buckets were settled only when the share of a pool fell. An idle one was refilled with the time of a small share up to the capacity of a larger one, after a partition up to (1-s) times the burst beyond what the other side had granted. Change: every change of the share settles the buckets before and after it, and the level of buckets that were never used follows the lower share. Measured: TestShareRises fails before (100 instead of 10 units) and passes now; go test ./internal/allowance/sharedlimit passes.

--- a/internal/allowance/sharedlimit/pool.go
+++ b/internal/allowance/sharedlimit/pool.go
@@ -1,6 +1,9 @@
 package sharedlimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // loan is the share that a lender has lent.
 type loan struct {
@@ -79,7 +82,8 @@
 	}
 }
 
-// sumUp computes the share. If it is less than before, the buckets lose what they can't hold any more.
+// sumUp computes the share. Buckets hold no more than the lower of the shares before and after a change allows:
+// what was refilled while the share was low must not count up to the capacity of a higher one.
 func (p *pool) sumUp() {
 	sum := 0.0
 	for _, l := range p.loans {
@@ -88,24 +92,26 @@
 	sum = min(sum, 1)
 	// The order of the map changes the sum by rounding.
 	const rounding = 1e-9
-	isLess := sum < p.share-rounding
-	p.share = sum
-	if !isLess {
+	if math.Abs(sum-p.share) <= rounding {
 		return
 	}
+	p.settleAll()
+	// A bucket that was never used has refilled since the last change, as far as the lower share allows.
+	refilled := p.floorShare + (p.integral-p.floorIntegral)/fillTime.Seconds()
+	p.floorShare = min(refilled, p.share, sum)
+	p.floorIntegral = p.integral
+	p.share = sum
+	p.settleAll()
+}
+
+func (p *pool) settleAll() {
 	for _, b := range p.buckets {
 		b.settle(p)
 	}
-	if p.integral-p.floorIntegral < fillTime.Seconds() {
-		p.floorShare = min(p.floorShare, sum)
-	} else {
-		p.floorShare = sum
-	}
-	p.floorIntegral = p.integral
 }
 
 // fillTime is the time of refill after which a bucket that was never used counts as full, unless its
-// limit needs more.
+// limit needs more. Buckets that fill sooner have refilled a larger part of their capacity by then.
 const fillTime = 5 * time.Second
 
 // bucket returns the bucket of a key with its current level.
