Order: an account takes at most 32 turns ahead

Cause (found in review): requests that are refused take turns as well. While a queue never empties, an account that was refused often waited behind others long after its excess. Change: the turns ahead of those that were served are bounded. Measured: go test ./internal/forward/priority ./internal/placement/swap pass, TestHotAccount among them.

--- a/internal/forward/priority/turns.go
+++ b/internal/forward/priority/turns.go
@@ -5,6 +5,10 @@
 // maxExcess bounds by how much the request of an account waits behind others.
 const maxExcess = 10 * time.Second
 
+// maxAhead bounds the turns that an account takes ahead of those that were served. Requests that are refused take turns
+// too; without a bound, an account that was refused often would wait behind others long after its excess.
+const maxAhead = 32
+
 // Turns share the slots for which requests wait between accounts: each account takes one turn after the other,
 // and an account that sends more than the others takes turns ahead of them (start-time fair queueing, with
 // virtual time in requests). It is not safe for concurrent use.
@@ -26,7 +30,7 @@
 // Take returns the turn of the next request of an account.
 func (t *Turns) Take(account string) float64 {
 	turn := max(t.current, t.next[account])
-	t.next[account] = turn + 1
+	t.next[account] = min(turn+1, t.current+maxAhead)
 	return turn
 }
 
