Accounts: a request whose token count can't be read costs the default at least

Change: without a readable number of prompt tokens, the cost is the larger one of the sum and the default. Measured: go test . ./platform pass.

--- a/account.go
+++ b/account.go
@@ -39,14 +39,14 @@
 func (a Allowance) IsLimited() bool { return a.PerSecond > 0 }
 
 // Cost returns the cost of a request in the unit of the allowance. It is never less than 1: a caller that
-// declares no or negative tokens pays the default.
+// declares no prompt, or numbers that can't be read, pays the default at least.
 func (a Allowance) Cost(request CallerRequest) float64 {
 	if a.Unit != AllowanceUnitTokens {
 		return 1
 	}
 	cost := float64(request.PromptTokens) + float64(request.MaxOutputTokens)
-	if request.PromptTokens < 0 || request.MaxOutputTokens < 0 || cost == 0 {
-		cost = float64(a.DefaultCost)
+	if request.PromptTokens <= 0 || request.MaxOutputTokens < 0 {
+		cost = max(cost, float64(a.DefaultCost))
 	}
 	return max(cost, 1)
 }
