Allowances: waiting requests are looked after, and a start counts no backlog

Cause (found in review, and by the author): a coordinator may name 20 ms, but the client slept until its next report, so that the request was refused at 100 ms; requests that wait for the start of the daemon were refused again and again, and counted as backlog; the first limit in a running daemon found no loans. Change: the client looks each 10 ms while requests wait; no backlog before the home share may be used; a first limit begins as a start does.

--- a/internal/allowance/allowancepeer/client.go
+++ b/internal/allowance/allowancepeer/client.go
@@ -61,7 +61,9 @@
 	countsMu sync.Mutex
 	counted  counts
 
+	// startedAt is when the process started, or later when limits came into force. mu guards it and isActive.
 	startedAt time.Time
+	isActive  bool
 
 	// wake makes Run look for messages to send.
 	wake chan struct{}
@@ -137,7 +139,11 @@
 
 // isStarting reports whether this daemon and others that started with it may not have lent their shares yet.
 // Refusals would then lose requests within the limit.
-func (c *Client) isStarting() bool { return c.Clock.Now().Sub(c.startedAt) < startTime }
+func (c *Client) isStarting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Sub(c.startedAt) < startTime
+}
 
 // await waits until a ticket is granted or refused.
 func (c *Client) await(ctx context.Context, ticket *sharedlimit.Ticket) sharedlimit.TicketState {
--- a/internal/allowance/allowancepeer/run.go
+++ b/internal/allowance/allowancepeer/run.go
@@ -17,7 +17,7 @@
 )
 
 // callTimeout limits a call of another daemon. It must not be less than the time after which package mux
-// replaces a silent connection, and leaves a third of sharedlimit.GrantTime to use the units.
+// replaces a silent connection. The units of an answer that takes longer than sharedlimit.GrantTime are lost.
 const callTimeout = 300 * time.Millisecond
 
 // errNoAddress reports that the peer address of a daemon is not known, and errOtherRelease that a daemon
@@ -59,6 +59,11 @@
 		fleet = c.Fleet()
 	}
 	c.mu.Lock()
+	if hasLimits && !c.isActive {
+		// The first limit, or the first after a time without: loans and buckets begin as after a start.
+		c.startedAt = now
+	}
+	c.isActive = hasLimits
 	c.lender.SetActive(hasLimits)
 	if hasLimits {
 		c.lender.SetFleet(now, fleet)
@@ -92,7 +97,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	return max(c.lender.NextDue(now).Sub(now), time.Millisecond)
+	pause := max(c.lender.NextDue(now).Sub(now), time.Millisecond)
+	if c.lender.HasWaiting() {
+		// A coordinator that has no units yet names a time which may come before the next report.
+		pause = min(pause, sharedlimit.MinRequestInterval)
+	}
+	return pause
 }
 
 // answered passes the answer to a message, or the error of the call, on to the lender.
--- a/internal/allowance/sharedlimit/lender.go
+++ b/internal/allowance/sharedlimit/lender.go
@@ -263,7 +263,11 @@
 // refuse ends a ticket without units.
 func (l *Lender) refuse(now time.Time, t *Ticket) {
 	l.counts.Refused++
-	t.state, t.retry = TicketRefused, max(t.key.retryAt.Sub(now), ReportInterval, t.key.backlog.refuse(now, t.cost))
+	t.state, t.retry = TicketRefused, max(t.key.retryAt.Sub(now), ReportInterval)
+	if !now.Before(l.homeFrom) {
+		// A request that waits for the start of the daemon is refused again and again, which is no backlog.
+		t.retry = max(t.retry, t.key.backlog.refuse(now, t.cost))
+	}
 	t.knew = Knowledge{Age: -1, InHand: l.inHand(now, t.key)}
 	if p, ok := l.coordinator(l.slot(t.key)); ok || !t.key.limit.isValid() {
 		if ok && !p.receivedAt.IsZero() {
--- a/internal/allowance/sharedlimit/reports.go
+++ b/internal/allowance/sharedlimit/reports.go
@@ -43,6 +43,11 @@
 	return next
 }
 
+// HasWaiting reports whether requests may wait for units. Their coordinator may have them before the next report.
+func (l *Lender) HasWaiting() bool {
+	return slices.ContainsFunc(l.slots, func(s *slotState) bool { return len(s.pending) > 0 })
+}
+
 // hasUrgent reports whether a peer needs a message before the next report is due.
 func (l *Lender) hasUrgent(now time.Time, p *peer) bool {
 	return slices.ContainsFunc(l.slots, func(s *slotState) bool {
