--- a/internal/oplog/follow/follower.go
+++ b/internal/oplog/follow/follower.go
@@ -27,7 +27,7 @@
 	maxReadBackoff = 300 * time.Millisecond
 	// maxReadDelay is the longest delay of a read by the condition of DelayReadsWhile.
 	// delayCheckInterval is the time between two checks of that condition during the delay.
-	maxReadDelay       = 6 * time.Second
+	maxReadDelay       = 3 * time.Second
 	delayCheckInterval = 100 * time.Millisecond
 )
 
