--- a/internal/allowance/allowancepeer/client.go
+++ b/internal/allowance/allowancepeer/client.go
@@ -100,7 +100,7 @@
 }
 
 // Take charges a request to the allowance of its account. It waits for units for up to
-// sharedlimit.MaxWait. The error is an *azurehitch.ErrRefused. The function refund gives the units back
+// sharedlimit.MaxWait, and while the daemon starts for up to startTime. The error is an *azurehitch.ErrRefused. The function refund gives the units back
 // if the request was not run.
 func (c *Client) Take(ctx context.Context, account azurehitch.ClientAccount, cost float64) (refund func(), err error) {
 	limit, ok := LimitOf(account.Allowance)
--- a/internal/allowance/sharedlimit/pool.go
+++ b/internal/allowance/sharedlimit/pool.go
@@ -12,8 +12,8 @@
 }
 
 // pool is the shares of one slot that one daemon may use, and the buckets of the slot's keys. The
-// integral of the shares over time refills all buckets, so that a change of a loan needs no work for
-// each of them.
+// integral of the shares over time refills all buckets, so that a report that leaves the sum of the shares as it is
+// needs no work for each of them.
 type pool struct {
 	loans map[string]loan
 	// share is the sum of the loans, at most 1.
--- a/internal/forward/priority/order.go
+++ b/internal/forward/priority/order.go
@@ -51,7 +51,7 @@
 // that are due at about the same time.
 func Compare(a, b Standing) int {
 	return cmp.Or(
-		compareBool(a.IsLate, b.IsLate), a.due().Compare(b.due()), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.ID, b.ID),
+		CompareBool(a.IsLate, b.IsLate), a.due().Compare(b.due()), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.ID, b.ID),
 	)
 }
 
@@ -60,8 +60,8 @@
 	return s.LatestStart().Add(time.Duration(s.Rank)*rankLead - s.Credit + s.Excess)
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// CompareBool orders false before true.
+func CompareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/placement/swap/adapters.go
+++ b/internal/placement/swap/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/priority"
 )
 
 const (
@@ -55,9 +56,9 @@
 	})
 	slices.SortFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
-			compareBool(a.hasRateLimit(), b.hasRateLimit()),
-			compareBool(!p.isPinned(a.ID, request.Model), !p.isPinned(b.ID, request.Model)),
-			compareBool(a.adapterCount() >= p.limits.AdapterSlots, b.adapterCount() >= p.limits.AdapterSlots),
+			priority.CompareBool(a.hasRateLimit(), b.hasRateLimit()),
+			priority.CompareBool(!p.isPinned(a.ID, request.Model), !p.isPinned(b.ID, request.Model)),
+			priority.CompareBool(a.adapterCount() >= p.limits.AdapterSlots, b.adapterCount() >= p.limits.AdapterSlots),
 			cmp.Compare(rendezvous(b.ID, request.Adapter), rendezvous(a.ID, request.Adapter)),
 		)
 	})
--- a/internal/placement/swap/candidates.go
+++ b/internal/placement/swap/candidates.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/priority"
 )
 
 // hasCachedServer reports whether cachedServers returns any server for a model.
@@ -46,7 +47,7 @@
 			loadTime += p.settings.SwapOverhead
 		}
 		if best == nil || cmp.Or(
-			compareBool(isUnfit(s), isUnfit(best)), p.compareForBusy(isBusy, s, best, now), cmp.Compare(loadTime, bestLoadTime),
+			priority.CompareBool(isUnfit(s), isUnfit(best)), p.compareForBusy(isBusy, s, best, now), cmp.Compare(loadTime, bestLoadTime),
 		) < 0 {
 			best, bestLoadTime = s, loadTime
 		}
@@ -76,9 +77,9 @@
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
-			compareBool(isBusy && a.hasRateLimit(), isBusy && b.hasRateLimit()),
+			priority.CompareBool(isBusy && a.hasRateLimit(), isBusy && b.hasRateLimit()),
 			p.compareForBusy(isBusy, a, b, now),
-			compareBool(a.freeMemory(p.limits) < memory, b.freeMemory(p.limits) < memory),
+			priority.CompareBool(a.freeMemory(p.limits) < memory, b.freeMemory(p.limits) < memory),
 			cmp.Compare(len(a.tiers), len(b.tiers)),
 			a.lastRemoteLoad.Compare(b.lastRemoteLoad),
 		)
--- a/internal/placement/swap/decide.go
+++ b/internal/placement/swap/decide.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/priority"
 )
 
 // Decide returns the orders to send now, and books each of them. It also renews the pinned
@@ -101,9 +102,9 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			-compareBool(a.busy, b.busy),
+			-priority.CompareBool(a.busy, b.busy),
 			cmp.Compare(b.misses, a.misses),
-			-compareBool(a.onTime, b.onTime),
+			-priority.CompareBool(a.onTime, b.onTime),
 			a.since.Compare(b.since),
 			cmp.Compare(a.model, b.model),
 		)
--- a/internal/placement/swap/pin.go
+++ b/internal/placement/swap/pin.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"azurehitch/internal/forward/priority"
 )
 
 // PinnedReplica is a pinned replica: daemons send requests for its busy model to it without asking
@@ -53,7 +55,7 @@
 	})
 	slices.SortStableFunc(ready, func(a, b *server) int {
 		return cmp.Or(
-			-compareBool(p.isPinned(a.ID, name), p.isPinned(b.ID, name)),
+			-priority.CompareBool(p.isPinned(a.ID, name), p.isPinned(b.ID, name)),
 			p.compareSpeed(a, b, now),
 			cmp.Compare(p.inProgress.replicas[Replica{Server: b.ID, Model: name}], p.inProgress.replicas[Replica{Server: a.ID, Model: name}]),
 		)
--- a/internal/placement/swap/verdict.go
+++ b/internal/placement/swap/verdict.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"azurehitch"
+	"azurehitch/internal/forward/priority"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -228,7 +229,7 @@
 	}
 	return slices.MinFunc(candidates, func(a, b *server) int {
 		return cmp.Or(
-			compareBool(a.hasRateLimit(), b.hasRateLimit()),
+			priority.CompareBool(a.hasRateLimit(), b.hasRateLimit()),
 			cmp.Compare(p.cost(a, request.FailureDomain, now), p.cost(b, request.FailureDomain, now)),
 		)
 	})
@@ -248,17 +249,6 @@
 	return ok && a.state == stateReady
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // availability describes when requests for a model can be served.
 type availability struct {
 	// ready are the servers with a ready replica that accepts requests.
