--- a/review/standins-2/resume.go
+++ b/review/standins-2/resume.go
@@ -31,9 +31,9 @@
 
 // follow plays a client: it sends a request for a stream, and takes the stream up after a broken channel, each time at
 // another machine, until it is whole, its time is over or it has no tries left.
-func follow(start int, end time.Time) *stream {
+func follow(start, retries int, end time.Time) *stream {
 	s := &stream{versions: map[string]bool{}}
-	for try := 0; try <= maxRetries && time.Until(end) > 0; {
+	for try := 0; try <= retries && time.Until(end) > 0; {
 		d := rotation(start + try)
 		if d == nil {
 			// The platform has no machine to connect the client with.
@@ -127,7 +127,7 @@
 	}
 	go watchReadiness()
 	time.Sleep(6 * time.Second)
-	streams, fresh := run(24, streamLimit), func() []*stream { return nil }
+	streams := run(24, maxRetries, streamLimit)
 	time.Sleep(4 * time.Second)
 	if hasTrouble() {
 		for _, d := range daemons {
@@ -139,12 +139,12 @@
 		}
 	}
 	time.Sleep(5500 * time.Millisecond)
-	fresh = run(24, 22*time.Second)
+	fresh := run(24, maxRetries, 22*time.Second)
 	return judgeResumed(streams(), fresh())
 }
 
 // run starts clients with a time limit, and returns a function that waits for them.
-func run(count int, limit time.Duration) func() []*stream {
+func run(count, retries int, limit time.Duration) func() []*stream {
 	var group sync.WaitGroup
 	all := make([]*stream, count)
 	for i := range count {
@@ -152,7 +152,7 @@
 		go func() {
 			defer group.Done()
 			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
-			all[i] = follow(i, time.Now().Add(limit))
+			all[i] = follow(i, retries, time.Now().Add(limit))
 		}()
 	}
 	return func() []*stream {
