--- a/review/standins-2/release.go
+++ b/review/standins-2/release.go
@@ -107,7 +107,7 @@
 		for _, old := range servers[:len(servers)/2] {
 			began := time.Now()
 			old.crash()
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
 			next := deskServer(s, old.id, "v2")
 			next.address = old.address
 			next.start("127.0.0.1")
