--- a/review/standins-2/release.go
+++ b/review/standins-2/release.go
@@ -54,7 +54,7 @@
 	}
 	go watchReadiness()
 	time.Sleep(5 * time.Second)
-	streams := run(64, maxRetries, streamLimit)
+	streams := run(64, sheetRetries, streamLimit)
 	time.Sleep(3 * time.Second)
 	if hasTrouble() {
 		for i, o := range old {
@@ -101,7 +101,7 @@
 	}
 	go watchReadiness()
 	time.Sleep(5 * time.Second)
-	streams := run(160, maxRetries, streamLimit)
+	streams := run(160, sheetRetries, streamLimit)
 	time.Sleep(4 * time.Second)
 	if hasTrouble() {
 		for _, old := range servers[:len(servers)/2] {
