--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -206,6 +206,12 @@
 		_, _ = w.Write(make([]byte, 800))
 		return
 	}
+	s.stream(w, r, last)
+}
+
+// stream makes the events after the one with the number last.
+func (s *server) stream(w http.ResponseWriter, r *http.Request, last int) {
+	id := r.Header.Get("Attempt-Id")
 	one := &oneRun{id: id, server: s.id, began: time.Now()}
 	s.mu.Lock()
 	s.runs = append(s.runs, one)
