Streams: an origin is known by the request alone, and names the service

Cause: the record of where a stream began was kept by service and request. A stream that is taken up is another request, which draws another service, so the daemons that knew the stream were asked for it under another name.

Change: records have the request's id as their key and hold the service. A stream goes on at the service that began it as long as its route leads there; otherwise only while neither service has had several versions. Messages carry the key of earlier releases too. The log line of a request and the metric StreamOrigins say who knew the origin.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -137,7 +137,7 @@
 	})
 	r.sends++
 	if r.isNewStream() && lastEventID == "" {
-		r.server.Streams.Began(streams.Stream{Service: r.service.Name, ID: r.ID}, choice.SoftwareVersion, r.sends)
+		r.server.Streams.Began(r.ID, streams.Origin{Service: r.service.Name, Version: choice.SoftwareVersion}, r.sends)
 	}
 	if choice.RateLimit > 0 {
 		r.server.Metrics.AddLabeled(metrics.RequestsToLimited, choice.Reason, 1)
--- a/internal/forward/passthrough/gateway_test.go
+++ b/internal/forward/passthrough/gateway_test.go
@@ -87,10 +87,12 @@
 	isSpent bool
 	// charged is the number of retries that were charged and not refunded.
 	charged atomic.Int64
+	// earnedFor is the service of the last request.
+	earnedFor atomic.Value
 }
 
 // Earn implements passthrough.RetryBudget.
-func (*testBudget) Earn(string) {}
+func (b *testBudget) Earn(service string) { b.earnedFor.Store(service) }
 
 // Spend implements passthrough.RetryBudget.
 func (b *testBudget) Spend(string) (azurehitch.RetryCharge, bool) {
@@ -132,6 +134,8 @@
 	// its deadline.
 	bound    azurehitch.VersionBound
 	timeLeft time.Duration
+	// service is the name of place.Request.Service of the last call of Place.
+	service string
 	// onPlace is called with the number of each call of Place; nil does nothing.
 	onPlace func(n int)
 }
@@ -152,6 +156,7 @@
 		p.onPlace(p.next)
 	}
 	p.avoided, p.bound, p.timeLeft = request.Avoid, request.SoftwareVersion, time.Until(request.Deadline)
+	p.service = request.Service.Name
 	id := fmt.Sprintf("s%d", p.next-1)
 	version := ""
 	if len(p.versions) > 0 {
--- a/internal/forward/passthrough/request.go
+++ b/internal/forward/passthrough/request.go
@@ -54,7 +54,9 @@
 	body       *requestbody.Body
 	isReleased atomic.Bool
 	// fingerprint identifies what the request asks for.
-	fingerprint          string
+	fingerprint string
+	// index is that of the configuration in force when the request came; its table has the configurationVersion.
+	index                *router.PathIndex
 	route                azurehitch.PathRoute
 	service              azurehitch.BackendService
 	configurationVersion int64
@@ -110,14 +112,14 @@
 		unwatch:       func() {},
 	}
 	defer r.closeConnection()
-	index := r.awaitConfiguration()
-	r.configurationVersion = index.Table.Version
-	if err := r.matchRoute(index); err != nil {
+	r.index = r.awaitConfiguration()
+	r.configurationVersion = r.index.Table.Version
+	if err := r.matchRoute(); err != nil {
 		r.cancel = func(error) {}
 		r.refuse(err)
 		return
 	}
-	if err := r.authenticate(index); err != nil {
+	if err := r.authenticate(r.index); err != nil {
 		r.cancel = func(error) {}
 		r.refuse(err)
 		return
@@ -135,21 +137,26 @@
 }
 
 // matchRoute sets the route and the service of the request. The error is an *azurehitch.ErrRefused.
-func (r *request) matchRoute(index *router.PathIndex) error {
+func (r *request) matchRoute() error {
 	if r.configurationVersion == 0 {
 		return r.unconfiguredRefusal()
 	}
 	path, _, _ := strings.Cut(string(r.http.Request.Header.RequestURI()), "?")
-	route, ok := index.Route(string(r.http.Request.Header.Host()), path)
+	route, ok := r.index.Route(string(r.http.Request.Header.Host()), path)
 	if !ok {
 		return azurehitch.Refuse(azurehitch.CodeRouteNotFound, "no route leads to %s", path)
 	}
 	r.route = route
-	name := router.ChooseService(route, r.ID)
-	if r.service, ok = index.Table.Services[name]; !ok {
+	r.setService(router.ChooseService(route, r.ID))
+	return nil
+}
+
+// setService sets the service to which the request is sent.
+func (r *request) setService(name string) {
+	var ok bool
+	if r.service, ok = r.index.Table.Services[name]; !ok {
 		r.service = azurehitch.BackendService{Name: name}
 	}
-	return nil
 }
 
 // start sets the deadline and watches the caller's connection.
@@ -170,8 +177,6 @@
 		cancelTimer()
 	}
 	r.unwatch = callerconn.Watch(r.http.Conn(), func() { cancel(errCallerDisconnected) })
-	r.server.Budget.Earn(r.service.Name)
-	r.earnHedge()
 }
 
 func (r *request) isCallerDisconnected() bool {
@@ -207,11 +212,11 @@
 		r.refuse(err)
 		return
 	}
-	if err := r.server.Quarantine.Check(r.quarantineRequest()); err != nil {
+	if err := r.bindToOrigin(); err != nil {
 		r.refuse(err)
 		return
 	}
-	if err := r.bindToVersion(); err != nil {
+	if err := r.server.Quarantine.Check(r.quarantineRequest()); err != nil {
 		r.refuse(err)
 		return
 	}
@@ -243,17 +248,33 @@
 	return r.route.Kind == azurehitch.RequestKindStream && r.route.MayRepeat() && r.LastEvent == ""
 }
 
-// bindToVersion binds a request that takes up a stream again to the software version that began the
-// stream.
-func (r *request) bindToVersion() error {
-	if r.route.Kind != azurehitch.RequestKindStream || r.LastEvent == "" {
-		return nil
+// bindToOrigin binds a request that takes up a stream again to the service and the software version that began the
+// stream. Then the service of the request is known, and its budgets count the request.
+func (r *request) bindToOrigin() error {
+	var err error
+	if r.route.Kind == azurehitch.RequestKindStream && r.LastEvent != "" {
+		var bound streams.Bound
+		bound, err = r.server.Streams.Bound(r.searchCtx, streams.Resumption{
+			ID: r.Resumes, Service: r.service.Name, Services: router.Services(r.route),
+		})
+		r.setService(bound.Service)
+		r.bound = bound.VersionBound
+		r.noteOrigin(bound)
 	}
-	bound, err := r.server.Streams.Bound(r.searchCtx, streams.Stream{Service: r.service.Name, ID: r.Resumes})
-	r.bound = bound
+	r.server.Budget.Earn(r.service.Name)
+	r.earnHedge()
 	return err
 }
 
+// noteOrigin logs where a stream that is taken up again may go on, and who knew it.
+func (r *request) noteOrigin(bound streams.Bound) {
+	where := "anywhere"
+	if bound.IsSet {
+		where = bound.Service + " software " + bound.Version
+	}
+	r.attempts.note("origin " + string(bound.Source) + ": " + where)
+}
+
 // place chooses the server of the next attempt. The error may be errDraining or errNoServerInTime.
 func (r *request) place() (place.Choice, error) {
 	ctx, cancel := context.WithCancelCause(r.searchCtx)
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -95,14 +95,14 @@
 	Take(ctx context.Context, account azurehitch.ClientAccount, cost float64) (refund func(), err error)
 }
 
-// Streams knows at which software version each stream began.
+// Streams knows at which service and software version each stream began.
 type Streams interface {
-	// Began records that a stream is about to begin at a server of a version. The attempt counts the
-	// servers that its request was sent to.
-	Began(stream streams.Stream, version string, attempt int)
-	// Bound returns the servers at which a stream may go on that its caller takes up again. The error is
-	// an *azurehitch.ErrRefused if that is not known.
-	Bound(ctx context.Context, stream streams.Stream) (azurehitch.VersionBound, error)
+	// Began records that the request with an ID is about to begin a stream at a server. The attempt counts the
+	// servers that the request was sent to.
+	Began(requestID string, origin streams.Origin, attempt int)
+	// Bound returns where a stream may go on that its caller takes up again. The error is an
+	// *azurehitch.ErrRefused if that is not known.
+	Bound(ctx context.Context, resumption streams.Resumption) (streams.Bound, error)
 }
 
 // Placer chooses the backend server of an attempt.
--- a/internal/forward/passthrough/softwareversion_test.go
+++ b/internal/forward/passthrough/softwareversion_test.go
@@ -1,6 +1,7 @@
 package passthrough_test
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"testing"
@@ -15,25 +16,27 @@
 type testStreams struct {
 	mu    sync.Mutex
 	bound azurehitch.VersionBound
-	err   error
+	// service is where streams go on that are taken up; empty for the one that the route chooses.
+	service string
+	err     error
 	// began are the versions with which streams began, and asked are the IDs passed to Bound.
 	began []string
 	asked []string
 }
 
 // Began implements passthrough.Streams.
-func (s *testStreams) Began(stream streams.Stream, version string, _ int) {
+func (s *testStreams) Began(requestID string, origin streams.Origin, _ int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.began = append(s.began, stream.ID+" "+version)
+	s.began = append(s.began, requestID+" "+origin.Version)
 }
 
 // Bound implements passthrough.Streams.
-func (s *testStreams) Bound(_ context.Context, stream streams.Stream) (azurehitch.VersionBound, error) {
+func (s *testStreams) Bound(_ context.Context, resumption streams.Resumption) (streams.Bound, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asked = append(s.asked, stream.ID)
-	return s.bound, s.err
+	s.asked = append(s.asked, resumption.ID)
+	return streams.Bound{Service: cmp.Or(s.service, resumption.Service), VersionBound: s.bound}, s.err
 }
 
 // assertBound checks to which version the last attempt was bound.
@@ -84,6 +87,14 @@
 			g.assertBound(v1)
 		})
 	})
+	t.Run("goes on at the service that began it", func(t *testing.T) {
+		withGateway(t, resumable, []*backend{newBackend(t, streamHead+resumed+streamEnd, 0)}, func(g *gateway) {
+			g.streams.service = "llm-b"
+			g.Assert(g.sendWith("POST", "/x/y", "", taken).status, qt.Equals, 200)
+			g.Assert(g.placer.service, qt.Equals, "llm-b")
+			g.Assert(g.budget.earnedFor.Load(), qt.Equals, "llm-b")
+		})
+	})
 	t.Run("reaches no server of another version", func(t *testing.T) {
 		server := newBackend(t, streamHead+resumed+streamEnd, 0)
 		withGateway(t, resumable, []*backend{server}, func(g *gateway) {
--- a/internal/forward/router/paths.go
+++ b/internal/forward/router/paths.go
@@ -52,6 +52,21 @@
 	return azurehitch.PathRoute{}, false
 }
 
+// Services returns the services to which requests on a route may be sent: those of the targets that ChooseService
+// can choose.
+func Services(route azurehitch.PathRoute) []string {
+	var services []string
+	for _, t := range route.Targets {
+		if t.Weight > 0 {
+			services = append(services, t.Service)
+		}
+	}
+	if len(services) == 0 {
+		return []string{route.Targets[0].Service}
+	}
+	return services
+}
+
 // ChooseService chooses a target of the route by weight and returns its service. The choice depends
 // on the hash of the request ID, so that each attempt of a request goes to the same service. If no
 // weight is positive, it returns the first target.
--- a/internal/forward/router/paths_test.go
+++ b/internal/forward/router/paths_test.go
@@ -49,3 +49,20 @@
 	}
 	c.Assert(newCount > requests/20 && newCount < requests/5, qt.IsTrue, qt.Commentf("%d of %d", newCount, requests))
 }
+
+// TestServices checks to which services requests on a route may be sent.
+func TestServices(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		targets []azurehitch.RouteTarget
+		want    []string
+	}{
+		{"one", []azurehitch.RouteTarget{{Service: "a", Weight: 1}}, []string{"a"}},
+		{"those with a positive weight", []azurehitch.RouteTarget{{Service: "a", Weight: 1}, {Service: "b"}, {Service: "c", Weight: 2}}, []string{"a", "c"}},
+		{"the first without any weight", []azurehitch.RouteTarget{{Service: "a"}, {Service: "b"}}, []string{"a"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, router.Services(azurehitch.PathRoute{Targets: test.targets}), qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/internal/forward/streampeer/client.go
+++ b/internal/forward/streampeer/client.go
@@ -1,11 +1,11 @@
-// Package streampeer reports to other daemons at which software version streams began, and asks them, over the
-// connections between daemons.
+// Package streampeer reports to other daemons at which service and software version streams began, and asks them, over
+// the connections between daemons.
 //
 // # Usage
 //
 //	client := streampeer.NewClient(dependencies)
 //	group.Go(func() error { return client.Run(ctx) })
-//	bound, err := client.Bound(ctx, stream)
+//	bound, err := client.Bound(ctx, resumption)
 //	response := client.Handle(request)
 //
 // Each stream is reported to a few daemons that a hash of its key chooses, so that another daemon finds its
@@ -86,9 +86,10 @@
 		return &peerpb.Response{Kind: &peerpb.Response_StreamVersion{StreamVersion: &peerpb.StreamVersionResponse{}}}
 	}
 	asked := request.GetStreamVersion()
-	version, ok := c.Registry.Version(streams.Key(asked.GetKey()))
+	origin, ok := c.Registry.Origin(streams.Key(asked.GetRequestKey()), streams.Key(asked.GetKey()))
 	return &peerpb.Response{Kind: &peerpb.Response_StreamVersion{StreamVersion: &peerpb.StreamVersionResponse{
-		Known: ok, Version: version, Mixed: c.Registry.IsMixed(asked.GetService()),
+		Known: ok, Service: origin.Service, Version: origin.Version,
+		Mixed: c.Registry.IsMixed(append(asked.GetServices(), asked.GetService())...),
 	}}}
 }
 
@@ -164,27 +165,56 @@
 	return answered
 }
 
-// Bound returns the servers at which a stream that its caller takes up again may go on. The error is an
-// *azurehitch.ErrRefused if servers of several versions run and no daemon knows which of them began it.
-func (c *Client) Bound(ctx context.Context, stream streams.Stream) (azurehitch.VersionBound, error) {
-	key := streams.KeyOf(stream)
-	if version, ok := c.Registry.Version(key); ok {
-		return azurehitch.VersionBound{IsSet: true, Version: version}, nil
-	}
-	answer := c.ask(ctx, stream.Service, key)
+// Bound returns where a stream that its caller takes up again may go on. The error is an *azurehitch.ErrRefused if
+// that is not known while servers of several versions run, or if the route no longer leads to the service that began
+// the stream.
+func (c *Client) Bound(ctx context.Context, r streams.Resumption) (streams.Bound, error) {
+	answer, source := c.origin(ctx, r)
+	c.Metrics.AddLabeled(metrics.StreamOrigins, string(source), 1)
+	bound := streams.Bound{Service: r.Service, Source: source}
+	origin := cmp.Or(answer.GetService(), r.Service)
 	switch {
-	case answer.GetKnown():
-		return azurehitch.VersionBound{IsSet: true, Version: answer.GetVersion()}, nil
-	case answer.GetMixed() || c.MayBeMixed(ctx, stream.Service) || c.Registry.IsMixed(stream.Service):
-		return azurehitch.VersionBound{}, azurehitch.Refuse(azurehitch.CodeNoCapacity, "no daemon knows the software version that began stream %s", stream.ID).
-			WithRetryAfter(unknownRetryAfter)
+	case answer.GetKnown() && slices.Contains(r.Services, origin):
+		bound.Service, bound.VersionBound = origin, azurehitch.VersionBound{IsSet: true, Version: answer.GetVersion()}
+		return bound, nil
+	case answer.GetKnown() && c.mayBeMixed(ctx, origin, r.Service):
+		return bound, refuse("the route of stream %s no longer leads to %s, which began it", r.ID, origin)
+	case !answer.GetKnown() && (answer.GetMixed() || c.mayBeMixed(ctx, r.Services...)):
+		return bound, refuse("no daemon knows the software version that began stream %s", r.ID)
+	}
+	return bound, nil
+}
+
+// refuse returns the refusal of a stream that must not go on now.
+func refuse(format string, args ...any) error {
+	return azurehitch.Refuse(azurehitch.CodeNoCapacity, format, args...).WithRetryAfter(unknownRetryAfter)
+}
+
+// mayBeMixed reports whether servers of several software versions of one of the services may run now, or did a short
+// time ago.
+func (c *Client) mayBeMixed(ctx context.Context, services ...string) bool {
+	return c.Registry.IsMixed(services...) ||
+		slices.ContainsFunc(services, func(service string) bool { return c.MayBeMixed(ctx, service) })
+}
+
+// origin returns what is known of the origin of a stream, and who knew it.
+func (c *Client) origin(ctx context.Context, r streams.Resumption) (*peerpb.StreamVersionResponse, streams.Source) {
+	key, serviceKey := streams.KeyOf(r.ID), streams.ServiceKeyOf(r.Service, r.ID)
+	if origin, ok := c.Registry.Origin(key, serviceKey); ok {
+		return &peerpb.StreamVersionResponse{Known: true, Service: origin.Service, Version: origin.Version}, streams.SourceOwn
+	}
+	answer := c.ask(ctx, key, &peerpb.StreamVersionRequest{
+		Key: uint64(serviceKey), Service: r.Service, RequestKey: uint64(key), Services: r.Services,
+	})
+	if answer.GetKnown() {
+		return answer, streams.SourcePeer
 	}
-	return azurehitch.VersionBound{}, nil
+	return answer, streams.SourceUnknown
 }
 
-// ask asks other daemons for the version of a stream. It returns the first answer that knows it, or
+// ask asks other daemons for the origin of the stream with a key. It returns the first answer that knows it, or
 // else one that says whether any of them knows of several versions.
-func (c *Client) ask(ctx context.Context, service string, key streams.Key) *peerpb.StreamVersionResponse {
+func (c *Client) ask(ctx context.Context, key streams.Key, request *peerpb.StreamVersionRequest) *peerpb.StreamVersionResponse {
 	names := c.ranking(key, maxAsked)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -192,9 +222,7 @@
 	var group errgroup.Group
 	for _, name := range names {
 		group.Go(func() error {
-			response, err := c.call(ctx, name, askTimeout, &peerpb.Request{Kind: &peerpb.Request_StreamVersion{
-				StreamVersion: &peerpb.StreamVersionRequest{Key: uint64(key), Service: service},
-			}})
+			response, err := c.call(ctx, name, askTimeout, &peerpb.Request{Kind: &peerpb.Request_StreamVersion{StreamVersion: request}})
 			if err != nil {
 				answers <- nil
 				return nil
@@ -252,13 +280,18 @@
 }
 
 func recordToProto(r streams.Record) *peerpb.StreamBegan {
-	return &peerpb.StreamBegan{Key: uint64(r.Key), Service: r.Service, Version: r.Version, Attempt: int32(r.Attempt)}
+	return &peerpb.StreamBegan{
+		Key: uint64(r.ServiceKey), RequestKey: uint64(r.Key), Service: r.Service, Version: r.Version, Attempt: int32(r.Attempt),
+	}
 }
 
 func recordsFromProto(message *peerpb.StreamsBegan) []streams.Record {
 	var records []streams.Record
 	for _, s := range message.GetStreams() {
-		records = append(records, streams.Record{Key: streams.Key(s.GetKey()), Service: s.GetService(), Version: s.GetVersion(), Attempt: int(s.GetAttempt())})
+		records = append(records, streams.Record{
+			Key: streams.Key(s.GetRequestKey()), ServiceKey: streams.Key(s.GetKey()),
+			Origin: streams.Origin{Service: s.GetService(), Version: s.GetVersion()}, Attempt: int(s.GetAttempt()),
+		})
 	}
 	return records
 }
--- a/internal/forward/streampeer/client_test.go
+++ b/internal/forward/streampeer/client_test.go
@@ -95,23 +95,32 @@
 	}
 }
 
-func stream(i int) streams.Stream { return streams.Stream{Service: service, ID: fmt.Sprint(i)} }
+// other is a second service of the route.
+const other = "llm-b"
 
 // began makes a daemon begin streams at a version, and gives it time to report them.
 func (d *deployment) began(daemon, count int, version string) {
 	for i := range count {
-		d.members[daemon].registry.Began(stream(i), version, 1)
+		d.members[daemon].registry.Began(fmt.Sprint(i), streams.Origin{Service: service, Version: version}, 1)
 	}
 	time.Sleep(300 * time.Millisecond)
 }
 
 // bound returns to which version a daemon binds a stream that is taken up there; empty if to none.
 func (d *deployment) bound(daemon, i int) (string, error) {
-	bound, err := d.members[daemon].client.Bound(context.Background(), stream(i))
-	d.Assert(err == nil || !bound.IsSet, qt.IsTrue)
+	bound, err := d.boundOnRoute(daemon, i, service)
+	d.Assert(bound.Service, qt.Equals, service)
 	return bound.Version, err
 }
 
+// boundOnRoute returns where a stream may go on whose route leads to the given services, the first of which is chosen
+// for a new request.
+func (d *deployment) boundOnRoute(daemon, i int, services ...string) (streams.Bound, error) {
+	bound, err := d.members[daemon].client.Bound(context.Background(), streams.Resumption{ID: fmt.Sprint(i), Service: services[0], Services: services})
+	d.Assert(err == nil || !bound.IsSet, qt.IsTrue)
+	return bound, err
+}
+
 const streamCount = 60
 
 func TestVersionIsFoundAtAnyDaemon(t *testing.T) {
@@ -158,12 +167,56 @@
 	})
 }
 
+// assertRefused checks that a request was refused as not run.
+func assertRefused(d *deployment, err error) {
+	d.Helper()
+	var refused *azurehitch.ErrRefused
+	d.Assert(errors.As(err, &refused), qt.IsTrue)
+	d.Assert(refused.Run, qt.Equals, azurehitch.RunStateNotRun)
+}
+
+// TestRouteToSeveralServices checks where streams go on whose route leads, or has led, to several services.
+func TestRouteToSeveralServices(t *testing.T) {
+	t.Run("at the service that began it, whichever is chosen for a new request", func(t *testing.T) {
+		withDeployment(t, 3, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			d.began(0, 1, "v2")
+			for daemon := range d.members {
+				bound, err := d.boundOnRoute(daemon, 0, other, service)
+				d.Assert(err, qt.IsNil)
+				d.Assert(bound.Service, qt.Equals, service)
+				d.Assert(bound.VersionBound, qt.Equals, azurehitch.VersionBound{IsSet: true, Version: "v2"})
+			}
+		})
+	})
+	t.Run("nowhere if the route has left a service with several versions", func(t *testing.T) {
+		withDeployment(t, 2, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			d.began(0, 1, "v2")
+			_, err := d.boundOnRoute(0, 0, other)
+			assertRefused(d, err)
+		})
+	})
+	t.Run("at the service of the route if neither has several versions", func(t *testing.T) {
+		withDeployment(t, 2, func(d *deployment) {
+			d.sawVersions("v2")
+			d.began(0, 1, "v2")
+			bound, err := d.boundOnRoute(0, 0, other)
+			d.Assert(err, qt.IsNil)
+			d.Assert(bound.Service, qt.Equals, other)
+			d.Assert(bound.IsSet, qt.IsFalse)
+		})
+	})
+	t.Run("nowhere if it is not known and any service has several versions", func(t *testing.T) {
+		withDeployment(t, 2, func(d *deployment) {
+			d.members[1].registry.SawVersions(service, []string{"v1", "v2"})
+			_, err := d.boundOnRoute(0, 0, other, service)
+			assertRefused(d, err)
+		})
+	})
+}
+
 func TestUnknownStreams(t *testing.T) {
-	assertRefused := func(d *deployment, err error) {
-		var refused *azurehitch.ErrRefused
-		d.Assert(errors.As(err, &refused), qt.IsTrue)
-		d.Assert(refused.Run, qt.Equals, azurehitch.RunStateNotRun)
-	}
 	t.Run("go on anywhere while there is one version", func(t *testing.T) {
 		withDeployment(t, 3, func(d *deployment) {
 			d.sawVersions("v1")
--- a/internal/forward/streams/streams.go
+++ b/internal/forward/streams/streams.go
@@ -1,18 +1,19 @@
-// Package streams records the software version of the server that began each stream, so that the stream
-// can be taken up again at a server of the same version. Versions don't fit together in one stream, and
-// servers don't check them.
+// Package streams records the origin of each stream: the service and the software version of the server that began
+// it. The stream can then be taken up again there. Versions don't fit together in one stream, and servers don't check
+// them.
 //
 // # Usage
 //
 //	registry := streams.NewRegistry(clock)
-//	registry.Began(streams.Stream{Service: "llm", ID: "id-1"}, "v1")
-//	version, ok := registry.Version(stream)
+//	registry.Began("id-1", streams.Origin{Service: "llm", Version: "v1"}, 1)
+//	origin, ok := registry.Origin(streams.KeyOf("id-1"))
 //	registry.SawVersions("llm", versions)
 //
 // Records are kept for a limited time, since callers take up a stream soon or never.
 package streams
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -25,36 +26,70 @@
 	// TTL is how long a stream can be taken up again after it began, and how long a service counts as
 	// mixed after servers of several versions were last listed.
 	TTL = time.Minute
-	// maxRecords limits the records in each of the two generations of a Registry.
-	maxRecords = 1 << 15
+	// maxRecords limits the keys in each of the two generations of a Registry. A record has up to two.
+	maxRecords = 1 << 16
 	// maxOwn limits the recent streams that a daemon reports to others when a service becomes mixed.
 	maxOwn = 2048
 )
 
-// Stream identifies a stream by its service and the ID of the request that brings its first event.
-type Stream struct {
+// Origin is where a stream began.
+type Origin struct {
 	Service string
-	ID      string
+	// Version is the software version of the server; empty means unknown, which is a version of its own.
+	Version string
 }
 
-// Key identifies a stream in records.
+// Key identifies a stream in records, by the ID of the request that brings its first event.
 type Key uint64
 
-// KeyOf returns the key of a stream.
-func KeyOf(s Stream) Key { return Key(xxhash.Sum64String(s.Service + "\x00" + s.ID)) }
+// KeyOf returns the key of the stream that the request with an ID begins. Requests have different IDs.
+func KeyOf(requestID string) Key { return Key(xxhash.Sum64String(requestID)) }
+
+// ServiceKeyOf returns the key by which daemons of earlier releases know a stream: they find it only by the service
+// that began it.
+func ServiceKeyOf(service, requestID string) Key {
+	return Key(xxhash.Sum64String(service + "\x00" + requestID))
+}
 
-// Record is the software version of the server that began a stream.
+// Record is the origin of a stream, as daemons report it to each other.
 type Record struct {
-	Key     Key
-	Service string
-	Version string
+	// Key is 0 in records of daemons of earlier releases, which have a ServiceKey only.
+	Key        Key
+	ServiceKey Key
+	Origin
 	// Attempt counts the servers that the request was sent to. The last one began the stream.
 	Attempt int
 }
 
+// Resumption is a request that takes up a stream again.
+type Resumption struct {
+	// ID is that of the request that brought the first event.
+	ID string
+	// Service is the one that the route chooses for a new request, and Services are all to which the route leads.
+	Service  string
+	Services []string
+}
+
+// Source is who knew the origin of a stream.
+type Source string
+
+// The sources of origins.
+const (
+	SourceOwn     Source = "Own"
+	SourcePeer    Source = "Peer"
+	SourceUnknown Source = "Unknown"
+)
+
+// Bound is where a stream that is taken up again may go on.
+type Bound struct {
+	Service string
+	azurehitch.VersionBound
+	Source Source
+}
+
 // entry is a kept record.
 type entry struct {
-	version string
+	origin  Origin
 	attempt int
 }
 
@@ -92,19 +127,19 @@
 	}
 }
 
-// Began records that a stream is about to begin at a server of a software version. The attempt counts
-// the servers to which its request was sent; a later attempt replaces an earlier one.
-func (r *Registry) Began(stream Stream, version string, attempt int) {
+// Began records that the request with an ID is about to begin a stream. The attempt counts the servers to which
+// the request was sent; a later attempt replaces an earlier one.
+func (r *Registry) Began(requestID string, origin Origin, attempt int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	record := Record{Key: KeyOf(stream), Service: stream.Service, Version: version, Attempt: attempt}
+	record := Record{Key: KeyOf(requestID), ServiceKey: ServiceKeyOf(origin.Service, requestID), Origin: origin, Attempt: attempt}
 	r.add(record)
 	now := r.clock.Now()
 	if len(r.own) >= maxOwn {
 		r.own = append(r.own[:0], r.own[maxOwn/2:]...)
 	}
 	r.own = append(r.own, ownRecord{Record: record, at: now})
-	if r.isMixed(stream.Service, now) {
+	if r.isMixed(origin.Service, now) {
 		r.report(record)
 	}
 }
@@ -123,10 +158,11 @@
 	if now := r.clock.Now(); len(r.recent) >= maxRecords || now.Sub(r.turnedAt) >= TTL {
 		r.recent, r.older, r.turnedAt = map[Key]entry{}, r.recent, now
 	}
-	if known, ok := r.find(record.Key); ok && known.attempt > record.Attempt {
-		return
+	for _, key := range []Key{record.Key, record.ServiceKey} {
+		if known, ok := r.find(key); key != 0 && (!ok || known.attempt <= record.Attempt) {
+			r.recent[key] = entry{origin: record.Origin, attempt: record.Attempt}
+		}
 	}
-	r.recent[record.Key] = entry{version: record.Version, attempt: record.Attempt}
 }
 
 // find returns a kept record. The caller holds r.mu.
@@ -138,13 +174,16 @@
 	return e, ok
 }
 
-// Version returns the software version at which a stream began, and false if this daemon does not know
-// it.
-func (r *Registry) Version(key Key) (version string, ok bool) {
+// Origin returns the origin of a stream by any of its keys, and false if this daemon does not know it.
+func (r *Registry) Origin(keys ...Key) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, ok := r.find(key)
-	return e.version, ok
+	for _, key := range keys {
+		if e, ok := r.find(key); ok {
+			return e.origin, true
+		}
+	}
+	return Origin{}, false
 }
 
 // SawVersions records the software versions of the listed servers of a service. Once there are several,
@@ -177,11 +216,12 @@
 	}
 }
 
-// IsMixed reports whether servers of several software versions of a service were listed within TTL.
-func (r *Registry) IsMixed(service string) bool {
+// IsMixed reports whether servers of several software versions of one of the services were listed within TTL.
+func (r *Registry) IsMixed(services ...string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isMixed(service, r.clock.Now())
+	now := r.clock.Now()
+	return slices.ContainsFunc(services, func(service string) bool { return r.isMixed(service, now) })
 }
 
 // isMixed is IsMixed. The caller holds r.mu.
--- a/internal/forward/streams/streams_test.go
+++ b/internal/forward/streams/streams_test.go
@@ -37,65 +37,86 @@
 	return fixture{C: qt.New(t), clock: clock, Registry: streams.NewRegistry(clock)}
 }
 
-func stream(id string) streams.Stream { return streams.Stream{Service: service, ID: id} }
+// began records that a request begins a stream at a software version.
+func (f fixture) began(id, version string, attempt int) {
+	f.Began(id, streams.Origin{Service: service, Version: version}, attempt)
+}
 
-// assertVersion checks the version of a stream; empty means that it is not known.
+// assertVersion checks the origin of a stream; empty means that it is not known.
 func (f fixture) assertVersion(id, want string) {
 	f.Helper()
-	got, ok := f.Version(streams.KeyOf(stream(id)))
-	f.Assert(got, qt.Equals, want)
-	f.Assert(ok, qt.Equals, want != "")
+	for _, key := range []streams.Key{streams.KeyOf(id), streams.ServiceKeyOf(service, id)} {
+		got, ok := f.Origin(0, key)
+		f.Assert(got.Version, qt.Equals, want)
+		f.Assert(ok, qt.Equals, want != "")
+		f.Assert(!ok || got.Service == service, qt.IsTrue)
+	}
 }
 
 func TestRecords(t *testing.T) {
 	t.Run("the last attempt began the stream", func(t *testing.T) {
 		f := newFixture(t)
-		f.Began(stream("a"), "v1", 1)
-		f.Began(stream("a"), "v2", 2)
+		f.began("a", "v1", 1)
+		f.began("a", "v2", 2)
 		f.assertVersion("a", "v2")
-		f.Merge([]streams.Record{{Key: streams.KeyOf(stream("a")), Service: service, Version: "v1", Attempt: 1}})
+		f.Merge([]streams.Record{{
+			Key: streams.KeyOf("a"), ServiceKey: streams.ServiceKeyOf(service, "a"), Origin: streams.Origin{Service: service, Version: "v1"}, Attempt: 1,
+		}})
 		f.assertVersion("a", "v2")
 		f.assertVersion("b", "")
 	})
 	t.Run("are kept for at least their time, and not for ever", func(t *testing.T) {
 		f := newFixture(t)
 		f.advance(streams.TTL - time.Second)
-		f.Began(stream("a"), "v1", 1)
+		f.began("a", "v1", 1)
 		f.advance(streams.TTL)
-		f.Began(stream("b"), "v1", 1)
+		f.began("b", "v1", 1)
 		f.assertVersion("a", "v1")
 		f.advance(streams.TTL)
-		f.Began(stream("c"), "v1", 1)
+		f.began("c", "v1", 1)
 		f.assertVersion("a", "")
 		f.assertVersion("b", "v1")
 	})
 	t.Run("their number is bounded", func(t *testing.T) {
 		f := newFixture(t)
-		f.Began(stream("first"), "v1", 1)
+		f.began("first", "v1", 1)
 		for i := range 100_000 {
-			f.Began(stream(fmt.Sprint(i)), "v1", 1)
+			f.began(fmt.Sprint(i), "v1", 1)
 		}
 		f.assertVersion("first", "")
 		f.assertVersion("99999", "v1")
 	})
 }
 
+// TestRecordOfEarlierRelease checks that a record without the key of the request alone is found by the other key only.
+func TestRecordOfEarlierRelease(t *testing.T) {
+	f := newFixture(t)
+	f.Merge([]streams.Record{{ServiceKey: streams.ServiceKeyOf(service, "a"), Origin: streams.Origin{Service: service, Version: "v1"}, Attempt: 1}})
+	_, ok := f.Origin(streams.KeyOf("a"))
+	f.Assert(ok, qt.IsFalse)
+	_, ok = f.Origin(0)
+	f.Assert(ok, qt.IsFalse)
+	origin, ok := f.Origin(streams.KeyOf("a"), streams.ServiceKeyOf(service, "a"))
+	f.Assert(ok, qt.IsTrue)
+	f.Assert(origin.Version, qt.Equals, "v1")
+}
+
 func TestTold(t *testing.T) {
 	t.Run("nothing while all servers have one version", func(t *testing.T) {
 		f := newFixture(t)
 		f.SawVersions(service, []string{"v1", "v1"})
-		f.Began(stream("a"), "v1", 1)
+		f.began("a", "v1", 1)
 		f.Assert(f.TakeUnreported(), qt.HasLen, 0)
 		f.Assert(f.IsMixed(service), qt.IsFalse)
 	})
 	t.Run("recent streams once there are several", func(t *testing.T) {
 		f := newFixture(t)
 		f.SawVersions(service, []string{"v1"})
-		f.Began(stream("old"), "v1", 1)
+		f.began("old", "v1", 1)
 		f.advance(streams.TTL)
-		f.Began(stream("a"), "v1", 1)
+		f.began("a", "v1", 1)
 		f.SawVersions(service, []string{"v1", "v2"})
-		f.Began(stream("b"), "v2", 1)
+		f.began("b", "v2", 1)
 		var versions []string
 		for _, r := range f.TakeUnreported() {
 			versions = append(versions, r.Version)
@@ -115,7 +136,7 @@
 	t.Run("not for another service", func(t *testing.T) {
 		f := newFixture(t)
 		f.SawVersions("other", []string{"v1", "v2"})
-		f.Began(stream("a"), "v1", 1)
+		f.began("a", "v1", 1)
 		f.Assert(f.TakeUnreported(), qt.HasLen, 0)
 	})
 }
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -36,6 +36,8 @@
 	StreamsResumed  Name = "StreamsResumed"
 	StreamsMoved    Name = "StreamsMoved"
 	StreamsCut      Name = "StreamsCut"
+	// StreamOrigins counts the streams that callers took up again, by who knew where they began.
+	StreamOrigins   Name = "StreamOrigins"
 	LogReads        Name = "LogReads"
 	LogReadErrors   Name = "LogReadErrors"
 	LogAppends      Name = "LogAppends"
