Streams: the platform's store keeps where streams began, for a kill of all daemons

Cause: the origin of a stream was in the memory of five daemons only.

Change: while a service has several versions, the first daemon of one ranking writes the origins that all report to it, with one call at most each 1.5 s, under a ring of keys of its own. A daemon whose last write failed takes none, and the next one does. A daemon that would refuse a stream reads the origins first, at most once a second. With one version nothing is written or read (TestCalls, TestLog).

--- a/internal/daemon/gateway/daemon.go
+++ b/internal/daemon/gateway/daemon.go
@@ -31,6 +31,7 @@
 	"azurehitch/internal/forward/quarantinepeer"
 	"azurehitch/internal/forward/rejectbudget"
 	"azurehitch/internal/forward/retrybudget"
+	"azurehitch/internal/forward/streamlog"
 	"azurehitch/internal/forward/streampeer"
 	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/lease/leaselog"
@@ -56,6 +57,7 @@
 	controlStream    = "control"
 	memberStream     = "members"
 	quarantineStream = "quarantine"
+	originStream     = "origins"
 	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of Settings.Memory.
 	memoryLimitRatio = 0.6
 	// snapshotRecords is the number of records after which a snapshot of the leases is due.
@@ -115,6 +117,7 @@
 	quarantinePeers *quarantinepeer.Client
 	quarantineLog   *quarantinelog.Log
 	streams         *streams.Registry
+	streamLog       *streamlog.Log
 	streamPeers     *streampeer.Client
 	allowances      *allowancepeer.Client
 	paths           *serverpath.Dialer
--- a/internal/daemon/gateway/origins_test.go
+++ b/internal/daemon/gateway/origins_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,8 @@
 	// originTries is how often a caller sends a request that is refused, originPause apart.
 	originTries = 2
 	originPause = 300 * time.Millisecond
+	// originWriteTime is how long after a stream began the platform's store knows its origin.
+	originWriteTime = 2 * time.Second
 	// originCallers is the number of callers at the same time.
 	originCallers = 8
 )
@@ -161,6 +164,18 @@
 	}
 }
 
+// restartDaemons stops daemons and starts them again.
+func (f *originFleet) restartDaemons(daemons ...*originDaemon) {
+	f.Helper()
+	f.stopDaemons(daemons...)
+	for i, d := range f.daemons {
+		if slices.Contains(daemons, d) {
+			f.daemons[i] = f.startDaemon(i)
+			f.awaitServing(f.daemons[i])
+		}
+	}
+}
+
 // awaitServing waits until streams of each service begin at a daemon.
 func (f *originFleet) awaitServing(d *originDaemon) {
 	f.Helper()
@@ -295,3 +310,14 @@
 	streams := f.begin(f.daemons[0])
 	f.assertShare(f.takeUp(streams, f.daemons[1], f.daemons[2]), 0.95)
 }
+
+// TestStreamsAreLostAfterRestartOfAll guards against origins that only the memory of daemons holds: after a restart of
+// all of them, no stream of a service with several versions went on.
+func TestStreamsAreLostAfterRestartOfAll(t *testing.T) {
+	t.Parallel()
+	f := newOriginFleet(t, 4, originEngine("llm"))
+	streams := f.begin(f.daemons...)
+	time.Sleep(originWriteTime)
+	f.restartDaemons(slices.Clone(f.daemons)...)
+	f.assertShare(f.takeUp(streams, f.daemons...), 0.9)
+}
--- a/internal/daemon/gateway/run.go
+++ b/internal/daemon/gateway/run.go
@@ -29,7 +29,7 @@
 	group, running := errgroup.WithContext(running)
 	for _, loop := range []func(context.Context) error{
 		d.follower.Run, d.leases.Run, d.snapshots.Run, d.members.Run, d.heldServices.Run, d.holderClient.Run,
-		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.allowances.Run, d.watchVersions, d.watchMixedServices,
+		d.quarantine.Run, d.quarantinePeers.Run, d.quarantineLog.Run, d.streamPeers.Run, d.streamLog.Run, d.allowances.Run, d.watchVersions, d.watchMixedServices,
 		d.Connections.Run, d.lateness.Run, d.runFollowers, d.runReady, d.runMetrics, d.runPeers, d.runTunnels, d.paths.Run,
 	} {
 		group.Go(func() error { return loop(running) })
--- a/internal/daemon/gateway/streams.go
+++ b/internal/daemon/gateway/streams.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"azurehitch/internal/forward/streamlog"
 	"azurehitch/internal/forward/streampeer"
 	"azurehitch/internal/forward/streams"
 	"azurehitch/internal/membership/daemonrank"
@@ -31,8 +32,14 @@
 
 func (d *Daemon) assembleStreams() {
 	d.streams = streams.NewRegistry(d.Clock)
+	// The log is not read through the circuit breaker, which takes a stream that is read rarely for one that can be
+	// read.
+	d.streamLog = streamlog.New(streamlog.Dependencies{
+		Keyed: d.Keyed, Stream: originStream, Self: d.settings.Name, Registry: d.streams, Clock: d.Clock,
+		Observer: d.observer, Metrics: d.Metrics,
+	})
 	d.streamPeers = streampeer.NewClient(streampeer.Dependencies{
-		Self: d.settings.Name, Daemons: d.members.Names, Address: d.members.Address, Registry: d.streams, MayBeMixed: d.mayBeMixed,
+		Self: d.settings.Name, Daemons: d.members.Names, Address: d.members.Address, Registry: d.streams, Log: d.streamLog, MayBeMixed: d.mayBeMixed,
 		Peers: d.peers, Clock: d.Clock, Metrics: d.Metrics,
 	})
 }
--- a/internal/forward/streampeer/client.go
+++ b/internal/forward/streampeer/client.go
@@ -48,8 +48,24 @@
 	avoidTime = 3 * time.Second
 	// maxReports is how often a record is reported, with others in place of the daemons that don't answer.
 	maxReports = 3
+	// logRanking is the text that ranks the daemons that write to the log.
+	logRanking = "origins of streams"
+	// logBatchTime is the time in which records are collected before they are given to the writer, and
+	// logBatchTimePerDaemon what each daemon adds to it, which bounds the messages to the writer.
+	logBatchTime          = 100 * time.Millisecond
+	logBatchTimePerDaemon = 2500 * time.Microsecond
+	// maxUnlogged limits the records that no writer has taken. The oldest ones are dropped.
+	maxUnlogged = 8192
 )
 
+// Log keeps origins of streams for the time after a kill of all daemons.
+type Log interface {
+	// Add queues origins to be written. It returns false if it takes none, so that another daemon has to write them.
+	Add(records []streams.Record) (isTaken bool)
+	// Refresh adds the origins in the log to the registry.
+	Refresh(ctx context.Context) error
+}
+
 // Dependencies holds what a Client uses.
 type Dependencies struct {
 	// Self is the name of this daemon, and Daemons returns the names of all known daemons.
@@ -58,6 +74,7 @@
 	// Address returns the peer address of a daemon, and false if it is not known.
 	Address  func(daemon string) (string, bool)
 	Registry *streams.Registry
+	Log      Log
 	// MayBeMixed reports whether servers of several software versions of a service may run now, by the
 	// list of servers. It may wait for the list.
 	MayBeMixed func(ctx context.Context, service string) bool
@@ -70,20 +87,30 @@
 type Client struct {
 	Dependencies
 	mu sync.Mutex
-	// avoidUntil is until when a daemon is passed over.
-	avoidUntil map[string]time.Time
+	// avoidUntil is until when a daemon is passed over, and avoidLogUntil until when one that does not write to the log
+	// is passed over as the writer.
+	avoidUntil    map[string]time.Time
+	avoidLogUntil map[string]time.Time
+	// unlogged are records that no writer has taken.
+	unlogged []streams.Record
+	wakeLog  chan struct{}
 }
 
 // NewClient returns a client.
 func NewClient(dependencies Dependencies) *Client {
-	return &Client{Dependencies: dependencies, avoidUntil: map[string]time.Time{}}
+	return &Client{
+		Dependencies: dependencies, avoidUntil: map[string]time.Time{}, avoidLogUntil: map[string]time.Time{}, wakeLog: make(chan struct{}, 1),
+	}
 }
 
 // Handle handles a request of another daemon.
 func (c *Client) Handle(request *peerpb.Request) *peerpb.Response {
 	if reported := request.GetStreamsBegan(); reported != nil {
-		c.Registry.Merge(recordsFromProto(reported))
-		return &peerpb.Response{Kind: &peerpb.Response_StreamVersion{StreamVersion: &peerpb.StreamVersionResponse{}}}
+		records := recordsFromProto(reported)
+		c.Registry.Merge(records)
+		return &peerpb.Response{Kind: &peerpb.Response_StreamVersion{StreamVersion: &peerpb.StreamVersionResponse{
+			WillLog: reported.GetForLog() && c.Log.Add(records),
+		}}}
 	}
 	asked := request.GetStreamVersion()
 	origin, ok := c.Registry.Origin(streams.Key(asked.GetRequestKey()), streams.Key(asked.GetKey()))
@@ -96,6 +123,7 @@
 // Run reports the streams of this daemon to other daemons until the context ends.
 func (c *Client) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.runLogReports(ctx) })
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -109,6 +137,7 @@
 			c.report(ctx, records)
 			return nil
 		})
+		c.addUnlogged(records)
 	}
 	return group.Wait()
 }
@@ -139,6 +168,88 @@
 	}
 }
 
+// addUnlogged queues records for the writer.
+func (c *Client) addUnlogged(records []streams.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unlogged = append(c.unlogged, records...)
+	c.unlogged = c.unlogged[max(0, len(c.unlogged)-maxUnlogged):]
+	if len(c.unlogged) == 0 {
+		return
+	}
+	select {
+	case c.wakeLog <- struct{}{}:
+	default:
+	}
+}
+
+// runLogReports gives the queued records to the writer until the context ends.
+func (c *Client) runLogReports(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wakeLog:
+		}
+		if c.Clock.Sleep(ctx, logBatchTime+time.Duration(len(c.Daemons()))*logBatchTimePerDaemon) != nil {
+			return nil
+		}
+		c.mu.Lock()
+		records := c.unlogged
+		c.unlogged = nil
+		c.mu.Unlock()
+		if !c.reportToWriter(ctx, records) {
+			c.addUnlogged(records)
+		}
+	}
+	return nil
+}
+
+// reportToWriter gives records to the daemon that writes for all, the first in one ranking. A daemon that does not take
+// them is replaced by the next one. It returns false if none of a few takes them.
+func (c *Client) reportToWriter(ctx context.Context, records []streams.Record) (isTaken bool) {
+	message := &peerpb.StreamsBegan{ForLog: true}
+	for _, r := range records {
+		message.Streams = append(message.Streams, recordToProto(r))
+	}
+	for _, name := range c.writers() {
+		if c.isWriter(ctx, name, message, records) {
+			return true
+		}
+		c.mu.Lock()
+		c.avoidLogUntil[name] = c.Clock.Now().Add(avoidTime)
+		c.mu.Unlock()
+	}
+	return false
+}
+
+// isWriter gives records to a daemon to be written, and reports whether it takes them.
+func (c *Client) isWriter(ctx context.Context, name string, message *peerpb.StreamsBegan, records []streams.Record) bool {
+	if name == c.Self {
+		return c.Log.Add(records)
+	}
+	response, err := c.call(ctx, name, tellTimeout, &peerpb.Request{Kind: &peerpb.Request_StreamsBegan{StreamsBegan: message}})
+	return err == nil && response.GetStreamVersion().GetWillLog()
+}
+
+// writers returns the first daemons in the ranking of those that write for all, without those that did not write a short
+// time ago.
+func (c *Client) writers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	names := slices.DeleteFunc(slices.Clone(c.Daemons()), func(name string) bool {
+		return now.Before(c.avoidUntil[name]) || now.Before(c.avoidLogUntil[name])
+	})
+	return firstRanked(logRanking, names, maxReports)
+}
+
+// firstRanked sorts daemons by rendezvous hashing of a text, and returns the first ones.
+func firstRanked(text string, names []string, count int) []string {
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(daemonrank.Weight(text, b), daemonrank.Weight(text, a)) })
+	return names[:min(count, len(names))]
+}
+
 // reportBatches reports to each daemon the records with the given indexes, and returns the daemons that have
 // answered.
 func (c *Client) reportBatches(ctx context.Context, records []streams.Record, batches map[string][]int) map[string]bool {
@@ -169,22 +280,59 @@
 // that is not known while servers of several versions run, or if the route no longer leads to the service that began
 // the stream.
 func (c *Client) Bound(ctx context.Context, r streams.Resumption) (streams.Bound, error) {
-	answer, source := c.origin(ctx, r)
-	c.Metrics.AddLabeled(metrics.StreamOrigins, string(source), 1)
-	bound := streams.Bound{Service: r.Service, Source: source}
-	origin := cmp.Or(answer.GetService(), r.Service)
+	found, err := c.find(ctx, r)
+	c.Metrics.AddLabeled(metrics.StreamOrigins, string(found.source), 1)
+	bound := streams.Bound{Service: r.Service, Source: found.source}
+	origin := found.origin
 	switch {
-	case answer.GetKnown() && slices.Contains(r.Services, origin):
-		bound.Service, bound.VersionBound = origin, azurehitch.VersionBound{IsSet: true, Version: answer.GetVersion()}
+	case err != nil:
+		return bound, err
+	case found.source == streams.SourceUnknown:
 		return bound, nil
-	case answer.GetKnown() && c.mayBeMixed(ctx, origin, r.Service):
-		return bound, refuse("the route of stream %s no longer leads to %s, which began it", r.ID, origin)
-	case !answer.GetKnown() && (answer.GetMixed() || c.mayBeMixed(ctx, r.Services...)):
-		return bound, refuse("no daemon knows the software version that began stream %s", r.ID)
+	case slices.Contains(r.Services, origin.Service):
+		bound.Service, bound.VersionBound = origin.Service, azurehitch.VersionBound{IsSet: true, Version: origin.Version}
+		return bound, nil
+	case c.mayBeMixed(ctx, origin.Service, r.Service):
+		return bound, refuse("the route of stream %s no longer leads to %s, which began it", r.ID, origin.Service)
 	}
 	return bound, nil
 }
 
+// finding is what a Client found out about the origin of a stream.
+type finding struct {
+	origin streams.Origin
+	source streams.Source
+}
+
+// find looks for the origin of a stream: in this daemon, at others and, if the stream would be refused without it, in the
+// log. It returns an *azurehitch.ErrRefused if the origin is not known and matters.
+func (c *Client) find(ctx context.Context, r streams.Resumption) (finding, error) {
+	key, serviceKey := streams.KeyOf(r.ID), streams.ServiceKeyOf(r.Service, r.ID)
+	if origin, ok := c.Registry.Origin(key, serviceKey); ok {
+		return finding{origin, streams.SourceOwn}, nil
+	}
+	answer := c.ask(ctx, key, &peerpb.StreamVersionRequest{
+		Key: uint64(serviceKey), Service: r.Service, RequestKey: uint64(key), Services: r.Services,
+	})
+	unknown := finding{source: streams.SourceUnknown}
+	switch {
+	case answer.GetKnown():
+		// A daemon of an earlier release names no service: it knows only streams of the one that it was asked for.
+		origin := streams.Origin{Service: cmp.Or(answer.GetService(), r.Service), Version: answer.GetVersion()}
+		return finding{origin, streams.SourcePeer}, nil
+	case !answer.GetMixed() && !c.mayBeMixed(ctx, r.Services...):
+		return unknown, nil
+	}
+	err := c.Log.Refresh(ctx)
+	if origin, ok := c.Registry.Origin(key); ok {
+		return finding{origin, streams.SourceLog}, nil
+	}
+	if err != nil {
+		return unknown, refuse("no daemon knows the software version that began stream %s: %v", r.ID, err)
+	}
+	return unknown, refuse("no daemon knows the software version that began stream %s", r.ID)
+}
+
 // refuse returns the refusal of a stream that must not go on now.
 func refuse(format string, args ...any) error {
 	return azurehitch.Refuse(azurehitch.CodeNoCapacity, format, args...).WithRetryAfter(unknownRetryAfter)
@@ -197,21 +345,6 @@
 		slices.ContainsFunc(services, func(service string) bool { return c.MayBeMixed(ctx, service) })
 }
 
-// origin returns what is known of the origin of a stream, and who knew it.
-func (c *Client) origin(ctx context.Context, r streams.Resumption) (*peerpb.StreamVersionResponse, streams.Source) {
-	key, serviceKey := streams.KeyOf(r.ID), streams.ServiceKeyOf(r.Service, r.ID)
-	if origin, ok := c.Registry.Origin(key, serviceKey); ok {
-		return &peerpb.StreamVersionResponse{Known: true, Service: origin.Service, Version: origin.Version}, streams.SourceOwn
-	}
-	answer := c.ask(ctx, key, &peerpb.StreamVersionRequest{
-		Key: uint64(serviceKey), Service: r.Service, RequestKey: uint64(key), Services: r.Services,
-	})
-	if answer.GetKnown() {
-		return answer, streams.SourcePeer
-	}
-	return answer, streams.SourceUnknown
-}
-
 // ask asks other daemons for the origin of the stream with a key. It returns the first answer that knows it, or
 // else one that says whether any of them knows of several versions.
 func (c *Client) ask(ctx context.Context, key streams.Key, request *peerpb.StreamVersionRequest) *peerpb.StreamVersionResponse {
@@ -274,9 +407,7 @@
 		return name == c.Self || now.Before(c.avoidUntil[name])
 	})
 	c.mu.Unlock()
-	text := strconv.FormatUint(uint64(key), 16)
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(daemonrank.Weight(text, b), daemonrank.Weight(text, a)) })
-	return names[:min(count, len(names))]
+	return firstRanked(strconv.FormatUint(uint64(key), 16), names, count)
 }
 
 func recordToProto(r streams.Record) *peerpb.StreamBegan {
--- a/internal/forward/streampeer/client_test.go
+++ b/internal/forward/streampeer/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,62 @@
 	stop     context.CancelFunc
 	// isListed is false while the daemon has not read the list of servers.
 	isListed bool
+	log      *memoryLog
+}
+
+// memoryLog is a Log whose records all daemons of a deployment share.
+type memoryLog struct {
+	registry *streams.Registry
+	shared   *sharedLog
+	mu       sync.Mutex
+	// isFailing is true if the daemon can't write, and added counts the records that it took. err is that of Refresh.
+	isFailing bool
+	added     int
+	err       error
+}
+
+// sharedLog holds what the daemons have written.
+type sharedLog struct {
+	mu      sync.Mutex
+	records []streams.Record
+}
+
+// Add implements streampeer.Log.
+func (l *memoryLog) Add(records []streams.Record) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isFailing {
+		return false
+	}
+	l.added += len(records)
+	l.shared.mu.Lock()
+	defer l.shared.mu.Unlock()
+	l.shared.records = append(l.shared.records, records...)
+	return true
+}
+
+// Refresh implements streampeer.Log.
+func (l *memoryLog) Refresh(context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shared.mu.Lock()
+	defer l.shared.mu.Unlock()
+	if l.err == nil {
+		l.registry.Merge(l.shared.records)
+	}
+	return l.err
+}
+
+func (l *memoryLog) setFailing(isFailing bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isFailing = isFailing
+}
+
+func (l *memoryLog) taken() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.added
 }
 
 // deployment is daemons that are connected to each other.
@@ -38,6 +95,7 @@
 	names   []string
 	members []*member
 	group   errgroup.Group
+	log     sharedLog
 }
 
 func withDeployment(t *testing.T, daemons int, run func(d *deployment)) {
@@ -66,8 +124,9 @@
 	m, clock := d.members[i], azurehitch.SystemClock{}
 	m.registry = streams.NewRegistry(clock)
 	m.isListed = true
+	m.log = &memoryLog{registry: m.registry, shared: &d.log}
 	m.client = streampeer.NewClient(streampeer.Dependencies{
-		Self: m.name, Daemons: func() []string { return d.names }, Address: d.address, Registry: m.registry,
+		Self: m.name, Daemons: func() []string { return d.names }, Address: d.address, Registry: m.registry, Log: m.log,
 		MayBeMixed: func(context.Context, string) bool { return !m.isListed },
 		Peers:      mux.NewClient(m.name), Clock: clock, Metrics: metrics.New(),
 	})
@@ -216,6 +275,94 @@
 	})
 }
 
+// forgetAll makes all daemons start again without records.
+func (d *deployment) forgetAll(versions ...string) {
+	for i, m := range d.members {
+		m.stop()
+		var listener net.Listener
+		d.Assert(d.await(func() (err error) {
+			listener, err = net.Listen("tcp", m.address)
+			return err
+		}), qt.IsNil)
+		d.start(i, listener)
+	}
+	d.sawVersions(versions...)
+}
+
+// await calls try until it returns no error, for a second at most, and returns the last error.
+func (d *deployment) await(try func() error) (err error) {
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if err = try(); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// TestLog checks what the log of origins is used for: streams that no daemon knows, while there are several versions.
+func TestLog(t *testing.T) {
+	t.Run("one daemon writes for all, and streams are found after all have ended", func(t *testing.T) {
+		withDeployment(t, 4, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			for i := range d.members {
+				d.began(i, streamCount, "v2")
+			}
+			var writers int
+			for _, m := range d.members {
+				if m.log.taken() > 0 {
+					writers++
+				}
+			}
+			d.Assert(writers, qt.Equals, 1)
+			d.forgetAll("v1", "v2")
+			for i := range streamCount {
+				version, err := d.bound(i%4, i)
+				d.Assert(err, qt.IsNil)
+				d.Assert(version, qt.Equals, "v2")
+			}
+		})
+	})
+	t.Run("another daemon writes while the first one can't", func(t *testing.T) {
+		withDeployment(t, 3, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			d.began(0, 1, "v1")
+			for _, m := range d.members {
+				m.log.setFailing(m.log.taken() > 0)
+			}
+			d.began(0, streamCount, "v1")
+			d.forgetAll("v1", "v2")
+			version, err := d.bound(1, streamCount-1)
+			d.Assert(err, qt.IsNil)
+			d.Assert(version, qt.Equals, "v1")
+		})
+	})
+	t.Run("what no daemon can write is offered again", func(t *testing.T) {
+		withDeployment(t, 1, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			d.members[0].log.setFailing(true)
+			d.began(0, 1, "v1")
+			d.members[0].log.setFailing(false)
+			d.Assert(func() int { time.Sleep(3500 * time.Millisecond); return d.members[0].log.taken() }(), qt.Equals, 1)
+		})
+	})
+	t.Run("nothing is written while there is one version", func(t *testing.T) {
+		withDeployment(t, 2, func(d *deployment) {
+			d.sawVersions("v1")
+			d.began(0, streamCount, "v1")
+			d.Assert(d.members[0].log.taken()+d.members[1].log.taken(), qt.Equals, 0)
+		})
+	})
+	t.Run("a stream is refused if the log can't be read", func(t *testing.T) {
+		withDeployment(t, 1, func(d *deployment) {
+			d.sawVersions("v1", "v2")
+			d.members[0].log.err = errors.New("down")
+			_, err := d.bound(0, 1)
+			assertRefused(d, err)
+			d.Assert(err, qt.ErrorMatches, ".*down.*")
+		})
+	})
+}
+
 func TestUnknownStreams(t *testing.T) {
 	t.Run("go on anywhere while there is one version", func(t *testing.T) {
 		withDeployment(t, 3, func(d *deployment) {
--- a/internal/forward/streams/streams.go
+++ b/internal/forward/streams/streams.go
@@ -77,6 +77,7 @@
 const (
 	SourceOwn     Source = "Own"
 	SourcePeer    Source = "Peer"
+	SourceLog     Source = "Log"
 	SourceUnknown Source = "Unknown"
 )
 
