Streams: services without engines are watched for several versions like the others

Cause: only services with engines were watched. For others nobody was told where streams began, nobody remembered the version that had just gone, and the list of now showed one version only.

Change: all services are watched to which resumable streams are routed.

--- a/internal/daemon/gateway/origins_test.go
+++ b/internal/daemon/gateway/origins_test.go
@@ -116,6 +116,11 @@
 	return service
 }
 
+// originPlain returns a plain service, whose servers answer with streams.
+func originPlain(name string) azurehitch.BackendService {
+	return azurehitch.BackendService{Name: name, MaxConnections: 100}
+}
+
 func (f *originFleet) startServer(t *testing.T, service azurehitch.BackendService, i int, version string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", anyPort)
@@ -176,6 +181,18 @@
 	}
 }
 
+// release ends the servers of a version, and waits until the daemons have read it.
+func (f *originFleet) release(version string) {
+	f.Helper()
+	for id, b := range f.backends {
+		if b.Entry().SoftwareVersion == version {
+			f.store.RemoveServer(id)
+			b.Kill()
+		}
+	}
+	time.Sleep(originWriteTime)
+}
+
 // awaitServing waits until streams of each service begin at a daemon.
 func (f *originFleet) awaitServing(d *originDaemon) {
 	f.Helper()
@@ -321,3 +338,33 @@
 	f.restartDaemons(slices.Clone(f.daemons)...)
 	f.assertShare(f.takeUp(streams, f.daemons...), 0.9)
 }
+
+// TestStreamsOfPlainServiceAreJoined guards against services without engines of which no daemon tells others where their
+// streams began: once the daemon that began them has ended, they went on at any version.
+func TestStreamsOfPlainServiceAreJoined(t *testing.T) {
+	t.Parallel()
+	desk := originPlain("desk")
+	t.Run("while both versions serve, they go on at their own", func(t *testing.T) {
+		t.Parallel()
+		f := newOriginFleet(t, 3, desk)
+		streams := f.begin(f.daemons[0])
+		f.stopDaemons(f.daemons[0])
+		f.assertShare(f.takeUp(streams, f.daemons[1], f.daemons[2]), 0.95)
+	})
+	t.Run("after a release, they don't go on at the other one", func(t *testing.T) {
+		t.Parallel()
+		f := newOriginFleet(t, 3, desk)
+		streams := f.begin(f.daemons[0])
+		f.stopDaemons(f.daemons[0])
+		f.release("v1")
+		f.takeUp(streams, f.daemons[1], f.daemons[2])
+	})
+	t.Run("after a restart of all daemons, they go on at their own", func(t *testing.T) {
+		t.Parallel()
+		f := newOriginFleet(t, 3, desk)
+		streams := f.begin(f.daemons...)
+		time.Sleep(originWriteTime)
+		f.restartDaemons(slices.Clone(f.daemons)...)
+		f.assertShare(f.takeUp(streams, f.daemons...), 0.9)
+	})
+}
--- a/internal/daemon/gateway/streams.go
+++ b/internal/daemon/gateway/streams.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"azurehitch"
+	"azurehitch/internal/forward/router"
 	"azurehitch/internal/forward/streamlog"
 	"azurehitch/internal/forward/streampeer"
 	"azurehitch/internal/forward/streams"
@@ -44,6 +47,20 @@
 	})
 }
 
+// streamServices returns the services to which resumable streams are routed, with engines or without.
+func (d *Daemon) streamServices() []string {
+	services := map[string]bool{}
+	for _, route := range d.routing.Table().Routes {
+		if route.Kind != azurehitch.RequestKindStream || !route.MayRepeat() {
+			continue
+		}
+		for _, service := range router.Services(route) {
+			services[service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
 // watchVersions records the software versions of the listed servers until the context ends.
 func (d *Daemon) watchVersions(ctx context.Context) error {
 	var recorded *fleet.View
@@ -55,7 +72,7 @@
 			continue
 		}
 		recorded, recordedAt = view, now
-		for _, service := range d.engineServices() {
+		for _, service := range d.streamServices() {
 			d.streams.SawVersions(service, versionsOf(view, service))
 		}
 	}
@@ -67,11 +84,11 @@
 func (d *Daemon) watchMixedServices(ctx context.Context) error {
 	mixedSince := map[string]time.Time{}
 	for d.Clock.Sleep(ctx, versionInterval) == nil {
-		services := d.engineServices()
-		if len(services) == 0 {
+		if d.routing.Table().Version == 0 {
 			// The configuration has not been read.
 			continue
 		}
+		services := d.streamServices()
 		var listed []string
 		for _, service := range services {
 			if d.isMixedListed(service, mixedSince) {
