Transport: an answer with a status outside of 100 to 599 is none

What callers saw (reproduced here, reported by the users of other systems): a server's answer with the status 000 reached the caller as 200, with the server's signature. Status 600 to 999 were passed on, 001 to 099 skipped like interim heads. A call to the store that was answered 000 counted as a success, so an append that was never made as acknowledged.

Cause: the HTTP library takes a status of 0 for one that was not set, which is 200, and accepts any three digits. Nothing of ours looked at the status line.

Change: one reader of status lines under all clients of HTTP: connections to servers, the store's client, those of azurehitch serve.

--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurehitch/internal/transport/idleconn"
+	"azurehitch/internal/transport/statusline"
 	"azurehitch/internal/transport/tcpoption"
 )
 
@@ -13,8 +14,10 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	tcp    net.Conn
-	reader *bufio.Reader
+	tcp net.Conn
+	// responses reads from tcp, and reader from responses.
+	responses *statusline.Reader
+	reader    *bufio.Reader
 	// expires is when the idle connection must be closed; zero until it first becomes idle.
 	expires time.Time
 	// discardsUndelivered is true after discardUndelivered.
@@ -24,7 +27,8 @@
 // newConn returns a connection whose read buffer has headBytes, which bounds the size of a response
 // head.
 func newConn(tcp net.Conn, headBytes int) *conn {
-	return &conn{tcp: tcp, reader: bufio.NewReaderSize(tcp, headBytes)}
+	responses := statusline.NewReader(tcp)
+	return &conn{tcp: tcp, responses: responses, reader: bufio.NewReaderSize(responses, headBytes)}
 }
 
 // isNew reports whether the connection was dialed for the current exchange.
--- a/internal/transport/connpool/exchange.go
+++ b/internal/transport/connpool/exchange.go
@@ -118,6 +118,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	e.conn.responses.Begin()
 	if err := e.send(request); err != nil {
 		return err
 	}
--- a/internal/transport/jsonhttp/client.go
+++ b/internal/transport/jsonhttp/client.go
@@ -24,6 +24,7 @@
 	"azurehitch"
 	"azurehitch/internal/transport/countconn"
 	"azurehitch/internal/transport/idleconn"
+	"azurehitch/internal/transport/statusline"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -112,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return countconn.Wrap(idleconn.Wrap(conn)), nil
+	return countconn.Wrap(statusline.Wrap(idleconn.Wrap(conn))), nil
 }
 
 // WithBearer returns a copy that sends key as the bearer token of each call. It shares the
--- /dev/null
+++ b/internal/transport/statusline/statusline_test.go
@@ -0,0 +1,61 @@
+package statusline_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"azurehitch/internal/transport/statusline"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRead reads responses in one piece, byte by byte, and after an interim response.
+func TestRead(t *testing.T) {
+	const fields = "Content-Length: 2\r\nX: HTTP/1.1 000 X\r\n\r\nHTTP/1.1 000 X\r\n\r\n"
+	for _, test := range []struct {
+		line   string
+		status int
+	}{
+		{"HTTP/1.1 000 X\r\n", 0},
+		{"HTTP/1.1 000\n", 0},
+		{"\r\nHTTP/1.0  099 X\r\n", 99},
+		{"HTTP/1.1 600 " + strings.Repeat("x", 200) + "\r\n", 600},
+		{"HTTP/1.1 999 X\r\n", 999},
+		{"HTTP/1.1 100 X\r\nX: y\r\n\r\nHTTP/1.1 001 X\r\n", 1},
+		{"HTTP/1.1 200 OK\r\n", -1},
+		{"HTTP/1.1 599 X\r\n", -1},
+		{"HTTP/1.1 199 X\r\nX: " + strings.Repeat("y", 200) + "\r\n\r\nHTTP/1.1 204 X\r\n", -1},
+		{"HTTP/1.1 0 X\r\n", -1},
+		{"HTTP/1.1 -10 X\r\n", -1},
+		{"garbage\r\n", -1},
+		{"HTTP/1.1\r\n", -1},
+	} {
+		t.Run(test.line[:min(len(test.line), 40)], func(t *testing.T) {
+			text := test.line + fields
+			for _, inner := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+				reader := statusline.NewReader(inner)
+				reader.Begin()
+				got, err := io.ReadAll(reader)
+				var invalid *statusline.ErrStatus
+				if test.status < 0 {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, string(got), qt.Equals, text)
+					continue
+				}
+				qt.Assert(t, err, qt.ErrorAs, &invalid)
+				qt.Assert(t, invalid.Status, qt.Equals, test.status)
+				_, again := reader.Read(make([]byte, 1))
+				qt.Assert(t, again, qt.ErrorAs, &invalid)
+			}
+		})
+	}
+}
+
+// TestBytesOutsideOfResponses checks that bytes that no request precedes are read as they are.
+func TestBytesOutsideOfResponses(t *testing.T) {
+	got, err := io.ReadAll(statusline.NewReader(strings.NewReader("HTTP/1.1 000 X\r\n")))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(got), qt.Equals, "HTTP/1.1 000 X\r\n")
+}
