--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -142,6 +142,8 @@
 	x.Method, x.Host, x.Body = "POST", callerHost, "body of "+x.ID
 	all := cl.setup.routes
 	switch n := c.random.IntN(20); {
+	case cl.setup.hasLetters && c.random.IntN(lettersOneIn) == 0:
+		x.route = letterRoute()
 	case n < 6:
 		x.route = all[0]
 		x.Model, x.Session = modelName(c.random.IntN(busyModelCount)), fmt.Sprint(c.number)
