Place: a server that broke off requests gets no bound streams until the list has news of it

Cause: the version of a server is taken from the list, which is read each 0.85 s. A daemon that had just seen the server break off its streams went on to take it for the same.

Change: a server that broke off a request or refused a connection is left out for streams that are bound to a version, for 3 s or until its entry is a new one; if no other is left, all are used.

--- a/internal/forward/passthrough/attempt.go
+++ b/internal/forward/passthrough/attempt.go
@@ -243,6 +243,7 @@
 // deadline has passed, the server is not to blame for the error: its circuit breaker counts no failure.
 func (r *request) recordError(choice place.Choice, err error, firstEventAt time.Time) {
 	if !r.isOver() {
+		choice.BrokeOff()
 		r.recordBrokenOff(choice, err, firstEventAt)
 		record := r.server.Breakers.Failed
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/forward/place/observe.go
+++ b/internal/forward/place/observe.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// BrokeOff records that the server broke off the request, or could not be connected to.
+func (c Choice) BrokeOff() {
+	if c.brokeOff != nil {
+		c.brokeOff()
+	}
+}
+
 // observer returns the function that records the answer of a server. The holder compares the replicas of
 // models, by the pauses in their streams.
 func (p *Placer) observer(r Request, server azurehitch.ServerIdentity, sel selection) func(answer Answer) {
--- a/internal/forward/place/placer.go
+++ b/internal/forward/place/placer.go
@@ -82,8 +82,9 @@
 	SoftwareVersion string
 	// End stops counting the request as in progress at the server. Further calls have no effect.
 	End func()
-	// observe records the answer of the server; it may be nil.
-	observe func(answer Answer)
+	// observe records the answer of the server, and brokeOff that it broke off the request; they may be nil.
+	observe  func(answer Answer)
+	brokeOff func()
 }
 
 // Dependencies holds the components that a Placer uses. Self and FailureDomain are the name and the
@@ -115,11 +116,12 @@
 	paces *paces
 	// waiting are the requests that wait for servers of plain services.
 	waiting *waitlist
+	doubts  *doubts
 }
 
 // New returns a Placer.
 func New(dependencies Dependencies) *Placer {
-	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}, paces: newPaces(), waiting: newWaitlist()}
+	return &Placer{Dependencies: dependencies, inProgress: map[string]int{}, paces: newPaces(), waiting: newWaitlist(), doubts: newDoubts()}
 }
 
 // Place returns a server for the next attempt of a request. The error is or wraps an
@@ -175,13 +177,17 @@
 }
 
 // candidates returns the available servers that are not in backoff. Servers that failed the request
-// are included only if there are no others.
+// are included only if there are no others, and so are, for a stream that is bound to a software version, those that may
+// have another one by now.
 func (p *Placer) candidates(r Request) []azurehitch.FleetServer {
 	backedOff := p.Backoffs.List()
 	servers := slices.DeleteFunc(p.available(r.Service.Name), func(s azurehitch.FleetServer) bool {
 		isOtherVersion := !r.SoftwareVersion.Allows(s.SoftwareVersion)
 		return isOtherVersion || slices.ContainsFunc(backedOff, func(backoff azurehitch.ServerBackoff) bool { return backoff.Server == s.ServerIdentity })
 	})
+	if r.SoftwareVersion.IsSet {
+		servers = p.doubts.without(servers, p.Clock.Now())
+	}
 	untried := slices.DeleteFunc(slices.Clone(servers), func(s azurehitch.FleetServer) bool {
 		return slices.Contains(r.Avoid, s.ID)
 	})
@@ -343,8 +349,8 @@
 	}
 	limit, _ := p.Limits.Limit(server)
 	return Choice{
-		observe: p.observer(r, server, sel),
-		Server:  server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit,
+		observe: p.observer(r, server, sel), brokeOff: func() { p.doubts.add(server, p.Clock.Now()) },
+		Server: server, SoftwareVersion: p.softwareVersion(server, sel), Reason: sel.reason, RateLimit: limit,
 		ListAge: p.Clock.Now().Sub(p.Fleet().ReadAt),
 		End: sync.OnceFunc(func() {
 			p.addInProgress(server.ID, -1)
--- a/internal/forward/place/softwareversion_test.go
+++ b/internal/forward/place/softwareversion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"azurehitch"
 	"azurehitch/internal/forward/place"
@@ -51,3 +52,47 @@
 		h.assertRefused(bound(plainRequest(requests), "v3"))
 	})
 }
+
+// TestServerThatMayHaveAnotherVersion guards against streams that go on at a server which has started again under its id
+// with another version, while the list shows the one before.
+func TestServerThatMayHaveAnotherVersion(t *testing.T) {
+	const requests = 6
+	bound := func(i int) place.Request {
+		r := plainRequest(i)
+		r.SoftwareVersion = azurehitch.VersionBound{IsSet: true, Version: "v1"}
+		return r
+	}
+	clock := &steppedClock{now: time.Unix(1000, 0)}
+	h := newHarness(t, clock, "s1", "s2")
+	h.setVersion("s1", "v1")
+	h.setVersion("s2", "v1")
+	breakOff := func(id string) {
+		for i := range requests {
+			choice, err := h.placer.Place(context.Background(), plainRequest(i))
+			h.Assert(err, qt.IsNil)
+			if choice.Server.ID == id {
+				choice.BrokeOff()
+			}
+			choice.End()
+		}
+	}
+	placed := func() map[string]bool {
+		servers := map[string]bool{}
+		for i := range requests {
+			choice, err := h.placer.Place(context.Background(), bound(i))
+			h.Assert(err, qt.IsNil)
+			servers[choice.Server.ID] = true
+			choice.End()
+		}
+		return servers
+	}
+	both := map[string]bool{"s1": true, "s2": true}
+	h.Assert(placed(), qt.DeepEquals, both)
+	breakOff("s1")
+	h.Assert(placed(), qt.DeepEquals, map[string]bool{"s2": true})
+	breakOff("s2")
+	h.Assert(placed(), qt.DeepEquals, both, qt.Commentf("all servers may have another version"))
+	clock.now = clock.now.Add(3 * time.Second)
+	breakOff("s2")
+	h.Assert(placed(), qt.DeepEquals, map[string]bool{"s1": true})
+}
