Streams: the store gets the origin of a stream once its first event has come

Cause (found while reading the change): a record is made before each attempt, and a later attempt replaces it. Of two attempts at servers of different versions, the record of the first could be written to the store and that of the second be lost in a kill of all daemons; the stream would then have gone on at the wrong version.

Change: the first event makes the origin final, and only then does it go to the daemon that writes.

Measured: TestForLog (it needs the new call, so it could not run before), the tests of streams, streampeer and streamlog with the race detector, and those of streams in passthrough and gateway pass. No run has shown the fault.

--- a/internal/forward/passthrough/relay.go
+++ b/internal/forward/passthrough/relay.go
@@ -56,6 +56,9 @@
 		r.bound = unbound
 		return result{run: azurehitch.RunStateUnknown, cause: err}
 	}
+	if r.isNewStream() {
+		r.server.Streams.Confirmed(r.ID)
+	}
 	if !r.route.MayRepeat() {
 		r.releaseBody()
 	}
--- a/internal/forward/passthrough/server.go
+++ b/internal/forward/passthrough/server.go
@@ -100,6 +100,8 @@
 	// Began records that the request with an ID is about to begin a stream at a server. The attempt counts the
 	// servers that the request was sent to.
 	Began(requestID string, origin streams.Origin, attempt int)
+	// Confirmed records that the first event of the stream has come, from the server of the last Began.
+	Confirmed(requestID string)
 	// Bound returns where a stream may go on that its caller takes up again. The error is an
 	// *azurehitch.ErrRefused if that is not known.
 	Bound(ctx context.Context, resumption streams.Resumption) (streams.Bound, error)
--- a/internal/forward/passthrough/softwareversion_test.go
+++ b/internal/forward/passthrough/softwareversion_test.go
@@ -31,6 +31,13 @@
 	s.began = append(s.began, requestID+" "+origin.Version)
 }
 
+// Confirmed implements passthrough.Streams.
+func (s *testStreams) Confirmed(requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began = append(s.began, requestID+" confirmed")
+}
+
 // Bound implements passthrough.Streams.
 func (s *testStreams) Bound(_ context.Context, resumption streams.Resumption) (streams.Bound, error) {
 	s.mu.Lock()
@@ -118,7 +125,7 @@
 		withGateway(t, resumable, servers, func(g *gateway) {
 			g.placer.versions = []string{"v1", "v2"}
 			g.Assert(g.send("POST", "/x/y", "").status, qt.Equals, 200)
-			g.assertStreams([]string{"id-1 v1", "id-1 v2"}, nil)
+			g.assertStreams([]string{"id-1 v1", "id-1 v2", "id-1 confirmed"}, nil)
 		})
 	})
 }
--- a/internal/forward/streampeer/client.go
+++ b/internal/forward/streampeer/client.go
@@ -48,14 +48,6 @@
 	avoidTime = 3 * time.Second
 	// maxReports is how often a record is reported, with others in place of the daemons that don't answer.
 	maxReports = 3
-	// logRanking is the text that ranks the daemons that write to the log.
-	logRanking = "origins of streams"
-	// logBatchTime is the time in which records are collected before they are given to the writer, and
-	// logBatchTimePerDaemon what each daemon adds to it, which bounds the messages to the writer.
-	logBatchTime          = 100 * time.Millisecond
-	logBatchTimePerDaemon = 2500 * time.Microsecond
-	// maxUnlogged limits the records that no writer has taken. The oldest ones are dropped.
-	maxUnlogged = 8192
 )
 
 // Log keeps origins of streams for the time after a kill of all daemons.
@@ -91,16 +83,11 @@
 	// is passed over as the writer.
 	avoidUntil    map[string]time.Time
 	avoidLogUntil map[string]time.Time
-	// unlogged are records that no writer has taken.
-	unlogged []streams.Record
-	wakeLog  chan struct{}
 }
 
 // NewClient returns a client.
 func NewClient(dependencies Dependencies) *Client {
-	return &Client{
-		Dependencies: dependencies, avoidUntil: map[string]time.Time{}, avoidLogUntil: map[string]time.Time{}, wakeLog: make(chan struct{}, 1),
-	}
+	return &Client{Dependencies: dependencies, avoidUntil: map[string]time.Time{}, avoidLogUntil: map[string]time.Time{}}
 }
 
 // Handle handles a request of another daemon.
@@ -137,7 +124,6 @@
 			c.report(ctx, records)
 			return nil
 		})
-		c.addUnlogged(records)
 	}
 	return group.Wait()
 }
@@ -168,82 +154,6 @@
 	}
 }
 
-// addUnlogged queues records for the writer.
-func (c *Client) addUnlogged(records []streams.Record) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unlogged = append(c.unlogged, records...)
-	c.unlogged = c.unlogged[max(0, len(c.unlogged)-maxUnlogged):]
-	if len(c.unlogged) == 0 {
-		return
-	}
-	select {
-	case c.wakeLog <- struct{}{}:
-	default:
-	}
-}
-
-// runLogReports gives the queued records to the writer until the context ends.
-func (c *Client) runLogReports(ctx context.Context) error {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-c.wakeLog:
-		}
-		if c.Clock.Sleep(ctx, logBatchTime+time.Duration(len(c.Daemons()))*logBatchTimePerDaemon) != nil {
-			return nil
-		}
-		c.mu.Lock()
-		records := c.unlogged
-		c.unlogged = nil
-		c.mu.Unlock()
-		if !c.reportToWriter(ctx, records) {
-			c.addUnlogged(records)
-		}
-	}
-	return nil
-}
-
-// reportToWriter gives records to the daemon that writes for all, the first in one ranking. A daemon that does not take
-// them is replaced by the next one. It returns false if none of a few takes them.
-func (c *Client) reportToWriter(ctx context.Context, records []streams.Record) (isTaken bool) {
-	message := &peerpb.StreamsBegan{ForLog: true}
-	for _, r := range records {
-		message.Streams = append(message.Streams, recordToProto(r))
-	}
-	for _, name := range c.writers() {
-		if c.isWriter(ctx, name, message, records) {
-			return true
-		}
-		c.mu.Lock()
-		c.avoidLogUntil[name] = c.Clock.Now().Add(avoidTime)
-		c.mu.Unlock()
-	}
-	return false
-}
-
-// isWriter gives records to a daemon to be written, and reports whether it takes them.
-func (c *Client) isWriter(ctx context.Context, name string, message *peerpb.StreamsBegan, records []streams.Record) bool {
-	if name == c.Self {
-		return c.Log.Add(records)
-	}
-	response, err := c.call(ctx, name, tellTimeout, &peerpb.Request{Kind: &peerpb.Request_StreamsBegan{StreamsBegan: message}})
-	return err == nil && response.GetStreamVersion().GetWillLog()
-}
-
-// writers returns the first daemons in the ranking of those that write for all, without those that did not write a short
-// time ago.
-func (c *Client) writers() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.Clock.Now()
-	names := slices.DeleteFunc(slices.Clone(c.Daemons()), func(name string) bool {
-		return now.Before(c.avoidUntil[name]) || now.Before(c.avoidLogUntil[name])
-	})
-	return firstRanked(logRanking, names, maxReports)
-}
-
 // firstRanked sorts daemons by rendezvous hashing of a text, and returns the first ones.
 func firstRanked(text string, names []string, count int) []string {
 	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(daemonrank.Weight(text, b), daemonrank.Weight(text, a)) })
--- a/internal/forward/streampeer/client_test.go
+++ b/internal/forward/streampeer/client_test.go
@@ -161,6 +161,7 @@
 func (d *deployment) began(daemon, count int, version string) {
 	for i := range count {
 		d.members[daemon].registry.Began(fmt.Sprint(i), streams.Origin{Service: service, Version: version}, 1)
+		d.members[daemon].registry.Confirmed(fmt.Sprint(i))
 	}
 	time.Sleep(300 * time.Millisecond)
 }
--- a/internal/forward/streams/streams.go
+++ b/internal/forward/streams/streams.go
@@ -6,6 +6,7 @@
 //
 //	registry := streams.NewRegistry(clock)
 //	registry.Began("id-1", streams.Origin{Service: "llm", Version: "v1"}, 1)
+//	registry.Confirmed("id-1")
 //	origin, ok := registry.Origin(streams.KeyOf("id-1"))
 //	registry.SawVersions("llm", versions)
 //
@@ -30,6 +31,8 @@
 	maxRecords = 1 << 16
 	// maxOwn limits the recent streams that a daemon reports to others when a service becomes mixed.
 	maxOwn = 2048
+	// maxUnlogged limits the records that wait for the log. The oldest ones are dropped.
+	maxUnlogged = 8192
 )
 
 // Origin is where a stream began.
@@ -109,14 +112,19 @@
 	own []ownRecord
 	// lastSeen is when servers of each version were last listed, by service.
 	lastSeen map[string]map[string]time.Time
-	// unreported are own records that others need.
+	// unreported are own records that others need, and unlogged those of them that the log needs.
 	unreported []Record
 	wake       chan struct{}
+	unlogged   []Record
+	wakeLog    chan struct{}
 }
 
+// ownRecord is a record of a stream of this daemon.
 type ownRecord struct {
 	Record
 	at time.Time
+	// isConfirmed is true once the first event has come: the origin is then final.
+	isConfirmed bool
 }
 
 // NewRegistry returns a registry without records.
@@ -124,7 +132,7 @@
 	now := clock.Now()
 	return &Registry{
 		clock: clock, turnedAt: now, recent: map[Key]entry{},
-		lastSeen: map[string]map[string]time.Time{}, wake: make(chan struct{}, 1),
+		lastSeen: map[string]map[string]time.Time{}, wake: make(chan struct{}, 1), wakeLog: make(chan struct{}, 1),
 	}
 }
 
@@ -145,6 +153,38 @@
 	}
 }
 
+// Confirmed records that the first event of the stream of a request has come, from the server that the request was sent
+// to last. Only such records go to the log: one of an attempt that failed could outlive that of the next attempt there.
+func (r *Registry) Confirmed(requestID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := KeyOf(requestID)
+	for i := len(r.own) - 1; i >= 0; i-- {
+		if o := &r.own[i]; o.Key == key {
+			o.isConfirmed = true
+			if r.isMixed(o.Service, r.clock.Now()) {
+				r.queueForLog(o.Record)
+			}
+			return
+		}
+	}
+}
+
+// queueForLog queues records for the log. The caller holds r.mu.
+func (r *Registry) queueForLog(records ...Record) {
+	r.unlogged = append(r.unlogged, records...)
+	r.unlogged = r.unlogged[max(0, len(r.unlogged)-maxUnlogged):]
+	signal(r.wakeLog)
+}
+
+// signal makes a channel with a buffer of one receive, unless it is to do so already.
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
 // Merge adds the records of another daemon.
 func (r *Registry) Merge(records []Record) {
 	r.mu.Lock()
@@ -211,8 +251,12 @@
 		return
 	}
 	for _, o := range r.own {
-		if o.Service == service && now.Sub(o.at) < TTL {
-			r.report(o.Record)
+		if o.Service != service || now.Sub(o.at) >= TTL {
+			continue
+		}
+		r.report(o.Record)
+		if o.isConfirmed {
+			r.queueForLog(o.Record)
 		}
 	}
 }
@@ -241,10 +285,7 @@
 	if len(r.unreported) < maxOwn {
 		r.unreported = append(r.unreported, record)
 	}
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
+	signal(r.wake)
 }
 
 // TakeUnreported returns the records that other daemons need, and forgets them. Wake receives
@@ -259,3 +300,23 @@
 
 // Wake returns the channel that receives when TakeUnreported has new records.
 func (r *Registry) Wake() <-chan struct{} { return r.wake }
+
+// TakeUnlogged returns the records that the log needs, and forgets them. WakeLog receives when there are new
+// ones.
+func (r *Registry) TakeUnlogged() []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	records := r.unlogged
+	r.unlogged = nil
+	return records
+}
+
+// ReturnUnlogged takes records back that could not be given to the log.
+func (r *Registry) ReturnUnlogged(records []Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queueForLog(records...)
+}
+
+// WakeLog returns the channel that receives when TakeUnlogged has new records.
+func (r *Registry) WakeLog() <-chan struct{} { return r.wakeLog }
--- a/internal/forward/streams/streams_test.go
+++ b/internal/forward/streams/streams_test.go
@@ -140,3 +140,42 @@
 		f.Assert(f.TakeUnreported(), qt.HasLen, 0)
 	})
 }
+
+// TestForLog checks which records go to the log: those of streams whose first event has come, while there are several
+// versions.
+func TestForLog(t *testing.T) {
+	assertUnlogged := func(f fixture, want ...string) {
+		f.Helper()
+		var versions []string
+		for _, r := range f.TakeUnlogged() {
+			versions = append(versions, r.Version)
+		}
+		f.Assert(versions, qt.DeepEquals, want)
+	}
+	t.Run("of several attempts the one that brought the first event", func(t *testing.T) {
+		f := newFixture(t)
+		f.SawVersions(service, []string{"v1", "v2"})
+		f.began("a", "v1", 1)
+		assertUnlogged(f)
+		f.began("a", "v2", 2)
+		f.Confirmed("a")
+		f.Confirmed("unknown")
+		assertUnlogged(f, "v2")
+	})
+	t.Run("once there are several versions, the confirmed ones", func(t *testing.T) {
+		f := newFixture(t)
+		f.SawVersions(service, []string{"v1"})
+		f.began("a", "v1", 1)
+		f.Confirmed("a")
+		f.began("b", "v1", 1)
+		assertUnlogged(f)
+		f.SawVersions(service, []string{"v1", "v2"})
+		assertUnlogged(f, "v1")
+	})
+	t.Run("those that were returned come again", func(t *testing.T) {
+		f := newFixture(t)
+		f.ReturnUnlogged([]streams.Record{{Origin: streams.Origin{Version: "v1"}}})
+		<-f.WakeLog()
+		assertUnlogged(f, "v1")
+	})
+}
