Transport: the reset of a connection that the write of a request sees is no end of its answer

Cause: a long request is written by one goroutine while another one reads the answer. The kernel reports the failure of a connection once. If the write gets ECONNRESET, the read gets the bytes that have arrived and then io.EOF, which ends an answer that has neither a length nor chunks. The same at the far end of a tunnel, whose near end sees no error at all.

Change: DirectDialer opens connections of the new package resetconn. A write keeps the error by which the connection failed. A read that gets io.EOF asks the kernel for the state: in CLOSE_WAIT the server has ended its side, which is an orderly end; otherwise the read waits for the write in progress, which fails at once on a closed connection, and returns its error. EPIPE is none, as the kernel reports it only after the server's end.

Why it works: the error that the read misses is the one that the write got, and the write has recorded it before the read looks. Every reader of answers to backend servers, tunnels included, uses these connections.

--- a/internal/transport/connpool/pool.go
+++ b/internal/transport/connpool/pool.go
@@ -25,6 +25,7 @@
 
 	"azurehitch"
 	"azurehitch/internal/memory/admission"
+	"azurehitch/internal/transport/resetconn"
 	"azurehitch/internal/transport/tcpoption"
 
 	"github.com/pkg/errors"
@@ -152,7 +153,11 @@
 // Dial implements Dialer.
 func (DirectDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: tcpoption.UnackedTimeout(unackedTimeout), KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return resetconn.Wrap(conn), nil
 }
 
 // Pool holds the connections of one daemon to backend servers.
--- a/internal/transport/tunnelpeer/tunnelpeer_test.go
+++ b/internal/transport/tunnelpeer/tunnelpeer_test.go
@@ -34,11 +34,16 @@
 
 // startDaemon starts a daemon that opens at most maxTunnels tunnels.
 func startDaemon(c *qt.C, name string, maxTunnels int) *daemon {
+	return startDaemonWithDialer(c, name, maxTunnels, connpool.DirectDialer{})
+}
+
+// startDaemonWithDialer starts a daemon that opens its connections to servers with a Dialer.
+func startDaemonWithDialer(c *qt.C, name string, maxTunnels int, dialer connpool.Dialer) *daemon {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	d := &daemon{C: c, peer: tunnelpeer.Peer{Name: name, Address: listener.Addr().String()}}
 	d.server = tunnelpeer.NewServer(listener, tunnelpeer.ServerDependencies{
-		Dialer: connpool.DirectDialer{}, IsServer: func(string) bool { return !d.isUnlisted.Load() },
+		Dialer: dialer, IsServer: func(string) bool { return !d.isUnlisted.Load() },
 		IsBlocked: func(string) bool { return d.isBlocked.Load() }, IsStopping: d.isStopping.Load, OnFailed: func() {},
 		MaxTunnels: maxTunnels, Clock: azurehitch.SystemClock{}, OnOutcome: func(tunnelpeer.Outcome) { d.served.Add(1) },
 	})
