Transport: package statusline becomes responsehead

Cause: the package reads the heads of all responses, and is about to check their fields too; its name promised the first line only. Change: the package and its files are renamed, no behaviour changes. Measured: builds, vet clean; tests of the package as before.

--- a/internal/forward/backend/transport.go
+++ b/internal/forward/backend/transport.go
@@ -23,7 +23,7 @@
 	"azurehitch/internal/transport/idleconn"
 	"azurehitch/internal/transport/jsonhttp"
 	"azurehitch/internal/transport/pinnedhttp"
-	"azurehitch/internal/transport/statusline"
+	"azurehitch/internal/transport/responsehead"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -141,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return statusline.Wrap(idleconn.Wrap(conn)), nil
+	return responsehead.Wrap(idleconn.Wrap(conn)), nil
 }
 
 // IsOpen reports whether the circuit breaker of a server is open.
--- a/internal/transport/connpool/conn.go
+++ b/internal/transport/connpool/conn.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"azurehitch/internal/transport/idleconn"
-	"azurehitch/internal/transport/statusline"
+	"azurehitch/internal/transport/responsehead"
 	"azurehitch/internal/transport/tcpoption"
 )
 
@@ -16,7 +16,7 @@
 type conn struct {
 	tcp net.Conn
 	// responses reads from tcp, and reader from responses.
-	responses *statusline.Reader
+	responses *responsehead.Reader
 	reader    *bufio.Reader
 	// expires is when the idle connection must be closed; zero until it first becomes idle.
 	expires time.Time
@@ -27,7 +27,7 @@
 // newConn returns a connection whose read buffer has headBytes, which bounds the size of a response
 // head.
 func newConn(tcp net.Conn, headBytes int) *conn {
-	responses := statusline.NewReader(tcp)
+	responses := responsehead.NewReader(tcp)
 	return &conn{tcp: tcp, responses: responses, reader: bufio.NewReaderSize(responses, headBytes)}
 }
 
--- a/internal/transport/jsonhttp/client.go
+++ b/internal/transport/jsonhttp/client.go
@@ -24,7 +24,7 @@
 	"azurehitch"
 	"azurehitch/internal/transport/countconn"
 	"azurehitch/internal/transport/idleconn"
-	"azurehitch/internal/transport/statusline"
+	"azurehitch/internal/transport/responsehead"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return countconn.Wrap(statusline.Wrap(idleconn.Wrap(conn))), nil
+	return countconn.Wrap(responsehead.Wrap(idleconn.Wrap(conn))), nil
 }
 
 // WithBearer returns a copy that sends key as the bearer token of each call. It shares the
--- a/internal/transport/pinnedhttp/conn.go
+++ b/internal/transport/pinnedhttp/conn.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"azurehitch/internal/transport/countconn"
-	"azurehitch/internal/transport/statusline"
+	"azurehitch/internal/transport/responsehead"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	conn = statusline.Wrap(conn)
+	conn = responsehead.Wrap(conn)
 	return &Conn{conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes), address: address}, nil
 }
 
--- a/internal/transport/statusline/statusline.go
+++ b/internal/transport/responsehead/responsehead.go
@@ -1,17 +1,17 @@
-// Package statusline fails the read of an HTTP response whose status no server can mean.
+// Package responsehead fails the read of an HTTP response whose status no server can mean.
 //
 // # Usage
 //
-//	conn = statusline.Wrap(conn) // for a client that sends one request after the other
+//	conn = responsehead.Wrap(conn) // for a client that sends one request after the other
 //
-//	reader := statusline.NewReader(conn)
+//	reader := responsehead.NewReader(conn)
 //	reader.Begin() // before each request
 //	n, err := reader.Read(p)
 //
 // A status is a number of three digits from 100 to 599; RFC 9110, section 15, calls others invalid. HTTP libraries accept
 // them: that of this project takes 000 for a status that was not set, which is 200. Bytes with such a status are no
 // response, whatever follows.
-package statusline
+package responsehead
 
 import (
 	"bytes"
--- a/internal/transport/statusline/statusline_test.go
+++ b/internal/transport/responsehead/responsehead_test.go
@@ -1,4 +1,4 @@
-package statusline_test
+package responsehead_test
 
 import (
 	"io"
@@ -6,7 +6,7 @@
 	"testing"
 	"testing/iotest"
 
-	"azurehitch/internal/transport/statusline"
+	"azurehitch/internal/transport/responsehead"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -35,10 +35,10 @@
 		t.Run(test.line[:min(len(test.line), 40)], func(t *testing.T) {
 			text := test.line + fields
 			for _, inner := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
-				reader := statusline.NewReader(inner)
+				reader := responsehead.NewReader(inner)
 				reader.Begin()
 				got, err := io.ReadAll(reader)
-				var invalid *statusline.ErrStatus
+				var invalid *responsehead.ErrStatus
 				if test.status < 0 {
 					qt.Assert(t, err, qt.IsNil)
 					qt.Assert(t, string(got), qt.Equals, text)
@@ -55,7 +55,7 @@
 
 // TestBytesOutsideOfResponses checks that bytes that no request precedes are read as they are.
 func TestBytesOutsideOfResponses(t *testing.T) {
-	got, err := io.ReadAll(statusline.NewReader(strings.NewReader("HTTP/1.1 000 X\r\n")))
+	got, err := io.ReadAll(responsehead.NewReader(strings.NewReader("HTTP/1.1 000 X\r\n")))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(got), qt.Equals, "HTTP/1.1 000 X\r\n")
 }
