Transport: an answer with a line in its head that has no valid name is none

Of two bytes behind "Content-Length : 1" the caller got one, as a whole answer.

Cause: the HTTP library accepts a blank in a name, removes those before the colon, and joins a line that begins with a blank or a tab to the field before it, so that a signature becomes another one. Our check of heads read the status line only.

The others are control bytes, bytes from 0x7f on, a tab before the colon, no name, no colon and a second length: the library rejects these, so control bytes in names were not reproduced here.

Change: responsehead checks that each line of fields begins with a token and a colon right after it, in interim heads too. Else the read fails before the library sees the head: 502, or another attempt where the request may be repeated; the outcome is unknown and counts against the server.

Why it works: the check sees all bytes of the heads on all connections on which answers are read (connpool, jsonhttp, pinnedhttp, backend), splits lines where the library does, and lets nothing through that the library would have to interpret.

--- a/internal/transport/responsehead/responsehead.go
+++ b/internal/transport/responsehead/responsehead.go
@@ -1,4 +1,4 @@
-// Package responsehead fails the read of an HTTP response whose status no server can mean.
+// Package responsehead fails the read of an HTTP response whose head can't be that of one.
 //
 // # Usage
 //
@@ -8,9 +8,10 @@
 //	reader.Begin() // before each request
 //	n, err := reader.Read(p)
 //
-// A status is a number of three digits from 100 to 599; RFC 9110, section 15, calls others invalid. HTTP libraries accept
-// them: that of this project takes 000 for a status that was not set, which is 200. Bytes with such a status are no
-// response, whatever follows.
+// A status is a number of three digits from 100 to 599; RFC 9110, section 15, calls others invalid. The name of a field
+// is a token (section 5.6.2) right before its colon. HTTP libraries accept more: that of this project takes 000 for a
+// status that was not set, which is 200, and removes a blank before the colon. Bytes with such a head are no response,
+// whatever follows. Both are checked in interim heads too.
 package responsehead
 
 import (
@@ -44,9 +45,8 @@
 
 const (
 	phaseStatusLine phase = "StatusLine"
-	// phaseFields are the header fields of an interim response, after which another status line comes.
-	phaseFields phase = "Fields"
-	// phaseRest is all after the status line of the final response.
+	phaseFields     phase = "Fields"
+	// phaseRest is all after the head of the final response.
 	phaseRest phase = "Rest"
 )
 
@@ -54,8 +54,12 @@
 type Reader struct {
 	reader io.Reader
 	phase  phase
-	// line is the beginning of the current line, without its end.
+	// isInterim is true in the fields of an interim response, after which another status line comes.
+	isInterim bool
+	// line is the beginning of the current status line, without its end.
 	line []byte
+	// name is the name in the current line of fields.
+	name fieldName
 	err  error
 }
 
@@ -63,9 +67,10 @@
 func NewReader(r io.Reader) *Reader { return &Reader{reader: r, phase: phaseRest} }
 
 // Begin is called before each request. The response to it is read next.
-func (r *Reader) Begin() { r.phase, r.line = phaseStatusLine, r.line[:0] }
+func (r *Reader) Begin() { r.phase, r.line, r.name = phaseStatusLine, r.line[:0], fieldName{} }
 
-// Read implements io.Reader. The error is an *ErrStatus from the status line of a response on that has no valid status.
+// Read implements io.Reader. The error is an *ErrStatus or an *ErrFieldName from the line of a response on that has no
+// valid status or name.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
@@ -82,10 +87,11 @@
 	for len(p) > 0 && r.phase != phaseRest {
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
-			r.add(p)
-			return nil
+			return r.add(p)
+		}
+		if err := r.add(p[:end]); err != nil {
+			return err
 		}
-		r.add(p[:end])
 		p = p[end+1:]
 		if err := r.endLine(); err != nil {
 			return err
@@ -94,20 +100,42 @@
 	return nil
 }
 
-// add adds bytes to the current line, as far as they are kept.
-func (r *Reader) add(p []byte) { r.line = append(r.line, p[:min(len(p), maxLine-len(r.line))]...) }
+// add adds bytes to the current line.
+func (r *Reader) add(p []byte) error {
+	if r.phase == phaseFields {
+		return r.name.add(p)
+	}
+	r.line = append(r.line, p[:min(len(p), maxLine-len(r.line))]...)
+	return nil
+}
 
 // endLine checks the line that has ended, and begins the next one.
 func (r *Reader) endLine() error {
+	if r.phase == phaseFields {
+		return r.endField()
+	}
 	line := bytes.TrimSuffix(r.line, []byte("\r"))
 	r.line = r.line[:0]
+	if len(line) == 0 {
+		// Empty lines before a status line are skipped.
+		return nil
+	}
+	return r.checkStatus(line)
+}
+
+// endField ends a line of fields. An empty one ends the head.
+func (r *Reader) endField() error {
+	ended := r.name
+	r.name = fieldName{}
 	switch {
-	case r.phase == phaseFields && len(line) == 0:
+	case ended.isComplete:
+		return nil
+	case ended.size > 0:
+		return &ErrFieldName{Byte: '\n'}
+	case r.isInterim:
 		r.phase = phaseStatusLine
-	case r.phase == phaseFields, len(line) == 0:
-		// Empty lines before a status line are skipped.
 	default:
-		return r.checkStatus(line)
+		r.phase = phaseRest
 	}
 	return nil
 }
@@ -116,12 +144,12 @@
 func (r *Reader) checkStatus(line []byte) error {
 	status, ok := parse(line)
 	switch {
-	case ok && (status < minStatus || status >= firstBeyond):
+	case !ok:
+		r.phase = phaseRest
+	case status < minStatus || status >= firstBeyond:
 		return &ErrStatus{Status: status}
-	case ok && status < firstFinal:
-		r.phase = phaseFields
 	default:
-		r.phase = phaseRest
+		r.phase, r.isInterim = phaseFields, status < firstFinal
 	}
 	return nil
 }
@@ -144,7 +172,7 @@
 	hasRead bool
 }
 
-// Wrap returns a connection whose reads fail with an *ErrStatus. It takes over c, which may be nil.
+// Wrap returns a connection whose reads fail as those of a Reader. It takes over c, which may be nil.
 func Wrap(c net.Conn) net.Conn {
 	if c == nil {
 		return nil
