Transport: a status after many blanks is checked too

A caller got 200, with the signature of the server, for a status line with 60 blanks between the protocol and the status 000.

Cause: the check keeps 64 bytes of a status line. A status beyond them looked like a line without one, which is left to the HTTP library; the library skips any number of blanks.

Change: of blanks in a row the check keeps one.

Why it works: the library skips blanks only between the protocol and the status, so both are within the bound wherever the library finds them; a longer protocol is none for the library.

--- a/internal/forward/passthrough/status_test.go
+++ b/internal/forward/passthrough/status_test.go
@@ -1,6 +1,7 @@
 package passthrough_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -62,6 +63,20 @@
 	})
 }
 
+// TestStatusAfterManyBlanks checks a status that does not begin within the first bytes of its line.
+func TestStatusAfterManyBlanks(t *testing.T) {
+	for _, blanks := range []int{1, 40, 60, 1000} {
+		t.Run(strconv.Itoa(blanks), func(t *testing.T) {
+			status := strings.Repeat(" ", blanks) + "000"
+			withGateway(t, nonIdempotent, []*backend{newBackend(t, withStatus(whole, status), 0)}, func(g *gateway) {
+				got := g.send("POST", "/x/y", "")
+				g.Assert(got.status, qt.Equals, 502)
+				g.Assert(got.header.Get("X-Signature"), qt.Equals, "")
+			})
+		})
+	}
+}
+
 // TestStatusAtTheBorders checks the statuses next to those that are none.
 func TestStatusAtTheBorders(t *testing.T) {
 	for _, status := range []string{"100", "199"} {
--- a/internal/transport/responsehead/responsehead.go
+++ b/internal/transport/responsehead/responsehead.go
@@ -32,6 +32,8 @@
 	maxLine = 64
 )
 
+var blank = []byte(" ")
+
 // ErrStatus is returned by the read of a response without a valid status.
 type ErrStatus struct{ Status int }
 
@@ -56,7 +58,8 @@
 	phase  phase
 	// isInterim is true in the fields of an interim response, after which another status line comes.
 	isInterim bool
-	// line is the beginning of the current status line, without its end.
+	// line is the beginning of the current status line, without its end. Of blanks in a row it has one: any number may
+	// precede the status.
 	line []byte
 	// name is the name in the current line of fields.
 	name fieldName
@@ -105,7 +108,12 @@
 	if r.phase == phaseFields {
 		return r.name.add(p)
 	}
-	r.line = append(r.line, p[:min(len(p), maxLine-len(r.line))]...)
+	for _, b := range p {
+		isRepeated := b == ' ' && bytes.HasSuffix(r.line, blank)
+		if !isRepeated && len(r.line) < maxLine {
+			r.line = append(r.line, b)
+		}
+	}
 	return nil
 }
 
--- a/internal/transport/responsehead/responsehead_test.go
+++ b/internal/transport/responsehead/responsehead_test.go
@@ -21,6 +21,7 @@
 		{"HTTP/1.1 000 X\r\n", 0},
 		{"HTTP/1.1 000\n", 0},
 		{"\r\nHTTP/1.0  099 X\r\n", 99},
+		{"HTTP/1.1" + strings.Repeat(" ", 200) + "000 X\r\n", 0},
 		{"HTTP/1.1 600 " + strings.Repeat("x", 200) + "\r\n", 600},
 		{"HTTP/1.1 999 X\r\n", 999},
 		{"HTTP/1.1 100 X\r\nX: y\r\n\r\nHTTP/1.1 001 X\r\n", 1},
