Transport: an answer whose version lacks its chunks is none

A caller got a signed 200 whose body was "2 ok 0" with line ends, the chunks as they came, for an answer in chunks of HTTP/1.0, 1.2 or 2.0 (MIXED: a body that isn't the server's).

Cause: the HTTP library reads chunks of HTTP/1.1 only, ignores Transfer-Encoding in any other version, and accepts any version of two numbers.

Change: responsehead accepts the versions 1.0 and 1.1, and no Transfer-Encoding in the former.

Why it works: what is left is framed by the library as the server framed it: 1.1 by chunks, a length or the end, 1.0 by the last two.

--- a/internal/transport/jsonhttp/fieldname_test.go
+++ b/internal/transport/jsonhttp/fieldname_test.go
@@ -29,3 +29,15 @@
 		}
 	}
 }
+
+// TestChunksThatTheVersionLacks guards against calls whose answer is taken with the sizes of its chunks for its body.
+func TestChunksThatTheVersionLacks(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2", "HTTP/2.0"} {
+		t.Run(version, func(t *testing.T) {
+			var call *jsonhttp.ErrCall
+			err := callRaw(t, version+" 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+			qt.Assert(t, errors.As(err, &call), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, call.Sent, qt.IsTrue)
+		})
+	}
+}
--- a/internal/transport/responsehead/fieldname.go
+++ b/internal/transport/responsehead/fieldname.go
@@ -24,10 +24,18 @@
 	return is
 }()
 
+// encodingName is the name, in small letters, of the field that says whether a body comes in chunks.
+const encodingName = "transfer-encoding"
+
+// lowerCase is the bit by which small letters differ from capital ones. The hyphen has it too.
+const lowerCase = 0x20
+
 // fieldName is the name at the beginning of the current line of fields.
 type fieldName struct {
 	// size is the number of bytes of the name so far.
 	size int
+	// differs is true if these bytes are not the first ones of encodingName.
+	differs bool
 	// hasReturn is true after a carriage return in place of a name. Only the end of the line may follow.
 	hasReturn bool
 	// isComplete is true after the colon.
@@ -44,6 +52,7 @@
 		case n.hasReturn:
 			return &ErrFieldName{Byte: '\r'}
 		case isNameByte[b]:
+			n.differs = n.differs || n.size >= len(encodingName) || b|lowerCase != encodingName[n.size]
 			n.size++
 		case b == ':' && n.size > 0:
 			n.isComplete = true
@@ -56,3 +65,6 @@
 	}
 	return nil
 }
+
+// isEncoding reports whether the complete name is encodingName in any letters.
+func (n *fieldName) isEncoding() bool { return !n.differs && n.size == len(encodingName) }
--- a/internal/transport/responsehead/responsehead.go
+++ b/internal/transport/responsehead/responsehead.go
@@ -9,39 +9,18 @@
 //	n, err := reader.Read(p)
 //
 // A status is a number of three digits from 100 to 599; RFC 9110, section 15, calls others invalid. The name of a field
-// is a token (section 5.6.2) right before its colon. HTTP libraries accept more: that of this project takes 000 for a
-// status that was not set, which is 200, and removes a blank before the colon. Bytes with such a head are no response,
-// whatever follows. Both are checked in interim heads too.
+// is a token (section 5.6.2) right before its colon. The version is 1.0 or 1.1, and only the latter has chunks. HTTP
+// libraries accept more: that of this project takes 000 for a status that was not set, which is 200, removes a blank
+// before the colon, and reads the chunks of other versions as the body. Bytes with such a head are no response, whatever
+// follows. All this is checked in interim heads too.
 package responsehead
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net"
-	"strconv"
 )
 
-const (
-	minStatus   = 100
-	firstFinal  = 200
-	firstBeyond = 600
-	// statusDigits is the length of a status. Others are left to the HTTP library, which rejects them.
-	statusDigits = 3
-	// maxLine is how many bytes of a line are kept: more than the protocol and the status.
-	maxLine = 64
-)
-
-var blank = []byte(" ")
-
-// ErrStatus is returned by the read of a response without a valid status.
-type ErrStatus struct{ Status int }
-
-// Error implements error.
-func (e *ErrStatus) Error() string {
-	return fmt.Sprintf("the response has the status %03d, which is none", e.Status)
-}
-
 // phase is the part of a response that comes next.
 type phase string
 
@@ -56,8 +35,8 @@
 type Reader struct {
 	reader io.Reader
 	phase  phase
-	// isInterim is true in the fields of an interim response, after which another status line comes.
-	isInterim bool
+	// status is the status line of the current head.
+	status statusLine
 	// line is the beginning of the current status line, without its end. Of blanks in a row it has one: any number may
 	// precede the status.
 	line []byte
@@ -72,8 +51,8 @@
 // Begin is called before each request. The response to it is read next.
 func (r *Reader) Begin() { r.phase, r.line, r.name = phaseStatusLine, r.line[:0], fieldName{} }
 
-// Read implements io.Reader. The error is an *ErrStatus or an *ErrFieldName from the line of a response on that has no
-// valid status or name.
+// Read implements io.Reader. From a line on that no response can have, the error is an *ErrStatus, *ErrVersion or
+// *ErrFieldName.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
@@ -128,7 +107,7 @@
 		// Empty lines before a status line are skipped.
 		return nil
 	}
-	return r.checkStatus(line)
+	return r.beginFields(line)
 }
 
 // endField ends a line of fields. An empty one ends the head.
@@ -136,11 +115,14 @@
 	ended := r.name
 	r.name = fieldName{}
 	switch {
+	case ended.isComplete && ended.isEncoding() && !r.status.hasChunks():
+		return &ErrVersion{Version: r.status.version, IsChunked: true}
 	case ended.isComplete:
 		return nil
 	case ended.size > 0:
 		return &ErrFieldName{Byte: '\n'}
-	case r.isInterim:
+	case r.status.isInterim():
+		// Another head comes.
 		r.phase = phaseStatusLine
 	default:
 		r.phase = phaseRest
@@ -148,28 +130,15 @@
 	return nil
 }
 
-// checkStatus checks a status line, and finds out what follows it. Lines without a status are left to the HTTP library.
-func (r *Reader) checkStatus(line []byte) error {
-	status, ok := parse(line)
-	switch {
-	case !ok:
+// beginFields checks a status line, and finds out what follows it. Lines without a status are left to the HTTP library.
+func (r *Reader) beginFields(line []byte) error {
+	parsed, ok := parseStatusLine(line)
+	if !ok {
 		r.phase = phaseRest
-	case status < minStatus || status >= firstBeyond:
-		return &ErrStatus{Status: status}
-	default:
-		r.phase, r.isInterim = phaseFields, status < firstFinal
-	}
-	return nil
-}
-
-// parse returns the status of a status line, and false if it has none of three digits.
-func parse(line []byte) (status int, ok bool) {
-	fields := bytes.Fields(line)
-	if len(fields) < 2 || len(fields[1]) != statusDigits {
-		return 0, false
+		return nil
 	}
-	status, err := strconv.Atoi(string(fields[1]))
-	return status, err == nil && status >= 0
+	r.phase, r.status = phaseFields, parsed
+	return parsed.check()
 }
 
 // conn is a connection of a client that sends one request after the other.
--- a/internal/transport/responsehead/responsehead_test.go
+++ b/internal/transport/responsehead/responsehead_test.go
@@ -60,3 +60,39 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(got), qt.Equals, "HTTP/1.1 000 X\r\n")
 }
+
+// TestVersions checks the versions of the protocol, and chunks of those that lack them.
+func TestVersions(t *testing.T) {
+	for _, test := range []struct {
+		version, fields string
+		isSound         bool
+	}{
+		{"HTTP/1.1", "", true},
+		{"HTTP/1.0", "", true},
+		{"HTTP/1.2", "", false},
+		{"HTTP/2.0", "", false},
+		{"http/1.1", "", false},
+		{"ICY", "", false},
+		{"HTTP/1.1", "Transfer-Encoding: chunked\r\n", true},
+		{"HTTP/1.0", "Transfer-Encoding: chunked\r\n", false},
+		{"HTTP/1.0", "X-A: 1\r\ntransfer-encoding:\r\n", false},
+		{"HTTP/1.0", "Transfer-Encodin: 1\r\nTransfer-Encodings: 1\r\nTransfer-Encodinh: 1\r\n", true},
+	} {
+		t.Run(test.version+" "+test.fields, func(t *testing.T) {
+			text := test.version + " 200 OK\r\n" + test.fields + "\r\nTransfer-Encoding: not a field\r\n"
+			for _, inner := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+				reader := responsehead.NewReader(inner)
+				reader.Begin()
+				got, err := io.ReadAll(reader)
+				if test.isSound {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, string(got), qt.Equals, text)
+					continue
+				}
+				var invalid *responsehead.ErrVersion
+				qt.Assert(t, err, qt.ErrorAs, &invalid)
+				qt.Assert(t, invalid.Version, qt.Equals, test.version)
+			}
+		})
+	}
+}
