--- a/internal/forward/backend/cuthead_test.go
+++ b/internal/forward/backend/cuthead_test.go
@@ -20,6 +20,13 @@
 
 // startCuttingServer starts a server that sends a text as the answer to each request and closes the connection.
 func startCuttingServer(t *testing.T, text string) (address string) {
+	t.Helper()
+	return startEarlyServer(t, text, func(*net.TCPConn) {})
+}
+
+// startEarlyServer starts a server that sends a text as the answer once it has the head of a request. Then it calls end,
+// and closes the connection.
+func startEarlyServer(t *testing.T, text string, end func(conn *net.TCPConn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
@@ -38,12 +45,30 @@
 				// The client may have given up.
 				_, _ = io.WriteString(conn, text)
 			}
+			end(conn.(*net.TCPConn))
 			conn.Close()
 		}
 	})
 	return listener.Addr().String()
 }
 
+// sendTimeout bounds send.
+const sendTimeout = 2 * time.Second
+
+// send sends a request with a body to a server.
+func send(address string, body []byte, atMostOnce bool) (*backend.Exchange, error) {
+	transport := backend.NewTransport(azurehitch.SystemClock{}, ignoreBreakers{})
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("/x")
+	request.SetBody(body)
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	return transport.Send(ctx, backend.Call{
+		Server: tables.BackendServer{Name: "s", Address: address}, Request: request, AtMostOnce: atMostOnce,
+	})
+}
+
 // TestAnswerCutInItsHead cuts the head of an answer after each of its bytes. It must not be taken for an answer.
 func TestAnswerCutInItsHead(t *testing.T) {
 	for name, whole := range map[string]string{
@@ -55,15 +80,7 @@
 			t.Run(name, func(t *testing.T) {
 				c := qt.New(t)
 				for cut := range len(whole) {
-					transport := backend.NewTransport(azurehitch.SystemClock{}, ignoreBreakers{})
-					request := &fasthttp.Request{}
-					request.Header.SetMethod(fasthttp.MethodPost)
-					request.SetRequestURI("/x")
-					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-					exchange, err := transport.Send(ctx, backend.Call{
-						Server: tables.BackendServer{Name: "s", Address: startCuttingServer(t, whole[:cut])}, Request: request, AtMostOnce: atMostOnce,
-					})
-					cancel()
+					exchange, err := send(startCuttingServer(t, whole[:cut]), nil, atMostOnce)
 					c.Check(err, qt.IsNotNil, qt.Commentf("taken for an answer: %q", whole[:cut]))
 					if err == nil {
 						exchange.Close()
--- a/internal/forward/backend/fieldname_test.go
+++ b/internal/forward/backend/fieldname_test.go
@@ -1,16 +1,9 @@
 package backend_test
 
 import (
-	"context"
 	"testing"
-	"time"
-
-	"azurehitch"
-	"azurehitch/internal/configuration/tables"
-	"azurehitch/internal/forward/backend"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/valyala/fasthttp"
 )
 
 // TestFieldNameThatIsNone guards against answers in whose head the name of a field is none.
@@ -22,16 +15,7 @@
 	} {
 		for way, atMostOnce := range map[string]bool{"pinned": true, "pooled": false} {
 			t.Run(name+", "+way, func(t *testing.T) {
-				address := startCuttingServer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nok")
-				transport := backend.NewTransport(azurehitch.SystemClock{}, ignoreBreakers{})
-				request := &fasthttp.Request{}
-				request.Header.SetMethod(fasthttp.MethodPost)
-				request.SetRequestURI("/x")
-				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-				defer cancel()
-				exchange, err := transport.Send(ctx, backend.Call{
-					Server: tables.BackendServer{Name: "s", Address: address}, Request: request, AtMostOnce: atMostOnce,
-				})
+				exchange, err := send(startCuttingServer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nok"), nil, atMostOnce)
 				if err == nil {
 					exchange.Close()
 				}
--- a/internal/standin/hookconn/listener.go
+++ b/internal/standin/hookconn/listener.go
@@ -1,9 +1,11 @@
-// Package hookconn has connections that tests can act on just as something was read from them.
+// Package hookconn has connections by which tests fix the order of events that otherwise come at the same time.
 //
 // # Usage
 //
 //	hooked := &hookconn.Listener{Listener: listener}
-//	hooked.CallOnRead(stopServer)
+//	hooked.CallOnRead(stopServer) // just as a request arrives
+//
+//	pool.WithDialer(hookconn.Dialer{Dialer: dialer}) // writes see the end of a connection before reads
 package hookconn
 
 import (
