Transport: a connection whose failure a read has seen does not end in order after it

What callers saw: nothing that we know of; found in the reading of resetconn. The kernel reports a failure once, so after a read that got ECONNRESET the next one gets io.EOF. No reader of ours was found that reads on after an error.

Evidence: TestReadAfterFailure failed before: the second read got EOF.

Change: a read keeps the failure and returns it again; canSend becomes isHalfClosed, which is what it reports.

Why it works: writes and reads are the only users of the connection, and both now keep what they have seen.

--- a/internal/transport/resetconn/resetconn.go
+++ b/internal/transport/resetconn/resetconn.go
@@ -42,6 +42,8 @@
 	writing sync.Mutex
 	// failure is the error by which a write has seen that the connection failed; nil for none.
 	failure error
+	// readFailure is the same of a read. Only reads use it.
+	readFailure error
 }
 
 // Wrap returns a connection whose reads return io.EOF only after its orderly end. It takes over conn. Connections of
@@ -57,9 +59,15 @@
 // Read implements net.Conn. It returns an *ErrReset in place of io.EOF if a write has seen that the connection failed
 // before the peer ended its side.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.readFailure != nil {
+		return 0, c.readFailure
+	}
 	n, err := c.TCPConn.Read(p)
-	if err == io.EOF {
-		err = c.checkEnd()
+	switch {
+	case err == io.EOF:
+		return n, c.checkEnd()
+	case isFailure(err):
+		c.readFailure = err
 	}
 	return n, err
 }
@@ -69,7 +77,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.TCPConn.Write(p)
-	if err != nil && c.failure == nil && isFailure(err) {
+	if c.failure == nil && isFailure(err) {
 		c.failure = err
 	}
 	return n, err
@@ -82,10 +90,10 @@
 func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
 
 // checkEnd returns io.EOF if the peer has ended its side of the connection in order, and otherwise an *ErrReset. While
-// the connection can still send, it doesn't wait for a write in progress: the peer may read on for long. On one that
-// can't, a write returns at once.
+// the connection is half closed, it doesn't wait for a write in progress: the peer may read on for long. On one that is
+// closed altogether, a write returns at once.
 func (c *Conn) checkEnd() error {
-	if c.canSend() {
+	if c.isHalfClosed() {
 		return io.EOF
 	}
 	c.writing.Lock()
@@ -96,8 +104,9 @@
 	return io.EOF
 }
 
-// canSend reports whether only the peer has ended its side. It returns false if the connection has failed.
-func (c *Conn) canSend() bool {
+// isHalfClosed reports whether the peer has ended its side, and the connection can still send. It returns false if the
+// state of the connection can't be read.
+func (c *Conn) isHalfClosed() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
@@ -111,8 +120,8 @@
 	return info.State == unix.BPF_TCP_CLOSE_WAIT
 }
 
-// isFailure reports whether an error of a write says that the connection failed before the peer ended its side. After
-// that end, the kernel reports EPIPE, which is no failure of what the peer has sent.
+// isFailure reports whether an error says that the connection failed before the peer ended its side. After that end, the
+// kernel reports EPIPE to writes, which is no failure of what the peer has sent.
 func isFailure(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && errno != syscall.EPIPE
--- a/internal/transport/resetconn/resetconn_test.go
+++ b/internal/transport/resetconn/resetconn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,6 +93,16 @@
 	}
 }
 
+// TestReadAfterFailure checks that a connection whose failure a read has seen doesn't end in order after it.
+func TestReadAfterFailure(t *testing.T) {
+	p := newPair(t)
+	p.reset()
+	_, err := p.conn.Read(make([]byte, 1))
+	p.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+	_, err = p.conn.Read(make([]byte, 1))
+	p.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+}
+
 // TestResetSeenByCopy checks that a copy to the connection records a failure as writes do.
 func TestResetSeenByCopy(t *testing.T) {
 	p := newPair(t)
