Tests: the stand-ins of broken answers say each thing once

Cause: the answer in chunks was put together in three tests of package passthrough, the dialer on which the write sees the reset was set up in two ways, and a connection of a test had two embedded parts that both read. Change: wholeInChunks and withWritesFirst serve all of them; assertions, plays and bounds stay as they are.

--- a/internal/forward/passthrough/fieldname_test.go
+++ b/internal/forward/passthrough/fieldname_test.go
@@ -78,7 +78,6 @@
 // TestOddFieldsOfSoundAnswers checks heads and trailers that may look broken, and of which callers get what the server
 // gave.
 func TestOddFieldsOfSoundAnswers(t *testing.T) {
-	chunked := strings.TrimSuffix(strings.Replace(whole, "Content-Length: 2", "Transfer-Encoding: chunked", 1), "ok") + "2\r\nok\r\n0\r\n\r\n"
 	for name, answer := range map[string]string{
 		"an empty value":               answerWithLine("X-Ab:"),
 		"no blank after the colon":     answerWithLine("X-Ab:1"),
@@ -87,8 +86,8 @@
 		"a high byte in a value":       answerWithLine("X-Ab: \xff"),
 		"two signatures":               answerWithLine("X-Signature: s"),
 		"a control byte in the reason": strings.Replace(whole, "OK", "O\x01K", 1),
-		"another length beside chunks": strings.Replace(chunked, "Transfer", "Content-Length: 1\r\nTransfer", 1),
-		"odd lines after the chunks":   strings.Replace(chunked, "0\r\n\r\n", "0\r\nX y z\r\n\x01\r\n\r\n", 1),
+		"another length beside chunks": strings.Replace(wholeInChunks, "Transfer", "Content-Length: 1\r\nTransfer", 1),
+		"odd lines after the chunks":   strings.Replace(wholeInChunks, "0\r\n\r\n", "0\r\nX y z\r\n\x01\r\n\r\n", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			withGateway(t, nonIdempotent, []*backend{newBackend(t, answer, 0)}, func(g *gateway) {
--- a/internal/forward/passthrough/reset_test.go
+++ b/internal/forward/passthrough/reset_test.go
@@ -80,8 +80,7 @@
 	}
 	t.Run("may be repeated", func(t *testing.T) {
 		first, second := newResettingBackend(t, unsizedHead+"part", 0), newBackend(t, whole, 0)
-		withGateway(t, idempotent, []*backend{first, second}, func(g *gateway) {
-			g.server.Connections.WithDialer(&firstDialer{first: hookconn.Dialer{Dialer: connpool.DirectDialer{}}})
+		withWritesFirst(t, idempotent, []*backend{first, second}, func(g *gateway) {
 			got := g.send("POST", "/x/y", longBody)
 			g.Assert(got.status, qt.Equals, 200)
 			g.Assert(got.body, qt.Equals, "ok")
@@ -98,8 +97,7 @@
 	t.Run("a stream that another server goes on with", func(t *testing.T) {
 		first := newResettingBackend(t, unframedHead+"id: 1\ndata: a\n\n", 0)
 		second := newBackend(t, unframedHead+"id: 2\ndata: b\n\n", 0)
-		withGateway(t, resumable, []*backend{first, second}, func(g *gateway) {
-			g.server.Connections.WithDialer(&firstDialer{first: hookconn.Dialer{Dialer: connpool.DirectDialer{}}})
+		withWritesFirst(t, resumable, []*backend{first, second}, func(g *gateway) {
 			got := g.send("POST", "/x/y", longBody)
 			g.Assert(got.cut, qt.IsFalse)
 			g.Assert(got.body, qt.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
@@ -124,28 +122,26 @@
 	g.Assert(got.header.Get("X-Signature"), qt.Equals, "")
 }
 
-// withWritesFirst calls run with a gateway that has only its writes see how servers end connections.
+// withWritesFirst calls run with a gateway that has only its writes see how the first server ends its connection.
 func withWritesFirst(t *testing.T, route azurehitch.PathRoute, backends []*backend, run func(g *gateway)) {
 	t.Helper()
 	withGateway(t, route, backends, func(g *gateway) {
-		g.server.Connections.WithDialer(hookconn.Dialer{Dialer: connpool.DirectDialer{}})
+		g.server.Connections.WithDialer(&firstDialer{})
 		run(g)
 	})
 }
 
-// firstDialer opens the first connection with another Dialer than the following ones. It is used by one request.
-type firstDialer struct {
-	first   connpool.Dialer
-	wasUsed bool
-}
+// firstDialer opens the first connection with a hookconn.Dialer. It is used by one request.
+type firstDialer struct{ wasUsed bool }
 
 // Dial implements connpool.Dialer.
 func (d *firstDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	direct := connpool.DirectDialer{}
 	if d.wasUsed {
-		return connpool.DirectDialer{}.Dial(ctx, address)
+		return direct.Dial(ctx, address)
 	}
 	d.wasUsed = true
-	return d.first.Dial(ctx, address)
+	return hookconn.Dialer{Dialer: direct}.Dial(ctx, address)
 }
 
 // TestAnswerResetDuringUploadAsItComes is TestAnswerResetDuringUpload with whatever sees the reset first.
@@ -172,13 +168,12 @@
 		_ = conn.CloseWrite()
 		readOn(conn, request)
 	}
-	chunked := strings.Replace(whole, "Content-Length: 2", "Transfer-Encoding: chunked", 1)
 	for name, server := range map[string]struct {
 		answer string
 		end    func(conn *net.TCPConn, request io.Reader)
 	}{
 		"with a length, the server reads on":                 {whole, readOn},
-		"in chunks, the server reads on":                     {strings.TrimSuffix(chunked, "ok") + "2\r\nok\r\n0\r\n\r\n", readOn},
+		"in chunks, the server reads on":                     {wholeInChunks, readOn},
 		"without a length, half closed, the server reads on": {unsizedHead + "ok", closeHalf},
 		"without a length, half closed, the server reads nothing": {unsizedHead + "ok", func(conn *net.TCPConn, _ io.Reader) {
 			_ = conn.CloseWrite()
--- a/internal/transport/connpool/secondreader_test.go
+++ b/internal/transport/connpool/secondreader_test.go
@@ -22,17 +22,17 @@
 
 // Dial implements connpool.Dialer.
 func (d cannedDialer) Dial(context.Context, string) (net.Conn, error) {
-	return &cannedConn{Reader: bytes.NewReader(d.text)}, nil
+	return &cannedConn{answer: bytes.NewReader(d.text)}, nil
 }
 
 // cannedConn is a connection of a cannedDialer.
 type cannedConn struct {
 	net.Conn
-	*bytes.Reader
+	answer io.Reader
 }
 
 // Read implements net.Conn.
-func (c *cannedConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+func (c *cannedConn) Read(p []byte) (int, error) { return c.answer.Read(p) }
 
 // Write implements net.Conn.
 func (c *cannedConn) Write(p []byte) (int, error) { return len(p), nil }
